--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target builds what it needs: a virtual environment with pinned packages.
+PY := .venv/bin/python
+STAMP := .venv/.installed
+
+.PHONY: test demo lint model bench load capacity clean
+
+$(STAMP): requirements/run.txt requirements/dev.txt
+	test -x $(PY) || python3 -m venv .venv
+	$(PY) -m pip install --quiet -r requirements/dev.txt
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(PY) -m pytest
+
+demo: $(STAMP)
+	$(PY) -m examples.demo
+
+lint: $(STAMP)
+	.venv/bin/ruff format --check .
+	.venv/bin/ruff check .
+	.venv/bin/flake8 cactusledge standins benchmarks examples model tests
+	.venv/bin/mypy cactusledge standins benchmarks examples model
+	.venv/bin/lint-imports
+
+model: $(STAMP)
+	$(PY) -m model
+
+bench: $(STAMP)
+	$(PY) -m benchmarks.policy
+
+load: $(STAMP)
+	$(PY) -m benchmarks.load
+
+capacity: $(STAMP)
+	$(PY) -m benchmarks.capacity
+
+clean:
+	rm -rf .venv .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policy and of the path, one table each."""
--- /dev/null
+++ b/cactusledge/api/__init__.py
@@ -0,0 +1,1 @@
+"""Caller API and status API over HTTP."""
--- /dev/null
+++ b/cactusledge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the `cactusledge` program, one module a command."""
--- /dev/null
+++ b/cactusledge/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/cactusledge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances, and membership."""
--- /dev/null
+++ b/cactusledge/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Program drivers and journal writers: the protocol at run time."""
--- /dev/null
+++ b/cactusledge/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Inner protocol: journal, takeover, calls and budget, as pure functions."""
--- /dev/null
+++ b/cactusledge/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing policy: placement, queueing, admission and retries."""
--- /dev/null
+++ b/cactusledge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Instance settings, definition files, validation and publishing."""
--- /dev/null
+++ b/cactusledge/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example definition files and the demonstration that runs them."""
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model checks of the inner protocol."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, named by feature."""
