Read settings and definition files strictly

Cause: operators drive the system only by files, so a slip in one must be found before it is published, with the line it stands at. Ruled out: loading with the YAML library's constructor, which drops line numbers; merging anchors, which hide where a value comes from.

--- /dev/null
+++ b/cactusledge/settings/document.py
@@ -0,0 +1,189 @@
+"""YAML documents that remember the line of every field.
+
+Anchors, aliases, duplicate keys and deep nesting are refused: none of them is
+needed in settings, and each of them can hide what an operator meant.
+"""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import yaml
+
+from cactusledge.settings.errors import InvalidFileError, Problem
+
+MAX_DEPTH = 16
+MAX_FILE_BYTES = 8 * 1024 * 1024
+
+Location = tuple[str | int, ...]
+
+_OPENING = (yaml.MappingStartEvent, yaml.SequenceStartEvent)
+_CLOSING = (yaml.MappingEndEvent, yaml.SequenceEndEvent)
+
+
+class Document(NamedTuple):
+    """Plain data read from YAML, and where each of its fields stands."""
+
+    path: str
+    data: Any
+    lines: Mapping[Location, int]
+
+    def place(self, loc: Location) -> str:
+        """Returns `path:line` of the field, or of its closest parent."""
+        known = loc
+        while known and known not in self.lines:
+            known = known[:-1]
+        return f'{self.path}:{self.lines.get(known, 1)}'
+
+
+class _InvalidNodeError(Exception):
+    """A YAML node that is not accepted."""
+
+    def __init__(self, line: int, message: str, remedy: str) -> None:
+        super().__init__(message)
+        self.line = line
+        self.message = message
+        self.remedy = remedy
+
+
+class _Reader:
+    """Turns YAML nodes into plain data and collects their lines."""
+
+    def __init__(self, loader: yaml.SafeLoader) -> None:
+        self.lines: dict[Location, int] = {(): 1}
+        self._loader = loader
+
+    def plain(self, node: yaml.Node, loc: Location) -> Any:
+        """Returns the plain value of a node."""
+        self.lines.setdefault(loc, _line(node))
+        if isinstance(node, yaml.MappingNode):
+            return self._mapping(node, loc)
+        if isinstance(node, yaml.SequenceNode):
+            return [
+                self.plain(item, (*loc, index))
+                for index, item in enumerate(node.value)
+            ]
+        return self._scalar(node)
+
+    def _mapping(self, node: yaml.MappingNode, loc: Location) -> dict[str, Any]:
+        fields: dict[str, Any] = {}
+        for key_node, value_node in node.value:
+            key = self._key(key_node)
+            if key in fields:
+                raise _InvalidNodeError(
+                    _line(key_node),
+                    f"The field '{key}' stands twice.",
+                    'Remove one of the two.',
+                )
+            self.lines[*loc, key] = _line(key_node)
+            fields[key] = self.plain(value_node, (*loc, key))
+        return fields
+
+    def _key(self, node: yaml.Node) -> str:
+        is_scalar = isinstance(node, yaml.ScalarNode)
+        key = self._scalar(node) if is_scalar else None
+        if isinstance(key, str):
+            return key
+        raise _InvalidNodeError(
+            _line(node),
+            'A field name is not a plain string.',
+            'Write the name as a word, in quotes if need be.',
+        )
+
+    def _scalar(self, node: yaml.Node) -> Any:
+        try:
+            return self._loader.construct_object(node)
+        except (ValueError, TypeError, KeyError, OverflowError) as exc:
+            raise _InvalidNodeError(
+                _line(node),
+                f'The value cannot be read: {exc}.',
+                'Put it in quotes if it is meant as text.',
+            ) from exc
+
+
+def read_document(path: Path, error: type[InvalidFileError]) -> Document:
+    """Returns the YAML document of a file; raises `error` for a bad file."""
+    try:
+        raw = path.read_bytes()
+    except OSError as exc:
+        problem = Problem(
+            str(path),
+            f'The file cannot be read: {exc.strerror}.',
+            'Check the path and its permissions.',
+        )
+        raise error((problem,)) from exc
+    return parse_document(str(path), raw, error)
+
+
+def parse_document(
+    path: str, raw: bytes, error: type[InvalidFileError]
+) -> Document:
+    """Returns the YAML document in `raw`; raises `error` for a bad one."""
+    try:
+        return _parse(path, raw)
+    except _InvalidNodeError as exc:
+        problem = Problem(f'{path}:{exc.line}', exc.message, exc.remedy)
+    except yaml.YAMLError as exc:
+        problem = _syntax_problem(path, exc)
+    except UnicodeDecodeError as exc:
+        line = 1 + raw[: exc.start].count(b'\n')
+        problem = Problem(
+            f'{path}:{line}',
+            'The file is not UTF-8 text.',
+            'Save it in UTF-8.',
+        )
+    raise error((problem,))
+
+
+def _parse(path: str, raw: bytes) -> Document:
+    if len(raw) > MAX_FILE_BYTES:
+        raise _InvalidNodeError(
+            1,
+            f'The file is larger than {MAX_FILE_BYTES} bytes.',
+            'Split it into several files.',
+        )
+    text = raw.decode('utf-8')
+    _check_events(text)
+    loader = yaml.SafeLoader(text)
+    try:
+        node = loader.get_single_node()
+        reader = _Reader(loader)
+        plain = {} if node is None else reader.plain(node, ())
+    finally:
+        loader.dispose()
+    return Document(path, plain, reader.lines)
+
+
+def _check_events(text: str) -> None:
+    """Refuses aliases and deep nesting before any node is built."""
+    depth = 0
+    for event in yaml.parse(text, Loader=yaml.SafeLoader):
+        depth += isinstance(event, _OPENING) - isinstance(event, _CLOSING)
+        if depth > MAX_DEPTH:
+            raise _InvalidNodeError(
+                event.start_mark.line + 1,
+                f'The nesting is deeper than {MAX_DEPTH} levels.',
+                'Write the fields as the reference page shows them.',
+            )
+        if getattr(event, 'anchor', None) is not None:
+            raise _InvalidNodeError(
+                event.start_mark.line + 1,
+                'Anchors and aliases are not accepted.',
+                'Write the value out.',
+            )
+
+
+def _line(node: yaml.Node) -> int:
+    """Returns the line of a node, counted from 1."""
+    return int(node.start_mark.line) + 1
+
+
+def _syntax_problem(path: str, exc: yaml.YAMLError) -> Problem:
+    mark = getattr(exc, 'problem_mark', None)
+    line = mark.line + 1 if mark else 1
+    detail = getattr(exc, 'problem', None) or 'unreadable characters'
+    return Problem(
+        f'{path}:{line}',
+        f'The file is not valid YAML: {detail}.',
+        'Mend the syntax at this line.',
+    )
--- /dev/null
+++ b/cactusledge/settings/references.py
@@ -0,0 +1,140 @@
+"""Checks that every name a definition refers to is defined somewhere."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import NamedTuple
+
+from cactusledge.settings.errors import Problem, nearest_name
+from cactusledge.settings.schema import KEY_FIELDS, key_of
+from cactusledge.settings.sources import DefinitionFile, Source, sources
+
+Names = Mapping[str, frozenset[str]]  # by kind
+
+
+class Reference(NamedTuple):
+    """A list field that holds names of another kind."""
+
+    kind: str
+    field: str
+    target: str
+
+
+LIST_REFERENCES = (
+    Reference('programs', 'models', 'models'),
+    Reference('programs', 'services', 'services'),
+    Reference('accounts', 'programs', 'programs'),
+)
+DEFINE_IT = 'Define it, or remove the reference.'
+TARGET_OF_ENDPOINT_KIND = {'model': 'models', 'service': 'services'}
+
+
+def check_references(files: tuple[DefinitionFile, ...]) -> tuple[Problem, ...]:
+    """Returns a problem for each reference that leads nowhere."""
+    names = {
+        kind: frozenset(key_of(kind, one.item) for one in sources(files, kind))
+        for kind in KEY_FIELDS
+    }
+    operations = {one.item.name: one for one in sources(files, 'services')}
+    return tuple((
+        *_list_references(files, names),
+        *_single_references(files, names),
+        *_operation_references(files, operations),
+        *_token_limits(files),
+    ))
+
+
+def _list_references(
+    files: tuple[DefinitionFile, ...], names: Names
+) -> Iterator[Problem]:
+    for reference in LIST_REFERENCES:
+        for source in sources(files, reference.kind):
+            for index, name in enumerate(getattr(source.item, reference.field)):
+                yield from _unknown(
+                    source.place(reference.field, index),
+                    name,
+                    reference.target,
+                    names[reference.target],
+                )
+
+
+def _single_references(
+    files: tuple[DefinitionFile, ...], names: Names
+) -> Iterator[Problem]:
+    for endpoint in sources(files, 'endpoints'):
+        target = TARGET_OF_ENDPOINT_KIND[endpoint.item.kind]
+        place = endpoint.place('service')
+        name = endpoint.item.service
+        yield from _unknown(place, name, target, names[target])
+    for orders in sources(files, 'engine_orders'):
+        place = orders.place('model')
+        yield from _unknown(place, orders.item.model, 'models', names['models'])
+
+
+def _operation_references(
+    files: tuple[DefinitionFile, ...], services: Mapping[str, Source]
+) -> Iterator[Problem]:
+    for program in sources(files, 'programs'):
+        yield from _continuation(program, services)
+    for service in services.values():
+        yield from _status_queries(service)
+
+
+def _continuation(
+    program: Source, services: Mapping[str, Source]
+) -> Iterator[Problem]:
+    continuation = program.item.continuation
+    if continuation is None:
+        return
+    place = program.place('continuation', 'service')
+    service = services.get(continuation.service)
+    yield from _unknown(place, continuation.service, 'services', services)
+    if service:
+        yield from _unknown(
+            program.place('continuation', 'operation'),
+            continuation.operation,
+            'operations',
+            [one.name for one in service.item.operations],
+        )
+
+
+def _status_queries(service: Source) -> Iterator[Problem]:
+    by_name = {one.name: one for one in service.item.operations}
+    for index, operation in enumerate(service.item.operations):
+        query = operation.status_query
+        if query is None:
+            continue
+        place = service.place('operations', index, 'status_query')
+        yield from _unknown(place, query, 'operations', by_name)
+        if query in by_name and not by_name[query].idempotent:
+            yield Problem(
+                place,
+                f"The status query '{query}' is not idempotent.",
+                'Name an operation that only reads.',
+            )
+
+
+def _token_limits(files: tuple[DefinitionFile, ...]) -> Iterator[Problem]:
+    contexts = {
+        one.item.name: one.item.context_tokens
+        for one in sources(files, 'models')
+    }
+    for program in sources(files, 'programs'):
+        limit = program.item.max_output_tokens
+        for model in program.item.models:
+            if limit > contexts.get(model, limit):
+                yield Problem(
+                    program.place('max_output_tokens'),
+                    f"max_output_tokens is above the context of '{model}'.",
+                    f'Lower it to at most {contexts[model]}.',
+                )
+
+
+def _unknown(
+    place: str, name: str, target: str, known: Iterable[str]
+) -> Iterator[Problem]:
+    names = frozenset(known)
+    if name not in names:
+        yield Problem(
+            place,
+            f"'{name}' is not defined under {target}.",
+            nearest_name(name, names) if names else DEFINE_IT,
+        )
--- /dev/null
+++ b/cactusledge/settings/sources.py
@@ -0,0 +1,91 @@
+"""Definitions together with the file and line that each stands at."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+from cactusledge.settings.document import Document
+from cactusledge.settings.errors import Problem
+from cactusledge.settings.schema import KEY_FIELDS, Definitions, key_of
+
+RENAME = 'Give one of the two another name, or remove it.'
+
+
+class DefinitionFile(NamedTuple):
+    """The definitions of one file."""
+
+    document: Document
+    definitions: Definitions
+
+
+class Source(NamedTuple):
+    """One definition and where it stands."""
+
+    kind: str
+    index: int
+    item: Any
+    document: Document
+
+    def place(self, *fields: str | int) -> str:
+        """Returns the file and line of a field of the definition."""
+        return self.document.place((self.kind, self.index, *fields))
+
+
+def sources(files: Iterable[DefinitionFile], kind: str) -> Iterator[Source]:
+    """Yields the definitions of one kind in all files."""
+    for file in files:
+        for index, item in enumerate(getattr(file.definitions, kind)):
+            yield Source(kind, index, item, file.document)
+
+
+def check_duplicates(files: tuple[DefinitionFile, ...]) -> tuple[Problem, ...]:
+    """Returns a problem for each name that is defined twice."""
+    problems: list[Problem] = []
+    for kind in KEY_FIELDS:
+        named = [
+            (key_of(kind, source.item), source.place())
+            for source in sources(files, kind)
+        ]
+        problems.extend(_twice(f'{kind} entry', named))
+    problems.extend(_twice('model or service', _routed_names(files)))
+    problems.extend(_twice('token hash', _token_hashes(files)))
+    for service in sources(files, 'services'):
+        problems.extend(_twice('operation', _operation_names(service)))
+    return tuple(dict.fromkeys(problems))
+
+
+def _twice(what: str, named: Iterable[tuple[str, str]]) -> Iterator[Problem]:
+    first: dict[str, str] = {}
+    for name, place in named:
+        if name in first:
+            shown = name[:12]
+            yield Problem(
+                place,
+                f"The {what} '{shown}' is defined at {first[name]} too.",
+                RENAME,
+            )
+        first.setdefault(name, place)
+
+
+def _routed_names(
+    files: tuple[DefinitionFile, ...],
+) -> Iterator[tuple[str, str]]:
+    """Yields models and services: endpoints know both by one name."""
+    models = {source.item.name for source in sources(files, 'models')}
+    for model in sources(files, 'models'):
+        yield model.item.name, model.place()
+    for service in sources(files, 'services'):
+        if service.item.name in models:
+            yield service.item.name, service.place()
+
+
+def _token_hashes(
+    files: tuple[DefinitionFile, ...],
+) -> Iterator[tuple[str, str]]:
+    for source in sources(files, 'accounts'):
+        for index, hashed in enumerate(source.item.token_sha256):
+            yield hashed, source.place('token_sha256', index)
+
+
+def _operation_names(service: Source) -> Iterator[tuple[str, str]]:
+    for index, operation in enumerate(service.item.operations):
+        yield operation.name, service.place('operations', index)
--- /dev/null
+++ b/cactusledge/settings/strict.py
@@ -0,0 +1,143 @@
+"""Strict validation of plain data, with errors that name line and remedy."""
+
+from typing import Annotated, Any, Protocol, TypeVar, get_args
+
+import pydantic
+from pydantic import BaseModel, ConfigDict, Field
+
+from cactusledge.models import Address
+from cactusledge.settings.document import Location
+from cactusledge.settings.errors import (
+    InvalidFileError,
+    Problem,
+    nearest_name,
+)
+
+MAX_PORT = 65535
+
+ModelT = TypeVar('ModelT', bound='StrictModel')
+
+
+class StrictModel(BaseModel):
+    """Base of the types of settings and definition files."""
+
+    model_config = ConfigDict(
+        strict=True,
+        extra='forbid',
+        frozen=True,
+        allow_inf_nan=False,
+    )
+
+
+class Places(Protocol):
+    """Tells where a field was written."""
+
+    def place(self, loc: Location) -> str:
+        """Returns the file and line, or the environment variable."""
+
+
+def parse_address(raw: object) -> Address:
+    """Returns the address written as `host:port`."""
+    if isinstance(raw, Address):
+        return raw
+    if not isinstance(raw, str):
+        raise ValueError('expected host:port as text')  # noqa: TRY004
+    host, _, port = raw.rpartition(':')
+    if not host or not port.isdecimal() or int(port) > MAX_PORT:
+        raise ValueError(f"'{raw}' is not of the form host:port")
+    return Address(host.strip('[]'), int(port))
+
+
+AddressField = Annotated[
+    Address,
+    pydantic.PlainValidator(parse_address),
+    pydantic.PlainSerializer(str),
+]
+Addresses = Annotated[tuple[AddressField, ...], Field(strict=False)]
+Names = Annotated[tuple[str, ...], Field(strict=False)]
+Seconds = Annotated[float, Field(gt=0)]
+Count = Annotated[int, Field(gt=0)]
+Amount = Annotated[int, Field(ge=0)]
+
+
+def validate(
+    model: type[ModelT],
+    plain: Any,
+    places: Places,
+    error: type[InvalidFileError],
+) -> ModelT:
+    """Returns the validated model; raises `error` with every problem."""
+    try:
+        return model.model_validate(plain)
+    except pydantic.ValidationError as exc:
+        problems = tuple(
+            _problem(model, places, detail['loc'], detail['type'], detail)
+            for detail in exc.errors(include_url=False)
+        )
+        raise error(problems) from exc
+
+
+def fields_at(model: type[BaseModel], loc: Location) -> frozenset[str]:
+    """Returns the names of the fields valid at a location."""
+    known = model_at(model, loc)
+    return frozenset(known.model_fields) if known else frozenset()
+
+
+def model_at(model: type[BaseModel], loc: Location) -> type[BaseModel] | None:
+    """Returns the type of the mapping at a location, or None."""
+    found: type[BaseModel] | None = model
+    for step in loc:
+        if isinstance(step, int):
+            continue
+        field = found.model_fields.get(step) if found else None
+        found = _model_in(field.annotation) if field else None
+    return found
+
+
+def _model_in(annotation: Any) -> type[BaseModel] | None:
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    inner = (_model_in(arg) for arg in get_args(annotation))
+    return next((found for found in inner if found), None)
+
+
+def _problem(
+    model: type[BaseModel],
+    places: Places,
+    loc: Location,
+    kind: str,
+    detail: Any,
+) -> Problem:
+    place = places.place(loc)
+    dotted = '.'.join(str(step) for step in loc) or 'the file'
+    if kind == 'extra_forbidden':
+        return Problem(
+            place,
+            f"Unknown field '{dotted}'.",
+            nearest_name(str(loc[-1]), fields_at(model, loc[:-1])),
+        )
+    if kind == 'missing':
+        return Problem(
+            place,
+            f"The field '{dotted}' is missing.",
+            'Add it; the reference page describes it.',
+        )
+    return Problem(
+        place,
+        f"The field '{dotted}' is not valid: {_reason(detail)}.",
+        f'Correct the value; it is {_shown(detail["input"])} now.',
+    )
+
+
+def _reason(detail: Any) -> str:
+    message = str(detail['msg']).removeprefix('Value error, ')
+    return message[:1].lower() + message[1:]
+
+
+def _shown(raw: object) -> str:
+    """Returns a value short enough for a message, and never a container."""
+    if isinstance(raw, dict | list | tuple):
+        return 'a list' if isinstance(raw, list | tuple) else 'a mapping'
+    if isinstance(raw, str):
+        return 'a text'
+    return repr(raw)[:40]
