--- a/cactusledge/settings/definitions.py
+++ b/cactusledge/settings/definitions.py
@@ -85,9 +85,15 @@
     )
 
 
-def configure(definitions: Definitions, generation: int) -> plain.Configuration:
+def digest_of(definitions: Definitions) -> str:
+    """Returns the hash that tells definitions apart."""
+    return hashlib.sha256(encode(definitions)).hexdigest()
+
+
+def configure(
+    definitions: Definitions, generation: int, digest: str
+) -> plain.Configuration:
     """Returns the configuration that instances run."""
-    digest = hashlib.sha256(encode(definitions)).hexdigest()
     return plain.Configuration(
         generation=generation,
         digest=digest,
--- /dev/null
+++ b/cactusledge/settings/plan.py
@@ -0,0 +1,78 @@
+"""Compares the published definitions with those that are wanted."""
+
+import enum
+from typing import Any, NamedTuple
+
+from cactusledge.settings.schema import KEY_FIELDS, Definitions
+
+
+class Action(enum.StrEnum):
+    """What publishing does to a definition."""
+
+    ADD = 'add'
+    CHANGE = 'change'
+    REMOVE = 'remove'
+
+
+class FieldChange(NamedTuple):
+    """One field that gets another value."""
+
+    field: str
+    old: Any
+    new: Any
+
+
+class Change(NamedTuple):
+    """One definition that is added, changed or removed."""
+
+    action: Action
+    kind: str
+    name: str
+    fields: tuple[FieldChange, ...] = ()
+    warning: str = ''
+
+
+NOW_REPEATED = 'Calls of an operation that is now idempotent may be repeated.'
+NOW_UNDEFINED = 'Programs under way that use it will be refused.'
+
+_REMOVAL_WARNINGS = frozenset(('programs', 'services', 'models'))
+
+
+def plan(current: Definitions, wanted: Definitions) -> tuple[Change, ...]:
+    """Returns the changes that lead from `current` to `wanted`."""
+    changes: list[Change] = []
+    old_kinds = current.model_dump(mode='json')
+    new_kinds = wanted.model_dump(mode='json')
+    for kind, key_field in KEY_FIELDS.items():
+        old_items = {item[key_field]: item for item in old_kinds[kind]}
+        new_items = {item[key_field]: item for item in new_kinds[kind]}
+        for name in sorted(old_items.keys() | new_items.keys()):
+            old, new = old_items.get(name), new_items.get(name)
+            if old != new:
+                changes.append(_change(kind, name, old, new))
+    return tuple(changes)
+
+
+def _change(kind: str, name: str, old: Any, new: Any) -> Change:
+    if old is None:
+        return Change(Action.ADD, kind, name)
+    if new is None:
+        warning = NOW_UNDEFINED if kind in _REMOVAL_WARNINGS else ''
+        return Change(Action.REMOVE, kind, name, warning=warning)
+    fields = tuple(
+        FieldChange(field, old.get(field), new.get(field))
+        for field in sorted(old.keys() | new.keys())
+        if old.get(field) != new.get(field)
+    )
+    warning = NOW_REPEATED if _becomes_idempotent(kind, old, new) else ''
+    return Change(Action.CHANGE, kind, name, fields, warning)
+
+
+def _becomes_idempotent(kind: str, old: Any, new: Any) -> bool:
+    if kind != 'services':
+        return False
+    forbidden = {
+        one['name'] for one in old['operations'] if not one['idempotent']
+    }
+    allowed = {one['name'] for one in new['operations'] if one['idempotent']}
+    return bool(forbidden & allowed)
--- /dev/null
+++ b/cactusledge/settings/publish.py
@@ -0,0 +1,215 @@
+"""Publishes definitions: parts first, then one head by conditional update."""
+
+import datetime as dt
+import secrets
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusledge.errors import (
+    CactusledgeError,
+    ErrorCode,
+    StoreAnswerLostError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from cactusledge.models import Outcome
+from cactusledge.settings.definitions import DefinitionSet, digest_of
+from cactusledge.settings.errors import PublishConflictError
+from cactusledge.settings.head import (
+    Draft,
+    Head,
+    PublishStep,
+    Settlement,
+    decide_publish,
+    next_head,
+    settle,
+)
+from cactusledge.settings.parts import Part, split
+from cactusledge.settings.published import (
+    HEAD_KIND,
+    HEAD_NAME,
+    PART_KIND,
+    StoredHead,
+    head_body,
+    read_head,
+)
+
+if TYPE_CHECKING:
+    from cactusledge.platform.store import ObjectStore
+
+MAX_ATTEMPTS = 6
+FIRST_PAUSE_S = 0.1
+NONCE_BYTES = 16
+
+
+class PublishUnsettledError(CactusledgeError):
+    """The platform went away before it could be said who published."""
+
+    code = ErrorCode.STORE_ANSWER_LOST
+    outcome = Outcome.UNKNOWN
+
+
+class PublishResult(NamedTuple):
+    """What publishing did."""
+
+    generation: int
+    changed: bool
+    parts_written: int = 0
+
+
+class Publisher(NamedTuple):
+    """Who publishes, and the sources of time and of nonces."""
+
+    name: str
+    sleep: Callable[[float], None] = time.sleep
+    now: Callable[[], float] = time.time
+    new_nonce: Callable[[], str] = lambda: secrets.token_hex(NONCE_BYTES)
+
+
+def publish(
+    store: 'ObjectStore',
+    wanted: DefinitionSet,
+    expected_generation: int | None,
+    publisher: Publisher,
+) -> PublishResult:
+    """Publishes the definitions as the next generation.
+
+    Raises:
+        PublishConflictError: Another operator published first.
+        PublishUnsettledError: It is not known whether the head was written.
+    """
+    stored = read_head(store)
+    digest = digest_of(wanted.merged)
+    step = decide_publish(stored.head, digest, expected_generation)
+    if step is PublishStep.CONFLICT:
+        raise _conflict(stored.head)
+    if step is PublishStep.UNCHANGED:
+        generation = stored.head.generation if stored.head else 0
+        return PublishResult(generation, changed=False)
+    parts = split(wanted.merged)
+    written = _write_parts(store, parts, stored.head, publisher)
+    head = next_head(stored.head, _draft(publisher, digest, parts))
+    _write_head(store, stored, head, publisher)
+    return PublishResult(head.generation, changed=True, parts_written=written)
+
+
+def _draft(publisher: Publisher, digest: str, parts: tuple[Part, ...]) -> Draft:
+    now = dt.datetime.fromtimestamp(publisher.now(), dt.UTC)
+    return Draft(
+        publisher.new_nonce(),
+        digest,
+        tuple(part.name for part in parts),
+        publisher.name,
+        now.isoformat(timespec='seconds'),
+    )
+
+
+def _write_parts(
+    store: 'ObjectStore',
+    parts: tuple[Part, ...],
+    current: Head | None,
+    publisher: Publisher,
+) -> int:
+    """Writes the parts that the current head lacks; returns their number."""
+    known = frozenset(current.parts if current else ())
+    missing = [part for part in parts if part.name not in known]
+    for part in missing:
+        _write_part(store, part, publisher)
+    return len(missing)
+
+
+def _write_part(store: 'ObjectStore', part: Part, publisher: Publisher) -> None:
+    for attempt in range(MAX_ATTEMPTS):
+        try:
+            store.create(PART_KIND, part.name, part.body())
+        except StoreConflictError:
+            return  # equal content is there already
+        except StoreAnswerLostError:
+            publisher.sleep(_pause_s(attempt))
+        else:
+            return
+    raise StoreUnavailableError(
+        'The platform does not confirm the parts; nothing was published.',
+        remedy='Publish again when the platform answers.',
+    )
+
+
+def _write_head(
+    store: 'ObjectStore',
+    stored: StoredHead,
+    mine: Head,
+    publisher: Publisher,
+) -> None:
+    """Writes the head, and settles each answer that was lost."""
+    doubtful = False
+    for attempt in range(MAX_ATTEMPTS):
+        try:
+            return _put_head(store, stored, mine)
+        except StoreConflictError:
+            doubtful = True
+        except StoreAnswerLostError:
+            doubtful = True
+            publisher.sleep(_pause_s(attempt))
+        except StoreError:
+            if not doubtful:
+                raise
+            publisher.sleep(_pause_s(attempt))
+        if _settled(store, mine):
+            return None
+    raise _unsettled(mine)
+
+
+def _put_head(store: 'ObjectStore', stored: StoredHead, mine: Head) -> None:
+    body = head_body(mine)
+    if stored.head is None:
+        store.create(HEAD_KIND, HEAD_NAME, body)
+    else:
+        store.update(HEAD_KIND, HEAD_NAME, body, stored.version)
+
+
+def _settled(store: 'ObjectStore', mine: Head) -> bool:
+    """Returns whether the write took effect, False to repeat it."""
+    try:
+        found = read_head(store).head
+    except StoreError:
+        return False
+    settlement = settle(mine, found)
+    if settlement is Settlement.LOST:
+        raise _conflict(found)
+    if settlement is Settlement.UNDECIDED:
+        raise _unsettled(mine)
+    return settlement is Settlement.PUBLISHED
+
+
+def _pause_s(attempt: int) -> float:
+    return FIRST_PAUSE_S * float(2**attempt)
+
+
+def _conflict(winner: Head | None) -> PublishConflictError:
+    if winner is None:
+        return PublishConflictError(
+            'Nothing has been published yet.',
+            remedy='Publish with --expect-generation 0.',
+        )
+    return PublishConflictError(
+        f'Generation {winner.generation} was published by'
+        f" '{winner.publisher}' at {winner.published_at}; nothing of yours"
+        ' was published.',
+        remedy=(
+            'Take the other change into your files, look at `plan`, then'
+            f' publish with --expect-generation {winner.generation}.'
+        ),
+    )
+
+
+def _unsettled(mine: Head) -> PublishUnsettledError:
+    return PublishUnsettledError(
+        f'It is not known whether generation {mine.generation} was published:'
+        ' the platform gave no answer.',
+        remedy=(
+            'Run `plan` when the platform answers: no change listed means'
+            ' that it was; else publish again.'
+        ),
+    )
--- /dev/null
+++ b/cactusledge/settings/snapshot.py
@@ -0,0 +1,58 @@
+"""Bytes by which instances hand a configuration to each other."""
+
+import hashlib
+from typing import Any, NamedTuple
+
+import msgspec
+import zstandard
+
+from cactusledge.settings.configuration import Configuration
+from cactusledge.settings.definitions import configure, encode
+from cactusledge.settings.parts import CorruptPartError, restore
+from cactusledge.settings.schema import Definitions
+
+MIB = 1024 * 1024
+MAX_SNAPSHOT_BYTES = 32 * MIB
+REMEDY = 'Upgrade the older of the two instances.'
+
+
+class _Snapshot(NamedTuple):
+    generation: int
+    digest: str  # of the definitions, as published
+    checksum: str  # of the bytes that follow
+    definitions: str  # JSON
+
+
+def encode_snapshot(
+    definitions: Definitions, generation: int, digest: str
+) -> bytes:
+    """Returns the bytes that hold a whole configuration."""
+    content = encode(definitions)
+    checksum = _checksum(content)
+    snapshot = _Snapshot(generation, digest, checksum, content.decode())
+    return zstandard.compress(msgspec.json.encode(snapshot))
+
+
+def decode_snapshot(encoded: bytes) -> Configuration:
+    """Returns the configuration; raises CorruptPartError for bad bytes."""
+    try:
+        snapshot, plain = _decode(encoded)
+    except (zstandard.ZstdError, msgspec.DecodeError) as exc:
+        raise CorruptPartError(
+            'A configuration offered by a peer cannot be read.',
+            remedy=REMEDY,
+        ) from exc
+    return configure(restore(plain), snapshot.generation, snapshot.digest)
+
+
+def _decode(encoded: bytes) -> tuple[_Snapshot, Any]:
+    raw = zstandard.decompress(encoded, max_output_size=MAX_SNAPSHOT_BYTES)
+    snapshot = msgspec.json.decode(raw, type=_Snapshot)
+    content = snapshot.definitions.encode()
+    if _checksum(content) != snapshot.checksum:
+        raise msgspec.DecodeError('The checksum does not match.')
+    return snapshot, msgspec.json.decode(content)
+
+
+def _checksum(content: bytes) -> str:
+    return hashlib.sha256(content).hexdigest()
--- /dev/null
+++ b/cactusledge/telemetry/logs.py
@@ -0,0 +1,73 @@
+"""Structured logs: short sentences with a fixed prefix for each part."""
+
+import logging
+from collections.abc import Mapping, MutableMapping
+from typing import Any, TextIO
+
+import structlog
+
+PREFIX_KEY = 'part'
+LEVELS: Mapping[str, int] = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
+
+Event = MutableMapping[str, Any]
+
+
+def configure_logs(
+    stream: TextIO,
+    *,
+    log_format: str,
+    level: str,
+    instance: str = '',
+    data_centre: str = '',
+) -> None:
+    """Sends the logs of all parts to a stream."""
+    identity = {'instance': instance, 'data_centre': data_centre}
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            _Identity(identity),
+            _prefix_event,
+            _RENDERERS[log_format],
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        logger_factory=structlog.PrintLoggerFactory(stream),
+        cache_logger_on_first_use=False,
+    )
+
+
+def get_logger(part: str) -> Any:
+    """Returns the logger of a part; its sentences start with the part."""
+    return structlog.get_logger(**{PREFIX_KEY: part})
+
+
+class _Identity:
+    """Adds the instance and the data centre to each event."""
+
+    def __init__(self, identity: Mapping[str, str]) -> None:
+        self._identity = {
+            name: known for name, known in identity.items() if known
+        }
+
+    def __call__(self, logger: Any, method: str, event: Event) -> Event:
+        return {**self._identity, **event}
+
+
+def _prefix_event(logger: Any, method: str, event: Event) -> Event:
+    part = event.pop(PREFIX_KEY, '')
+    if part:
+        event['event'] = f'{part}: {event["event"]}'
+    return event
+
+
+_RENDERERS: Mapping[str, Any] = {
+    'json': structlog.processors.JSONRenderer(sort_keys=True, default=str),
+    'console': structlog.dev.ConsoleRenderer(colors=False),
+}
