--- /dev/null
+++ b/cactusledge/api/app.py
@@ -0,0 +1,128 @@
+"""WSGI application of the caller API: routes, and errors as JSON."""
+
+import re
+from collections.abc import Callable, Iterable, Mapping
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from cactusledge.api import handlers
+from cactusledge.api.faults import (
+    NotFoundError,
+    error_document,
+    retry_headers,
+    status_of,
+)
+from cactusledge.api.handlers import ApiContext
+from cactusledge.api.http import (
+    Request,
+    Response,
+    StartResponse,
+    json_response,
+    read_request,
+    send_response,
+)
+from cactusledge.errors import CactusledgeError, ErrorCode
+from cactusledge.models import Outcome
+from cactusledge.telemetry.logs import get_logger
+
+Handler = Callable[[ApiContext, Request], Response]
+
+PROGRAM = r'/v1/programs/(?P<program_id>[^/]+)'
+ROUTES: Mapping[tuple[str, str], Handler] = {
+    ('POST', '/v1/programs'): handlers.open_program,
+    ('GET', PROGRAM): handlers.view_program,
+    ('POST', f'{PROGRAM}/calls'): handlers.make_call,
+    ('GET', f'{PROGRAM}/history'): handlers.read_history,
+    ('POST', f'{PROGRAM}/end'): handlers.end_program,
+    ('GET', '/livez'): handlers.liveness,
+    ('GET', '/readyz'): handlers.readiness,
+    ('GET', '/status'): handlers.instance_status,
+    ('GET', '/metrics'): handlers.metrics,
+    ('GET', '/openapi.json'): handlers.openapi,
+}
+
+
+class InternalError(CactusledgeError):
+    """A fault of this program; what was done is not known."""
+
+    code = ErrorCode.INTERNAL
+    outcome = Outcome.UNKNOWN
+
+
+class MethodNotAllowedError(CactusledgeError):
+    """The path exists, but not with this method."""
+
+    code = ErrorCode.BAD_REQUEST
+
+
+class _Route(NamedTuple):
+    method: str
+    pattern: re.Pattern[str]
+    handler: Handler
+
+
+class ApiApp:
+    """The caller API and status API as one WSGI application."""
+
+    def __init__(self, ctx: ApiContext, max_body_bytes: int) -> None:
+        """Compiles the routes."""
+        self._ctx = ctx
+        self._max_body_bytes = max_body_bytes
+        self._log = get_logger('api')
+        self._routes = tuple(
+            _Route(method, re.compile(pattern), handler)
+            for (method, pattern), handler in ROUTES.items()
+        )
+
+    def __call__(
+        self,
+        environ: Mapping[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answers one request."""
+        try:
+            response = self._respond(environ)
+        except CactusledgeError as exc:
+            response = _error_response(exc)
+        except Exception:
+            self._log.exception('Request failed.')
+            response = _error_response(_internal_error())
+        return send_response(response, start_response)
+
+    def _respond(self, environ: Mapping[str, Any]) -> Response:
+        req = read_request(environ, self._max_body_bytes)
+        route, path_args = self._find(req)
+        return route.handler(self._ctx, req._replace(path_args=path_args))
+
+    def _find(self, req: Request) -> tuple[_Route, Mapping[str, str]]:
+        known_path = False
+        for route in self._routes:
+            match = route.pattern.fullmatch(req.path)
+            known_path = known_path or match is not None
+            if match is not None and route.method == req.method:
+                return route, match.groupdict()
+        if known_path:
+            raise MethodNotAllowedError(
+                f'{req.method} is not possible on {req.path}.',
+                remedy='Compare the request with GET /openapi.json.',
+            )
+        raise NotFoundError(
+            f'There is nothing under {req.path}.',
+            remedy='Compare the path with GET /openapi.json.',
+        )
+
+
+def _error_response(exc: CactusledgeError) -> Response:
+    status = status_of(str(exc.code))
+    if isinstance(exc, MethodNotAllowedError):
+        status = HTTPStatus.METHOD_NOT_ALLOWED
+    headers = retry_headers(exc.retry_after_s)
+    return json_response(error_document(exc), status, headers)
+
+
+def _internal_error() -> InternalError:
+    return InternalError(
+        'The request failed inside the instance.',
+        remedy='Repeat it with the same key, and report the log line.',
+        retry_after_s=1,
+    )
--- /dev/null
+++ b/cactusledge/api/http.py
@@ -0,0 +1,125 @@
+"""Requests and responses over WSGI, without any of the API's meaning."""
+
+import json
+from collections.abc import Callable, Iterable, Mapping
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from cactusledge.api.faults import BadRequestError, TooLargeError
+
+JSON_TYPE = 'application/json'
+EVENT_STREAM_TYPE = 'text/event-stream'
+READ_SIZE_BYTES = 65536
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class Request(NamedTuple):
+    """A request with its body read and its headers lower-cased."""
+
+    method: str
+    path: str
+    query: str
+    headers: Mapping[str, str]
+    body: bytes
+    path_args: Mapping[str, str] = {}
+
+    def header(self, name: str) -> str:
+        """Returns a header's text, or '' when it is absent."""
+        return self.headers.get(name, '')
+
+
+class Response(NamedTuple):
+    """A response; `chunks` may be produced while it is sent."""
+
+    status: HTTPStatus
+    chunks: Iterable[bytes]
+    content_type: str = JSON_TYPE
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+def json_response(
+    document: object,
+    status: HTTPStatus = HTTPStatus.OK,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Response:
+    """Returns a response whose body is a JSON document."""
+    data = json.dumps(document).encode()
+    length = ('Content-Length', str(len(data)))
+    return Response(status, [data], headers=(*headers, length))
+
+
+def read_request(environ: Mapping[str, Any], max_body_bytes: int) -> Request:
+    """Reads a request from its WSGI environment.
+
+    Raises:
+        TooLargeError: The body is longer than allowed.
+        BadRequestError: The length is not a number, or the body is cut off.
+    """
+    headers = {
+        name.removeprefix('HTTP_').replace('_', '-').lower(): text
+        for name, text in environ.items()
+        if name.startswith('HTTP_')
+    }
+    return Request(
+        method=environ['REQUEST_METHOD'],
+        path=environ.get('PATH_INFO', '/'),
+        query=environ.get('QUERY_STRING', ''),
+        headers=headers,
+        body=_read_body(environ, max_body_bytes),
+    )
+
+
+def send_response(
+    response: Response,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    """Starts a response and returns the chunks of its body."""
+    status = f'{response.status.value} {response.status.phrase}'
+    headers = [('Content-Type', response.content_type), *response.headers]
+    start_response(status, headers)
+    return response.chunks
+
+
+def _read_body(environ: Mapping[str, Any], max_body_bytes: int) -> bytes:
+    length = _content_length(environ)
+    if length is not None and length > max_body_bytes:
+        raise TooLargeError(
+            f'The body has {length} bytes.',
+            remedy=f'Send at most {max_body_bytes} bytes.',
+        )
+    if length is None:
+        return _read_chunked(environ, max_body_bytes)
+    data: bytes = environ['wsgi.input'].read(length) if length else b''
+    if len(data) < length:
+        raise BadRequestError(
+            'The body is shorter than its Content-Length.',
+            remedy='Send the whole body.',
+        )
+    return data
+
+
+def _content_length(environ: Mapping[str, Any]) -> int | None:
+    text = environ.get('CONTENT_LENGTH') or ''
+    if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
+        return None
+    if not text:
+        return 0
+    if not text.isdecimal():
+        raise BadRequestError(
+            'Content-Length is not a number.',
+            remedy='Send the length of the body in bytes.',
+        )
+    return int(text)
+
+
+def _read_chunked(environ: Mapping[str, Any], max_body_bytes: int) -> bytes:
+    data = b''
+    while chunk := environ['wsgi.input'].read(READ_SIZE_BYTES):
+        data += chunk
+        if len(data) > max_body_bytes:
+            raise TooLargeError(
+                'The body is too long.',
+                remedy=f'Send at most {max_body_bytes} bytes.',
+            )
+    return data
--- /dev/null
+++ b/cactusledge/api/server.py
@@ -0,0 +1,66 @@
+"""HTTP server of the caller API."""
+
+import threading
+from typing import NamedTuple
+
+from cheroot import wsgi
+
+from cactusledge.api.app import ApiApp
+from cactusledge.models import Address
+
+SERVER_NAME = 'cactusledge'
+ACCEPT_QUEUE = 128
+
+
+class ServerLimits(NamedTuple):
+    """Bounds that keep one slow or huge request from costing others."""
+
+    worker_threads: int
+    max_connections: int
+    max_body_bytes: int
+    max_header_bytes: int
+    socket_timeout_s: float
+
+
+class ApiServer:
+    """Serves an `ApiApp` with cheroot in threads of its own."""
+
+    def __init__(
+        self,
+        address: Address,
+        app: ApiApp,
+        limits: ServerLimits,
+    ) -> None:
+        """Prepares the server; `start` binds the port."""
+        self._server = wsgi.Server(
+            tuple(address),
+            app,
+            numthreads=limits.worker_threads,
+            server_name=SERVER_NAME,
+            request_queue_size=ACCEPT_QUEUE,
+            timeout=limits.socket_timeout_s,
+            shutdown_timeout=limits.socket_timeout_s,
+        )
+        self._server.max_request_body_size = limits.max_body_bytes
+        self._server.max_request_header_size = limits.max_header_bytes
+        self._server.keep_alive_conn_limit = limits.max_connections
+        self._thread = threading.Thread(
+            target=self._server.serve,
+            name='api-server',
+            daemon=True,
+        )
+
+    @property
+    def port(self) -> int:
+        """The TCP port in use, once started."""
+        return int(self._server.bind_addr[1])
+
+    def start(self) -> None:
+        """Binds the port and begins to serve."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops after the requests in progress, and frees the port."""
+        self._server.stop()
+        self._thread.join()
--- /dev/null
+++ b/cactusledge/cli/entry.py
@@ -0,0 +1,34 @@
+"""The `entry` command: runs an instance until it is told to stop."""
+
+import signal
+import threading
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from cactusledge.application import Application
+from cactusledge.environment import Environment
+from cactusledge.settings.instance import load_settings
+from cactusledge.status import ExitStatus
+
+SettingsPath = Annotated[
+    Path,
+    typer.Option('--settings', '-s', help='YAML file with the settings.'),
+]
+
+
+def command(ctx: typer.Context, settings: SettingsPath) -> None:
+    """Run an entry instance until SIGTERM or SIGINT.
+
+    Example: cactusledge entry --settings entry.yaml
+    """
+    env: Environment = ctx.obj
+    app = Application(load_settings(settings, env.environ), env)
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    app.start()
+    stopping.wait()
+    left = app.stop()
+    raise typer.Exit(ExitStatus.ERROR if left else ExitStatus.OK)
--- /dev/null
+++ b/cactusledge/programs/call_spec.py
@@ -0,0 +1,128 @@
+"""Turns a caller's request into a call of the protocol."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from cactusledge.models import CallKind, CallSpec
+from cactusledge.programs.errors import InvalidCallError, NotAllowedError
+from cactusledge.programs.prompt import prompt_bound_tokens
+from cactusledge.programs.views import CallArgs
+from cactusledge.protocol.calls import decode_body
+from cactusledge.protocol.state import CallState, ProgramState
+from cactusledge.settings.configuration import Configuration, Program
+
+CHAT = 'chat'
+
+
+class SpecInput(NamedTuple):
+    """What a call is made from."""
+
+    args: CallArgs
+    state: ProgramState
+    program: Program
+    config: Configuration
+
+
+def build_spec(given: SpecInput) -> CallSpec:
+    """Returns the call with its target, repeat rule and upper bound.
+
+    Raises:
+        NotAllowedError: The program may not call this target.
+        UnknownNameError: The model, service or operation is not published.
+    """
+    return _BUILDERS[given.args.kind](given)
+
+
+def spec_of(program_id: str, call: CallState) -> CallSpec:
+    """Returns the call again that the journal holds as running."""
+    return CallSpec(
+        program_id=program_id,
+        seq=call.seq,
+        key=call.key,
+        kind=call.kind,
+        target=call.target,
+        operation=call.operation,
+        idempotent=call.idempotent,
+        body=decode_body(call.body),
+        reserve=call.reserve,
+        max_output_tokens=call.max_output_tokens,
+    )
+
+
+def _model_spec(given: SpecInput) -> CallSpec:
+    args = given.args
+    name = args.target or given.program.models[0]
+    _require_listed(name, given.program.models, 'model')
+    if not args.body.get('messages'):
+        raise InvalidCallError(
+            'messages: a model call needs at least one message.',
+            remedy='Send the new messages; the history goes before them.',
+        )
+    model = given.config.model(name)
+    limit = given.program.max_output_tokens
+    output_tokens = min(args.max_output_tokens or limit, limit)
+    bound = prompt_bound_tokens(
+        given.state,
+        given.program.common_prefix,
+        args.body['messages'],
+    )
+    return _spec(
+        args,
+        name,
+        CHAT,
+        idempotent=True,
+        reserve=(bound + output_tokens) * model.units_per_token,
+        max_output_tokens=output_tokens,
+    )
+
+
+def _service_spec(given: SpecInput) -> CallSpec:
+    args = given.args
+    _require_listed(args.target, given.program.services, 'service')
+    operation = given.config.service(args.target).operation(args.operation)
+    return _spec(
+        args,
+        args.target,
+        operation.name,
+        idempotent=operation.idempotent,
+        reserve=operation.cost,
+    )
+
+
+def _spec(
+    args: CallArgs,
+    target: str,
+    operation: str,
+    *,
+    idempotent: bool,
+    reserve: int,
+    max_output_tokens: int = 0,
+) -> CallSpec:
+    body: Mapping[str, Any] = args.body
+    return CallSpec(
+        program_id=args.program_id,
+        seq=args.seq,
+        key=args.key,
+        kind=args.kind,
+        target=target,
+        operation=operation,
+        idempotent=idempotent,
+        body=body,
+        reserve=reserve,
+        max_output_tokens=max_output_tokens,
+    )
+
+
+def _require_listed(name: str, allowed: tuple[str, ...], what: str) -> None:
+    if name in allowed:
+        return
+    raise NotAllowedError(
+        f'The program may not call the {what} {name!r}.',
+        remedy=f'Use one of {", ".join(allowed) or "none"}, or publish it.',
+    )
+
+
+_BUILDERS: Mapping[CallKind, Callable[[SpecInput], CallSpec]] = {
+    CallKind.MODEL: _model_spec,
+    CallKind.SERVICE: _service_spec,
+}
--- /dev/null
+++ b/cactusledge/programs/claims.py
@@ -0,0 +1,65 @@
+"""Which logs an instance should take over; pure."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+FIRST_BACK_OFF_S = 4.0
+LONGEST_BACK_OFF_S = 120.0
+
+Choose = Callable[[str, Sequence[str]], str]
+
+
+class InstanceView(NamedTuple):
+    """An instance as membership sees it."""
+
+    name: str
+    data_centre: str
+    leaving: bool
+    logs: tuple[str, ...]  # that it says it owns
+
+
+class Fence(NamedTuple):
+    """A log that another instance sealed while this one owned it."""
+
+    times: int
+    until_s: float  # this instance does not claim the log before
+
+
+def wanted_logs(
+    me: InstanceView,
+    others: Iterable[InstanceView],
+    logs: Sequence[str],
+    fences: Mapping[str, Fence],
+    now_s: float,
+    choose: Choose,
+) -> tuple[str, ...]:
+    """Returns the logs of this data centre that this instance should seal.
+
+    A log that a live instance says it owns is left alone. One without an
+    owner goes to the instance that rendezvous hashing names, so that two
+    instances seldom try at once; if they do, the platform lets one win.
+    """
+    if me.leaving:
+        return ()
+    alive = [view for view in others if view.data_centre == me.data_centre]
+    taken = {log for view in alive for log in view.logs}
+    candidates = [view.name for view in alive if not view.leaving]
+    return tuple(
+        log
+        for log in logs
+        if log not in taken
+        and log not in me.logs
+        and choose(log, [me.name, *candidates]) == me.name
+        and now_s >= fences.get(log, Fence(0, 0)).until_s
+    )
+
+
+def fenced(fences: Mapping[str, Fence], log: str, now_s: float) -> Fence:
+    """Returns how long to leave a log alone after losing it.
+
+    Two instances that do not see each other would otherwise take it from
+    each other without end.
+    """
+    times = fences.get(log, Fence(0, 0)).times + 1
+    wait_s = min(FIRST_BACK_OFF_S * 2 ** (times - 1), LONGEST_BACK_OFF_S)
+    return Fence(times, now_s + wait_s)
--- /dev/null
+++ b/cactusledge/programs/durability.py
@@ -0,0 +1,58 @@
+"""Waits for journal records, for as long as the platform answers."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pykka
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.protocol.errors import FencedError
+
+WAIT_STEP_S = 0.1
+LONGEST_WAIT_S = 5.0
+
+
+class CommitWait:
+    """Tells whether records became durable in a reasonable time."""
+
+    def __init__(
+        self,
+        is_up: Callable[[], bool],
+        hold: Callable[[], bool],
+        longest_wait_s: float = LONGEST_WAIT_S,
+    ) -> None:
+        """Prepares to wait.
+
+        Args:
+            is_up: Whether the platform answers.
+            hold: Copies the waiting records to another instance's memory.
+            longest_wait_s: Limit of a wait while the platform answers.
+        """
+        self._is_up = is_up
+        self._hold = hold
+        self._longest_wait_s = longest_wait_s
+
+    def wait(self, future: Any) -> bool:
+        """Returns whether the records are durable at the platform.
+
+        Raises:
+            FencedError: Another owner sealed the log.
+        """
+        if future is None:
+            return True
+        give_up_s = time.monotonic() + self._longest_wait_s
+        while time.monotonic() < give_up_s:
+            try:
+                future.get(timeout=WAIT_STEP_S)
+            except pykka.Timeout:
+                if not self._is_up():
+                    break
+            except FencedError:
+                raise
+            except CactusledgeError:
+                break
+            else:
+                return True
+        self._hold()
+        return False
--- /dev/null
+++ b/cactusledge/programs/errors.py
@@ -0,0 +1,64 @@
+"""Errors of the program drivers."""
+
+from cactusledge.errors import CactusledgeError, ErrorCode
+
+PLATFORM_RETRY_S = 5.0
+
+
+class NoSuchProgramError(CactusledgeError):
+    """The program does not exist, or it belongs to another account."""
+
+    code = ErrorCode.NOT_FOUND
+
+
+class NotAllowedError(CactusledgeError):
+    """The account or the program's definition does not allow this."""
+
+    code = ErrorCode.FORBIDDEN
+
+
+class InvalidCallError(CactusledgeError):
+    """The call names something that the definitions do not have."""
+
+    code = ErrorCode.BAD_REQUEST
+
+
+class StoppingError(CactusledgeError):
+    """The instance takes no further calls."""
+
+    code = ErrorCode.STOPPING
+
+
+class PlatformDownError(CactusledgeError):
+    """The call must be recorded before it is sent, and cannot be now."""
+
+    code = ErrorCode.STORE_UNAVAILABLE
+
+
+class NoDriverError(CactusledgeError):
+    """No instance drives the program at the moment."""
+
+    code = ErrorCode.PEER_UNREACHABLE
+
+
+class TooManyProgramsError(CactusledgeError):
+    """The account has as many programs under way as it may."""
+
+    code = ErrorCode.OVERLOADED
+
+
+def no_such_program(program_id: str) -> NoSuchProgramError:
+    """Returns the error for a program that is not there."""
+    return NoSuchProgramError(
+        f'There is no program {program_id!r}.',
+        remedy='Use the program_id that the open request returned.',
+    )
+
+
+def platform_down() -> PlatformDownError:
+    """Returns the refusal of a call that cannot be recorded now."""
+    return PlatformDownError(
+        'The platform cannot be reached; the call was not run.',
+        remedy='Repeat it later with the same seq and key.',
+        retry_after_s=PLATFORM_RETRY_S,
+    )
--- /dev/null
+++ b/cactusledge/programs/ledger.py
@@ -0,0 +1,73 @@
+"""A log's programs in memory, and the records that change them."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from cactusledge.programs.errors import no_such_program
+from cactusledge.programs.sink import RecordSink
+from cactusledge.protocol import budget, calls
+from cactusledge.protocol.program import apply
+from cactusledge.protocol.records import Opened, ProgramRecord
+from cactusledge.protocol.state import ProgramState
+
+
+class Ledger:
+    """Applies records to the programs and hands them to the log's writer.
+
+    Memory and log see the same records in the same order, so a replay of the
+    log gives the same programs.
+    """
+
+    def __init__(
+        self,
+        sink: RecordSink,
+        programs: Mapping[str, ProgramState],
+    ) -> None:
+        """Starts from the programs of a replayed log."""
+        self._sink = sink
+        self._programs = dict(programs)
+        self.last_commit: Any = None
+
+    def find(self, program_id: str) -> ProgramState | None:
+        """Returns a program, or None."""
+        return self._programs.get(program_id)
+
+    def state(self, program_id: str) -> ProgramState:
+        """Returns a program; raises NoSuchProgramError."""
+        state = self._programs.get(program_id)
+        if state is None:
+            raise no_such_program(program_id)
+        return state
+
+    def states(self) -> Iterable[ProgramState]:
+        """Returns all programs."""
+        return self._programs.values()
+
+    def commit(self, records: Sequence[ProgramRecord]) -> Any:
+        """Applies the records; returns the future of their durability."""
+        if not records:
+            return self.last_commit
+        for record in records:
+            state = self._programs.get(record.program_id)
+            self._programs[record.program_id] = apply(state, record)
+        self.last_commit = self._sink.append(records)
+        return self.last_commit
+
+    def open(self, opened: Opened) -> Any:
+        """Opens a program; a sub-agent takes its share of the parent."""
+        if not opened.parent:
+            return self.commit((opened,))
+        parent = self.state(opened.parent)
+        return self.commit(budget.open_child(parent, opened))
+
+    def end(self, state: ProgramState, reason: str, at_s: float) -> Any:
+        """Ends a program; a sub-agent's unspent share goes back."""
+        records = [*calls.end_records(state, reason, at_s)]
+        parent = self._programs.get(state.parent)
+        if records and parent is not None and _has_share(parent, state):
+            records.append(budget.return_share(parent, state))
+        return self.commit(records)
+
+
+def _has_share(parent: ProgramState, child: ProgramState) -> bool:
+    return any(share.child == child.program_id for share in parent.shares)
--- /dev/null
+++ b/cactusledge/programs/logs.py
@@ -0,0 +1,174 @@
+"""The logs that this instance owns: taken over, driven, given back."""
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+from concurrent.futures import Executor
+from typing import Any, NamedTuple, Protocol
+
+import pykka
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.programs import messages as msg
+from cactusledge.programs.claims import Fence, fenced
+from cactusledge.telemetry.logs import get_logger
+
+DRIVER_WAIT_S = 10.0
+DRAIN_POLL_S = 0.05
+
+log = get_logger('logs')
+
+
+class OwnedLog(NamedTuple):
+    """A log that this instance sealed, with the actors that serve it."""
+
+    name: str
+    driver: pykka.ActorRef[Any]
+    close: Callable[[], None]  # writes what waits, then stops the writer
+
+
+class LogOpener(Protocol):
+    """Seals a log and starts its actors."""
+
+    def __call__(self, name: str, on_lost: Callable[[], None]) -> OwnedLog:
+        """Returns the log; blocks while the platform is asked.
+
+        Args:
+            name: Log to take over.
+            on_lost: Called once if another instance seals the log.
+        """
+
+
+class LogTable:
+    """The owned logs, readable from any thread."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._owned: Mapping[str, OwnedLog] = {}
+        self._lock = threading.Lock()
+
+    def find(self, name: str) -> OwnedLog | None:
+        """Returns the log if this instance owns it."""
+        return self._owned.get(name)
+
+    def all(self) -> tuple[OwnedLog, ...]:
+        """Returns the owned logs."""
+        return tuple(self._owned.values())
+
+    def names(self) -> tuple[str, ...]:
+        """Returns the names of the owned logs."""
+        return tuple(sorted(self._owned))
+
+    def put(self, owned: OwnedLog) -> None:
+        """Adds a log."""
+        with self._lock:
+            self._owned = {**self._owned, owned.name: owned}
+
+    def pop(self, name: str) -> OwnedLog | None:
+        """Removes a log and returns it."""
+        with self._lock:
+            kept = dict(self._owned)
+            owned = kept.pop(name, None)
+            self._owned = kept
+        return owned
+
+
+class LogManager:
+    """Takes over logs without an owner, one attempt at a time per log."""
+
+    def __init__(
+        self,
+        table: LogTable,
+        opener: LogOpener,
+        workers: Executor,
+        wanted: Callable[[Mapping[str, Fence]], tuple[str, ...]],
+        changed: Callable[[], None],
+    ) -> None:
+        """Prepares the manager.
+
+        Args:
+            table: Where owned logs are kept.
+            opener: Seals logs.
+            workers: Where sealing runs.
+            wanted: Names the logs to take over, given the fences.
+            changed: Called after the owned logs have changed.
+        """
+        self._table = table
+        self._opener = opener
+        self._workers = workers
+        self._wanted = wanted
+        self._changed = changed
+        self._lock = threading.Lock()
+        self._opening: set[str] = set()
+        self._fences: dict[str, Fence] = {}
+        self._closed = False
+
+    def tick(self) -> None:
+        """Starts to take over what is wanted, and ticks the drivers."""
+        for name in self._wanted(self._fences):
+            self._start_opening(name)
+        for owned in self._table.all():
+            owned.driver.tell(msg.Tick())
+
+    def drain(self, deadline_s: float) -> int:
+        """Lets the running calls end and gives the logs back.
+
+        Args:
+            deadline_s: Monotonic time to wait for at most.
+
+        Returns:
+            The number of calls that were still running at the end.
+        """
+        self._closed = True
+        left = self._running()
+        while left and time.monotonic() < deadline_s:
+            time.sleep(DRAIN_POLL_S)
+            left = self._running()
+        for owned in self._table.all():
+            self._table.pop(owned.name)
+            owned.close()
+        self._changed()
+        return left
+
+    def refuse_new(self) -> None:
+        """Has every driver refuse new calls; running ones go on."""
+        self._closed = True
+        self._running()
+
+    def _running(self) -> int:
+        counts = [
+            owned.driver.ask(msg.Drain(), timeout=DRIVER_WAIT_S)
+            for owned in self._table.all()
+            if owned.driver.is_alive()
+        ]
+        return sum(counts)
+
+    def _start_opening(self, name: str) -> None:
+        with self._lock:
+            if self._closed or name in self._opening:
+                return
+            self._opening.add(name)
+        self._workers.submit(self._open, name)
+
+    def _open(self, name: str) -> None:
+        try:
+            owned = self._opener(name, lambda: self._lost(name))
+        except CactusledgeError as exc:
+            log.warning('Not taken over.', log=name, reason=exc.message)
+        except Exception:
+            log.exception('Not taken over.', log=name)
+        else:
+            self._table.put(owned)
+            log.info('Taken over.', log=name)
+            self._changed()
+        finally:
+            self._opening.discard(name)
+
+    def _lost(self, name: str) -> None:
+        """Lets go of a log that another instance sealed."""
+        owned = self._table.pop(name)
+        self._fences[name] = fenced(self._fences, name, time.monotonic())
+        log.warning('Lost to another instance.', log=name)
+        if owned is not None:
+            owned.driver.stop(block=False)
+            self._changed()
--- /dev/null
+++ b/cactusledge/programs/prompt.py
@@ -0,0 +1,83 @@
+"""Prompts of model calls: a program's history and the new messages."""
+
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from cactusledge.models import CallKind, Outcome, Usage
+from cactusledge.protocol.calls import decode_body
+from cactusledge.protocol.state import CallState, ProgramState
+
+Message = Mapping[str, Any]
+
+MESSAGE_OVERHEAD_TOKENS = 16
+
+
+def history_messages(
+    state: ProgramState,
+    common_prefix: str,
+) -> list[Message]:
+    """Returns the messages that every further prompt begins with."""
+    messages: list[Message] = []
+    if common_prefix:
+        messages.append({'role': 'system', 'content': common_prefix})
+    for call in state.calls:
+        messages.extend(_call_messages(call))
+    return messages
+
+
+def prompt_text(messages: Sequence[Message]) -> str:
+    """Returns the text whose leading chunks name the cached prefix."""
+    return '\n'.join(
+        f'{message.get("role", "")}: {_content_text(message)}'
+        for message in messages
+    )
+
+
+def prompt_bound_tokens(
+    state: ProgramState,
+    common_prefix: str,
+    messages: Sequence[Message],
+) -> int:
+    """Returns an upper bound of the next prompt's tokens.
+
+    What the last model call reported is exact for the history up to it; each
+    byte after that counts as one token, since a token has at least one byte.
+    """
+    known, later = _since_last_usage(state)
+    texts = [*later, *messages]
+    if not known and common_prefix:
+        texts.append({'role': 'system', 'content': common_prefix})
+    return known + sum(_bound_tokens(message) for message in texts)
+
+
+def _since_last_usage(state: ProgramState) -> tuple[int, list[Message]]:
+    later: list[Message] = []
+    for call in reversed(state.calls):
+        if call.kind is CallKind.MODEL and call.usage != Usage():
+            used = call.usage.prompt_tokens + call.usage.output_tokens
+            return used + MESSAGE_OVERHEAD_TOKENS, later
+        later.extend(_call_messages(call))
+    return 0, later
+
+
+def _bound_tokens(message: Message) -> int:
+    size = len(_content_text(message).encode())
+    return size + MESSAGE_OVERHEAD_TOKENS
+
+
+def _content_text(message: Message) -> str:
+    content = message.get('content', '')
+    return content if isinstance(content, str) else json.dumps(content)
+
+
+def _call_messages(call: CallState) -> list[Message]:
+    if call.outcome is not Outcome.RAN:
+        return []
+    request = decode_body(call.body)
+    answer = decode_body(call.answer)
+    if call.kind is CallKind.MODEL:
+        reply = {'role': 'assistant', 'content': answer.get('text', '')}
+        return [*request.get('messages', ()), reply]
+    content = json.dumps({'arguments': request, 'answer': answer})
+    return [{'role': 'tool', 'name': call.operation, 'content': content}]
--- /dev/null
+++ b/cactusledge/programs/runner.py
@@ -0,0 +1,148 @@
+"""Runs one call in a worker thread, from its intent to its answer."""
+
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+import pykka
+
+from cactusledge.errors import CactusledgeError, ErrorCode
+from cactusledge.models import Answer, CallKind, Outcome
+from cactusledge.programs import messages as msg
+from cactusledge.programs.driver import CallTask
+from cactusledge.programs.errors import platform_down
+from cactusledge.programs.sending import Sender, Sent, failed
+from cactusledge.protocol.errors import FencedError
+from cactusledge.telemetry.logs import get_logger
+from cactusledge.telemetry.traces import Traces
+
+INTENT_WAIT_S = 5.0
+DRIVER_WAIT_S = 30.0
+
+log = get_logger('calls')
+
+
+class Durability(Protocol):
+    """Waits for records to be durable, or has a peer hold them."""
+
+    def wait(self, future: Any) -> bool:
+        """Returns whether they are durable.
+
+        Raises:
+            FencedError: Another owner sealed the log.
+        """
+
+
+class InternalCallError(CactusledgeError):
+    """A fault of this program ended the call; it may have run."""
+
+    code = ErrorCode.INTERNAL
+    outcome = Outcome.UNKNOWN
+
+
+class CallRunner:
+    """Carries a call through: intent, send, outcome, answer."""
+
+    def __init__(
+        self,
+        senders: Mapping[CallKind, Sender],
+        durability: Durability,
+        traces: Traces,
+    ) -> None:
+        """Keeps the senders and what waits for the journal."""
+        self._senders = senders
+        self._durability = durability
+        self._traces = traces
+
+    def run(self, task: CallTask) -> None:
+        """Runs the call; its stream always ends with an answer."""
+        parent = {'traceparent': task.traceparent} if task.traceparent else None
+        with self._traces.span(
+            f'{task.spec.kind} call',
+            parent,
+            program_id=task.spec.program_id,
+            seq=task.spec.seq,
+        ):
+            sent = self._send(task)
+            answer = self._record(task, sent)
+        task.stream.finish(answer)
+
+    def _send(self, task: CallTask) -> Sent:
+        try:
+            if not task.spec.idempotent:
+                _await_intent(task)
+            return self._senders[task.spec.kind].send(
+                task,
+                self._headers(task),
+            )
+        except CactusledgeError as exc:
+            log.info('Call failed.', code=str(exc.code), reason=exc.message)
+            return Sent(failed(task.spec, exc))
+        except Exception as exc:
+            log.exception('Call failed.', program_id=task.spec.program_id)
+            return Sent(failed(task.spec, _internal(exc)))
+
+    def _record(self, task: CallTask, sent: Sent) -> Answer:
+        """Returns the answer once its record is as safe as it can be."""
+        finish = msg.Finish(
+            task.spec.program_id,
+            task.spec.seq,
+            sent.answer,
+            sent.endpoint,
+            sent.touched,
+        )
+        try:
+            recorded = task.driver.ask(finish, timeout=DRIVER_WAIT_S)
+            if sent.answer.outcome is Outcome.NOT_RUN:
+                return sent.answer
+            durable = self._durability.wait(recorded.durable)
+        except (pykka.ActorDeadError, FencedError):
+            return _fenced_answer(task, sent)
+        except Exception:
+            log.exception('Not recorded.', program_id=task.spec.program_id)
+            return sent.answer._replace(durable=False)
+        answer: Answer = recorded.reply
+        return answer._replace(durable=durable)
+
+    def _headers(self, task: CallTask) -> dict[str, str]:
+        return {
+            **self._traces.headers(),
+            'X-Program-Id': task.spec.program_id,
+            'X-Sequence': str(task.spec.seq),
+        }
+
+
+def _await_intent(task: CallTask) -> None:
+    """Returns once the intent is durable; nothing was sent before."""
+    if task.intent is None:
+        return
+    try:
+        task.intent.get(timeout=INTENT_WAIT_S)
+    except pykka.Timeout:
+        raise platform_down() from None
+    except FencedError as exc:
+        exc.outcome = Outcome.NOT_RUN
+        raise
+
+
+def _fenced_answer(task: CallTask, sent: Sent) -> Answer:
+    """Returns the answer of a call whose log has another owner now.
+
+    What ran and may not be repeated is told as it is. Everything else is to
+    be asked of the new owner, who sends it again or knows its outcome.
+    """
+    if sent.answer.outcome is not Outcome.NOT_RUN and not task.spec.idempotent:
+        return sent.answer._replace(durable=False)
+    return sent.answer._replace(
+        outcome=Outcome.NOT_RUN,
+        code=str(ErrorCode.FENCED),
+        remedy='Repeat the call with the same seq and key.',
+        retry_after_s=1,
+        body={},
+    )
+
+
+def _internal(exc: Exception) -> InternalCallError:
+    return InternalCallError(
+        f'The call failed inside the instance: {type(exc).__name__}.',
+        remedy='Report the log line.',
+    )
--- /dev/null
+++ b/cactusledge/programs/work.py
@@ -0,0 +1,116 @@
+"""Worker pool of the drivers: calls, cache releases, continuations."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import Any
+
+import pykka
+
+from cactusledge.endpoints.engine import EngineClient
+from cactusledge.endpoints.service import ServiceClient
+from cactusledge.errors import CactusledgeError
+from cactusledge.models import CallKind, Endpoint
+from cactusledge.programs import messages as msg
+from cactusledge.programs.driver import CallTask, ReleaseTask
+from cactusledge.programs.leases import EndpointSource
+from cactusledge.programs.runner import CallRunner
+from cactusledge.protocol.state import ANY_ENDPOINT
+from cactusledge.settings.configuration import Program
+from cactusledge.telemetry.logs import get_logger
+
+CONTINUE_TIMEOUT_S = 10.0
+
+log = get_logger('programs')
+
+
+class WorkPool:
+    """Runs the drivers' blocking work in threads."""
+
+    def __init__(
+        self,
+        workers: Executor,
+        runner: CallRunner,
+        engines: EngineClient,
+        services: ServiceClient,
+        endpoints: EndpointSource,
+        all_engines: Callable[[], tuple[Endpoint, ...]],
+    ) -> None:
+        """Keeps the clients and the threads."""
+        self._workers = workers
+        self._runner = runner
+        self._engines = engines
+        self._services = services
+        self._endpoints = endpoints
+        self._all_engines = all_engines
+
+    def run_call(self, task: CallTask) -> None:
+        """Sends the call in a worker."""
+        self._workers.submit(self._runner.run, task)
+
+    def release_cache(self, task: ReleaseTask) -> None:
+        """Releases a program's cache in a worker."""
+        self._workers.submit(self._release, task)
+
+    def continue_program(self, program_id: str, program: Program) -> None:
+        """Asks the program's service to take it up."""
+        self._workers.submit(self._continue, program_id, program)
+
+    def _release(self, task: ReleaseTask) -> None:
+        done = all(
+            self._release_at(endpoint, task.program_id)
+            for endpoint in self._engines_of(task.endpoint)
+        )
+        _tell(task.driver, msg.Released(task.program_id, task.endpoint, done))
+
+    def _engines_of(self, name: str) -> tuple[Endpoint, ...]:
+        """Returns the engines to ask; one that is gone holds no cache."""
+        if name == ANY_ENDPOINT:
+            return self._all_engines()
+        endpoint = self._endpoints.find(name)
+        return (endpoint,) if endpoint else ()
+
+    def _release_at(self, endpoint: Endpoint, program_id: str) -> bool:
+        try:
+            self._engines.release_cache(endpoint, program_id)
+        except CactusledgeError as exc:
+            log.info(
+                'Cache not released yet.',
+                endpoint=endpoint.name,
+                reason=exc.message,
+            )
+            return False
+        return True
+
+    def _continue(self, program_id: str, program: Program) -> None:
+        continuation = program.continuation
+        if continuation is None:
+            return
+        replicas = self._endpoints.available(continuation.service)
+        if not replicas:
+            log.warning('No service to continue.', program_id=program_id)
+            return
+        try:
+            self._services.call(
+                replicas[0],
+                continuation.operation,
+                {'program_id': program_id},
+                idempotent=False,
+                key=f'{program_id}:continue',
+                deadline_s=time.monotonic() + CONTINUE_TIMEOUT_S,
+                headers={'X-Program-Id': program_id},
+            )
+        except CactusledgeError as exc:
+            log.warning('Not continued.', reason=exc.message)
+
+
+def engines_of(endpoints: tuple[Endpoint, ...]) -> tuple[Endpoint, ...]:
+    """Returns the model engines among the endpoints."""
+    return tuple(one for one in endpoints if one.kind is CallKind.MODEL)
+
+
+def _tell(driver: pykka.ActorRef[Any], message: Any) -> None:
+    try:
+        driver.tell(message)
+    except pykka.ActorDeadError:
+        log.info('The log has another owner now.')
