Add the command line: validate, plan, publish, status

Cause: operators drive the system only by editing and publishing files. Ruled out: importing every command at start-up; one click group by hand. Change: a lazy table of commands on typer, one module a command, one Environment object handed to all, exit statuses from error codes, and the reference page generated from the types.

--- /dev/null
+++ b/cactusledge/cli/app.py
@@ -0,0 +1,86 @@
+"""The table of commands and the program that runs them.
+
+Each command is one module with a `command` function. The module is imported
+only when its command runs, or when help lists all of them.
+"""
+
+import functools
+import inspect
+from collections.abc import Callable, Mapping
+from importlib import import_module
+from typing import Any
+
+import typer
+from typer.core import TyperGroup
+
+from cactusledge.status import ExitStatus
+
+# A command's name and the module that holds its `command` function.
+COMMANDS: Mapping[str, str] = {
+    'validate': 'cactusledge.cli.validate',
+    'plan': 'cactusledge.cli.plan',
+    'publish': 'cactusledge.cli.publish',
+    'status': 'cactusledge.cli.status',
+    'hash-token': 'cactusledge.cli.hash_token',
+    'settings-reference': 'cactusledge.cli.settings_reference',
+}
+
+DESCRIPTION = """\
+Scheduler for agent programs.
+
+Operators edit definition files beside their services and publish them:
+
+  cactusledge validate services/
+
+  cactusledge plan services/ --platform 127.0.0.1:8400
+
+  cactusledge publish services/ --platform 127.0.0.1:8400
+"""
+
+
+class LazyGroup(TyperGroup):
+    """A group that imports a command when it is needed."""
+
+    def list_commands(self, ctx: Any) -> list[str]:
+        """Returns the names in the order of the table."""
+        return list(COMMANDS)
+
+    def get_command(self, ctx: Any, cmd_name: str) -> Any:
+        """Returns the command, or None if there is none of that name."""
+        path = COMMANDS.get(cmd_name)
+        if path is None:
+            return None
+        return _load(cmd_name, import_module(path).command)
+
+
+app = typer.Typer(
+    cls=LazyGroup,
+    help=DESCRIPTION,
+    add_completion=False,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+    no_args_is_help=True,
+)
+
+
+@app.callback()
+def _root() -> None:
+    """Keeps the group a group, whatever the number of its commands."""
+
+
+def _load(name: str, command: Callable[..., ExitStatus]) -> Any:
+    """Returns the parser of one command."""
+    single = typer.Typer(add_completion=False, rich_markup_mode=None)
+    help_text = inspect.cleandoc(command.__doc__ or '')
+    single.command(name, help=help_text)(_exiting(command))
+    return typer.main.get_command(single)
+
+
+def _exiting(command: Callable[..., ExitStatus]) -> Callable[..., None]:
+    """Returns the command with its result as the exit status."""
+
+    @functools.wraps(command)
+    def wrapper(*args: Any, **options: Any) -> None:
+        raise typer.Exit(command(*args, **options))
+
+    return wrapper
--- /dev/null
+++ b/cactusledge/cli/status.py
@@ -0,0 +1,105 @@
+"""The `status` command."""
+
+from collections.abc import Iterator
+from typing import Annotated, Any
+
+import typer
+
+from cactusledge.cli.options import (
+    Format,
+    OutputFormat,
+    Platform,
+    environment_of,
+    open_platform,
+    parse_addresses,
+)
+from cactusledge.cli.output import write_json, write_lines
+from cactusledge.cli.reports import (
+    newest_generation,
+    platform_reports,
+    queried_reports,
+)
+from cactusledge.settings.published import read_head
+from cactusledge.settings.rollout import Report, Rollout, judge
+from cactusledge.status import ExitStatus
+
+MAX_REPORT_AGE_S = 60.0
+
+Instances = Annotated[
+    str,
+    typer.Option(
+        metavar='HOST:PORT[,...]',
+        help='Ask these instances instead of reading their reports.',
+    ),
+]
+Generation = Annotated[
+    int | None,
+    typer.Option(metavar='N', help='Generation to prove; else the newest.'),
+]
+MaxAge = Annotated[
+    float, typer.Option(help='Oldest report that proves anything, in s.')
+]
+
+
+def command(
+    ctx: typer.Context,
+    platform: Platform = '',
+    instances: Instances = '',
+    generation: Generation = None,
+    max_age_s: MaxAge = MAX_REPORT_AGE_S,
+    output: OutputFormat = Format.TEXT,
+) -> ExitStatus:
+    """Prove that a generation is in force everywhere, or name who is behind.
+
+    Example: cactusledge status --platform 127.0.0.1:8400
+
+    Example: cactusledge status --instances 127.0.0.1:8420,127.0.0.1:8430
+    """
+    env = environment_of(ctx)
+    if instances:
+        asked = parse_addresses(instances, '--instances')
+        reports = queried_reports(env, asked)
+        newest = newest_generation(reports)
+    else:
+        store = open_platform(env, platform)
+        head = read_head(store).head
+        newest = head.generation if head else 0
+        reports = platform_reports(store, env.now(), max_age_s)
+    rollout = judge(newest if generation is None else generation, reports)
+    if output is Format.JSON:
+        write_json(env, _document(rollout))
+    else:
+        write_lines(env, _lines(rollout))
+    return ExitStatus.OK if rollout.everywhere else ExitStatus.ERROR
+
+
+def _document(rollout: Rollout) -> dict[str, Any]:
+    return {
+        'generation': rollout.generation,
+        'everywhere': rollout.everywhere,
+        'in_force': [report._asdict() for report in rollout.in_force],
+        'behind': [report._asdict() for report in rollout.behind],
+    }
+
+
+def _lines(rollout: Rollout) -> Iterator[str]:
+    for report in (*rollout.in_force, *rollout.behind):
+        yield _line(report)
+    count = len(rollout.in_force)
+    total = count + len(rollout.behind)
+    if rollout.everywhere:
+        yield (
+            f'Generation {rollout.generation} is in force everywhere'
+            f' ({count} instances).'
+        )
+    else:
+        yield (
+            f'Generation {rollout.generation} is in force on {count} of'
+            f' {total} instances.'
+        )
+
+
+def _line(report: Report) -> str:
+    shown = report.problem or f'generation {report.generation}'
+    where = f' ({report.data_centre})' if report.data_centre else ''
+    return f'{report.instance}{where}: {shown}'
--- /dev/null
+++ b/cactusledge/cli/validate.py
@@ -0,0 +1,34 @@
+"""The `validate` command."""
+
+import typer
+
+from cactusledge.cli.options import (
+    Format,
+    OutputFormat,
+    Paths,
+    environment_of,
+)
+from cactusledge.cli.output import write_json, write_lines
+from cactusledge.settings.definitions import collect
+from cactusledge.settings.schema import KEY_FIELDS
+from cactusledge.status import ExitStatus
+
+
+def command(
+    ctx: typer.Context,
+    paths: Paths,
+    output: OutputFormat = Format.TEXT,
+) -> ExitStatus:
+    """Check definition files without publishing them.
+
+    Example: cactusledge validate services/
+    """
+    env = environment_of(ctx)
+    found = collect(paths)
+    counts = {kind: len(getattr(found.merged, kind)) for kind in KEY_FIELDS}
+    if output is Format.JSON:
+        write_json(env, {'files': list(found.files), 'definitions': counts})
+        return ExitStatus.OK
+    listed = ', '.join(f'{count} {kind}' for kind, count in counts.items())
+    write_lines(env, (f'Valid: {len(found.files)} files; {listed}.',))
+    return ExitStatus.OK
--- /dev/null
+++ b/cactusledge/environment.py
@@ -0,0 +1,60 @@
+"""What the program is given by its surroundings."""
+
+import os
+import sys
+import time
+from collections.abc import Callable, Mapping, Sequence
+from importlib import import_module
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NamedTuple, TextIO
+
+from cactusledge.models import Address
+
+if TYPE_CHECKING:
+    from cactusledge.platform.store import ObjectStore
+
+PROGRAM_NAME = 'cactusledge'
+SETTINGS_VARIABLE = 'CACTUSLEDGE_SETTINGS'
+DEFAULT_SETTINGS_PATH = Path('/etc/cactusledge/instance.yaml')
+
+OpenStore = Callable[[Sequence[Address], float], 'ObjectStore']
+FetchJson = Callable[[Address, str, float], Any]
+
+
+def open_http_store(
+    addresses: Sequence[Address], timeout_s: float
+) -> 'ObjectStore':
+    """Returns a client of the platform's object API."""
+    client = import_module('cactusledge.platform.client')
+    store: ObjectStore = client.HttpObjectStore(tuple(addresses), timeout_s)
+    return store
+
+
+def fetch_json(address: Address, path: str, timeout_s: float) -> Any:
+    """Returns the JSON document that an instance answers to a GET."""
+    fetching = import_module('cactusledge.cli.fetching')
+    return fetching.fetch_json(address, path, timeout_s)
+
+
+class Environment(NamedTuple):
+    """Streams, variables, clock and connections of one run."""
+
+    stdin: TextIO
+    stdout: TextIO
+    stderr: TextIO
+    environ: Mapping[str, str]
+    now: Callable[[], float] = time.time
+    sleep: Callable[[float], None] = time.sleep
+    open_store: OpenStore = open_http_store
+    fetch_json: FetchJson = fetch_json
+
+    @property
+    def settings_path(self) -> Path:
+        """Returns the path of the instance's settings file."""
+        named = self.environ.get(SETTINGS_VARIABLE)
+        return Path(named) if named else DEFAULT_SETTINGS_PATH
+
+
+def process_environment() -> Environment:
+    """Returns the environment of this process."""
+    return Environment(sys.stdin, sys.stdout, sys.stderr, os.environ)
--- a/cactusledge/settings/instance.py
+++ b/cactusledge/settings/instance.py
@@ -14,8 +14,8 @@
     nearest_name,
 )
 from cactusledge.settings.strict import (
-    AddressField,
     Addresses,
+    AddressField,
     Amount,
     Count,
     Seconds,
--- a/cactusledge/settings/secrets.py
+++ b/cactusledge/settings/secrets.py
@@ -26,7 +26,7 @@
     f'`cactusledge hash-token` prints under {HASH_FIELD}.'
 )
 
-_HASH = re.compile('[0-9a-f]{64}')
+_HASH = re.compile(r'[0-9a-f]{64}')
 _KNOWN_TOKEN = re.compile(
     r'(?:sk-|ghp_|gho_|glpat-|xox[abp]-|Bearer |eyJ|-----BEGIN )\S+.*',
     re.DOTALL,
--- a/cactusledge/settings/strict.py
+++ b/cactusledge/settings/strict.py
@@ -41,7 +41,7 @@
     if isinstance(raw, Address):
         return raw
     if not isinstance(raw, str):
-        raise ValueError('expected host:port as text')  # noqa: TRY004
+        raise ValueError('expected host:port as text')  # ruff: ignore[type-check-without-type-error]
     host, _, port = raw.rpartition(':')
     if not host or not port.isdecimal() or int(port) > MAX_PORT:
         raise ValueError(f"'{raw}' is not of the form host:port")
@@ -90,14 +90,15 @@
         if isinstance(step, int):
             continue
         field = found.model_fields.get(step) if found else None
-        found = _model_in(field.annotation) if field else None
+        found = model_in(field.annotation) if field else None
     return found
 
 
-def _model_in(annotation: Any) -> type[BaseModel] | None:
+def model_in(annotation: Any) -> type[BaseModel] | None:
+    """Returns the model that an annotation holds, or None."""
     if isinstance(annotation, type) and issubclass(annotation, BaseModel):
         return annotation
-    inner = (_model_in(arg) for arg in get_args(annotation))
+    inner = (model_in(arg) for arg in get_args(annotation))
     return next((found for found in inner if found), None)
 
 
