--- /dev/null
+++ b/cactusledge/protocol/journal.py
@@ -0,0 +1,241 @@
+"""State machine of a log's writer: `step(state, event) -> (state, effects)`.
+
+Append n is a conditional update of slot `n mod size` against the version
+that was read for it. One append is in flight. A write without an answer is read
+back and judged by its nonce:
+
+- one of the nonces that this writer used for n: committed;
+- the append of the lap before: unchanged. The write may still land, so the
+  same n is written again with the same nonce and content;
+- anything else (n by another owner, or a later lap): fenced for good.
+
+A nonce stands for one content of one n. To give an append up, a void with a
+nonce of its own is written at the same n; whichever of the two stands there
+in the end is the append.
+"""
+
+import enum
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any, NamedTuple, TypeAlias
+
+from cactusledge.protocol import journal_types as msg
+from cactusledge.protocol.errors import JournalFullError
+from cactusledge.protocol.ring import Ring, Slot
+
+FULL_RETRY_S = 5.0
+
+
+class Phase(enum.StrEnum):
+    """What the writer is waiting for."""
+
+    IDLE = 'idle'
+    WRITING = 'writing'
+    READING = 'reading'
+    WAIT_TO_WRITE = 'wait_to_write'
+    WAIT_TO_READ = 'wait_to_read'
+    FENCED = 'fenced'
+
+
+class Attempt(NamedTuple):
+    """One content that was written, or is to be, for the current n."""
+
+    nonce: str
+    data: bytes
+    void: bool = False
+
+
+class JournalState(NamedTuple):
+    """State of the writer of one log."""
+
+    log: str
+    owner: str  # unique to one start of one instance
+    number: int  # number of the current or next append
+    versions: tuple[str, ...]  # latest known version of each slot
+    phase: Phase = Phase.IDLE
+    attempts: tuple[Attempt, ...] = ()  # for n; the last one is written next
+    serial: int = 0  # nonces used so far
+
+    @property
+    def slot_index(self) -> int:
+        """Slot index of append n."""
+        return self.number % len(self.versions)
+
+
+Step: TypeAlias = tuple[JournalState, tuple[msg.Effect, ...]]
+
+
+class Finding(enum.StrEnum):
+    """What a read-back shows."""
+
+    MINE = 'mine'
+    UNCHANGED = 'unchanged'
+    FOREIGN = 'foreign'
+
+
+def start(log: str, owner: str, ring: Ring, serial: int = 0) -> JournalState:
+    """Returns the state of a writer that goes on after the listed log."""
+    versions = tuple(slot.version for slot in ring.slots)
+    return JournalState(log, owner, ring.next_n, versions, serial=serial)
+
+
+def step(state: JournalState, event: msg.Event) -> Step:
+    """Returns the next state and what to do.
+
+    An event that does not fit the phase is stale and changes nothing.
+
+    Raises:
+        JournalFullError: If the append would overwrite needed records.
+    """
+    handler = _TABLE.get((state.phase, type(event)))
+    if handler is None:
+        return state, ()
+    return handler(state, event)
+
+
+def judge(state: JournalState, slot: Slot) -> Finding:
+    """Returns what a slot that was read back says of append n."""
+    nonces = {attempt.nonce for attempt in state.attempts}
+    if slot.number == state.number and slot.nonce in nonces:
+        return Finding.MINE
+    former = max(state.number - len(state.versions), -1)
+    if slot.number == former:
+        return Finding.UNCHANGED
+    return Finding.FOREIGN
+
+
+def _append(state: JournalState, event: msg.Append) -> Step:
+    if event.oldest <= state.number - len(state.versions):
+        raise JournalFullError(
+            f'Slot {state.slot_index} of log {state.log!r} is still needed.',
+            remedy='Come back when programs have ended or enlarge the ring.',
+            retry_after_s=FULL_RETRY_S,
+        )
+    return _write(_attempt(state, event.data, void=False))
+
+
+def _attempt(state: JournalState, data: bytes, *, void: bool) -> JournalState:
+    attempt = Attempt(f'{state.owner}#{state.serial}', data, void)
+    return state._replace(
+        attempts=(*state.attempts, attempt),
+        serial=state.serial + 1,
+    )
+
+
+def _write(state: JournalState) -> Step:
+    attempt = state.attempts[-1]
+    effect = msg.WriteSlot(
+        state.slot_index,
+        state.number,
+        attempt.nonce,
+        attempt.data,
+        state.versions[state.slot_index],
+    )
+    return state._replace(phase=Phase.WRITING), (effect,)
+
+
+def _read(state: JournalState, event: Any = None) -> Step:
+    effect = msg.ReadSlot(state.slot_index, state.number)
+    return state._replace(phase=Phase.READING), (effect,)
+
+
+def _written(state: JournalState, event: msg.Written) -> Step:
+    return _commit(state, event.nonce, event.version)
+
+
+def _read_if_current(
+    state: JournalState,
+    event: msg.Conflicted | msg.AnswerLost,
+) -> Step:
+    if not _is_current(state, event.nonce):
+        return state, ()
+    return _read(state)
+
+
+def _unavailable(state: JournalState, event: msg.Unavailable) -> Step:
+    if not _is_current(state, event.nonce):
+        return state, ()
+    return state._replace(phase=Phase.WAIT_TO_WRITE), (msg.BackOff(),)
+
+
+def _read_back(state: JournalState, event: msg.ReadBack) -> Step:
+    if event.number != state.number:
+        return state, ()
+    return _FINDINGS[judge(state, event.slot)](state, event.slot)
+
+
+def _mine(state: JournalState, slot: Slot) -> Step:
+    return _commit(state, slot.nonce, slot.version)
+
+
+def _unchanged(state: JournalState, slot: Slot) -> Step:
+    state = _with_version(state, slot.version)
+    return state._replace(phase=Phase.WAIT_TO_WRITE), (msg.BackOff(),)
+
+
+def _foreign(state: JournalState, slot: Slot) -> Step:
+    return state._replace(phase=Phase.FENCED), (msg.Fenced(slot.owner),)
+
+
+def _read_failed(state: JournalState, event: msg.ReadFailed) -> Step:
+    if event.number != state.number:
+        return state, ()
+    return state._replace(phase=Phase.WAIT_TO_READ), (msg.BackOff(),)
+
+
+def _write_again(state: JournalState, event: msg.RetryDue) -> Step:
+    return _write(state)
+
+
+def _give_up(state: JournalState, event: msg.GiveUp) -> Step:
+    if state.attempts[-1].void:
+        return state, ()
+    return _attempt(state, event.data, void=True), ()
+
+
+def _commit(state: JournalState, nonce: str, version: str) -> Step:
+    voids = {attempt.nonce: attempt.void for attempt in state.attempts}
+    if nonce not in voids:
+        return state, ()
+    after = _with_version(state, version)._replace(
+        number=state.number + 1,
+        phase=Phase.IDLE,
+        attempts=(),
+    )
+    return after, (msg.Committed(state.number, voids[nonce]),)
+
+
+def _with_version(state: JournalState, version: str) -> JournalState:
+    versions = list(state.versions)
+    versions[state.slot_index] = version
+    return state._replace(versions=tuple(versions))
+
+
+def _is_current(state: JournalState, nonce: str) -> bool:
+    return any(attempt.nonce == nonce for attempt in state.attempts)
+
+
+_FINDINGS: Mapping[Finding, Callable[[JournalState, Slot], Step]] = (
+    MappingProxyType({
+        Finding.MINE: _mine,
+        Finding.UNCHANGED: _unchanged,
+        Finding.FOREIGN: _foreign,
+    })
+)
+_Handler: TypeAlias = Callable[[JournalState, Any], Step]
+_Cell: TypeAlias = tuple[Phase, type[Any]]
+_TABLE: Mapping[_Cell, _Handler] = MappingProxyType({
+    (Phase.IDLE, msg.Append): _append,
+    (Phase.WRITING, msg.Written): _written,
+    (Phase.WRITING, msg.Conflicted): _read_if_current,
+    (Phase.WRITING, msg.AnswerLost): _read_if_current,
+    (Phase.WRITING, msg.Unavailable): _unavailable,
+    (Phase.WRITING, msg.GiveUp): _give_up,
+    (Phase.READING, msg.ReadBack): _read_back,
+    (Phase.READING, msg.ReadFailed): _read_failed,
+    (Phase.READING, msg.GiveUp): _give_up,
+    (Phase.WAIT_TO_WRITE, msg.RetryDue): _write_again,
+    (Phase.WAIT_TO_WRITE, msg.GiveUp): _give_up,
+    (Phase.WAIT_TO_READ, msg.RetryDue): _read,
+    (Phase.WAIT_TO_READ, msg.GiveUp): _give_up,
+})
--- /dev/null
+++ b/cactusledge/protocol/ledger.py
@@ -0,0 +1,152 @@
+"""Folded programs of one log and the appends that they still need.
+
+A program's base is the append that holds its `Opened` or latest snapshot.
+Before a slot is overwritten, programs based in it are carried forward: a
+snapshot in the same or an earlier append becomes their new base. Ended
+programs past retention get a `Dropped` record instead.
+"""
+
+from collections.abc import Iterable, Mapping
+from operator import itemgetter
+from typing import NamedTuple
+
+from cactusledge.errors import ErrorCode
+from cactusledge.protocol import records as rec
+from cactusledge.protocol.errors import HistoryError, RefusedCallError
+from cactusledge.protocol.program import apply
+from cactusledge.protocol.ring import MAX_DATA_BYTES
+from cactusledge.protocol.state import ProgramState
+
+# Slots kept free of bases so that seals need not carry anything.
+RESERVE_SLOTS = 4
+
+
+class Retention(NamedTuple):
+    """How long ended programs are kept."""
+
+    ended_s: float = 86_400
+
+
+class Ledger:
+    """Programs of a log as of its latest append, sent or durable."""
+
+    def __init__(self, size: int, retention: Retention) -> None:
+        """Starts empty, for a ring of `size` slots."""
+        self.programs: dict[str, ProgramState] = {}
+        self._size = size
+        self._retention = retention
+        # Ordered by append, oldest first: a program that moves goes last.
+        self._bases: dict[str, int] = {}
+
+    def restore(
+        self,
+        programs: Mapping[str, ProgramState],
+        bases: Mapping[str, int],
+    ) -> None:
+        """Takes over what a replay found."""
+        self.programs = dict(programs)
+        ordered = sorted(bases.items(), key=itemgetter(1))
+        self._bases = {
+            name: number for name, number in ordered if name in programs
+        }
+
+    def oldest(self, next_n: int) -> int:
+        """Returns the lowest append that is needed, `next_n` if none is."""
+        return next(iter(self._bases.values()), next_n)
+
+    def has_room(self, next_n: int) -> bool:
+        """Returns whether append `next_n` may take new records."""
+        return self.oldest(next_n) > next_n - self._size + RESERVE_SLOTS
+
+    def fold(self, number: int, batch: Iterable[rec.ProgramRecord]) -> None:
+        """Applies records that go into append n together, all or none.
+
+        Raises:
+            HistoryError: If a record does not follow.
+        """
+        changed: dict[str, ProgramState | None] = {}
+        based: list[str] = []
+        for record in batch:
+            name = record.program_id
+            state = changed.get(name, self.programs.get(name))
+            changed[name] = _apply(state, record)
+            if isinstance(record, (rec.Opened, rec.ProgramSnapshot)):
+                based.append(name)
+        self._keep(changed)
+        for name in based:
+            self._bases.pop(name, None)
+            self._bases[name] = number
+
+    def carry(
+        self,
+        next_n: int,
+        now_s: float,
+        limit_bytes: int = MAX_DATA_BYTES,
+    ) -> tuple[rec.ProgramRecord, ...]:
+        """Returns and folds what append `next_n` carries forward.
+
+        Cleaning starts when half of the ring lies behind the oldest base.
+        """
+        carried: list[rec.ProgramRecord] = []
+        left = limit_bytes
+        for name in self._behind(next_n - self._size // 2):
+            record = self._moved(name, now_s)
+            left -= len(rec.encode_batch((record,)))
+            if left < 0:
+                break
+            carried.append(record)
+        self.fold(next_n, carried)
+        return tuple(carried)
+
+    def _behind(self, limit: int) -> tuple[str, ...]:
+        return tuple(name for name, at in self._bases.items() if at <= limit)
+
+    def _moved(self, name: str, now_s: float) -> rec.ProgramRecord:
+        state = self.programs[name]
+        seq = len(state.calls)
+        if self._is_over(state, now_s):
+            return rec.Dropped(name, seq, state.digest)
+        return rec.ProgramSnapshot(name, seq, state.digest, state)
+
+    def _is_over(self, state: ProgramState, now_s: float) -> bool:
+        if not state.ended or state.releases or state.shares:
+            return False
+        return now_s >= state.ended_at_s + self._retention.ended_s
+
+    def _keep(self, changed: Mapping[str, ProgramState | None]) -> None:
+        for name, state in changed.items():
+            if state is None:
+                self.programs.pop(name, None)
+                self._bases.pop(name, None)
+            else:
+                self.programs[name] = state
+
+
+def check_size(batch: Iterable[rec.Record]) -> int:
+    """Returns the bytes that the records take at most.
+
+    Raises:
+        RefusedCallError: If they do not fit into one object.
+    """
+    size = sum(len(rec.encode_record(record)) for record in batch)
+    if size > MAX_DATA_BYTES:
+        raise RefusedCallError(
+            ErrorCode.TOO_LARGE,
+            f'{size} bytes do not fit into a journal object.',
+            remedy=f'Keep documents below {MAX_DATA_BYTES} bytes.',
+        )
+    return size
+
+
+def _apply(
+    state: ProgramState | None,
+    record: rec.ProgramRecord,
+) -> ProgramState | None:
+    if not isinstance(record, rec.Dropped):
+        return apply(state, record)
+    if state is None or state.digest != record.prev or not state.ended:
+        raise HistoryError(
+            f'Program {record.program_id!r} cannot be dropped.',
+            remedy='Drop only programs that have ended.',
+        )
+    return None
--- /dev/null
+++ b/cactusledge/protocol/ring.py
@@ -0,0 +1,129 @@
+"""Slots of a log: a ring of platform objects, made once and never deleted.
+
+Append n stands in slot `n mod size`. A slot that was never written has the
+number `EMPTY`.
+"""
+
+import base64
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple, TypedDict
+
+from cactusledge.protocol.errors import CorruptRecordError, HistoryError
+
+SLOT_KIND = 'journalslots'
+EMPTY = -1
+DEFAULT_RING_SIZE = 256  # slots
+MAX_OBJECT_BYTES = 1_000_000
+_FRAME_BYTES = 4096  # field names, log, owner and nonce
+# Base64 makes four characters of three bytes.
+MAX_DATA_BYTES = (MAX_OBJECT_BYTES - _FRAME_BYTES) * 3 // 4
+
+
+class SlotBody(TypedDict):
+    """Body of a slot's object at the platform."""
+
+    log: str
+    number: int
+    nonce: str
+    owner: str
+    data: str  # batch of records, base64
+
+
+class Slot(NamedTuple):
+    """One slot as it was read."""
+
+    number: int
+    nonce: str
+    owner: str
+    data: bytes
+    version: str
+
+
+class Ring(NamedTuple):
+    """A log as it was listed."""
+
+    next_n: int
+    owner: str  # of the latest append, '' if there is none
+    slots: tuple[Slot, ...]  # by index
+
+    def batches(self) -> tuple[Slot, ...]:
+        """Returns the slots that hold an append, oldest first."""
+        written = (slot for slot in self.slots if slot.number != EMPTY)
+        return tuple(sorted(written, key=_number))
+
+
+def slot_prefix(log: str) -> str:
+    """Returns what the names of a log's slots begin with."""
+    return f'{log}.'
+
+
+def slot_name(log: str, index: int) -> str:
+    """Returns the object name of a slot."""
+    return f'{slot_prefix(log)}{index:05d}'
+
+
+def slot_body(
+    log: str, number: int, nonce: str, owner: str, data: bytes
+) -> SlotBody:
+    """Returns the object body of an append."""
+    return {
+        'log': log,
+        'number': number,
+        'nonce': nonce,
+        'owner': owner,
+        'data': base64.b64encode(data).decode(),
+    }
+
+
+def empty_body(log: str) -> SlotBody:
+    """Returns the object body of a slot that was never written."""
+    return slot_body(log, EMPTY, '', '', b'')
+
+
+def parse_slot(body: Mapping[str, Any], version: str) -> Slot:
+    """Returns the slot that an object holds.
+
+    Raises:
+        CorruptRecordError: If the body is not a slot's.
+    """
+    try:
+        return Slot(
+            int(body['number']),
+            str(body['nonce']),
+            str(body['owner']),
+            base64.b64decode(body['data'], validate=True),
+            version,
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        raise CorruptRecordError(
+            f'The object is not a journal slot: {exc!r}.',
+            remedy='Restore the journal object from a backup of the platform.',
+        ) from exc
+
+
+def assemble(slots: Iterable[Slot]) -> Ring:
+    """Returns the log that its slots, by index, make up.
+
+    Raises:
+        HistoryError: If an append is missing, as in a listing that mixes
+            moments or after an object was lost.
+    """
+    ordered = tuple(slots)
+    last = max((slot.number for slot in ordered), default=EMPTY)
+    for index, slot in enumerate(ordered):
+        if slot.number != _expected(index, last, len(ordered)):
+            raise HistoryError(
+                f'Slot {index} holds append {slot.number}, the last is {last}.',
+                remedy='List the log again; if it stays, restore the slot.',
+            )
+    owner = '' if last == EMPTY else ordered[last % len(ordered)].owner
+    return Ring(last + 1, owner, ordered)
+
+
+def _expected(index: int, last: int, size: int) -> int:
+    behind = (last - index) % size
+    return max(last - behind, EMPTY)
+
+
+def _number(slot: Slot) -> int:
+    return slot.number
