--- /dev/null
+++ b/cactusledge/endpoints/assembly.py
@@ -0,0 +1,97 @@
+"""Puts the chunks of a model's answer together; pure.
+
+A chunk names its token offset, so chunks that arrive twice, late or from a
+resumed stream take their place. Engines that name no offset are counted.
+"""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple, TypeAlias
+
+from cactusledge.models import Usage
+
+
+class Chunk(NamedTuple):
+    """One piece of the text; index is the offset of its token."""
+
+    index: int  # type: ignore[assignment]  # hides tuple.index
+    text: str
+
+
+class Finished(NamedTuple):
+    """The whole answer."""
+
+    text: str
+    usage: Usage
+    finish_reason: str
+
+
+StreamEvent: TypeAlias = Chunk | Finished
+
+
+class ForeignChunkError(Exception):
+    """The chunk names another request."""
+
+
+class Assembly:
+    """The answer to one request as far as it has arrived."""
+
+    def __init__(self, request_id: str) -> None:
+        """Starts without text."""
+        self._request_id = request_id
+        self._texts: list[str] = []
+        self._early: dict[int, str] = {}  # chunks whose predecessors miss
+        self._last: Mapping[str, Any] | None = None
+
+    @property
+    def offset(self) -> int:
+        """Offset of the next token, to resume from."""
+        return len(self._texts)
+
+    @property
+    def text(self) -> str:
+        """The text so far."""
+        return ''.join(self._texts)
+
+    def take(self, document: Mapping[str, Any]) -> list[Chunk]:
+        """Returns the chunks that a new one completes, in their order."""
+        if document.get('id', self._request_id) != self._request_id:
+            raise ForeignChunkError(document['id'])
+        choice = document['choices'][0]
+        if choice.get('finish_reason'):
+            self._last = document
+            return []
+        return self._place(document, choice['delta'].get('content', ''))
+
+    def finished(self) -> Finished | None:
+        """Returns the whole answer, or None if a part of it is missing."""
+        if self._last is None or self._early or self._is_short():
+            return None
+        reason = str(self._last['choices'][0]['finish_reason'])
+        usage = usage_of(self._last.get('usage') or {})
+        return Finished(self.text, usage, reason)
+
+    def _is_short(self) -> bool:
+        end = self._last.get('token_offset') if self._last else None
+        return end is not None and self.offset < int(end)
+
+    def _place(self, document: Mapping[str, Any], text: str) -> list[Chunk]:
+        index = int(document.get('token_offset', self.offset))
+        if index < self.offset or not text:
+            return []
+        self._early[index] = text
+        ready = []
+        while self.offset in self._early:
+            chunk = Chunk(self.offset, self._early.pop(self.offset))
+            self._texts.append(chunk.text)
+            ready.append(chunk)
+        return ready
+
+
+def usage_of(document: Mapping[str, Any]) -> Usage:
+    """Returns the usage that an engine reported."""
+    details = document.get('prompt_tokens_details') or {}
+    return Usage(
+        prompt_tokens=int(document.get('prompt_tokens', 0)),
+        cached_tokens=int(details.get('cached_tokens', 0)),
+        output_tokens=int(document.get('completion_tokens', 0)),
+    )
--- /dev/null
+++ b/cactusledge/endpoints/service.py
@@ -0,0 +1,139 @@
+"""Client of plain services; every call is sent at most once."""
+
+from collections.abc import Mapping
+from contextlib import AbstractContextManager, closing
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+from urllib3 import HTTPConnectionPool
+
+from cactusledge.endpoints.errors import AnswerMismatchError
+from cactusledge.endpoints.pools import ConnectionPools
+from cactusledge.endpoints.transport import Exchange, Outgoing, Waits, send
+from cactusledge.models import Endpoint, Outcome
+
+KEY_HEADER = 'Idempotency-Key'
+HTTP_OK = 200
+
+
+class ServiceLimits(NamedTuple):
+    """Limits on the waits of a call, in seconds."""
+
+    connect_s: float = 1
+    silence_s: float = 30
+
+
+DEFAULT_LIMITS = ServiceLimits()
+
+
+class ServiceAnswer(NamedTuple):
+    """The whole answer of a service to one call."""
+
+    status: int
+    body: Any
+
+
+class ServiceClient:
+    """Calls plain services."""
+
+    def __init__(
+        self,
+        pools: ConnectionPools,
+        limits: ServiceLimits = DEFAULT_LIMITS,
+    ) -> None:
+        """Keeps the connections to use and the limits."""
+        self._pools = pools
+        self._limits = limits
+
+    def call(
+        self,
+        endpoint: Endpoint,
+        operation: str,
+        body: Mapping[str, Any],
+        *,
+        idempotent: bool,
+        key: str,
+        deadline_s: float,
+        headers: Mapping[str, str],
+    ) -> ServiceAnswer:
+        """Sends a call once and returns the service's whole answer.
+
+        Args:
+            endpoint: Replica to call.
+            operation: Name of the operation.
+            body: Request document.
+            idempotent: False takes a connection that nothing else used.
+            key: Idempotency key; the answer must carry the same, if any.
+            deadline_s: Point in time of `time.monotonic` to give up at.
+            headers: Further headers, such as `traceparent`.
+
+        Raises:
+            EndpointRefusedError: Nothing was sent, or the service did not run.
+            EndpointFailedError: Whether it ran is not known.
+        """
+        path = f'/operations/{quote(operation, safe="")}'
+        request = Outgoing('POST', path, {**headers, KEY_HEADER: key}, body)
+        connections = self._connections(endpoint, idempotent=idempotent)
+        with connections as pool:
+            exchange = send(pool, endpoint, request, self._waits(deadline_s))
+            with closing(exchange):
+                return _answer(exchange, key)
+
+    def query_status(
+        self,
+        endpoint: Endpoint,
+        operation: str,
+        key: str,
+        *,
+        deadline_s: float,
+    ) -> Outcome:
+        """Returns what the service knows of an earlier call.
+
+        `UNKNOWN` if the service offers no status query.
+        """
+        path = f'/operations/{quote(operation, safe="")}/{quote(key, safe="")}'
+        request = Outgoing('GET', path)
+        with self._pools.fresh(endpoint.address) as pool:
+            exchange = send(pool, endpoint, request, self._waits(deadline_s))
+            with closing(exchange):
+                return _status(exchange, key)
+
+    def _connections(
+        self,
+        endpoint: Endpoint,
+        *,
+        idempotent: bool,
+    ) -> AbstractContextManager[HTTPConnectionPool]:
+        if idempotent:
+            return self._pools.shared(endpoint.address)
+        return self._pools.fresh(endpoint.address)
+
+    def _waits(self, deadline_s: float) -> Waits:
+        return Waits(deadline_s, self._limits.connect_s, self._limits.silence_s)
+
+
+def _answer(exchange: Exchange, key: str) -> ServiceAnswer:
+    answered_key = exchange.response.headers.get(KEY_HEADER, key)
+    body = exchange.document()
+    if answered_key != key:
+        raise _mismatch(exchange, answered_key)
+    return ServiceAnswer(exchange.response.status, body)
+
+
+def _status(exchange: Exchange, key: str) -> Outcome:
+    document = exchange.document()
+    if exchange.response.status != HTTP_OK:
+        return Outcome.UNKNOWN
+    if document.get('key') != key:
+        raise _mismatch(exchange, str(document.get('key')))
+    return Outcome.RAN if document['ran'] else Outcome.NOT_RUN
+
+
+def _mismatch(exchange: Exchange, key: str) -> AnswerMismatchError:
+    name = exchange.endpoint.name
+    return AnswerMismatchError(
+        f'{name} answered for the key {key!r}, which was not asked.',
+        remedy='Query the state of the call; report the fault to its owner.',
+        endpoint=name,
+        status=exchange.response.status,
+    )
