--- /dev/null
+++ b/cactusledge/routing/dispatch.py
@@ -0,0 +1,130 @@
+"""Serves the queue of a group: which job goes to which engine, and when."""
+
+from collections import Counter
+
+from cactusledge.routing import placement
+from cactusledge.routing.engines import EngineState, Running, needed_tokens
+from cactusledge.routing.group_state import GroupState
+from cactusledge.routing.live_programs import LiveProgram
+from cactusledge.routing.types import CacheRelease, Effect, Grant, Job
+
+SCAN_LIMIT = 64  # queued jobs that one pass looks at
+
+
+def serve(state: GroupState, now: float) -> list[Effect]:
+    """Returns the grants, and what they entail, that are possible now."""
+    effects: list[Effect] = []
+    claims: Counter[str] = Counter()
+    usable = state.usable(now)
+    ordered = state.queue.ordered(now, state.shares.over_share())
+    for job in ordered[:SCAN_LIMIT]:
+        if not any(_free(state, engine) for engine in usable):
+            break
+        choice = _choose(state, job, usable, claims, now)
+        if choice is None:
+            continue
+        if choice.free:
+            effects.extend(_grant(state, job, choice.engine, now))
+        else:
+            claims[choice.engine] += 1
+    return effects
+
+
+def _free(state: GroupState, engine: EngineState) -> bool:
+    slots = engine.view.limits.max_batch * state.settings.batch_share
+    return len(engine.running) < slots
+
+
+def _choose(
+    state: GroupState,
+    job: Job,
+    usable: list[EngineState],
+    claims: Counter[str],
+    now: float,
+) -> placement.Choice | None:
+    new_program = job.program_id not in state.programs
+    if new_program:
+        usable = [engine for engine in usable if _has_room(state, job, engine)]
+    if not usable:
+        return None
+    fastest = min(state.ejector.slowness(eng.view.name) for eng in usable)
+    candidates = [
+        _candidate(state, job, engine, claims[engine.view.name], fastest)
+        for engine in usable
+    ]
+    return placement.choose(candidates, state.settings, new_program=new_program)
+
+
+def _has_room(state: GroupState, job: Job, engine: EngineState) -> bool:
+    resident = state.programs.resident_tokens(engine.view.name)
+    size = max(needed_tokens(job), state.meter.program_tokens)
+    bound = engine.view.limits.kv_tokens * state.settings.resident_share
+    return not resident or resident + size <= bound
+
+
+def _candidate(
+    state: GroupState,
+    job: Job,
+    engine: EngineState,
+    claimed: int,
+    fastest: float,
+) -> placement.Candidate:
+    name = engine.view.name
+    limits = engine.view.limits
+    cfg = state.settings
+    cached = state.cache.cached_tokens(name, job.prefix)
+    expected_s = state.meter.expected_s(job, cached, limits)
+    slowness = state.ejector.slowness(name) / fastest
+    free = engine.fits(job, cfg.batch_share, cfg.memory_share)
+    wait_s = 0 if free else engine.slot_interval_s() * (claimed + 1)
+    missing = max(0, job.prompt_tokens - cached)
+    return placement.Candidate(
+        engine=name,
+        free=free,
+        wait_s=wait_s * slowness,
+        missing_s=missing / limits.prefill_tokens_s,
+        load=engine.load(),
+        resident=state.programs.resident_tokens(name) / limits.kv_tokens,
+        slow_s=(slowness - 1) * expected_s,
+    )
+
+
+def _grant(state: GroupState, job: Job, name: str, now: float) -> list[Effect]:
+    engine = state.engines[name]
+    cached = state.cache.cached_tokens(name, job.prefix)
+    expected_s = state.meter.expected_s(job, cached, engine.view.limits)
+    state.queue.remove(job.job_id)
+    if job.turn == 1:
+        waiting = state.queue.new_programs()
+        state.starts.started(now, others_wait=waiting > 0)
+    engine.start(Running(job, name, now, cached, expected_s))
+    state.granted[job.job_id] = name
+    state.cache.used(name, job.prefix, now)
+    state.shares.charge(job.account, expected_s)
+    return [Grant(job.job_id, name), *_move(state, job, name, now)]
+
+
+def _move(state: GroupState, job: Job, name: str, now: float) -> list[Effect]:
+    before = state.programs.get(job.program_id)
+    state.programs.put(
+        LiveProgram(
+            program_id=job.program_id,
+            engine=name,
+            tokens=needed_tokens(job),
+            prefix=job.prefix,
+            common_chunks=job.common_chunks,
+            seen_s=now,
+        )
+    )
+    if before is None or not before.kept or before.engine == name:
+        return []
+    return release(state, before)
+
+
+def release(state: GroupState, program: LiveProgram) -> list[Effect]:
+    """Returns the release of a program's cache, if there is any to release."""
+    own = program.prefix[program.common_chunks :]
+    state.cache.released(program.engine, own)
+    if not state.settings.release or program.engine not in state.engines:
+        return []
+    return [CacheRelease(program.engine, program.program_id)]
--- /dev/null
+++ b/cactusledge/routing/ejection.py
@@ -0,0 +1,89 @@
+"""Outlier ejection of slow or failing endpoints."""
+
+import statistics
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cactusledge.routing.policy import PolicySettings
+
+SMOOTHING = 0.2  # weight of the newest sample
+FAILURE_SLOWNESS = 10.0  # a failed call counts as one this much too slow
+
+
+class Health(NamedTuple):
+    """One endpoint's slowness against what its calls should have taken."""
+
+    slowness: float = 1.0
+    samples: int = 0
+    ejections: int = 0
+    ejected_until_s: float = 0
+
+
+class Ejector:
+    """Smoothed slowness per endpoint; at most half are ejected at once."""
+
+    def __init__(self, settings: PolicySettings) -> None:
+        """Starts without samples."""
+        self._settings = settings
+        self._health: dict[str, Health] = {}
+
+    def observe(self, endpoint: str, slowness: float, now: float) -> None:
+        """Takes one finished call in and ejects the endpoint if it stands out.
+
+        Args:
+            endpoint: Name of the endpoint.
+            slowness: Latency as a multiple of the expected one.
+            now: Current time in seconds.
+        """
+        health = self._health.get(endpoint, Health())
+        weight = max(SMOOTHING, 1 / (health.samples + 1))
+        health = health._replace(
+            slowness=health.slowness + weight * (slowness - health.slowness),
+            samples=health.samples + 1,
+        )
+        self._health[endpoint] = health
+        if health.ejected_until_s <= now and self._stands_out(endpoint):
+            self._eject(endpoint, now)
+
+    def slowness(self, endpoint: str) -> float:
+        """Returns the smoothed slowness; 1 for an unknown endpoint."""
+        return self._health.get(endpoint, Health()).slowness
+
+    def usable(self, endpoints: Iterable[str], now: float) -> list[str]:
+        """Returns the endpoints that are not ejected, never none of them."""
+        names = list(endpoints)
+        limit = len(names) // 2
+        ejected = [name for name in names if self._until(name) > now]
+        ejected.sort(key=self._until, reverse=True)
+        barred = set(ejected[:limit])
+        return [name for name in names if name not in barred]
+
+    def forget(self, endpoint: str) -> None:
+        """Drops an endpoint that left or was replaced."""
+        self._health.pop(endpoint, None)
+
+    def _until(self, endpoint: str) -> float:
+        return self._health.get(endpoint, Health()).ejected_until_s
+
+    def _stands_out(self, endpoint: str) -> bool:
+        health = self._health[endpoint]
+        others = [
+            other.slowness
+            for name, other in self._health.items()
+            if name != endpoint and other.samples
+        ]
+        if health.samples < self._settings.ejection_samples or not others:
+            return False
+        bound = statistics.median(others) * self._settings.ejection_factor
+        return health.slowness > bound
+
+    def _eject(self, endpoint: str, now: float) -> None:
+        health = self._health[endpoint]
+        cfg = self._settings
+        duration_s = cfg.ejection_s * 2**health.ejections
+        self._health[endpoint] = Health(
+            slowness=health.slowness,
+            samples=0,
+            ejections=health.ejections + 1,
+            ejected_until_s=now + min(duration_s, cfg.max_ejection_s),
+        )
--- /dev/null
+++ b/cactusledge/routing/engines.py
@@ -0,0 +1,63 @@
+"""State that a scheduler keeps of each engine."""
+
+import statistics
+from typing import NamedTuple
+
+from cactusledge.routing.types import EngineView, Job
+
+
+class Running(NamedTuple):
+    """A granted job that has not been finished."""
+
+    job: Job
+    engine: str
+    granted_s: float
+    cached_tokens: int  # believed at the time of the grant
+    expected_s: float
+
+
+class EngineState:
+    """One engine's sent jobs and the programs whose cache it holds."""
+
+    def __init__(self, view: EngineView) -> None:
+        """Starts with nothing sent."""
+        self.view = view
+        self.running: dict[str, Running] = {}
+        self.committed_tokens = 0
+
+    def start(self, running: Running) -> None:
+        """Adds a granted job."""
+        self.running[running.job.job_id] = running
+        self.committed_tokens += needed_tokens(running.job)
+
+    def stop(self, job_id: str) -> None:
+        """Removes a granted job."""
+        running = self.running.pop(job_id)
+        self.committed_tokens -= needed_tokens(running.job)
+
+    def fits(self, job: Job, batch_share: float, memory_share: float) -> bool:
+        """Returns whether the engine can batch the job at once."""
+        limits = self.view.limits
+        slots = max(1, round(limits.max_batch * batch_share))
+        if len(self.running) >= slots:
+            return False
+        room = limits.kv_tokens * memory_share - self.committed_tokens
+        return not self.running or needed_tokens(job) <= room
+
+    def load(self) -> float:
+        """Returns the used part of the batch."""
+        return len(self.running) / self.view.limits.max_batch
+
+    def slot_interval_s(self) -> float:
+        """Returns the expected time between two ends of running jobs."""
+        if not self.running:
+            return 0
+        mean_s = statistics.fmean(
+            running.expected_s for running in self.running.values()
+        )
+        return mean_s / len(self.running)
+
+
+def needed_tokens(job: Job) -> int:
+    """Returns the KV memory that a job needs at its end."""
+    return job.prompt_tokens + job.max_output_tokens
--- /dev/null
+++ b/cactusledge/routing/errors.py
@@ -0,0 +1,63 @@
+"""Refusals of the routing as typed errors; none of the calls ran."""
+
+from types import MappingProxyType
+
+from cactusledge.errors import CactusledgeError, ErrorCode
+from cactusledge.routing.types import Refusal, RefusalReason
+
+
+class OverloadedError(CactusledgeError):
+    """The engines cannot take the call soon enough."""
+
+    code = ErrorCode.OVERLOADED
+
+
+class DeadlineExceededError(OverloadedError):
+    """The program's deadline passed before an engine was free."""
+
+    code = ErrorCode.DEADLINE_EXCEEDED
+
+
+class NoEngineError(OverloadedError):
+    """No engine of the group may get new calls."""
+
+    code = ErrorCode.NO_ENDPOINT
+
+
+class DispatcherStoppingError(OverloadedError):
+    """The instance that holds the queue is stopping or lost the group."""
+
+    code = ErrorCode.STOPPING
+
+
+_KINDS = MappingProxyType({
+    RefusalReason.OVERLOADED: OverloadedError,
+    RefusalReason.RETRY_BUDGET: OverloadedError,
+    RefusalReason.DEADLINE: DeadlineExceededError,
+    RefusalReason.NO_ENGINE: NoEngineError,
+})
+_REMEDIES = MappingProxyType({
+    RefusalReason.OVERLOADED: 'Repeat it after the given time.',
+    RefusalReason.RETRY_BUDGET: 'Repeat it after the given time.',
+    RefusalReason.DEADLINE: 'Start the program with a later deadline.',
+    RefusalReason.NO_ENGINE: 'Ask another group, or wait for an engine.',
+})
+
+
+def refusal_error(refusal: Refusal) -> OverloadedError:
+    """Returns the error that a refusal resolves to."""
+    reason = refusal.reason
+    return _KINDS[reason](
+        f'The call was not run: {reason.value}.',
+        remedy=_REMEDIES[reason],
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+def stopping_error() -> DispatcherStoppingError:
+    """Returns the error of a call whose queue moves to another instance."""
+    return DispatcherStoppingError(
+        "The call was not run: this instance gave the group's queue up.",
+        remedy="Ask the group's next owner.",
+        retry_after_s=0,
+    )
--- /dev/null
+++ b/cactusledge/routing/group_state.py
@@ -0,0 +1,76 @@
+"""What the owner of an engine group knows, without any decision."""
+
+from collections.abc import Mapping, Sequence
+
+from cactusledge.routing.admission import StartRate
+from cactusledge.routing.cache_map import CacheMap
+from cactusledge.routing.ejection import Ejector
+from cactusledge.routing.engines import EngineState
+from cactusledge.routing.live_programs import ProgramTable
+from cactusledge.routing.meter import Meter
+from cactusledge.routing.policy import PolicySettings
+from cactusledge.routing.queue import JobQueue
+from cactusledge.routing.retry_budget import RetryBudget
+from cactusledge.routing.shares import Shares
+from cactusledge.routing.types import EngineView
+
+
+class GroupState:
+    """Engines, queue, caches and counters of one group."""
+
+    def __init__(
+        self, settings: PolicySettings, weights: Mapping[str, float]
+    ) -> None:
+        """Starts without engines."""
+        self.settings = settings
+        self.engines: dict[str, EngineState] = {}
+        self.granted: dict[str, str] = {}  # job to engine
+        self.queue = JobQueue(settings)
+        self.cache = CacheMap()
+        self.programs = ProgramTable()
+        self.ejector = Ejector(settings)
+        self.shares = Shares(settings, weights)
+        self.retries = RetryBudget(settings)
+        self.starts = StartRate()
+        self.meter = Meter()
+
+    def set_engines(self, views: Sequence[EngineView]) -> None:
+        """Takes the group's engines; those that are gone finish their jobs."""
+        wanted = {view.name: view for view in views}
+        for name, engine in list(self.engines.items()):
+            view = wanted.get(name, engine.view._replace(leaving=True))
+            if view.incarnation != engine.view.incarnation:
+                self._drop(name)
+                continue
+            engine.view = view
+            self.drop_if_idle(engine)
+        for name in wanted.keys() - self.engines.keys():
+            self._add(wanted[name])
+
+    def usable(self, now: float) -> list[EngineState]:
+        """Returns the engines that may get new jobs."""
+        staying = [
+            name
+            for name, engine in self.engines.items()
+            if not engine.view.leaving
+        ]
+        if self.settings.eject:
+            staying = self.ejector.usable(staying, now)
+        return [self.engines[name] for name in staying]
+
+    def drop_if_idle(self, engine: EngineState) -> None:
+        """Forgets a leaving engine once its jobs are finished."""
+        if engine.view.leaving and not engine.running:
+            self._drop(engine.view.name)
+
+    def _add(self, view: EngineView) -> None:
+        self.engines[view.name] = EngineState(view)
+        self.cache.add_engine(view.name, view.limits.kv_tokens)
+
+    def _drop(self, name: str) -> None:
+        engine = self.engines.pop(name)
+        for job_id in engine.running:
+            self.granted.pop(job_id)
+        self.programs.engine_lost(name)
+        self.cache.remove_engine(name)
+        self.ejector.forget(name)
--- /dev/null
+++ b/cactusledge/routing/live_programs.py
@@ -0,0 +1,76 @@
+"""Programs under way in a group, and where their caches are."""
+
+from typing import NamedTuple
+
+
+class LiveProgram(NamedTuple):
+    """What a scheduler knows of a program between its turns."""
+
+    program_id: str
+    engine: str  # holds the cache of the history
+    tokens: int  # of the history
+    prefix: tuple[int, ...]
+    common_chunks: int
+    seen_s: float
+    returns_s: float = 0  # expected end of a pause; 0 while a call runs
+    kept: bool = True  # False once its cache was released
+
+
+class ProgramTable:
+    """Live programs and the tokens that their caches occupy per engine."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._programs: dict[str, LiveProgram] = {}
+        self._resident: dict[str, int] = {}
+
+    def __contains__(self, program_id: str) -> bool:
+        """Returns whether the program is under way here."""
+        return program_id in self._programs
+
+    def get(self, program_id: str) -> LiveProgram | None:
+        """Returns a program, or None."""
+        return self._programs.get(program_id)
+
+    def put(self, program: LiveProgram) -> None:
+        """Adds or replaces a program."""
+        self.remove(program.program_id)
+        self._programs[program.program_id] = program
+        self._count(program, program.tokens)
+
+    def remove(self, program_id: str) -> LiveProgram | None:
+        """Takes a program out; returns None when it is not known."""
+        program = self._programs.pop(program_id, None)
+        if program is not None:
+            self._count(program, -program.tokens)
+        return program
+
+    def resident_tokens(self, engine: str) -> int:
+        """Returns the tokens of the kept caches on an engine."""
+        return self._resident.get(engine, 0)
+
+    def on_engine(self, engine: str) -> list[LiveProgram]:
+        """Returns the programs whose kept cache is on an engine."""
+        return [
+            program
+            for program in self._programs.values()
+            if program.kept and program.engine == engine
+        ]
+
+    def engine_lost(self, engine: str) -> None:
+        """Marks the caches on an engine as gone."""
+        for program in self.on_engine(engine):
+            self.put(program._replace(kept=False))
+
+    def idle_since(self, before_s: float) -> list[LiveProgram]:
+        """Returns the programs not heard of since a time."""
+        return [
+            program
+            for program in self._programs.values()
+            if max(program.seen_s, program.returns_s) < before_s
+        ]
+
+    def _count(self, program: LiveProgram, tokens: int) -> None:
+        if program.kept:
+            resident = self._resident.get(program.engine, 0)
+            self._resident[program.engine] = resident + tokens
--- /dev/null
+++ b/cactusledge/routing/meter.py
@@ -0,0 +1,40 @@
+"""Smoothed sizes of calls and programs, for estimates."""
+
+from cactusledge.models import Usage
+from cactusledge.routing.types import EngineLimits, Job
+
+SMOOTHING = 0.05  # weight of the newest sample
+FIRST_OUTPUT_TOKENS = 150.0
+FIRST_PROGRAM_TOKENS = 4000.0
+
+
+class Meter:
+    """Estimates of output lengths and of whole programs' histories."""
+
+    def __init__(self) -> None:
+        """Starts with plain assumptions."""
+        self.output_tokens = FIRST_OUTPUT_TOKENS
+        self.program_tokens = FIRST_PROGRAM_TOKENS
+
+    def call_ended(self, usage: Usage) -> None:
+        """Takes the size of an answer in."""
+        excess = usage.output_tokens - self.output_tokens
+        self.output_tokens += SMOOTHING * excess
+
+    def program_ended(self, tokens: int) -> None:
+        """Takes the size of a program's history in."""
+        self.program_tokens += SMOOTHING * (tokens - self.program_tokens)
+
+    def expected_s(self, job: Job, cached: int, limits: EngineLimits) -> float:
+        """Returns the time of a job on an engine with nothing else to do."""
+        output_tokens = min(self.output_tokens, job.max_output_tokens)
+        missing = max(0, job.prompt_tokens - cached)
+        return ideal_s(missing, output_tokens, limits)
+
+
+def ideal_s(
+    prefill_tokens: float, output_tokens: float, limits: EngineLimits
+) -> float:
+    """Returns the time that tokens take on an otherwise idle engine."""
+    prefill_s = prefill_tokens / limits.prefill_tokens_s
+    return prefill_s + output_tokens / limits.decode_tokens_s
--- /dev/null
+++ b/cactusledge/routing/queue.py
@@ -0,0 +1,67 @@
+"""The joint queue of an engine group, and its order."""
+
+from collections.abc import Set as AbstractSet
+from typing import NamedTuple
+
+from cactusledge.routing.policy import PolicySettings
+from cactusledge.routing.types import Job
+
+
+class OrderKey(NamedTuple):
+    """Sorts jobs; the smallest key is served first."""
+
+    fresh: bool  # False for a job that waited beyond the starvation bound
+    over_share: bool
+    new_program: bool
+    expected_end_s: float
+    submitted_s: float
+
+
+class JobQueue:
+    """Jobs that wait for an engine."""
+
+    def __init__(self, settings: PolicySettings) -> None:
+        """Starts empty."""
+        self._settings = settings
+        self._jobs: dict[str, Job] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of waiting jobs."""
+        return len(self._jobs)
+
+    def add(self, job: Job) -> None:
+        """Adds a job."""
+        self._jobs[job.job_id] = job
+
+    def remove(self, job_id: str) -> Job | None:
+        """Takes a job out; returns None when it does not wait."""
+        return self._jobs.pop(job_id, None)
+
+    def new_programs(self) -> int:
+        """Returns how many waiting jobs are first turns."""
+        return sum(job.turn == 1 for job in self._jobs.values())
+
+    def expired(self, now: float) -> list[Job]:
+        """Returns the jobs whose deadline has passed."""
+        return [job for job in self._jobs.values() if job.deadline_s <= now]
+
+    def ordered(self, now: float, over_share: AbstractSet[str]) -> list[Job]:
+        """Returns the jobs in the order of service."""
+        return sorted(
+            self._jobs.values(), key=lambda job: self._key(job, now, over_share)
+        )
+
+    def _key(
+        self, job: Job, now: float, over_share: AbstractSet[str]
+    ) -> OrderKey:
+        cfg = self._settings
+        ends_s = job.submitted_s
+        if cfg.order_by_program:
+            ends_s += job.remaining_estimate_s
+        return OrderKey(
+            fresh=now - job.submitted_s < cfg.starvation_s,
+            over_share=cfg.shares and job.account in over_share,
+            new_program=cfg.later_turns_first and job.turn == 1,
+            expected_end_s=ends_s,
+            submitted_s=job.submitted_s,
+        )
--- /dev/null
+++ b/cactusledge/routing/retention.py
@@ -0,0 +1,42 @@
+"""Which caches to keep while their programs pause for tools."""
+
+from cactusledge.routing.live_programs import LiveProgram, ProgramTable
+from cactusledge.routing.policy import PolicySettings
+
+
+def too_long(
+    program: LiveProgram, now: float, settings: PolicySettings
+) -> bool:
+    """Returns whether a pause is too long to keep the cache at all."""
+    return program.returns_s - now > settings.keep_pause_s
+
+
+def victims(
+    programs: ProgramTable,
+    engine: str,
+    kv_tokens: int,
+    now: float,
+    settings: PolicySettings,
+) -> list[LiveProgram]:
+    """Returns the paused programs whose caches should make room.
+
+    While the kept caches of an engine exceed their share of its memory,
+    the program that is expected back last is released first.
+    """
+    excess = programs.resident_tokens(engine)
+    excess -= round(kv_tokens * settings.pressure_share)
+    if excess <= 0:
+        return []
+    paused = [
+        program
+        for program in programs.on_engine(engine)
+        if program.returns_s - now > settings.pressure_pause_s
+    ]
+    paused.sort(key=lambda program: program.returns_s, reverse=True)
+    chosen = []
+    for program in paused:
+        if excess <= 0:
+            break
+        chosen.append(program)
+        excess -= program.tokens
+    return chosen
--- /dev/null
+++ b/cactusledge/routing/upkeep.py
@@ -0,0 +1,111 @@
+"""Changes of a group's state besides the service of its queue."""
+
+from cactusledge.routing import admission, retention
+from cactusledge.routing.dispatch import release
+from cactusledge.routing.ejection import FAILURE_SLOWNESS
+from cactusledge.routing.engines import EngineState, Running
+from cactusledge.routing.group_state import GroupState
+from cactusledge.routing.meter import ideal_s
+from cactusledge.routing.types import (
+    Effect,
+    Finish,
+    Job,
+    Refusal,
+    RefusalReason,
+)
+
+MIN_IDEAL_S = 0.001
+
+
+def new_program_wait_s(state: GroupState, now: float) -> float:
+    """Returns the expected wait of a new program."""
+    return state.starts.wait_s(state.queue.new_programs(), now)
+
+
+def refusal(state: GroupState, job: Job, now: float) -> Refusal | None:
+    """Returns the refusal of a job, or None when it may wait."""
+    wait_s = new_program_wait_s(state, now)
+    retry_s = admission.retry_after_s(job, wait_s, state.settings)
+    if job.deadline_s <= now:
+        return Refusal(job.job_id, 0, RefusalReason.DEADLINE)
+    if not state.usable(now):
+        return Refusal(job.job_id, retry_s, RefusalReason.NO_ENGINE)
+    if not job.retry:
+        state.retries.deposit()
+    elif not state.retries.withdraw():
+        return Refusal(job.job_id, retry_s, RefusalReason.RETRY_BUDGET)
+    if job.turn > 1 or not state.settings.refuse:
+        return None
+    return admission.refuse_new(job, wait_s, now, state.settings)
+
+
+def stop(state: GroupState, job_id: str) -> Running | None:
+    """Returns a granted job after taking it from its engine, or None."""
+    name = state.granted.pop(job_id, None)
+    if name is None:
+        return None
+    engine = state.engines[name]
+    running = engine.running[job_id]
+    engine.stop(job_id)
+    state.drop_if_idle(engine)
+    return running
+
+
+def learn(
+    state: GroupState, running: Running, finish: Finish, now: float
+) -> None:
+    """Takes the sizes and the latency of a finished job in."""
+    engine = state.engines.get(running.engine)
+    if engine is None:
+        return
+    slowness = FAILURE_SLOWNESS
+    if finish.ok:
+        slowness = _slowness(engine, finish)
+        state.meter.call_ended(finish.usage)
+        _correct_cache(state, running, finish)
+    state.ejector.observe(running.engine, slowness, now)
+
+
+def expire(state: GroupState, engine: EngineState, before_s: float) -> None:
+    """Ends the grants that were given before a time."""
+    for running in list(engine.running.values()):
+        if running.granted_s < before_s:
+            stop(state, running.job.job_id)
+
+
+def release_paused(state: GroupState, engine: str, now: float) -> list[Effect]:
+    """Returns the releases of paused programs' caches that make room."""
+    if engine not in state.engines:
+        return []
+    kv_tokens = state.engines[engine].view.limits.kv_tokens
+    effects: list[Effect] = []
+    for program in retention.victims(
+        state.programs, engine, kv_tokens, now, state.settings
+    ):
+        state.programs.put(program._replace(kept=False))
+        effects.extend(release(state, program))
+    return effects
+
+
+def end_program(state: GroupState, program_id: str) -> list[Effect]:
+    """Returns the release of an ended program's cache."""
+    program = state.programs.remove(program_id)
+    if program is None:
+        return []
+    state.meter.program_ended(program.tokens)
+    return release(state, program) if program.kept else []
+
+
+def _slowness(engine: EngineState, finish: Finish) -> float:
+    usage = finish.usage
+    missing = usage.prompt_tokens - usage.cached_tokens
+    limits = engine.view.limits
+    alone_s = ideal_s(missing, usage.output_tokens, limits)
+    return finish.latency_s / max(alone_s, MIN_IDEAL_S)
+
+
+def _correct_cache(state: GroupState, running: Running, finish: Finish) -> None:
+    if state.settings.learn_usage:
+        state.cache.correct(
+            running.engine, running.cached_tokens, finish.usage.cached_tokens
+        )
