--- /dev/null
+++ b/cactusledge/cli/api_client.py
@@ -0,0 +1,108 @@
+"""Client of the caller API for the commands."""
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from urllib3 import BaseHTTPResponse, PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+
+from cactusledge.errors import CactusledgeError, ErrorCode
+from cactusledge.models import Address, Outcome
+
+CONNECT_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 60.0
+FIRST_ERROR_STATUS = 400
+
+Document = dict[str, Any]
+
+
+class ApiError(CactusledgeError):
+    """The instance refused the request or could not be reached."""
+
+    def __init__(self, code: ErrorCode, message: str, remedy: str) -> None:
+        """Keeps the code that the instance gave."""
+        super().__init__(message, remedy=remedy)
+        self.code = code
+
+
+class ApiClient:
+    """Sends a caller's requests to one instance, each of them once."""
+
+    def __init__(self, address: Address, token: str) -> None:
+        """Keeps the address and the caller's token."""
+        self._url = f'http://{address}'
+        self._headers = {
+            'Authorization': f'Bearer {token}',
+            'Content-Type': 'application/json',
+        }
+        self._pool = PoolManager(
+            retries=False,
+            timeout=Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
+        )
+
+    def get(self, path: str) -> Document:
+        """Returns the document under a path."""
+        return _document(self._send('GET', path))
+
+    def post(self, path: str, body: Mapping[str, Any]) -> Document:
+        """Returns the answer to a document."""
+        return _document(self._send('POST', path, body))
+
+    def stream(
+        self,
+        path: str,
+        body: Mapping[str, Any],
+    ) -> Iterator[tuple[str, Document]]:
+        """Yields the name and document of each server-sent event."""
+        response = self._send('POST', path, body, preload_content=False)
+        if response.status >= FIRST_ERROR_STATUS:
+            _document(response)
+        name = ''
+        buffer = b''
+        for piece in response.stream(amt=None):
+            *lines, buffer = (buffer + piece).split(b'\n')
+            for line in lines:
+                field, _, text = line.decode().partition(': ')
+                if field == 'event':
+                    name = text
+                elif field == 'data':
+                    yield name, json.loads(text)
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None = None,
+        *,
+        preload_content: bool = True,
+    ) -> BaseHTTPResponse:
+        try:
+            return self._pool.request(
+                method,
+                f'{self._url}{path}',
+                body=json.dumps(body).encode() if body is not None else None,
+                headers=self._headers,
+                preload_content=preload_content,
+            )
+        except HTTPError as exc:
+            raise ApiError(
+                ErrorCode.PEER_UNREACHABLE,
+                f'{self._url} cannot be reached: {exc}.',
+                'Check --api, or ask another instance.',
+            ) from exc
+
+
+def _document(response: BaseHTTPResponse) -> Document:
+    document: Document = json.loads(response.data)
+    error = document.get('error')
+    if response.status < FIRST_ERROR_STATUS:
+        return document
+    if error is None:  # an Answer with its own code and outcome
+        outcome = document.get('outcome', Outcome.UNKNOWN)
+        error = {**document, 'message': f'The call ended as {outcome}.'}
+    raise ApiError(
+        ErrorCode(error['code']),
+        error['message'],
+        error['remedy'],
+    )
--- a/cactusledge/cli/app.py
+++ b/cactusledge/cli/app.py
@@ -21,6 +21,9 @@
     'plan': 'cactusledge.cli.plan',
     'publish': 'cactusledge.cli.publish',
     'status': 'cactusledge.cli.status',
+    'entry': 'cactusledge.cli.entry',
+    'call': 'cactusledge.cli.call',
+    'history': 'cactusledge.cli.history',
     'hash-token': 'cactusledge.cli.hash_token',
     'settings-reference': 'cactusledge.cli.settings_reference',
 }
--- a/cactusledge/cli/entry.py
+++ b/cactusledge/cli/entry.py
@@ -8,7 +8,7 @@
 import typer
 
 from cactusledge.application import Application
-from cactusledge.environment import Environment
+from cactusledge.cli.options import environment_of
 from cactusledge.settings.instance import load_settings
 from cactusledge.status import ExitStatus
 
@@ -18,12 +18,15 @@
 ]
 
 
-def command(ctx: typer.Context, settings: SettingsPath) -> None:
+def command(
+    ctx: typer.Context,
+    settings: SettingsPath,
+) -> ExitStatus:
     """Run an entry instance until SIGTERM or SIGINT.
 
     Example: cactusledge entry --settings entry.yaml
     """
-    env: Environment = ctx.obj
+    env = environment_of(ctx)
     app = Application(load_settings(settings, env.environ), env)
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -31,4 +34,4 @@
     app.start()
     stopping.wait()
     left = app.stop()
-    raise typer.Exit(ExitStatus.ERROR if left else ExitStatus.OK)
+    return ExitStatus.ERROR if left else ExitStatus.OK
--- a/cactusledge/programs/ledger.py
+++ b/cactusledge/programs/ledger.py
@@ -47,10 +47,13 @@
         """Applies the records; returns the future of their durability."""
         if not records:
             return self.last_commit
+        changed: dict[str, ProgramState] = {}
         for record in records:
-            state = self._programs.get(record.program_id)
-            self._programs[record.program_id] = apply(state, record)
+            name = record.program_id
+            state = changed.get(name) or self._programs.get(name)
+            changed[name] = apply(state, record)
         self.last_commit = self._sink.append(records)
+        self._programs.update(changed)
         return self.last_commit
 
     def open(self, opened: Opened) -> Any:
--- /dev/null
+++ b/cactusledge/programs/log_opener.py
@@ -0,0 +1,151 @@
+"""Seals logs at the platform and starts the actors that serve them."""
+
+import threading
+import uuid
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
+from typing import Any, NamedTuple, Protocol
+
+from cactusledge.platform.store import ObjectStore
+from cactusledge.programs.driver import DriverContext, DriverWork, LogDriver
+from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
+from cactusledge.programs.logs import OwnedLog
+from cactusledge.programs.takeover import TakeoverOptions, take_over
+from cactusledge.protocol.errors import FencedError
+from cactusledge.protocol.records import ProgramRecord
+from cactusledge.settings.configuration import Configuration
+from cactusledge.settings.instance import JournalSection
+
+CLOSE_WAIT_S = 10.0
+ROOM_SHARE = 0.75  # of the waiting bytes; the rest is for outcomes
+
+
+class HeldRecords(Protocol):
+    """Copies of waiting records in other instances' memory."""
+
+    def fetch(self, log: str) -> Sequence[ProgramRecord]:
+        """Returns what the live peers hold of a log."""
+
+    def hold(self, log: str, records: Sequence[ProgramRecord]) -> bool:
+        """Copies records to a peer; returns whether one has them."""
+
+    def drop(self, log: str) -> None:
+        """Tells the peers that the log's records are durable."""
+
+
+class WriterSink:
+    """A journal writer as the driver of its log sees it."""
+
+    def __init__(
+        self,
+        writer: JournalWriter,
+        max_waiting_bytes: int,
+        on_lost: Callable[[], None],
+    ) -> None:
+        """Keeps the writer and whom to tell of its fencing."""
+        self._writer = writer
+        self._room_bytes = max_waiting_bytes * ROOM_SHARE
+        self._on_lost = on_lost
+        self._lost = threading.Event()
+
+    def append(self, records: Sequence[ProgramRecord]) -> Any:
+        """Returns a future that resolves once the records are durable."""
+        try:
+            return self._writer.append(records, self._done)
+        except FencedError as exc:
+            self._done(exc)
+            raise
+
+    def is_up(self) -> bool:
+        """Returns whether the platform answered the latest request."""
+        return self._writer.platform_up()
+
+    def has_room(self) -> bool:
+        """Returns whether further programs and calls may be recorded."""
+        return self._writer.waiting_bytes() < self._room_bytes
+
+    def _done(self, exc: BaseException | None) -> None:
+        if isinstance(exc, FencedError) and not self._lost.is_set():
+            self._lost.set()
+            threading.Thread(target=self._on_lost, daemon=True).start()
+
+
+class OpenerParts(NamedTuple):
+    """What logs are opened with."""
+
+    store: ObjectStore
+    instance: str
+    journal: JournalSection
+    workers: Executor
+    config: Callable[[], Configuration]
+    held: HeldRecords
+    now_s: Callable[[], float]
+
+
+class StoreLogOpener:
+    """Takes logs over from the platform."""
+
+    def __init__(self, parts: OpenerParts) -> None:
+        """Makes an owner name that is unique to this start."""
+        self._parts = parts
+        self._owner = f'{parts.instance}/{uuid.uuid4().hex}'
+        self._writers: dict[str, JournalWriter] = {}
+        self.work: DriverWork | None = None
+
+    def __call__(self, name: str, on_lost: Callable[[], None]) -> OwnedLog:
+        """Seals the log and starts its writer and its driver."""
+        parts = self._parts
+        if self.work is None:
+            raise RuntimeError('Set `work` before a log is opened.')
+        taken = take_over(
+            parts.store,
+            name,
+            self._owner,
+            parts.held.fetch(name),
+            TakeoverOptions(
+                ring_size=parts.journal.ring_slots,
+                now_s=parts.now_s(),
+            ),
+        )
+        writer = JournalWriter(
+            parts.store,
+            taken,
+            parts.workers,
+            WriterOptions(
+                commit_interval_s=parts.journal.commit_interval_s,
+                max_waiting_bytes=parts.journal.max_waiting_bytes,
+            ),
+        )
+        limit = parts.journal.max_waiting_bytes
+        ctx = DriverContext(
+            log=name,
+            sink=WriterSink(writer, limit, on_lost),
+            work=self.work,
+            config=parts.config,
+            now_s=parts.now_s,
+        )
+        driver = LogDriver.start(ctx, taken.programs)
+        self._writers[name] = writer
+        return OwnedLog(name, driver, lambda: self._close(name))
+
+    def is_up(self) -> bool:
+        """Returns whether the platform answers this instance's writers."""
+        return all(one.platform_up() for one in self._writers.values())
+
+    def hold_waiting(self) -> bool:
+        """Copies all waiting records to a peer; returns whether it has."""
+        return all(
+            self._hold(name, writer)
+            for name, writer in tuple(self._writers.items())
+        )
+
+    def _hold(self, name: str, writer: JournalWriter) -> bool:
+        waiting = writer.waiting_records().get(timeout=CLOSE_WAIT_S)
+        return not waiting or self._parts.held.hold(name, waiting)
+
+    def _close(self, name: str) -> None:
+        """Writes what waits; what cannot be written goes to a peer."""
+        writer = self._writers.pop(name)
+        left = writer.stop(CLOSE_WAIT_S)
+        if left:
+            self._parts.held.hold(name, left)
--- a/cactusledge/programs/router.py
+++ b/cactusledge/programs/router.py
@@ -124,7 +124,7 @@
             raise _no_driver(program_id)
         try:
             return owned.driver.ask(message, timeout=DRIVER_WAIT_S)
-        except (pykka.ActorDeadError, pykka.Timeout):
+        except (pykka.ActorDeadError, pykka.Timeout, FencedError):
             raise _no_driver(program_id) from None
 
 
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,269 @@
+"""A whole deployment as separate processes on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import yaml
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+
+ROOT = Path(__file__).parent.parent
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.02
+HTTP_OK = 200
+LOOPBACK = '127.0.0.1'
+
+
+class Started(NamedTuple):
+    """A process of the deployment."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    port: int
+
+
+class Deployment:
+    """Starts the processes, and ends just those that it started."""
+
+    def __init__(self, folder: Path) -> None:
+        """Keeps the folder for settings, ports and logs."""
+        self._folder = folder
+        self._started: dict[str, Started] = {}
+        self._http = PoolManager(
+            retries=False,
+            timeout=Timeout(connect=2, read=10),
+        )
+
+    def start_platform(self, *options: str) -> Started:
+        """Starts the platform stand-in."""
+        return self._start_standin('platform', 'platform', options)
+
+    def start_engine(
+        self,
+        name: str,
+        model: str,
+        data_centre: str,
+        *options: str,
+    ) -> Started:
+        """Starts a model engine that registers at the platform."""
+        identity = (*self._identity(name, data_centre), '--model', model)
+        return self._start_standin(name, 'engine', (*identity, *options))
+
+    def start_service(
+        self,
+        name: str,
+        service: str,
+        data_centre: str,
+        *options: str,
+    ) -> Started:
+        """Starts a plain service that registers at the platform."""
+        identity = (*self._identity(name, data_centre), '--service', service)
+        return self._start_standin(name, 'service', (*identity, *options))
+
+    def start_entry(
+        self,
+        name: str,
+        data_centre: str,
+        seeds: Sequence[int] = (),
+        **sections: Any,
+    ) -> Started:
+        """Starts an entry instance; further settings go by section."""
+        api_port, peers_port = free_port(), free_port()
+        settings = {
+            'instance': {'name': name, 'data_centre': data_centre},
+            'listen': {
+                'api': f'{LOOPBACK}:{api_port}',
+                'peers': f'{LOOPBACK}:{peers_port}',
+            },
+            'platform': {'addresses': [self._platform_address()]},
+            'peers': {'seeds': [f'{LOOPBACK}:{port}' for port in seeds]},
+            'shutdown': {'balancer_grace_s': 0.2, 'drain_timeout_s': 20.0},
+            **sections,
+        }
+        path = self._folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(settings), encoding='utf-8')
+        command = ('cactusledge', 'entry', '--settings', str(path))
+        process = self._spawn(name, command)
+        started = Started(name, process, api_port)
+        self._started[name] = started
+        return started
+
+    def settings_of(self, name: str) -> Any:
+        """Returns the settings file of an entry instance."""
+        path = self._folder / f'{name}.yaml'
+        return yaml.safe_load(path.read_text(encoding='utf-8'))
+
+    def peers_port(self, name: str) -> int:
+        """Returns the port that an entry instance's peers talk to."""
+        address = self.settings_of(name)['listen']['peers']
+        return int(address.rpartition(':')[2])
+
+    def publish(self, *folders: Path) -> None:
+        """Publishes definition files with the command line."""
+        paths = [str(folder) for folder in folders]
+        command = ['publish', *paths, '--platform', self._platform_address()]
+        subprocess.run(
+            (sys.executable, '-m', 'cactusledge', *command),
+            check=True,
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+        )
+
+    def port(self, name: str) -> int:
+        """Returns the port of a process."""
+        return self._started[name].port
+
+    def pid(self, name: str) -> int:
+        """Returns the pid of a process."""
+        return self._started[name].process.pid
+
+    def get(self, name: str, path: str) -> Any:
+        """Returns the JSON document that a process answers to a GET."""
+        url = f'http://{LOOPBACK}:{self.port(name)}{path}'
+        return self._http.request('GET', url).json()
+
+    def put(self, name: str, path: str, document: Any) -> Any:
+        """Sends a JSON document, for instance fault switches."""
+        url = f'http://{LOOPBACK}:{self.port(name)}{path}'
+        return self._http.request('PUT', url, json=document).json()
+
+    def post(self, name: str, path: str, document: Any) -> Any:
+        """Posts a JSON document."""
+        url = f'http://{LOOPBACK}:{self.port(name)}{path}'
+        return self._http.request('POST', url, json=document).json()
+
+    def wait_ready(self, *names: str) -> None:
+        """Waits until entry instances are ready and own all their logs."""
+        for name in names:
+            wait_until(lambda one=name: self._is_ready(one), f'{name} ready')
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process."""
+        self._started[name].process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Ends a process with SIGKILL."""
+        started = self._started.pop(name)
+        started.process.kill()
+        started.process.wait()
+
+    def stop(self, name: str) -> int:
+        """Ends a process with SIGTERM; returns its exit status."""
+        started = self._started.pop(name)
+        started.process.send_signal(signal.SIGCONT)
+        started.process.terminate()
+        return started.process.wait(STOP_TIMEOUT_S)
+
+    def stop_all(self) -> None:
+        """Ends every process that is left."""
+        for name in tuple(self._started):
+            process = self._started.pop(name).process
+            process.kill()
+            process.wait()
+
+    def log_of(self, name: str) -> str:
+        """Returns what a process has written."""
+        path = self._folder / f'{name}.log'
+        return path.read_text(encoding='utf-8', errors='replace')
+
+    def _identity(self, name: str, data_centre: str) -> tuple[str, ...]:
+        return (
+            '--name',
+            name,
+            '--data-centre',
+            data_centre,
+            '--register',
+            self._platform_address(),
+        )
+
+    def _platform_address(self) -> str:
+        return f'{LOOPBACK}:{self.port("platform")}'
+
+    def _is_ready(self, name: str) -> bool:
+        try:
+            return bool(self.get(name, '/readyz')['ready'])
+        except HTTPError:
+            return False
+
+    def _start_standin(
+        self,
+        name: str,
+        module: str,
+        options: Sequence[str],
+    ) -> Started:
+        port_file = self._folder / f'{name}.port'
+        port_file.unlink(missing_ok=True)
+        process = self._spawn(
+            name,
+            (
+                f'standins.{module}',
+                '--listen',
+                f'{LOOPBACK}:0',
+                '--port-file',
+                str(port_file),
+                *options,
+            ),
+        )
+        wait_until(
+            lambda: port_file.exists() and port_file.read_text('utf-8'),
+            f'{name} listening',
+        )
+        port = json.loads(port_file.read_text('utf-8'))['port']
+        started = Started(name, process, port)
+        self._started[name] = started
+        return started
+
+    def _spawn(
+        self,
+        name: str,
+        command: Sequence[str],
+    ) -> subprocess.Popen[bytes]:
+        path = self._folder / f'{name}.log'
+        with path.open('ab') as output:
+            return subprocess.Popen(
+                (sys.executable, '-m', *command),
+                cwd=ROOT,
+                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+
+def free_port() -> int:
+    """Returns a TCP port of loopback that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
+
+
+def wait_until(
+    holds: Callable[[], object],
+    what: str,
+    timeout_s: float = START_TIMEOUT_S,
+) -> None:
+    """Waits until a condition holds; raises TimeoutError."""
+    give_up_s = time.monotonic() + timeout_s
+    while not holds():
+        if time.monotonic() > give_up_s:
+            raise TimeoutError(f'Not within {timeout_s} s: {what}')
+        time.sleep(POLL_S)
+
+
+@contextmanager
+def deployment(folder: Path) -> Iterator[Deployment]:
+    """Gives a deployment and leaves nothing of it running."""
+    deployed = Deployment(folder)
+    try:
+        yield deployed
+    finally:
+        deployed.stop_all()
