Separate what holds the configuration from what learns of it

Cause: the follower had 17 methods; the settings types and their loading stood in one file; a conflict after no lost answer was settled as in doubt. Change: ConfigInForce holds and applies, ConfigFollower watches and polls; settings types moved to settings.sections; named default constants; a conflict without an earlier lost answer is a certain loss.

--- a/cactusledge/cli/app.py
+++ b/cactusledge/cli/app.py
@@ -8,6 +8,7 @@
 import inspect
 from collections.abc import Callable, Mapping
 from importlib import import_module
+from types import MappingProxyType
 from typing import Any
 
 import typer
@@ -16,14 +17,14 @@
 from cactusledge.status import ExitStatus
 
 # A command's name and the module that holds its `command` function.
-COMMANDS: Mapping[str, str] = {
+COMMANDS: Mapping[str, str] = MappingProxyType({
     'validate': 'cactusledge.cli.validate',
     'plan': 'cactusledge.cli.plan',
     'publish': 'cactusledge.cli.publish',
     'status': 'cactusledge.cli.status',
     'hash-token': 'cactusledge.cli.hash_token',
     'settings-reference': 'cactusledge.cli.settings_reference',
-}
+})
 
 DESCRIPTION = """\
 Scheduler for agent programs.
--- a/cactusledge/cli/plan.py
+++ b/cactusledge/cli/plan.py
@@ -1,6 +1,7 @@
 """The `plan` command."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
 from typing import Any
 
 import typer
@@ -19,7 +20,11 @@
 from cactusledge.settings.published import read_published
 from cactusledge.status import ExitStatus
 
-SIGNS = {Action.ADD: '+', Action.CHANGE: '~', Action.REMOVE: '-'}
+SIGNS: Mapping[Action, str] = MappingProxyType({
+    Action.ADD: '+',
+    Action.CHANGE: '~',
+    Action.REMOVE: '-',
+})
 
 
 def command(
--- a/cactusledge/cli/reports.py
+++ b/cactusledge/cli/reports.py
@@ -57,7 +57,7 @@
 
 def newest_generation(reports: Iterable[Report]) -> int:
     """Returns the highest generation that any instance reports."""
-    return max(0, *(report.generation for report in reports))
+    return max((0, *(report.generation for report in reports)))
 
 
 def _query(env: Environment, address: Address) -> Report:
--- a/cactusledge/core.py
+++ b/cactusledge/core.py
@@ -3,6 +3,7 @@
 import traceback
 from collections.abc import Mapping, Sequence
 from contextlib import redirect_stderr, redirect_stdout
+from types import MappingProxyType
 
 from cactusledge.cli.app import app
 from cactusledge.environment import PROGRAM_NAME, Environment
@@ -10,7 +11,7 @@
 from cactusledge.settings.errors import InvalidFileError
 from cactusledge.status import ExitStatus
 
-EXIT_STATUSES: Mapping[ErrorCode, ExitStatus] = {
+EXIT_STATUSES: Mapping[ErrorCode, ExitStatus] = MappingProxyType({
     ErrorCode.INVALID_SETTINGS: ExitStatus.INVALID,
     ErrorCode.INVALID_DEFINITION: ExitStatus.INVALID,
     ErrorCode.PUBLISH_CONFLICT: ExitStatus.CONFLICT,
@@ -29,7 +30,7 @@
     ErrorCode.PROGRAM_ENDED: ExitStatus.REFUSED,
     ErrorCode.SEQUENCE_GAP: ExitStatus.REFUSED,
     ErrorCode.SEQUENCE_CONFLICT: ExitStatus.REFUSED,
-}
+})
 INTERNAL_REMEDY = 'Report this with the lines above.'
 
 
--- a/cactusledge/environment.py
+++ b/cactusledge/environment.py
@@ -50,7 +50,7 @@
 
     @property
     def settings_path(self) -> Path:
-        """Returns the path of the instance's settings file."""
+        """Path of the instance's settings file."""
         named = self.environ.get(SETTINGS_VARIABLE)
         return Path(named) if named else DEFAULT_SETTINGS_PATH
 
--- a/cactusledge/settings/document.py
+++ b/cactusledge/settings/document.py
@@ -18,6 +18,7 @@
 Location = tuple[str | int, ...]
 
 _OPENING = (yaml.MappingStartEvent, yaml.SequenceStartEvent)
+_UNREADABLE = (ValueError, TypeError, KeyError, OverflowError)
 _CLOSING = (yaml.MappingEndEvent, yaml.SequenceEndEvent)
 
 
@@ -93,7 +94,7 @@
     def _scalar(self, node: yaml.Node) -> Any:
         try:
             return self._loader.construct_object(node)
-        except (ValueError, TypeError, KeyError, OverflowError) as exc:
+        except _UNREADABLE as exc:
             raise _InvalidNodeError(
                 _line(node),
                 f'The value cannot be read: {exc}.',
@@ -145,12 +146,9 @@
     text = raw.decode('utf-8')
     _check_events(text)
     loader = yaml.SafeLoader(text)
-    try:
-        node = loader.get_single_node()
-        reader = _Reader(loader)
-        plain = {} if node is None else reader.plain(node, ())
-    finally:
-        loader.dispose()
+    node = loader.get_single_node()
+    reader = _Reader(loader)
+    plain = {} if node is None else reader.plain(node, ())
     return Document(path, plain, reader.lines)
 
 
@@ -161,29 +159,32 @@
         depth += isinstance(event, _OPENING) - isinstance(event, _CLOSING)
         if depth > MAX_DEPTH:
             raise _InvalidNodeError(
-                event.start_mark.line + 1,
+                _line_of(event.start_mark),
                 f'The nesting is deeper than {MAX_DEPTH} levels.',
                 'Write the fields as the reference page shows them.',
             )
         if getattr(event, 'anchor', None) is not None:
             raise _InvalidNodeError(
-                event.start_mark.line + 1,
+                _line_of(event.start_mark),
                 'Anchors and aliases are not accepted.',
                 'Write the value out.',
             )
 
 
 def _line(node: yaml.Node) -> int:
-    """Returns the line of a node, counted from 1."""
-    return int(node.start_mark.line) + 1
+    return _line_of(node.start_mark)
+
+
+def _line_of(mark: Any) -> int:
+    """Returns the line of a mark, counted from 1."""
+    return int(mark.line) + 1 if mark else 1
 
 
 def _syntax_problem(path: str, exc: yaml.YAMLError) -> Problem:
     mark = getattr(exc, 'problem_mark', None)
-    line = mark.line + 1 if mark else 1
     detail = getattr(exc, 'problem', None) or 'unreadable characters'
     return Problem(
-        f'{path}:{line}',
+        f'{path}:{_line_of(mark)}',
         f'The file is not valid YAML: {detail}.',
         'Mend the syntax at this line.',
     )
--- a/cactusledge/settings/follower.py
+++ b/cactusledge/settings/follower.py
@@ -1,8 +1,4 @@
-"""Keeps the newest published configuration in force on an instance.
-
-A configuration arrives by a watch, by reading the head now and then, or from
-a peer. Whatever the way, only a higher generation takes effect.
-"""
+"""Learns of published configurations by watch, by polling and from peers."""
 
 import threading
 import time
@@ -11,28 +7,21 @@
 
 from cactusledge.errors import CactusledgeError
 from cactusledge.settings.configuration import Configuration
-from cactusledge.settings.head import Head, decide_apply
-from cactusledge.settings.parts import Part
+from cactusledge.settings.in_force import ConfigInForce, OnChange, Snapshot
 from cactusledge.settings.published import (
     HEAD_KIND,
     HEAD_NAME,
-    Published,
-    StoredHead,
     parse_head,
-    read_definitions,
     read_head,
 )
-from cactusledge.settings.snapshot import decode_snapshot, encode_snapshot
 from cactusledge.telemetry.logs import get_logger
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore, WatchEvent
+    from cactusledge.platform.store import ObjectStore, StoredObject
 
-WATCH_TIMEOUT_S = 30.0
-RETRY_PAUSE_S = 1.0
 STOP_WAIT_S = 2.0
-
-OnChange = Callable[[Configuration], None]
+FROM_PLATFORM = 'platform'
+FROM_WATCH = 'watch'
 
 log = get_logger('config')
 
@@ -40,27 +29,28 @@
 class Pace(NamedTuple):
     """How often the follower asks the platform."""
 
-    watch_timeout_s: float = WATCH_TIMEOUT_S
+    watch_timeout_s: float = 30.0
     silence_limit_s: float = 5.0  # without news, the head is read
-    retry_pause_s: float = RETRY_PAUSE_S
+    retry_pause_s: float = 1.0
 
 
-class InForce(NamedTuple):
-    """The configuration in force and the bytes to offer to peers."""
+DEFAULT_PACE = Pace()
 
-    configuration: Configuration
-    encoded: bytes
+
+def always() -> bool:
+    """Returns True: the instance watches in any case."""
+    return True
 
 
 class ConfigFollower:
-    """Follows the published configuration; never goes back."""
+    """Keeps the newest published configuration in force; never goes back."""
 
     def __init__(
         self,
         store: 'ObjectStore',
         *,
-        pace: Pace = Pace(),
-        watches: Callable[[], bool] = lambda: True,
+        pace: Pace = DEFAULT_PACE,
+        watches: Callable[[], bool] = always,
     ) -> None:
         """Prepares to follow.
 
@@ -74,46 +64,41 @@
         self._store = store
         self._pace = pace
         self._watches = watches
-        self._callbacks: list[OnChange] = []
-        self._in_force = InForce(Configuration(), b'')
-        self._cache: dict[str, Part] = {}
-        self._apply_lock = threading.Lock()
-        self._fetch_lock = threading.Lock()
+        self._in_force = ConfigInForce(store)
         self._stopping = threading.Event()
         self._heard_at = time.monotonic()
         self._threads: tuple[threading.Thread, ...] = ()
 
     def current(self) -> Configuration:
         """Returns the configuration in force, generation 0 for none yet."""
-        return self._in_force.configuration
+        return self._in_force.snapshot().configuration
 
-    def snapshot(self) -> tuple[int, bytes]:
-        """Returns the generation in force and the bytes to offer to peers."""
-        in_force = self._in_force
-        return in_force.configuration.generation, in_force.encoded
+    def snapshot(self) -> Snapshot:
+        """Returns the configuration in force and the bytes for peers."""
+        return self._in_force.snapshot()
 
     def on_change(self, callback: OnChange) -> None:
-        """Has `callback` called after each change, with the new one."""
-        self._callbacks.append(callback)
+        """Has `callback` called after each change, in their order."""
+        self._in_force.on_change(callback)
 
     def offer(self, generation: int, encoded: bytes) -> bool:
         """Takes a configuration from a peer; returns whether it applies."""
-        if not decide_apply(self.current().generation, generation):
-            return False
-        configuration = decode_snapshot(encoded)
-        return self._apply(InForce(configuration, encoded), 'a peer')
+        return self._in_force.offer(generation, encoded)
 
     def refresh(self) -> bool:
         """Reads the head; returns whether a newer configuration applies."""
-        stored = read_head(self._store)
-        self._heard()
-        return self._learn(stored, 'the platform')
+        head = read_head(self._store).head
+        self._hear()
+        return head is not None and self._in_force.learn(head, FROM_PLATFORM)
 
     def start(self) -> None:
         """Starts to follow in the background."""
-        self._threads = (
-            threading.Thread(target=self._watch_loop, daemon=True),
-            threading.Thread(target=self._poll_loop, daemon=True),
+        self._threads = tuple(
+            threading.Thread(target=loop, name=name, daemon=True)
+            for name, loop in (
+                ('config-watch', self._watch_loop),
+                ('config-poll', self._poll_loop),
+            )
         )
         for thread in self._threads:
             thread.start()
@@ -124,34 +109,6 @@
         for thread in self._threads:
             thread.join(STOP_WAIT_S)
 
-    def _learn(self, stored: StoredHead, source: str) -> bool:
-        head = stored.head
-        if head is None:
-            return False
-        if not decide_apply(self.current().generation, head.generation):
-            return False
-        with self._fetch_lock:
-            definitions = read_definitions(self._store, head, self._cache)
-            self._forget_old_parts(head)
-        configuration = Published(stored, definitions).configuration()
-        encoded = encode_snapshot(definitions, head.generation, head.digest)
-        return self._apply(InForce(configuration, encoded), source)
-
-    def _forget_old_parts(self, head: Head) -> None:
-        for name in self._cache.keys() - frozenset(head.parts):
-            self._cache.pop(name)
-
-    def _apply(self, offered: InForce, source: str) -> bool:
-        generation = offered.configuration.generation
-        with self._apply_lock:
-            if not decide_apply(self.current().generation, generation):
-                return False
-            self._in_force = offered
-            log.info('Applied.', generation=generation, source=source)
-            for callback in self._callbacks:
-                callback(offered.configuration)
-        return True
-
     def _watch_loop(self) -> None:
         while not self._stopping.is_set():
             if self._watches():
@@ -159,39 +116,35 @@
             self._stopping.wait(self._pace.retry_pause_s)
 
     def _watch(self) -> None:
-        """Reads the head, then follows its changes until the watch ends."""
-        stored = read_head(self._store)
-        self._heard()
-        self._learn(stored, 'the platform')
+        """Takes the head as it is, then its changes until the watch ends."""
+        heads = self._store.list(HEAD_KIND, HEAD_NAME)
+        for found in heads.items:
+            self._take(found)
         events = self._store.watch(
-            HEAD_KIND,
-            stored.version,
-            self._pace.watch_timeout_s,
-            HEAD_NAME,
+            HEAD_KIND, heads.version, self._pace.watch_timeout_s, HEAD_NAME
         )
         for event in events:
-            self._take(event)
+            self._take(event.object)
             if self._stopping.is_set():
                 return
 
-    def _take(self, event: 'WatchEvent') -> None:
-        self._heard()
-        if event.object.name == HEAD_NAME and event.object.body:
-            head = parse_head(event.object.body)
-            self._learn(StoredHead(head, event.object.version), 'the watch')
+    def _take(self, found: 'StoredObject') -> None:
+        """Applies what was heard; a bookmark carries no head."""
+        self._hear()
+        if found.name == HEAD_NAME and found.body:
+            self._in_force.learn(parse_head(found.body), FROM_WATCH)
 
     def _poll_loop(self) -> None:
         """Reads the head whenever nothing was heard for too long."""
         limit_s = self._pace.silence_limit_s
         while not self._stopping.is_set():
-            waited_s = time.monotonic() - self._heard_at
-            if waited_s >= limit_s:
-                self._heard()
+            if time.monotonic() - self._heard_at >= limit_s:
+                self._hear()
                 self._try(self.refresh)
-                waited_s = 0.0
-            self._stopping.wait(limit_s - waited_s)
+            quiet_s = time.monotonic() - self._heard_at
+            self._stopping.wait(max(0, limit_s - quiet_s))
 
-    def _heard(self) -> None:
+    def _hear(self) -> None:
         self._heard_at = time.monotonic()
 
     def _try(self, step: Callable[[], object]) -> None:
--- /dev/null
+++ b/cactusledge/settings/in_force.py
@@ -0,0 +1,99 @@
+"""Holds the configuration in force; only a higher generation replaces it."""
+
+import threading
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusledge.settings.configuration import Configuration
+from cactusledge.settings.head import Head, decide_apply
+from cactusledge.settings.parts import Part
+from cactusledge.settings.published import (
+    Published,
+    StoredHead,
+    read_definitions,
+)
+from cactusledge.settings.snapshot import decode_snapshot, encode_snapshot
+from cactusledge.telemetry.logs import get_logger
+
+if TYPE_CHECKING:
+    from cactusledge.platform.store import ObjectStore
+
+OnChange = Callable[[Configuration], None]
+
+FROM_PEER = 'peer'
+
+log = get_logger('config')
+
+
+class Snapshot(NamedTuple):
+    """A configuration and the bytes by which peers are offered it."""
+
+    configuration: Configuration = Configuration()
+    encoded: bytes = b''
+
+
+class ConfigInForce:
+    """The configuration that this instance runs."""
+
+    def __init__(self, store: 'ObjectStore') -> None:
+        """Starts with an empty configuration of generation 0."""
+        self._store = store
+        self._snapshot = Snapshot()
+        self._callbacks: list[OnChange] = []
+        self._parts: dict[str, Part] = {}
+        self._apply_lock = threading.Lock()
+        self._fetch_lock = threading.Lock()
+
+    def snapshot(self) -> Snapshot:
+        """Returns the configuration in force and its bytes."""
+        return self._snapshot
+
+    def on_change(self, callback: OnChange) -> None:
+        """Has `callback` called after each change, in the order of changes.
+
+        The callback must not offer a configuration itself.
+        """
+        self._callbacks.append(callback)
+
+    def offer(self, generation: int, encoded: bytes) -> bool:
+        """Takes a configuration from a peer; returns whether it applies."""
+        if not self._is_newer(generation):
+            return False
+        offered = Snapshot(decode_snapshot(encoded), encoded)
+        return self._apply(offered, FROM_PEER)
+
+    def learn(self, head: Head, source: str) -> bool:
+        """Fetches what a head names; returns whether it applies."""
+        if not self._is_newer(head.generation):
+            return False
+        with self._fetch_lock:
+            definitions = read_definitions(self._store, head, self._parts)
+            self._forget_parts_beside(head)
+        published = Published(StoredHead(head, ''), definitions)
+        encoded = encode_snapshot(definitions, head.generation, head.digest)
+        return self._apply(Snapshot(published.configuration(), encoded), source)
+
+    def _is_newer(self, generation: int) -> bool:
+        return decide_apply(self._snapshot.configuration.generation, generation)
+
+    def _forget_parts_beside(self, head: Head) -> None:
+        for name in self._parts.keys() - frozenset(head.parts):
+            self._parts.pop(name)
+
+    def _apply(self, offered: Snapshot, source: str) -> bool:
+        generation = offered.configuration.generation
+        with self._apply_lock:
+            if not self._is_newer(generation):
+                return False
+            self._snapshot = offered
+            log.info('Applied.', generation=generation, source=source)
+            for callback in self._callbacks:
+                _notify(callback, offered.configuration)
+        return True
+
+
+def _notify(callback: OnChange, configuration: Configuration) -> None:
+    try:
+        callback(configuration)
+    except Exception:  # one listener's fault must not stop the others
+        log.exception('A listener failed.')
--- a/cactusledge/settings/parts.py
+++ b/cactusledge/settings/parts.py
@@ -16,7 +16,7 @@
 from cactusledge.settings.schema import KEY_FIELDS, Definitions
 
 KIB = 1024
-MAX_PART_BYTES = 512 * KIB
+MAX_PART_BYTES = KIB * KIB // 2
 ITEMS_PER_PART = 64  # on average
 CONTENT = 'content'
 UPGRADE = 'Publish again, or upgrade this instance if it is the older one.'
@@ -50,7 +50,7 @@
     if isinstance(content, str) and _digest(content.encode()) == name:
         return Part(name, content)
     raise CorruptPartError(
-        f"The configuration part '{name[:12]}' is damaged.",
+        f"The configuration part '{name}' is damaged.",
         remedy='Publish the definition files again.',
     )
 
--- a/cactusledge/settings/publish.py
+++ b/cactusledge/settings/publish.py
@@ -143,30 +143,40 @@
     publisher: Publisher,
 ) -> None:
     """Writes the head, and settles each answer that was lost."""
-    doubtful = False
+    in_doubt = False  # whether a write may have taken effect unseen
     for attempt in range(MAX_ATTEMPTS):
-        try:
-            return _put_head(store, stored, mine)
-        except StoreConflictError:
-            doubtful = True
-        except StoreAnswerLostError:
-            doubtful = True
-            publisher.sleep(_pause_s(attempt))
-        except StoreError:
-            if not doubtful:
-                raise
-            publisher.sleep(_pause_s(attempt))
+        exc = _put_head(store, stored, mine)
+        if exc is None:
+            return
+        in_doubt = in_doubt or isinstance(exc, StoreAnswerLostError)
+        if not in_doubt:
+            raise _certain_error(store, exc)
+        publisher.sleep(_pause_s(attempt))
         if _settled(store, mine):
-            return None
+            return
     raise _unsettled(mine)
 
 
-def _put_head(store: 'ObjectStore', stored: StoredHead, mine: Head) -> None:
+def _put_head(
+    store: 'ObjectStore', stored: StoredHead, mine: Head
+) -> StoreError | None:
+    """Writes the head once; returns the error if there is one."""
     body = head_body(mine)
-    if stored.head is None:
-        store.create(HEAD_KIND, HEAD_NAME, body)
-    else:
-        store.update(HEAD_KIND, HEAD_NAME, body, stored.version)
+    try:
+        if stored.head is None:
+            store.create(HEAD_KIND, HEAD_NAME, body)
+        else:
+            store.update(HEAD_KIND, HEAD_NAME, body, stored.version)
+    except StoreError as exc:
+        return exc
+    return None
+
+
+def _certain_error(store: 'ObjectStore', exc: StoreError) -> CactusledgeError:
+    """Returns the error of a write that certainly had no effect."""
+    if isinstance(exc, StoreConflictError):
+        return _conflict(read_head(store).head)
+    return exc
 
 
 def _settled(store: 'ObjectStore', mine: Head) -> bool:
--- a/cactusledge/settings/published.py
+++ b/cactusledge/settings/published.py
@@ -42,7 +42,7 @@
 
     @property
     def generation(self) -> int:
-        """Returns the generation, 0 before the first publishing."""
+        """The generation, 0 before the first publishing."""
         return self.stored.head.generation if self.stored.head else 0
 
     def configuration(self) -> Configuration:
@@ -93,7 +93,7 @@
         if name not in cache:
             found = store.read(PART_KIND, name)
             cache[name] = check_part(name, found.body)
-    return join(cache[name] for name in names)
+    return join(map(cache.__getitem__, names))
 
 
 def read_published(store: 'ObjectStore') -> Published:
--- a/cactusledge/settings/reference.py
+++ b/cactusledge/settings/reference.py
@@ -9,8 +9,8 @@
 from pydantic_core import PydanticUndefined
 
 from cactusledge.models import Address
-from cactusledge.settings.instance import InstanceSettings
 from cactusledge.settings.schema import Definitions
+from cactusledge.settings.sections import InstanceSettings
 from cactusledge.settings.strict import model_in
 
 INTRODUCTION = """\
--- a/cactusledge/settings/references.py
+++ b/cactusledge/settings/references.py
@@ -1,6 +1,7 @@
 """Checks that every name a definition refers to is defined somewhere."""
 
 from collections.abc import Iterable, Iterator, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from cactusledge.settings.errors import Problem, nearest_name
@@ -24,7 +25,10 @@
     Reference('accounts', 'programs', 'programs'),
 )
 DEFINE_IT = 'Define it, or remove the reference.'
-TARGET_OF_ENDPOINT_KIND = {'model': 'models', 'service': 'services'}
+TARGET_OF_ENDPOINT_KIND: Mapping[str, str] = MappingProxyType({
+    'model': 'models',
+    'service': 'services',
+})
 
 
 def check_references(files: tuple[DefinitionFile, ...]) -> tuple[Problem, ...]:
@@ -34,12 +38,12 @@
         for kind in KEY_FIELDS
     }
     operations = {one.item.name: one for one in sources(files, 'services')}
-    return tuple((
+    return (
         *_list_references(files, names),
         *_single_references(files, names),
         *_operation_references(files, operations),
         *_token_limits(files),
-    ))
+    )
 
 
 def _list_references(
--- a/cactusledge/settings/rollout.py
+++ b/cactusledge/settings/rollout.py
@@ -25,7 +25,7 @@
 
     @property
     def everywhere(self) -> bool:
-        """Returns whether at least one and no other instance lacks it."""
+        """Whether it is in force on at least one instance and no other lags."""
         return bool(self.in_force) and not self.behind
 
 
--- a/cactusledge/settings/schema.py
+++ b/cactusledge/settings/schema.py
@@ -1,6 +1,8 @@
 """Types of the definition files that operators write beside their services."""
 
-from typing import Annotated, Literal
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Annotated, Any, Literal
 
 from pydantic import Field
 
@@ -21,6 +23,12 @@
 Weight = Annotated[float, Field(ge=0, le=1000)]
 
 DAY_S = 86400.0
+DEFAULT_TIME_LIMIT_S = 3600.0
+DEFAULT_IDLE_LIMIT_S = 300.0
+DEFAULT_DEADLINE_S = 60.0
+DEFAULT_OPERATION_TIMEOUT_S = 30.0
+DEFAULT_PREFIX_CHUNK_TOKENS = 256
+DEFAULT_LONGEST_ORDER_S = 120.0
 
 
 class Weights(StrictModel):
@@ -58,13 +66,16 @@
         default=100, description='Most calls of one program.'
     )
     time_limit_s: Seconds = Field(
-        default=3600.0, description='Longest time from opening to end.'
+        default=DEFAULT_TIME_LIMIT_S,
+        description='Longest time from opening to end.',
     )
     idle_limit_s: Seconds = Field(
-        default=300.0, description='Longest pause between two calls.'
+        default=DEFAULT_IDLE_LIMIT_S,
+        description='Longest pause between two calls.',
     )
     deadline_s: Seconds = Field(
-        default=60.0, description='Deadline of a call that names none.'
+        default=DEFAULT_DEADLINE_S,
+        description='Deadline of a call that names none.',
     )
     max_output_tokens: Count = Field(
         default=1024, description='Most tokens that one call may generate.'
@@ -88,7 +99,9 @@
         description='Whether running it twice does the same as once.'
     )
     cost: Amount = Field(default=0, description='Units charged for one run.')
-    timeout_s: Seconds = Field(default=30.0, description='Limit of one run.')
+    timeout_s: Seconds = Field(
+        default=DEFAULT_OPERATION_TIMEOUT_S, description='Limit of one run.'
+    )
     status_query: Name | None = Field(
         default=None,
         description='Idempotent operation that tells whether a key has run.',
@@ -116,7 +129,8 @@
         description='Longest prompt and output together, in tokens.'
     )
     prefix_chunk_tokens: Count = Field(
-        default=256, description='Size of the pieces that engines cache.'
+        default=DEFAULT_PREFIX_CHUNK_TOKENS,
+        description='Size of the pieces that engines cache.',
     )
     units_per_token: Count = Field(
         default=1, description='Units charged for one token.'
@@ -161,11 +175,12 @@
         description='Whether engines refuse an old fencing number.'
     )
     longest_order_s: Annotated[float, Field(gt=0, le=DAY_S)] = Field(
-        default=120.0, description='Longest time that one order takes.'
+        default=DEFAULT_LONGEST_ORDER_S,
+        description='Longest time that one order takes.',
     )
 
 
-def _many(description: str) -> object:
+def _many(description: str) -> Any:
     return Field(default=(), strict=False, description=description)
 
 
@@ -182,14 +197,14 @@
     )
 
 
-KEY_FIELDS = {
+KEY_FIELDS: Mapping[str, str] = MappingProxyType({
     'programs': 'name',
     'services': 'name',
     'models': 'name',
     'endpoints': 'name',
     'accounts': 'name',
     'engine_orders': 'model',
-}
+})
 
 
 def key_of(kind: str, definition: StrictModel) -> str:
--- a/cactusledge/settings/snapshot.py
+++ b/cactusledge/settings/snapshot.py
@@ -11,8 +11,7 @@
 from cactusledge.settings.parts import CorruptPartError, restore
 from cactusledge.settings.schema import Definitions
 
-MIB = 1024 * 1024
-MAX_SNAPSHOT_BYTES = 32 * MIB
+MAX_SNAPSHOT_BYTES = 32_000_000
 REMEDY = 'Upgrade the older of the two instances.'
 
 
--- a/cactusledge/settings/sources.py
+++ b/cactusledge/settings/sources.py
@@ -21,20 +21,21 @@
     """One definition and where it stands."""
 
     kind: str
-    index: int
+    position: int
     item: Any
     document: Document
 
     def place(self, *fields: str | int) -> str:
         """Returns the file and line of a field of the definition."""
-        return self.document.place((self.kind, self.index, *fields))
+        return self.document.place((self.kind, self.position, *fields))
 
 
 def sources(files: Iterable[DefinitionFile], kind: str) -> Iterator[Source]:
     """Yields the definitions of one kind in all files."""
     for file in files:
-        for index, item in enumerate(getattr(file.definitions, kind)):
-            yield Source(kind, index, item, file.document)
+        items = getattr(file.definitions, kind)
+        for position, item in enumerate(items):
+            yield Source(kind, position, item, file.document)
 
 
 def check_duplicates(files: tuple[DefinitionFile, ...]) -> tuple[Problem, ...]:
@@ -56,14 +57,15 @@
 def _twice(what: str, named: Iterable[tuple[str, str]]) -> Iterator[Problem]:
     first: dict[str, str] = {}
     for name, place in named:
-        if name in first:
-            shown = name[:12]
-            yield Problem(
-                place,
-                f"The {what} '{shown}' is defined at {first[name]} too.",
-                RENAME,
-            )
-        first.setdefault(name, place)
+        other = first.get(name)
+        if other is None:
+            first[name] = place
+            continue
+        yield Problem(
+            place,
+            f"The {what} '{name}' is defined at {other} too.",
+            RENAME,
+        )
 
 
 def _routed_names(
--- a/cactusledge/settings/strict.py
+++ b/cactusledge/settings/strict.py
@@ -2,8 +2,14 @@
 
 from typing import Annotated, Any, Protocol, TypeVar, get_args
 
-import pydantic
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    PlainSerializer,
+    PlainValidator,
+    ValidationError,
+)
 
 from cactusledge.models import Address
 from cactusledge.settings.document import Location
@@ -14,6 +20,7 @@
 )
 
 MAX_PORT = 65535
+MAX_SHOWN_CHARACTERS = 40
 
 ModelT = TypeVar('ModelT', bound='StrictModel')
 
@@ -50,8 +57,8 @@
 
 AddressField = Annotated[
     Address,
-    pydantic.PlainValidator(parse_address),
-    pydantic.PlainSerializer(str),
+    PlainValidator(parse_address),
+    PlainSerializer(str),
 ]
 Addresses = Annotated[tuple[AddressField, ...], Field(strict=False)]
 Names = Annotated[tuple[str, ...], Field(strict=False)]
@@ -69,7 +76,7 @@
     """Returns the validated model; raises `error` with every problem."""
     try:
         return model.model_validate(plain)
-    except pydantic.ValidationError as exc:
+    except ValidationError as exc:
         problems = tuple(
             _problem(model, places, detail['loc'], detail['type'], detail)
             for detail in exc.errors(include_url=False)
@@ -141,4 +148,4 @@
         return 'a list' if isinstance(raw, list | tuple) else 'a mapping'
     if isinstance(raw, str):
         return 'a text'
-    return repr(raw)[:40]
+    return repr(raw)[:MAX_SHOWN_CHARACTERS]
--- a/cactusledge/telemetry/logs.py
+++ b/cactusledge/telemetry/logs.py
@@ -2,17 +2,18 @@
 
 import logging
 from collections.abc import Mapping, MutableMapping
+from types import MappingProxyType
 from typing import Any, TextIO
 
 import structlog
 
 PREFIX_KEY = 'part'
-LEVELS: Mapping[str, int] = {
+LEVELS: Mapping[str, int] = MappingProxyType({
     'debug': logging.DEBUG,
     'info': logging.INFO,
     'warning': logging.WARNING,
     'error': logging.ERROR,
-}
+})
 
 Event = MutableMapping[str, Any]
 
@@ -67,7 +68,7 @@
     return event
 
 
-_RENDERERS: Mapping[str, Any] = {
+_RENDERERS: Mapping[str, Any] = MappingProxyType({
     'json': structlog.processors.JSONRenderer(sort_keys=True, default=str),
     'console': structlog.dev.ConsoleRenderer(colors=False),
-}
+})
--- a/cactusledge/telemetry/metrics.py
+++ b/cactusledge/telemetry/metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of an instance, declared in one table."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 from prometheus_client import (
@@ -16,11 +17,11 @@
 NAMESPACE = 'cactusledge'
 CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
-_TYPES: Mapping[Kind, Any] = {
+_TYPES: Mapping[Kind, Any] = MappingProxyType({
     Kind.COUNTER: Counter,
     Kind.GAUGE: Gauge,
     Kind.HISTOGRAM: Histogram,
-}
+})
 
 
 class Metrics:
@@ -48,7 +49,7 @@
     def sample(self, name: str, **labels: str) -> float:
         """Returns a counter or gauge, 0 before its first use."""
         found = self.registry.get_sample_value(f'{NAMESPACE}_{name}', labels)
-        return found or 0.0
+        return found or 0
 
     def render(self) -> bytes:
         """Returns the metrics in the text format of Prometheus."""
--- a/cactusledge/telemetry/traces.py
+++ b/cactusledge/telemetry/traces.py
@@ -1,7 +1,7 @@
 """Traces with a span for each hop, by OpenTelemetry."""
 
 import threading
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Generator, Mapping, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -88,7 +88,7 @@
         *,
         kind: SpanKind = SpanKind.INTERNAL,
         **attributes: AttributeValue,
-    ) -> Iterator[Span]:
+    ) -> Generator[Span, None, None]:
         """Opens a span; exceptions are recorded on it and go on.
 
         Args:
