Import the settings sections from their module

Change: the imports of the application and the log opener. Measured: the application imports. Conclusion: none.

--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -36,7 +36,7 @@
 from cactusledge.routing.types import EngineLimits, GroupKey
 from cactusledge.settings.configuration import Operation
 from cactusledge.settings.follower import ConfigFollower
-from cactusledge.settings.instance import InstanceSettings
+from cactusledge.settings.sections import InstanceSettings
 from cactusledge.telemetry.logs import configure_logs, get_logger
 from cactusledge.telemetry.metrics import Metrics
 from cactusledge.telemetry.traces import Traces, new_exporter
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -14,7 +14,7 @@
 from cactusledge.protocol.errors import FencedError
 from cactusledge.protocol.records import ProgramRecord
 from cactusledge.settings.configuration import Configuration
-from cactusledge.settings.instance import JournalSection
+from cactusledge.settings.sections import JournalSection
 
 CLOSE_WAIT_S = 10.0
 ROOM_SHARE = 0.75  # of the waiting bytes; the rest is for outcomes
