--- /dev/null
+++ b/cactusledge/programs/journal_actor.py
@@ -0,0 +1,231 @@
+"""Actor around the journal's state machine."""
+
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import Executor
+from functools import partial
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeAlias
+
+import pykka
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.programs.journal_io import SlotAccess
+from cactusledge.programs.journal_jobs import JobRunner, RetryDelay
+from cactusledge.programs.journal_queue import (
+    CommitQueue,
+    Entry,
+    WaitingBytes,
+)
+from cactusledge.protocol import journal
+from cactusledge.protocol import journal_types as msg
+from cactusledge.protocol.errors import (
+    FencedError,
+    HistoryError,
+    JournalStoppedError,
+)
+from cactusledge.protocol.ledger import Ledger
+from cactusledge.protocol.records import ProgramRecord, encode_batch
+from cactusledge.protocol.ring import MAX_DATA_BYTES
+
+if TYPE_CHECKING:
+    from cactusledge.programs.journal_writer import WriterOptions
+    from cactusledge.programs.takeover import TakenLog
+
+# Part of an object that snapshots may take while the ring has room.
+CARRY_BYTES = MAX_DATA_BYTES // 4
+
+
+class WriterStatus:
+    """What other threads may read of the writer."""
+
+    def __init__(self, stopping: threading.Event) -> None:
+        """Starts as reachable."""
+        self.stopping = stopping
+        self.platform_up = True
+        self.full = False
+        self.closing = False
+        self.error: CactusledgeError | None = None
+
+
+class Submit(NamedTuple):
+    """Message: queue an entry."""
+
+    entry: Entry
+
+
+class Close(NamedTuple):
+    """Message: resolve the future when all is durable."""
+
+    future: 'pykka.ThreadingFuture[None]'
+
+
+class Peek(NamedTuple):
+    """Message: answer with the records that are not durable."""
+
+
+class FlushDue(NamedTuple):
+    """Message: the commit interval is over."""
+
+
+# What an event says of the platform; other events say nothing.
+_REACHABLE: Mapping[type[Any], bool] = MappingProxyType({
+    msg.Written: True,
+    msg.ReadBack: True,
+    msg.AnswerLost: False,
+    msg.Unavailable: False,
+    msg.ReadFailed: False,
+})
+
+
+class JournalActor(pykka.ThreadingActor):
+    """Owns the state of one log's writer; never blocks."""
+
+    def __init__(
+        self,
+        taken: 'TakenLog',
+        slots: SlotAccess,
+        executor: Executor,
+        options: 'WriterOptions',
+        status: WriterStatus,
+        waiting: WaitingBytes,
+    ) -> None:
+        """Starts idle behind the append that took the log over."""
+        super().__init__()
+        self._jobs = JobRunner(self.actor_ref, executor, status.stopping)
+        self._delay = RetryDelay(
+            options.retry_base_s,
+            options.retry_cap_s,
+            options.jitter,
+        )
+        self._state = taken.journal_state
+        self._ledger = taken.ledger
+        self._slots = slots
+        self._options = options
+        self._status = status
+        self._queue = CommitQueue(waiting)
+        self._retries = 0
+        self._flush_set = False
+
+    def on_receive(self, message: Any) -> Any:
+        """Handles a message or an event of the state machine."""
+        default: _Handler = JournalActor.advance
+        handler = _MESSAGES.get(type(message), default)
+        return handler(self, message)
+
+    def on_stop(self) -> None:
+        """Fails what did not become durable."""
+        error = self._status.error or JournalStoppedError(
+            'The journal writer stopped before the records were durable.',
+            remedy='Read the history after the takeover.',
+        )
+        self._queue.settle_all(error)
+
+    def submit(self, message: Submit) -> None:
+        """Queues an entry."""
+        if self._status.error is not None:
+            self._queue.settle(message.entry, self._status.error)
+            return
+        self._queue.push(message.entry)
+        self._pump(self._options.commit_interval_s)
+
+    def close(self, message: Close) -> None:
+        """Resolves the future now or when all is durable."""
+        self._queue.when_idle(message.future)
+
+    def peek(self, message: Peek) -> tuple[ProgramRecord, ...]:
+        """Returns the records that are not durable."""
+        return self._queue.records()
+
+    def flush(self, message: FlushDue) -> None:
+        """Starts an append of what waits and what is carried forward."""
+        self._flush_set = False
+        batch = self._batch(self._state.number)
+        if batch:
+            oldest = self._ledger.oldest(self._state.number)
+            self.advance(msg.Append(encode_batch(batch), oldest))
+        else:
+            self._pump(self._options.retry_cap_s)
+
+    def advance(self, event: Any) -> None:
+        """Steps the state machine and carries its effects out."""
+        known = self._status.platform_up
+        self._status.platform_up = _REACHABLE.get(type(event), known)
+        following, effects = journal.step(self._state, event)
+        self._state = following
+        for effect in effects:
+            _EFFECTS[type(effect)](self, effect)
+
+    def access(self, effect: msg.WriteSlot | msg.ReadSlot) -> None:
+        """Writes or reads a slot in the executor."""
+        self._jobs.run(partial(self._slots.carry_out, effect))
+
+    def back_off(self, effect: msg.BackOff) -> None:
+        """Retries after a jittered delay that doubles each time."""
+        delay_s = self._delay.after(self._retries)
+        self._retries += 1
+        self._jobs.later(delay_s, msg.RetryDue())
+
+    def committed(self, effect: msg.Committed) -> None:
+        """Reports the append as durable and goes on."""
+        self._retries = 0
+        self._queue.settle_sent()
+        self._pump(self._options.commit_interval_s)
+
+    def fenced(self, effect: msg.Fenced) -> None:
+        """Fails everything, for good."""
+        error = FencedError(
+            f'Log {self._state.log!r} was taken over by {effect.by!r}.',
+            remedy='Repeat the call at any instance; it reads the history.',
+        )
+        self._status.error = error
+        self._queue.settle_all(error)
+
+    def _batch(self, number: int) -> tuple[ProgramRecord, ...]:
+        room = self._ledger.has_room(number)
+        limit = CARRY_BYTES if room else MAX_DATA_BYTES
+        carried = self._ledger.carry(number, self._options.now_s(), limit)
+        self._status.full = self._ledger.is_crowded(number)
+        if not self._ledger.has_room(number):
+            return carried
+        left = MAX_DATA_BYTES - limit if carried else MAX_DATA_BYTES
+        fresh = _fold(self._ledger, number, self._queue, left)
+        return (*carried, *fresh)
+
+    def _pump(self, delay_s: float) -> None:
+        idle = self._state.phase is journal.Phase.IDLE
+        if idle and len(self._queue) and not self._flush_set:
+            self._flush_set = True
+            self._jobs.later(delay_s, FlushDue())
+
+
+def _fold(
+    ledger: Ledger,
+    number: int,
+    queue: CommitQueue,
+    limit_bytes: int,
+) -> Iterable[ProgramRecord]:
+    for entry in queue.take(limit_bytes):
+        try:
+            ledger.fold(number, entry.records)
+        except HistoryError as exc:
+            queue.settle(entry, exc)
+        else:
+            queue.send(entry)
+            yield from entry.records
+
+
+_Handler: TypeAlias = Callable[[JournalActor, Any], Any]
+_MESSAGES: Mapping[type[Any], _Handler] = MappingProxyType({
+    Submit: JournalActor.submit,
+    Close: JournalActor.close,
+    Peek: JournalActor.peek,
+    FlushDue: JournalActor.flush,
+})
+_EFFECTS: Mapping[type[Any], _Handler] = MappingProxyType({
+    msg.WriteSlot: JournalActor.access,
+    msg.ReadSlot: JournalActor.access,
+    msg.BackOff: JournalActor.back_off,
+    msg.Committed: JournalActor.committed,
+    msg.Fenced: JournalActor.fenced,
+})
--- /dev/null
+++ b/cactusledge/programs/journal_writer.py
@@ -0,0 +1,155 @@
+"""Writes one log: group commit, retries, fencing.
+
+The state machine is `protocol.journal`. Calls of the object store and delays
+run in the executor; at most one job of a writer runs at a time.
+
+Records of one program have to be appended in the order of their digest chain;
+`append` keeps the order of its calls. Its records share one object: all of
+them become durable or none.
+"""
+
+import contextlib
+import random
+import threading
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import Executor
+from typing import TYPE_CHECKING, NamedTuple
+
+import pykka
+
+from cactusledge.programs.journal_actor import (
+    Close,
+    JournalActor,
+    Peek,
+    Submit,
+    WriterStatus,
+)
+from cactusledge.programs.journal_io import SlotAccess
+from cactusledge.programs.journal_queue import Entry, OnDone, WaitingBytes
+from cactusledge.protocol.errors import JournalFullError, JournalStoppedError
+from cactusledge.protocol.journal import FULL_RETRY_S
+from cactusledge.protocol.ledger import check_size
+from cactusledge.protocol.records import Opened, ProgramRecord
+
+if TYPE_CHECKING:
+    from cactusledge.platform.store import ObjectStore
+    from cactusledge.programs.takeover import TakenLog
+
+
+class WriterOptions(NamedTuple):
+    """Settings of a journal writer."""
+
+    commit_interval_s: float = 0.01
+    retry_base_s: float = 0.05
+    retry_cap_s: float = 2.0
+    max_waiting_bytes: int = 8_000_000
+    jitter: Callable[[], float] = random.random  # in [0, 1)
+    now_s: Callable[[], float] = time.time
+
+
+class JournalWriter:
+    """Handle of the actor that writes one log; safe from any thread."""
+
+    def __init__(
+        self,
+        store: 'ObjectStore',
+        taken: 'TakenLog',
+        executor: Executor,
+        options: WriterOptions | None = None,
+    ) -> None:
+        """Starts the actor behind the append that took the log over."""
+        options = options or WriterOptions()
+        self._waiting = WaitingBytes(options.max_waiting_bytes)
+        self._status = WriterStatus(threading.Event())
+        self._ref = JournalActor.start(
+            taken,
+            SlotAccess(store, taken.journal_state),
+            executor,
+            options,
+            self._status,
+            self._waiting,
+        )
+
+    def append(
+        self,
+        records: Iterable[ProgramRecord],
+        on_done: OnDone | None = None,
+    ) -> 'pykka.ThreadingFuture[None]':
+        """Queues records; the future resolves when they are durable.
+
+        The future, and `on_done` with the same error or None, fail with
+        FencedError for good once another owner sealed the log. `on_done` runs
+        in the writer's thread and must not block.
+
+        Raises:
+            FencedError: If the log was sealed by another owner.
+            JournalBusyError: If too many bytes wait; nothing was queued.
+            JournalFullError: If no program may be opened now.
+            JournalStoppedError: If the writer was stopped.
+            RefusedCallError: If the records do not fit into one object.
+        """
+        batch = tuple(records)
+        self._check(batch)
+        size = check_size(batch)
+        self._waiting.add(size)
+        future: pykka.ThreadingFuture[None] = pykka.ThreadingFuture()
+        try:
+            self._ref.tell(Submit(Entry(batch, size, future, on_done)))
+        except pykka.ActorDeadError as exc:
+            raise _stopped() from exc
+        return future
+
+    def platform_up(self) -> bool:
+        """Returns whether the platform answered the latest request."""
+        return self._status.platform_up
+
+    def fenced(self) -> bool:
+        """Returns whether the writer has stopped for good."""
+        return self._status.error is not None
+
+    def waiting_bytes(self) -> int:
+        """Returns the size of the records that are not yet durable."""
+        return self._waiting.count
+
+    def waiting_records(self) -> 'pykka.Future[tuple[ProgramRecord, ...]]':
+        """Returns the records that are not known to be durable."""
+        return self._ref.ask(Peek(), block=False)
+
+    def stop(self, grace_s: float) -> tuple[ProgramRecord, ...]:
+        """Waits until all is durable, then stops; returns what is not."""
+        future: pykka.ThreadingFuture[None] = pykka.ThreadingFuture()
+        self._status.closing = True
+        with contextlib.suppress(pykka.Timeout, pykka.ActorDeadError):
+            self._ref.tell(Close(future))
+            future.get(timeout=grace_s)
+        left = self._left()
+        self._status.stopping.set()
+        self._ref.stop()
+        return left
+
+    def _left(self) -> tuple[ProgramRecord, ...]:
+        try:
+            return self.waiting_records().get()
+        except pykka.ActorDeadError:
+            return ()
+
+    def _check(self, batch: tuple[ProgramRecord, ...]) -> None:
+        if self._status.error is not None:
+            raise self._status.error
+        if self._status.closing:
+            raise _stopped()
+        opens = any(isinstance(record, Opened) for record in batch)
+        if opens and self._status.full:
+            raise JournalFullError(
+                'The ring of journal slots is nearly full.',
+                remedy='Come back when programs have ended.',
+                retry_after_s=FULL_RETRY_S,
+            )
+
+
+def _stopped() -> JournalStoppedError:
+    return JournalStoppedError(
+        'The journal writer was stopped.',
+        remedy='Send the request to another instance.',
+    )
--- /dev/null
+++ b/cactusledge/programs/ring_access.py
@@ -0,0 +1,83 @@
+"""Lists the ring of a log and creates what is missing of it."""
+
+from typing import TYPE_CHECKING
+
+from cactusledge.errors import (
+    StoreAnswerLostError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from cactusledge.protocol import ring
+from cactusledge.protocol.errors import HistoryError
+
+if TYPE_CHECKING:
+    from cactusledge.platform.store import ObjectStore
+
+MAX_LISTINGS = 5
+
+
+def read_ring(store: 'ObjectStore', log: str, size: int) -> ring.Ring:
+    """Returns the listed log, created first if it does not exist.
+
+    Slot 0 is created first and decides the size, hence creators that race
+    make the same ring. A listing that mixes moments is repeated.
+
+    Raises:
+        HistoryError: If an append is missing.
+        StoreUnavailableError: If the platform does not answer.
+    """
+    error: HistoryError | None = None
+    for _ in range(MAX_LISTINGS):
+        slots = _list_slots(store, log)
+        first = slots.get(0)
+        if first is None:
+            _create(store, log, 0, size)
+        elif len(slots) < first.size:
+            _create_missing(store, log, slots, first.size)
+        else:
+            try:
+                return ring.assemble(
+                    slots[index] for index in range(first.size)
+                )
+            except HistoryError as exc:
+                error = exc
+    raise error or unreachable(log)
+
+
+def unreachable(log: str) -> StoreUnavailableError:
+    """Returns the error for a log that could not be read or sealed."""
+    return StoreUnavailableError(
+        f'Log {log!r} could not be taken over.',
+        remedy='Try again when the platform answers.',
+        retry_after_s=1,
+    )
+
+
+def _list_slots(store: 'ObjectStore', log: str) -> dict[int, ring.Slot]:
+    prefix = ring.slot_prefix(log)
+    listed = store.list(ring.SLOT_KIND, prefix)
+    return {
+        int(stored.name.removeprefix(prefix)): ring.parse_slot(
+            stored.body, stored.version
+        )
+        for stored in listed.items
+    }
+
+
+def _create_missing(
+    store: 'ObjectStore',
+    log: str,
+    slots: dict[int, ring.Slot],
+    size: int,
+) -> None:
+    for index in range(size):
+        if index not in slots:
+            _create(store, log, index, size)
+
+
+def _create(store: 'ObjectStore', log: str, index: int, size: int) -> None:
+    name = ring.slot_name(log, index)
+    try:
+        store.create(ring.SLOT_KIND, name, ring.empty_body(log, size))
+    except (StoreConflictError, StoreAnswerLostError):
+        return  # the next listing shows who created it
--- /dev/null
+++ b/cactusledge/programs/takeover.py
@@ -0,0 +1,177 @@
+"""Takes a log over: list, replay, seal, and append what a peer held."""
+
+import secrets
+import time
+from collections.abc import Callable, Iterable, Sequence
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusledge.programs.journal_io import SlotAccess
+from cactusledge.programs.ring_access import read_ring, unreachable
+from cactusledge.protocol import journal, ring
+from cactusledge.protocol import journal_types as msg
+from cactusledge.protocol import records as rec
+from cactusledge.protocol.errors import FencedError
+from cactusledge.protocol.held import plan_held, split
+from cactusledge.protocol.ledger import Ledger, Retention, rebuild
+from cactusledge.protocol.state import ProgramState
+
+if TYPE_CHECKING:
+    from cactusledge.platform.store import ObjectStore
+
+MAX_ATTEMPTS = 8  # listings, or appends of the former owner in between
+MAX_STEPS = 32  # requests and waits for one append
+MAX_SEAL_CARRY_BYTES = ring.MAX_DATA_BYTES // 2
+
+
+class TakenLog(NamedTuple):
+    """A log that the caller now owns."""
+
+    journal_state: journal.JournalState
+    ledger: Ledger  # belongs to the writer from now on
+    programs: dict[str, ProgramState]
+    previous_owner: str
+    appended: tuple[rec.ProgramRecord, ...] = ()  # held records
+    rejected: tuple[rec.ProgramRecord, ...] = ()  # do not fit the history
+
+
+class TakeoverOptions(NamedTuple):
+    """Settings of a takeover."""
+
+    ring_size: int = ring.DEFAULT_RING_SIZE  # of a log that does not exist
+    retention: Retention = Retention()
+    retry_s: float = 0.05
+    now_s: Callable[[], float] = time.time
+    wait: Callable[[float], None] = time.sleep
+    token: Callable[[], str] = secrets.token_hex
+
+
+def take_over(
+    store: 'ObjectStore',
+    log: str,
+    owner: str,
+    held: Sequence[rec.ProgramRecord] = (),
+    options: TakeoverOptions | None = None,
+) -> TakenLog:
+    """Seals the log for `owner` and returns what it says.
+
+    Creates the ring if it does not exist. Blocks: run it in a worker thread.
+    The owner that the log names is made unique, so that a call that failed
+    may be repeated.
+
+    Args:
+        store: The platform.
+        log: Name of the log.
+        owner: Name of the instance.
+        held: Records that a peer keeps and that may be missing in the log,
+            in the order in which they were made.
+        options: Ring size, retention and delays.
+
+    Raises:
+        FencedError: If another instance took the log over meanwhile.
+        HistoryError: If the log lacks records.
+        StoreUnavailableError: If the platform does not answer.
+    """
+    options = options or TakeoverOptions()
+    unique = f'{owner}~{options.token()}'
+    sealing = _Sealing(store, log, unique, options)
+    return sealing.run(held)
+
+
+class _Sealing:
+    """One takeover."""
+
+    def __init__(
+        self,
+        store: 'ObjectStore',
+        log: str,
+        owner: str,
+        options: TakeoverOptions,
+    ) -> None:
+        self._store = store
+        self._log = log
+        self._owner = owner
+        self._options = options
+
+    def run(self, held: Sequence[rec.ProgramRecord]) -> TakenLog:
+        """Seals behind the latest append, however often that moves."""
+        serial = 0
+        previous: str | None = None
+        for _ in range(MAX_ATTEMPTS):
+            listed = read_ring(self._store, self._log, self._options.ring_size)
+            previous = self._same_owner(previous, listed.owner)
+            ledger, seen = rebuild(listed, self._options.retention)
+            state = journal.start(self._log, self._owner, listed, serial)
+            state = self._seal(state, ledger, previous)
+            if state.phase is journal.Phase.IDLE:
+                taken = TakenLog(state, ledger, ledger.programs, previous)
+                return self._append_held(taken, seen, held)
+            serial = state.serial
+        raise unreachable(self._log)
+
+    def _same_owner(self, previous: str | None, found: str) -> str:
+        if previous is None or previous == found:
+            return found
+        raise _outrun(self._log, found)
+
+    def _seal(
+        self,
+        state: journal.JournalState,
+        ledger: Ledger,
+        previous: str,
+    ) -> journal.JournalState:
+        carried = ledger.carry(
+            state.number,
+            self._options.now_s(),
+            MAX_SEAL_CARRY_BYTES,
+        )
+        batch = (rec.Seal(self._owner, previous), *carried)
+        return self._append(state, ledger, batch)
+
+    def _append_held(
+        self,
+        taken: TakenLog,
+        seen: frozenset[bytes],
+        held: Sequence[rec.ProgramRecord],
+    ) -> TakenLog:
+        plan = plan_held(taken.programs, seen, held)
+        state = taken.journal_state
+        for batch in split(plan.missing):
+            taken.ledger.fold(state.number, batch)
+            state = self._append(state, taken.ledger, batch)
+            if state.phase is not journal.Phase.IDLE:
+                raise _outrun(self._log, 'another instance')
+        return taken._replace(
+            journal_state=state,
+            programs=dict(taken.ledger.programs),
+            appended=plan.missing,
+            rejected=plan.rejected,
+        )
+
+    def _append(
+        self,
+        state: journal.JournalState,
+        ledger: Ledger,
+        batch: Iterable[rec.Record],
+    ) -> journal.JournalState:
+        oldest = ledger.oldest(state.number)
+        event: msg.Event = msg.Append(rec.encode_batch(batch), oldest)
+        slots = SlotAccess(self._store, state)
+        for _ in range(MAX_STEPS):
+            state, effects = journal.step(state, event)
+            if state.phase in {journal.Phase.IDLE, journal.Phase.FENCED}:
+                return state
+            event = self._perform(slots, effects[0])
+        raise unreachable(self._log)
+
+    def _perform(self, slots: SlotAccess, effect: msg.Effect) -> msg.Event:
+        if isinstance(effect, (msg.WriteSlot, msg.ReadSlot)):
+            return slots.carry_out(effect)
+        self._options.wait(self._options.retry_s)
+        return msg.RetryDue()
+
+
+def _outrun(log: str, found: str) -> FencedError:
+    return FencedError(
+        f'Log {log!r} was taken over by {found!r} meanwhile.',
+        remedy='Leave the log to its new owner.',
+    )
--- a/cactusledge/protocol/ledger.py
+++ b/cactusledge/protocol/ledger.py
@@ -13,12 +13,16 @@
 from cactusledge.errors import ErrorCode
 from cactusledge.protocol import records as rec
 from cactusledge.protocol.errors import HistoryError, RefusedCallError
-from cactusledge.protocol.program import apply
-from cactusledge.protocol.ring import MAX_DATA_BYTES
+from cactusledge.protocol.program import apply, replay_log
+from cactusledge.protocol.ring import MAX_DATA_BYTES, Ring
 from cactusledge.protocol.state import ProgramState
 
 # Slots kept free of bases so that seals need not carry anything.
 RESERVE_SLOTS = 4
+# Part of the ring behind the oldest base at which no program is opened.
+OPEN_LIMIT = 0.75
+
+_BASES = (rec.Opened, rec.ProgramSnapshot)
 
 
 class Retention(NamedTuple):
@@ -27,6 +31,13 @@
     ended_s: float = 86_400
 
 
+class Rebuilt(NamedTuple):
+    """A log's ledger and the digests of the records that stand in it."""
+
+    ledger: 'Ledger'
+    seen: frozenset[bytes]
+
+
 class Ledger:
     """Programs of a log as of its latest append, sent or durable."""
 
@@ -58,6 +69,11 @@
         """Returns whether append `next_n` may take new records."""
         return self.oldest(next_n) > next_n - self._size + RESERVE_SLOTS
 
+    def is_crowded(self, next_n: int) -> bool:
+        """Returns whether the ring is too full to open programs."""
+        behind = next_n - self.oldest(next_n)
+        return behind > self._size * OPEN_LIMIT
+
     def fold(self, number: int, batch: Iterable[rec.ProgramRecord]) -> None:
         """Applies records that go into append n together, all or none.
 
@@ -70,7 +86,7 @@
             name = record.program_id
             state = changed.get(name, self.programs.get(name))
             changed[name] = _apply(state, record)
-            if isinstance(record, (rec.Opened, rec.ProgramSnapshot)):
+            if isinstance(record, _BASES):
                 based.append(name)
         self._keep(changed)
         for name in based:
@@ -122,6 +138,26 @@
                 self.programs[name] = state
 
 
+def rebuild(listed: Ring, retention: Retention) -> Rebuilt:
+    """Returns the ledger of a log as it was listed.
+
+    Raises:
+        CorruptRecordError: If a slot does not hold records.
+        HistoryError: If the history of a program is missing or mixed.
+    """
+    bases: dict[str, int] = {}
+    records: list[rec.Record] = []
+    for slot in listed.batches():
+        batch = rec.decode_batch(slot.data)
+        records.extend(batch)
+        based = (item for item in batch if isinstance(item, _BASES))
+        bases.update((item.program_id, slot.number) for item in based)
+    found = replay_log(records)
+    ledger = Ledger(len(listed.slots), retention)
+    ledger.restore(found.programs, bases)
+    return Rebuilt(ledger, found.seen)
+
+
 def check_size(batch: Iterable[rec.Record]) -> int:
     """Returns the bytes that the records take at most.
 
--- a/cactusledge/protocol/records.py
+++ b/cactusledge/protocol/records.py
@@ -185,13 +185,22 @@
 _DECODERS = MappingProxyType(
     {tag: msgspec.msgpack.Decoder(kind) for tag, kind in _TYPES.items()},
 )
+# An int in such a field would change the digest when it is read as a float.
+_FLOAT_FIELDS: Mapping[type[Any], tuple[str, ...]] = MappingProxyType(
+    {
+        kind: tuple(
+            name for name, hint in kind.__annotations__.items() if hint is float
+        )
+        for kind in _TYPES.values()
+    },
+)
 _ENCODER = msgspec.msgpack.Encoder()
 _BATCH = msgspec.msgpack.Decoder(list[tuple[str, msgspec.Raw]])
 
 
 def encode_record(record: Record) -> bytes:
     """Returns the bytes of one record, the same for equal records."""
-    return _ENCODER.encode((_TAGS[type(record)], record))
+    return _ENCODER.encode(_tagged(record))
 
 
 def digest_of(record: Record) -> bytes:
@@ -202,7 +211,7 @@
 
 def encode_batch(records: Iterable[Record]) -> bytes:
     """Returns the compressed bytes of the records, in their order."""
-    tagged = [(_TAGS[type(record)], record) for record in records]
+    tagged = [_tagged(record) for record in records]
     compressor = zstandard.ZstdCompressor(
         level=_COMPRESSION_LEVEL,
         write_checksum=True,
@@ -225,6 +234,14 @@
         raise _corrupt(str(exc)) from exc
 
 
+def _tagged(record: Record) -> tuple[str, Record]:
+    kind = type(record)
+    floats: dict[str, Any] = {
+        name: float(getattr(record, name)) for name in _FLOAT_FIELDS[kind]
+    }
+    return _TAGS[kind], record._replace(**floats) if floats else record
+
+
 def _decode(tag: str, raw: msgspec.Raw) -> Record:
     record: Record = _DECODERS[tag].decode(raw)
     return record
--- a/cactusledge/protocol/ring.py
+++ b/cactusledge/protocol/ring.py
@@ -23,6 +23,7 @@
     """Body of a slot's object at the platform."""
 
     log: str
+    size: int  # slots of the ring
     number: int
     nonce: str
     owner: str
@@ -37,6 +38,7 @@
     owner: str
     data: bytes
     version: str
+    size: int = 0  # slots of the ring that it belongs to
 
 
 class Ring(NamedTuple):
@@ -62,22 +64,21 @@
     return f'{slot_prefix(log)}{index:05d}'
 
 
-def slot_body(
-    log: str, number: int, nonce: str, owner: str, data: bytes
-) -> SlotBody:
-    """Returns the object body of an append."""
+def empty_body(log: str, size: int) -> SlotBody:
+    """Returns the object body of a slot that was never written."""
     return {
         'log': log,
-        'number': number,
-        'nonce': nonce,
-        'owner': owner,
-        'data': base64.b64encode(data).decode(),
+        'size': size,
+        'number': EMPTY,
+        'nonce': '',
+        'owner': '',
+        'data': '',
     }
 
 
-def empty_body(log: str) -> SlotBody:
-    """Returns the object body of a slot that was never written."""
-    return slot_body(log, EMPTY, '', '', b'')
+def encode_data(data: bytes) -> str:
+    """Returns a batch as a slot's body holds it."""
+    return base64.b64encode(data).decode()
 
 
 def parse_slot(body: Mapping[str, Any], version: str) -> Slot:
@@ -93,6 +94,7 @@
             str(body['owner']),
             base64.b64decode(body['data'], validate=True),
             version,
+            int(body['size']),
         )
     except (KeyError, TypeError, ValueError) as exc:
         raise CorruptRecordError(
--- /dev/null
+++ b/tests/fakes_store.py
@@ -0,0 +1,134 @@
+"""An object store in memory with fault switches."""
+
+import contextlib
+import threading
+from collections import deque
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+from cactusledge.errors import (
+    StoreAnswerLostError,
+    StoreConflictError,
+    StoreNotFoundError,
+    StoreUnavailableError,
+)
+
+REMEDY = 'Try again.'
+
+
+class FakeObject(NamedTuple):
+    """Same fields as the platform's StoredObject."""
+
+    kind: str
+    name: str
+    version: str
+    body: Mapping[str, Any]
+
+
+class FakeList(NamedTuple):
+    """Same fields as the platform's ObjectList."""
+
+    items: tuple[FakeObject, ...]
+    version: str
+
+
+class FakeStore:
+    """Conditional writes; `faults` names what happens to the next writes.
+
+    Faults: `unavailable`, `lost_after` (carried out), `lost_before` (not
+    carried out), `delayed` (answer lost, lands at `land`), `conflict`.
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], FakeObject] = {}
+        self.faults: deque[str] = deque()
+        self.reads_blocked = False
+        self.delayed = threading.Event()
+        self.late: list[Any] = []
+        self.down = False
+        self.writes = 0
+        self._serial = 0
+        self._lock = threading.RLock()
+
+    def read(self, kind, name):
+        """Returns the object."""
+        with self._lock:
+            self._check_reads()
+            stored = self.objects.get((kind, name))
+            if stored is None:
+                raise StoreNotFoundError('No object.', remedy=REMEDY)
+            return stored
+
+    def list(self, kind, prefix=''):
+        """Returns the objects of a kind."""
+        with self._lock:
+            self._check_reads()
+            found = [
+                stored
+                for key, stored in sorted(self.objects.items())
+                if key[0] == kind and key[1].startswith(prefix)
+            ]
+            return FakeList(tuple(found), str(self._serial))
+
+    def create(self, kind, name, body):
+        """Creates the object."""
+        with self._lock:
+            self._check_up()
+            if (kind, name) in self.objects:
+                raise StoreConflictError('It exists.', remedy=REMEDY)
+            return self._put(kind, name, body)
+
+    def update(self, kind, name, body, version):
+        """Replaces the object if it has the version."""
+        with self._lock:
+            self._check_up()
+            fault = self.faults.popleft() if self.faults else ''
+            if fault == 'unavailable':
+                raise StoreUnavailableError('Down.', remedy=REMEDY)
+            if fault == 'conflict':
+                raise StoreConflictError('Another version.', remedy=REMEDY)
+            if fault == 'delayed':
+                self.late.append((kind, name, body, version))
+                self.delayed.set()
+            if fault in {'lost_before', 'delayed'}:
+                raise StoreAnswerLostError('Lost.', remedy=REMEDY)
+            stored = self._update(kind, name, body, version)
+            if fault == 'lost_after':
+                raise StoreAnswerLostError('Lost.', remedy=REMEDY)
+            return stored
+
+    def watch(self, kind, version, timeout_s, prefix='') -> Iterator[Any]:
+        """Yields nothing."""
+        return iter(())
+
+    def land(self) -> None:
+        """Lets the delayed writes take effect where they still can."""
+        with self._lock:
+            for write in self.late:
+                with contextlib.suppress(StoreConflictError):
+                    self._update(*write)
+            self.late.clear()
+
+    def _update(self, kind, name, body, version):
+        stored = self.objects.get((kind, name))
+        if stored is None:
+            raise StoreNotFoundError('No object.', remedy=REMEDY)
+        if stored.version != version:
+            raise StoreConflictError('Another version.', remedy=REMEDY)
+        return self._put(kind, name, body)
+
+    def _put(self, kind, name, body):
+        self._serial += 1
+        self.writes += 1
+        stored = FakeObject(kind, name, str(self._serial), dict(body))
+        self.objects[kind, name] = stored
+        return stored
+
+    def _check_reads(self) -> None:
+        self._check_up()
+        if self.reads_blocked:
+            raise StoreUnavailableError('Down.', remedy=REMEDY)
+
+    def _check_up(self) -> None:
+        if self.down:
+            raise StoreUnavailableError('Down.', remedy=REMEDY)
--- /dev/null
+++ b/tests/test_journal_writer.py
@@ -0,0 +1,203 @@
+"""Journal writer and takeover against a store with faults."""
+
+import functools
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from cactusledge.errors import StoreUnavailableError
+from cactusledge.models import CallKind, CallSpec
+from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
+from cactusledge.programs.takeover import TakeoverOptions, take_over
+from cactusledge.protocol import calls
+from cactusledge.protocol import records as rec
+from cactusledge.protocol.errors import FencedError, JournalBusyError
+from cactusledge.protocol.ledger import Retention
+from cactusledge.protocol.program import apply, apply_all
+from tests.fakes_store import FakeStore
+
+RING = 12
+WAIT_S = 10
+QUICK = WriterOptions(
+    commit_interval_s=0,
+    retry_base_s=0.001,
+    retry_cap_s=0.002,
+    now_s=lambda: 1000,
+)
+TAKING = TakeoverOptions(
+    ring_size=RING,
+    retention=Retention(10),
+    now_s=lambda: 1000,
+    wait=lambda delay_s: None,
+)
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+@pytest.fixture
+def executor():
+    with ThreadPoolExecutor(4) as pool:
+        yield pool
+
+
+def start_writer(store, executor, started, owner, options=QUICK):
+    taken = take_over(store, 'log', owner, options=TAKING)
+    started.append(JournalWriter(store, taken, executor, options))
+    return started[-1]
+
+
+@pytest.fixture
+def start(store, executor):
+    started = []
+
+    yield functools.partial(start_writer, store, executor, started)
+    store.down = False
+    for writer in started:
+        writer.stop(0)
+
+
+def opened(name='p', **changes):
+    record = rec.Opened(name, 0, b'', 'acct', 'def', 100, '', 0, 1e6, 50)
+    return record._replace(**changes)
+
+
+def intent(state, seq=1, reserve=1, **changes):
+    fields = {
+        'program_id': state.program_id,
+        'seq': seq,
+        'key': f'k{seq}',
+        'kind': CallKind.SERVICE,
+        'target': 'svc',
+        'operation': 'op',
+        'idempotent': False,
+        'body': {},
+        'reserve': reserve,
+    }
+    spec = CallSpec(**{**fields, **changes})
+    return calls.decide_call(state, spec, 1).records[0]
+
+
+def stored(store):
+    return take_over(store, 'log', 'reader', options=TAKING).programs
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [
+        [],
+        ['unavailable'],
+        ['lost_after'],
+        ['lost_before'],
+        ['delayed'],
+        ['unavailable', 'lost_before', 'lost_after'],
+        ['conflict'],
+    ],
+)
+def test_append_is_durable_once_whatever_is_lost(store, start, faults):
+    writer = start('a')
+    store.faults.extend(faults)
+    before = store.writes
+    writer.append([opened()]).get(timeout=WAIT_S)
+    store.land()
+    assert store.writes == before + 1
+    assert writer.platform_up()
+    assert stored(store)['p'] == apply(None, opened())
+
+
+def test_old_owner_is_fenced_for_good(store, start):
+    old = start('a')
+    old.append([opened()]).get(timeout=WAIT_S)
+    new = start('b')
+    with pytest.raises(FencedError):
+        old.append([intent(apply(None, opened()))]).get(timeout=WAIT_S)
+    with pytest.raises(FencedError):
+        old.append([opened('q')])
+    new.append([opened('r')]).get(timeout=WAIT_S)
+    assert set(stored(store)) == {'p', 'r'}
+
+
+def test_write_delayed_past_a_takeover_never_lands(store, start):
+    old = start('a')
+    store.faults.append('delayed')
+    store.reads_blocked = True
+    late = old.append([opened()])
+    assert store.delayed.wait(WAIT_S)
+    store.reads_blocked = False
+    start('b')
+    store.land()
+    with pytest.raises(FencedError):
+        late.get(timeout=WAIT_S)
+    assert 'p' not in stored(store)
+
+
+def test_ring_carries_live_programs_and_drops_ended_ones(store, start):
+    writer = start('a')
+    live = apply(None, opened('live'))
+    writer.append([opened('live')]).get(timeout=WAIT_S)
+    gone = apply(None, opened('gone'))
+    ended = calls.end_records(gone, 'done', 5)
+    writer.append([opened('gone'), *ended]).get(timeout=WAIT_S)
+    for lap in range(RING * 4):
+        name = f'p{lap}'
+        state = apply(None, opened(name))
+        batch = [opened(name), *calls.end_records(state, 'done', 999)]
+        writer.append(batch).get(timeout=WAIT_S)
+    programs = stored(store)
+    assert programs['live'] == live
+    assert 'gone' not in programs
+
+
+def test_waiting_bytes_are_bounded_while_the_platform_is_down(store, start):
+    writer = start('a', QUICK._replace(max_waiting_bytes=300))
+    store.down = True
+    batch = [opened('p', account='x' * 200)]
+    future = writer.append(batch)
+    with pytest.raises(JournalBusyError) as refusal:
+        writer.append(batch)
+    assert refusal.value.retry_after_s
+    assert 200 < writer.waiting_bytes() <= 300
+    assert writer.waiting_records().get(timeout=WAIT_S) == tuple(batch)
+    store.down = False
+    future.get(timeout=WAIT_S)
+    assert writer.waiting_bytes() == 0
+
+
+def test_heir_appends_the_records_that_a_peer_held(store, start):
+    writer = start('a')
+    first = apply(None, opened())
+    writer.append([opened()]).get(timeout=WAIT_S)
+    call = intent(first)
+    state = apply(first, call)
+    outcome = calls.end_records(state, 'lost', 7)
+    held = [opened(), call, *outcome, opened('x', prev=b'wrong')]
+    taken = take_over(store, 'log', 'b', held, TAKING)
+    assert taken.programs['p'] == apply_all(first, [call, *outcome])
+    assert taken.appended == (call, *outcome)
+    assert taken.rejected == (held[-1],)
+    assert stored(store)['p'] == taken.programs['p']
+
+
+def test_creators_that_race_make_one_ring(store):
+    options = TAKING._replace(ring_size=3)
+    first = take_over(store, 'log', 'a', options=options)
+    second = take_over(store, 'log', 'b', options=TAKING)
+    assert len(second.journal_state.versions) == 3
+    assert second.previous_owner == first.journal_state.owner
+
+
+def test_takeover_fails_typed_while_the_platform_is_down(store):
+    store.down = True
+    with pytest.raises(StoreUnavailableError):
+        take_over(store, 'log', 'a', options=TAKING)
+
+
+def test_stop_returns_what_is_not_durable(store, start):
+    writer = start('a')
+    store.down = True
+    future = writer.append([opened()])
+    assert writer.stop(0.01) == (opened(),)
+    with pytest.raises(Exception, match='stopped'):
+        future.get(timeout=WAIT_S)
