--- /dev/null
+++ b/cactusledge/platform/client.py
@@ -0,0 +1,248 @@
+"""Client of the platform's object API over HTTP."""
+
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import closing
+from types import MappingProxyType
+from typing import Any, NamedTuple
+
+import msgspec
+from urllib3.exceptions import HTTPError
+
+from cactusledge.errors import (
+    StoreAnswerLostError,
+    StoreConflictError,
+    StoreError,
+    StoreNotFoundError,
+    StoreUnavailableError,
+    StoreVersionGoneError,
+)
+from cactusledge.models import Address
+from cactusledge.platform import wire
+from cactusledge.platform.errors import (
+    StoreRefusedError,
+    StoreSilentError,
+    StoreTooLargeError,
+)
+from cactusledge.platform.exchange import (
+    Exchange,
+    Reply,
+    new_pool,
+    request_timeout,
+)
+from cactusledge.platform.store import ObjectList, StoredObject, WatchEvent
+
+REQUEST_TIMEOUT_S = 2.0
+WATCH_SILENCE_S = 5.0  # longest wait for an event or a bookmark
+FIRST_SUCCESS = 200
+FIRST_ERROR = 300
+FIRST_CLIENT_ERROR = 400
+FIRST_SERVER_ERROR = 500
+READ_ATTEMPTS = 2
+
+
+class StatusError(NamedTuple):
+    """The error for one HTTP status."""
+
+    error: type[StoreError]
+    message: str
+    remedy: str
+
+
+STATUS_ERRORS: Mapping[int, StatusError] = MappingProxyType({
+    404: StatusError(
+        StoreNotFoundError,
+        'does not exist',
+        'Create it first or check its name.',
+    ),
+    409: StatusError(
+        StoreConflictError,
+        'was changed by another writer',
+        'Read it again and decide anew.',
+    ),
+    410: StatusError(
+        StoreVersionGoneError,
+        'no longer has that version in its history',
+        'List again and watch from there.',
+    ),
+    413: StatusError(
+        StoreTooLargeError,
+        'is larger than the platform takes',
+        'Split the object.',
+    ),
+    429: StatusError(
+        StoreUnavailableError,
+        'was refused because too many requests came',
+        'Wait for the time given and try again.',
+    ),
+    503: StatusError(
+        StoreUnavailableError,
+        'was refused because the platform is down',
+        'Try again later; nothing was written.',
+    ),
+})
+REFUSED = StatusError(
+    StoreRefusedError,
+    'was refused by the platform',
+    'Check the object and the permissions of this instance.',
+)
+UNCERTAIN = StatusError(
+    StoreAnswerLostError,
+    'got an answer that leaves its effect open',
+    'Read the object back before writing it again.',
+)
+
+
+class HttpObjectStore:
+    """Speaks to the platform's object API; safe for use by many threads.
+
+    A write is sent at most once. A read, which has no effect, is tried a
+    second time on a new connection; its failures are StoreUnavailableError.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[Address],
+        timeout_s: float = REQUEST_TIMEOUT_S,
+        silence_s: float = WATCH_SILENCE_S,
+    ) -> None:
+        """Keeps the addresses; opens no connection."""
+        self._exchange = Exchange(addresses, timeout_s)
+        self._timeout_s = timeout_s
+        self._silence_s = silence_s
+
+    def read(self, kind: str, name: str) -> StoredObject:
+        """Returns the object; raises StoreNotFoundError if there is none."""
+        path = wire.object_path(kind, name)
+        return wire.decode_object(self._get(path).body)
+
+    def list(self, kind: str, prefix: str = '') -> ObjectList:
+        """Returns all objects of a kind whose names start with `prefix`."""
+        path = wire.with_query(wire.kind_path(kind), {'prefix': prefix})
+        return wire.decode_list(self._get(path).body)
+
+    def create(
+        self,
+        kind: str,
+        name: str,
+        body: Mapping[str, Any],
+    ) -> StoredObject:
+        """Creates the object; raises StoreConflictError if it exists."""
+        stored = StoredObject(kind, name, '', body)
+        return self._write('POST', wire.kind_path(kind), stored)
+
+    def update(
+        self,
+        kind: str,
+        name: str,
+        body: Mapping[str, Any],
+        version: str,
+    ) -> StoredObject:
+        """Replaces the object if it still has the given version."""
+        stored = StoredObject(kind, name, version, body)
+        return self._write('PUT', wire.object_path(kind, name), stored)
+
+    def watch(
+        self,
+        kind: str,
+        version: str,
+        timeout_s: float,
+        prefix: str = '',
+    ) -> Iterator[WatchEvent]:
+        """Yields the changes after `version` until `timeout_s` have passed.
+
+        Raises:
+            StoreVersionGoneError: The version is too old; list again.
+            StoreSilentError: Neither event nor bookmark came in time.
+            StoreUnavailableError: The stream could not be opened or broke.
+        """
+        query = {
+            'watch': '1',
+            'resourceVersion': version,
+            'timeoutSeconds': f'{timeout_s:g}',
+            'prefix': prefix,
+        }
+        path = wire.with_query(wire.kind_path(kind), query)
+        try:
+            yield from self._stream(path)
+        except (HTTPError, OSError, msgspec.MsgspecError) as exc:
+            raise StoreSilentError(
+                f'The watch {path} broke or went silent'
+                f' ({type(exc).__name__}).',
+                remedy='List again and watch on a new connection.',
+            ) from exc
+
+    def _stream(self, path: str) -> Iterator[WatchEvent]:
+        with new_pool(self._exchange.address) as pool:
+            resp = pool.request(
+                'GET',
+                path,
+                preload_content=False,
+                timeout=request_timeout(self._silence_s),
+                retries=False,
+            )
+            with closing(resp):
+                check_status(path, Reply(resp.status, b'', None))
+                yield from decode_lines(resp.stream())
+
+    def _get(self, path: str) -> Reply:
+        for attempt in range(1, READ_ATTEMPTS + 1):
+            try:
+                reply = self._exchange.send('GET', path)
+                check_status(path, reply)
+            except (StoreAnswerLostError, StoreUnavailableError) as exc:
+                if attempt == READ_ATTEMPTS:
+                    raise as_unavailable(exc) from exc
+            else:
+                return reply
+        raise AssertionError('unreachable')
+
+    def _write(
+        self, method: str, path: str, stored: StoredObject
+    ) -> StoredObject:
+        reply = self._exchange.send(method, path, wire.encode_object(stored))
+        check_status(f'{stored.kind}/{stored.name}', reply)
+        try:
+            return wire.decode_object(reply.body)
+        except msgspec.MsgspecError as exc:
+            raise store_error(UNCERTAIN, path, None) from exc
+
+
+def decode_lines(parts: Iterator[bytes]) -> Iterator[WatchEvent]:
+    """Yields the events of a stream of JSON lines."""
+    rest = b''
+    for part in parts:
+        *lines, rest = (rest + part).split(b'\n')
+        yield from (wire.decode_event(line) for line in lines if line)
+
+
+def check_status(subject: str, reply: Reply) -> None:
+    """Raises the error that the status stands for; returns on success."""
+    if FIRST_SUCCESS <= reply.status < FIRST_ERROR:
+        return
+    known = STATUS_ERRORS.get(reply.status)
+    if known is None:
+        refused = FIRST_CLIENT_ERROR <= reply.status < FIRST_SERVER_ERROR
+        known = REFUSED if refused else UNCERTAIN
+    raise store_error(known, subject, reply.retry_after_s)
+
+
+def store_error(
+    known: StatusError,
+    subject: str,
+    retry_after: float | None,
+) -> StoreError:
+    """Returns the error with the object's path in its message."""
+    return known.error(
+        f'{subject} {known.message}.',
+        remedy=known.remedy,
+        retry_after_s=retry_after,
+    )
+
+
+def as_unavailable(exc: StoreError) -> StoreUnavailableError:
+    """Returns the error of a read, which has no effect to be unsure of."""
+    return StoreUnavailableError(
+        exc.message,
+        remedy='Try again later.',
+        retry_after_s=exc.retry_after_s,
+    )
--- /dev/null
+++ b/cactusledge/platform/exchange.py
@@ -0,0 +1,148 @@
+"""One HTTP exchange with the platform, and what is known when it fails."""
+
+import time
+from collections.abc import Sequence
+from typing import NamedTuple, NoReturn
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from cactusledge.errors import StoreAnswerLostError, StoreUnavailableError
+from cactusledge.models import Address
+
+POOL_SIZE = 8  # idle connections kept for each address
+READ_BYTES = 65536
+CONNECT_TIMEOUT_S = 1.0
+NOT_SENT = (NewConnectionError, ConnectTimeoutError)
+
+
+class Reply(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    body: bytes
+    retry_after_s: float | None
+
+
+class Exchange:
+    """Sends requests, each at most once, to the first address that connects.
+
+    No pool retries by itself. After a failure the address's idle connections
+    are given up, because they may be silent too.
+    """
+
+    def __init__(self, addresses: Sequence[Address], timeout_s: float) -> None:
+        """Keeps the addresses; opens no connection."""
+        self._addresses = tuple(addresses)
+        self._pools = {address: new_pool(address) for address in addresses}
+        self._timeout_s = timeout_s
+        self._first = 0
+
+    @property
+    def address(self) -> Address:
+        """The address that answered last."""
+        return self._addresses[self._first]
+
+    def send(self, method: str, path: str, body: bytes | None = None) -> Reply:
+        """Returns the answer.
+
+        Raises:
+            StoreUnavailableError: No address took the connection.
+            StoreAnswerLostError: The request may have been carried out.
+        """
+        for address in self._in_order():
+            try:
+                return self._send_to(address, method, path, body)
+            except NOT_SENT:
+                self._give_up(address)
+            except (HTTPError, OSError) as exc:
+                self._give_up(address)
+                raise_lost(method, path, exc)
+        raise StoreUnavailableError(
+            f'No platform address takes connections for {method} {path}.',
+            remedy='Try again later; nothing was written.',
+        )
+
+    def _send_to(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        body: bytes | None,
+    ) -> Reply:
+        deadline = time.monotonic() + self._timeout_s
+        resp = self._pools[address].request(
+            method,
+            path,
+            body=body,
+            headers={'Content-Type': 'application/json'},
+            preload_content=False,
+            timeout=request_timeout(self._timeout_s),
+            retries=False,
+            redirect=False,
+        )
+        try:
+            content = read_all(resp, deadline)
+        except BaseException:
+            resp.close()
+            raise
+        resp.release_conn()
+        return Reply(resp.status, content, retry_after_s(resp))
+
+    def _in_order(self) -> tuple[Address, ...]:
+        first = self._first
+        return self._addresses[first:] + self._addresses[:first]
+
+    def _give_up(self, address: Address) -> None:
+        self._pools[address] = new_pool(address)
+        following = self._addresses.index(address) + 1
+        self._first = following % len(self._addresses)
+
+
+def new_pool(address: Address) -> urllib3.HTTPConnectionPool:
+    """Returns a pool without automatic retries."""
+    return urllib3.HTTPConnectionPool(
+        address.host,
+        address.port,
+        maxsize=POOL_SIZE,
+        retries=False,
+    )
+
+
+def request_timeout(timeout_s: float) -> urllib3.Timeout:
+    """Returns the limits on connecting and on each silence while reading."""
+    return urllib3.Timeout(
+        connect=min(CONNECT_TIMEOUT_S, timeout_s),
+        read=timeout_s,
+    )
+
+
+def read_all(resp: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+    """Returns the body; raises TimeoutError once the deadline has passed."""
+    parts = []
+    for part in resp.stream(READ_BYTES):
+        parts.append(part)
+        if time.monotonic() > deadline:
+            raise TimeoutError('the answer took too long')
+    return b''.join(parts)
+
+
+def retry_after_s(resp: urllib3.BaseHTTPResponse) -> float | None:
+    """Returns the seconds of the Retry-After header, None without one."""
+    text = resp.headers.get('Retry-After', '')
+    try:
+        return float(text)
+    except ValueError:
+        return None
+
+
+def raise_lost(method: str, path: str, exc: Exception) -> NoReturn:
+    """Raises the error for a request whose answer did not arrive whole."""
+    raise StoreAnswerLostError(
+        f'The answer to {method} {path} was lost ({type(exc).__name__}).',
+        remedy='Read the object back before writing it again.',
+    ) from exc
--- /dev/null
+++ b/cactusledge/platform/store.py
@@ -0,0 +1,68 @@
+"""Types of the platform's object API and the protocol of its client."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple, Protocol
+
+ADDED = 'ADDED'
+MODIFIED = 'MODIFIED'
+DELETED = 'DELETED'
+BOOKMARK = 'BOOKMARK'
+
+
+class StoredObject(NamedTuple):
+    """An object as the platform holds it."""
+
+    kind: str
+    name: str
+    version: str  # opaque resource version
+    body: Mapping[str, Any]
+
+
+class ObjectList(NamedTuple):
+    """The objects of a kind at one moment."""
+
+    items: tuple[StoredObject, ...]
+    version: str  # watch from here
+
+
+class WatchEvent(NamedTuple):
+    """A change of one object, or a bookmark that only carries a version."""
+
+    type: str  # ADDED, MODIFIED, DELETED, BOOKMARK
+    object: StoredObject
+
+
+class ObjectStore(Protocol):
+    """Conditional access to the platform's objects."""
+
+    def read(self, kind: str, name: str) -> StoredObject:
+        """Returns the object; raises StoreNotFoundError if there is none."""
+
+    def list(self, kind: str, prefix: str = '') -> ObjectList:
+        """Returns all objects of a kind whose names start with `prefix`."""
+
+    def create(
+        self,
+        kind: str,
+        name: str,
+        body: Mapping[str, Any],
+    ) -> StoredObject:
+        """Creates the object; raises StoreConflictError if it exists."""
+
+    def update(
+        self,
+        kind: str,
+        name: str,
+        body: Mapping[str, Any],
+        version: str,
+    ) -> StoredObject:
+        """Replaces the object if it still has the given version."""
+
+    def watch(
+        self,
+        kind: str,
+        version: str,
+        timeout_s: float,
+        prefix: str = '',
+    ) -> Iterator[WatchEvent]:
+        """Yields the changes after `version` until `timeout_s` have passed."""
--- /dev/null
+++ b/cactusledge/platform/wire.py
@@ -0,0 +1,120 @@
+"""JSON documents and paths of the object API."""
+
+from collections.abc import Mapping
+from typing import Any, TypedDict
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from cactusledge.platform.store import ObjectList, StoredObject, WatchEvent
+
+API_ROOT = '/apis/cactusledge/v1'
+
+
+class Metadata(TypedDict, total=False):
+    """Name and version of an object."""
+
+    name: str
+    resourceVersion: str
+
+
+class Document(TypedDict, total=False):
+    """An object as it travels."""
+
+    kind: str
+    metadata: Metadata
+    spec: Mapping[str, Any]
+
+
+class ListDocument(TypedDict):
+    """The answer to a list request."""
+
+    metadata: Metadata
+    items: list[Document]
+
+
+class EventDocument(TypedDict):
+    """One line of a watch stream."""
+
+    type: str
+    object: Document
+
+
+def object_path(kind: str, name: str) -> str:
+    """Returns the path of one object."""
+    return f'{kind_path(kind)}/{quote(name, safe="")}'
+
+
+def kind_path(kind: str) -> str:
+    """Returns the path of all objects of a kind."""
+    return f'{API_ROOT}/{quote(kind, safe="")}'
+
+
+def with_query(path: str, query: Mapping[str, str]) -> str:
+    """Returns the path with the query's non-empty parameters."""
+    given = {key: value for key, value in query.items() if value}
+    if not given:
+        return path
+    return f'{path}?{urlencode(given)}'
+
+
+def to_document(stored: StoredObject) -> Document:
+    """Returns the document of an object."""
+    metadata = Metadata(name=stored.name)
+    if stored.version:
+        metadata['resourceVersion'] = stored.version
+    return Document(kind=stored.kind, metadata=metadata, spec=stored.body)
+
+
+def from_document(document: Document) -> StoredObject:
+    """Returns the object of a document."""
+    metadata = document['metadata']
+    return StoredObject(
+        kind=document['kind'],
+        name=metadata.get('name', ''),
+        version=metadata.get('resourceVersion', ''),
+        body=document.get('spec', {}),
+    )
+
+
+def encode_object(stored: StoredObject) -> bytes:
+    """Returns the JSON bytes of an object."""
+    return msgspec.json.encode(to_document(stored))
+
+
+def decode_object(data: bytes) -> StoredObject:
+    """Returns the object in the JSON bytes."""
+    return from_document(msgspec.json.decode(data, type=Document))
+
+
+def encode_list(listed: ObjectList) -> bytes:
+    """Returns the JSON bytes of a list answer."""
+    return msgspec.json.encode(
+        ListDocument(
+            metadata=Metadata(resourceVersion=listed.version),
+            items=[to_document(stored) for stored in listed.items],
+        ),
+    )
+
+
+def decode_list(data: bytes) -> ObjectList:
+    """Returns the list in the JSON bytes."""
+    document = msgspec.json.decode(data, type=ListDocument)
+    return ObjectList(
+        items=tuple(from_document(found) for found in document['items']),
+        version=document['metadata'].get('resourceVersion', ''),
+    )
+
+
+def encode_event(event: WatchEvent) -> bytes:
+    """Returns one line of a watch stream."""
+    document = EventDocument(type=event.type, object=to_document(event.object))
+    line = bytearray(msgspec.json.encode(document))
+    line.extend(b'\n')
+    return bytes(line)
+
+
+def decode_event(line: bytes) -> WatchEvent:
+    """Returns the event on one line of a watch stream."""
+    document = msgspec.json.decode(line, type=EventDocument)
+    return WatchEvent(document['type'], from_document(document['object']))
