Add the thrift service between instances

Cause: instances forward calls, share queues and hold each other's records. Ruled out: thrift's own threaded server, which neither bounds connections nor closes them on stop.

--- /dev/null
+++ b/cactusledge/peers/channel.py
@@ -0,0 +1,181 @@
+"""Calls to one peer over a small pool of connections."""
+
+import threading
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, NamedTuple
+
+from thrift.protocol.TProtocol import TProtocolException
+from thrift.Thrift import TApplicationException
+from thrift.transport.TTransport import TTransportException
+
+from cactusledge.models import Address
+from cactusledge.peers.convert import error_from_thrift, from_thrift, to_thrift
+from cactusledge.peers.errors import PeerAnswerLostError, PeerUnreachableError
+from cactusledge.peers.thrift import Peers, ttypes
+from cactusledge.peers.transport import (
+    MAX_MESSAGE_BYTES,
+    BoundedFrames,
+    DeadlineSocket,
+    new_protocol,
+)
+
+MAX_IDLE_CONNECTIONS = 4
+CONNECTION_ERRORS = (
+    OSError,
+    EOFError,
+    TTransportException,
+    TProtocolException,
+    TApplicationException,
+)
+
+# Whether a message may be sent again after its answer was lost.
+IDEMPOTENT: Mapping[str, bool] = MappingProxyType({
+    'heartbeat': True,
+    'forward_call': False,
+    'poll_call': True,
+    'open_program': False,
+    'end_program': False,
+    'read_history': True,
+    'request_grant': True,
+    'finish_grant': True,
+    'program_event': True,
+    'hold_records': True,
+    'held_records': True,
+    'drop_held': True,
+    'get_config': True,
+})
+
+
+class Connection(NamedTuple):
+    """An open connection and the generated client on it."""
+
+    sock: DeadlineSocket
+    client: Any
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self.sock.close()
+
+
+class Channel:
+    """Sends messages to one peer; safe for use by many threads."""
+
+    def __init__(self, address: Address, timeout_s: float) -> None:
+        """Keeps the address; opens no connection."""
+        self.address = address
+        self._timeout_s = timeout_s
+        self._idle: list[Connection] = []
+        self._lock = threading.Lock()
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for conn in idle:
+            conn.close()
+
+    def _call(self, method: str, *args: Any, extra_s: float = 0) -> Any:
+        """Returns the answer; waits for it `extra_s` longer than usual."""
+        timeout_s = self._timeout_s + extra_s
+        try:
+            return self._call_once(method, args, timeout_s)
+        except PeerAnswerLostError:
+            self.close()  # the other idle connections may be silent too
+            if not IDEMPOTENT[method]:
+                raise
+        return self._call_once(method, args, timeout_s)
+
+    def _call_once(
+        self,
+        method: str,
+        args: tuple[Any, ...],
+        timeout_s: float,
+    ) -> Any:
+        conn = self._send(method, args, timeout_s)
+        try:
+            answer = getattr(conn.client, f'recv_{method}')()
+        except ttypes.PeerError as error:
+            self._put_back(conn)
+            raise error_from_thrift(error) from None
+        except CONNECTION_ERRORS as exc:
+            conn.close()
+            raise PeerAnswerLostError(
+                f'The answer of {self.address} to {method} was lost'
+                f' ({type(exc).__name__}).',
+                remedy='Ask again only if the message is idempotent.',
+            ) from exc
+        self._put_back(conn)
+        return from_thrift(answer)
+
+    def _send(
+        self,
+        method: str,
+        args: tuple[Any, ...],
+        timeout_s: float,
+    ) -> Connection:
+        """Returns the connection that took the whole message.
+
+        A peer acts on whole frames only, so that a connection which failed
+        before it took the last byte has certainly not delivered the message.
+        """
+        conn = self._take_idle()
+        while conn is not None:
+            if self._write(conn, method, args, timeout_s):
+                return conn
+            conn = self._take_idle()
+        conn = self._open(method, timeout_s)
+        if self._write(conn, method, args, timeout_s):
+            return conn
+        raise unreachable(self.address, method)
+
+    def _write(
+        self,
+        conn: Connection,
+        method: str,
+        args: tuple[Any, ...],
+        timeout_s: float,
+    ) -> bool:
+        conn.sock.set_deadline(timeout_s)
+        send = getattr(conn.client, f'send_{method}')
+        try:
+            send(*[to_thrift(arg) for arg in args])
+        except CONNECTION_ERRORS:
+            conn.close()
+            return False
+        except BaseException:
+            conn.close()
+            raise
+        return True
+
+    def _open(self, method: str, timeout_s: float) -> Connection:
+        sock = DeadlineSocket(self.address, timeout_s)
+        try:
+            sock.open()
+        except CONNECTION_ERRORS as exc:
+            raise unreachable(self.address, method) from exc
+        protocol = new_protocol(BoundedFrames(sock, MAX_MESSAGE_BYTES))
+        return Connection(sock, Peers.Client(protocol))
+
+    def _take_idle(self) -> Connection | None:
+        with self._lock:
+            while self._idle:
+                conn = self._idle.pop()
+                if conn.sock.isOpen():
+                    return conn
+        return None
+
+    def _put_back(self, conn: Connection) -> None:
+        with self._lock:
+            if len(self._idle) < MAX_IDLE_CONNECTIONS:
+                self._idle.append(conn)
+                return
+        conn.close()
+
+
+def unreachable(address: Address, method: str) -> PeerUnreachableError:
+    """Returns the error for a message that was not delivered."""
+    return PeerUnreachableError(
+        f'{method} was not delivered to {address}.',
+        remedy='Send it to another instance or try again later.',
+    )
--- /dev/null
+++ b/cactusledge/peers/server.py
@@ -0,0 +1,157 @@
+"""Server for the messages of peers."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from thrift.transport import TSocket
+
+from cactusledge.models import Address
+from cactusledge.peers.channel import CONNECTION_ERRORS
+from cactusledge.peers.convert import error_to_thrift, from_thrift, to_thrift
+from cactusledge.peers.errors import PeerMessageTooLargeError
+from cactusledge.peers.handler import PeerHandler
+from cactusledge.peers.thrift import Peers
+from cactusledge.peers.transport import (
+    MAX_MESSAGE_BYTES,
+    BoundedFrames,
+    new_protocol,
+)
+
+MAX_CONNECTIONS = 256
+BACKLOG = 128
+IDLE_TIMEOUT_S = 60
+SEND_GRACE_S = 1  # how long `stop` waits by default for calls to end
+
+log = structlog.get_logger('peers')
+
+
+class HandlerAdapter:
+    """Gives thrift's processor our handler in thrift's own classes."""
+
+    def __init__(self, handler: PeerHandler) -> None:
+        """Keeps the handler."""
+        self._handler = handler
+
+    def __getattr__(self, method: str) -> Callable[..., Any]:
+        """Returns the handler's method with thrift arguments and result."""
+        handle = getattr(self._handler, method)
+
+        def call(*args: Any) -> Any:
+            try:
+                return to_thrift(handle(*[from_thrift(arg) for arg in args]))
+            except Exception as exc:
+                log.info('peers: a message failed', method=method, error=exc)
+                raise error_to_thrift(exc) from exc
+
+        return call
+
+
+class PeerServer:
+    """Serves each connection in a thread, within a bound on connections."""
+
+    def __init__(
+        self,
+        address: Address,
+        handler: PeerHandler,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
+        """Keeps the address; listens after `start`. Port 0 picks one."""
+        self.address = address
+        self._processor = Peers.Processor(HandlerAdapter(handler))
+        self._max_connections = max_connections
+        self._listener: socket.socket | None = None
+        self._threads: dict[threading.Thread, socket.socket] = {}
+        self._lock = threading.Lock()
+        self._stopping = False
+
+    def start(self) -> None:
+        """Listens and accepts in a thread."""
+        listener = socket.create_server(
+            tuple(self.address),
+            backlog=BACKLOG,
+            reuse_port=False,
+        )
+        self.address = Address(*listener.getsockname()[:2])
+        self._listener = listener
+        self._stopping = False
+        thread = threading.Thread(
+            target=self._accept,
+            args=(listener,),
+            name='peers-accept',
+            daemon=True,
+        )
+        thread.start()
+
+    def stop(self, grace_s: float = SEND_GRACE_S) -> None:
+        """Frees the port, lets calls under way end, closes connections.
+
+        A message that has arrived is still answered within the grace time.
+        """
+        self._stopping = True
+        if self._listener is not None:
+            close(self._listener, socket.SHUT_RDWR)
+        with self._lock:
+            threads = dict(self._threads)
+        for sock in threads.values():
+            shut(sock, socket.SHUT_RD)
+        deadline_s = time.monotonic() + grace_s
+        for thread, sock in threads.items():
+            thread.join(max(0, deadline_s - time.monotonic()))
+            close(sock, socket.SHUT_RDWR)
+
+    def _accept(self, listener: socket.socket) -> None:
+        while not self._stopping:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            self._begin(sock)
+
+    def _begin(self, sock: socket.socket) -> None:
+        thread = threading.Thread(
+            target=self._serve,
+            args=(sock,),
+            name='peers-connection',
+            daemon=True,
+        )
+        with self._lock:
+            full = len(self._threads) >= self._max_connections
+            if not full and not self._stopping:
+                self._threads[thread] = sock
+                thread.start()
+                return
+        log.warning('peers: connection refused, too many are open')
+        sock.close()
+
+    def _serve(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(IDLE_TIMEOUT_S)
+        transport = TSocket.TSocket()
+        transport.setHandle(sock)
+        protocol = new_protocol(BoundedFrames(transport, MAX_MESSAGE_BYTES))
+        try:
+            while True:
+                self._processor.process(protocol, protocol)
+        except (*CONNECTION_ERRORS, PeerMessageTooLargeError):
+            sock.close()
+        finally:
+            with self._lock:
+                self._threads.pop(threading.current_thread(), None)
+
+
+def shut(sock: socket.socket, how: int) -> None:
+    """Shuts one or both directions of a socket that may be closed."""
+    try:
+        sock.shutdown(how)
+    except OSError:
+        return
+
+
+def close(sock: socket.socket, how: int) -> None:
+    """Wakes the threads that wait on a socket and closes it."""
+    shut(sock, how)
+    sock.close()
--- /dev/null
+++ b/cactusledge/peers/thrift/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peers']
--- /dev/null
+++ b/cactusledge/peers/transport.py
@@ -0,0 +1,83 @@
+"""Sockets and framing of the connections between instances."""
+
+import socket
+import time
+from typing import Any
+
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TSocket, TTransport
+
+from cactusledge.models import Address
+from cactusledge.peers.errors import PeerMessageTooLargeError
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+
+class DeadlineSocket(TSocket.TSocket):
+    """A socket whose reads and writes share one deadline."""
+
+    def __init__(self, address: Address, timeout_s: float) -> None:
+        """Keeps the address; connects on `open`."""
+        super().__init__(address.host, address.port)
+        self._deadline_s = time.monotonic() + timeout_s
+
+    def set_deadline(self, timeout_s: float) -> None:
+        """Starts a new deadline for the next call."""
+        self._deadline_s = time.monotonic() + timeout_s
+
+    def open(self) -> None:
+        """Connects; raises OSError if that fails."""
+        self.handle = socket.create_connection(
+            (self.host, self.port),
+            self._left_s(),
+        )
+        self.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def read(self, sz: int) -> bytes:
+        """Returns up to `sz` bytes."""
+        self.handle.settimeout(self._left_s())
+        return super().read(sz)  # type: ignore[no-any-return]
+
+    def write(self, buff: bytes) -> None:
+        """Sends all bytes."""
+        self.handle.settimeout(self._left_s())
+        super().write(buff)
+
+    def _left_s(self) -> float:
+        left_s = self._deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TTransport.TTransportException(
+                type=TTransport.TTransportException.TIMED_OUT,
+                message='deadline exceeded',
+            )
+        return left_s
+
+
+class BoundedFrames(TTransport.TFramedTransport):
+    """Frames that refuse a message above the size limit before it is sent."""
+
+    def __init__(self, transport: Any, max_bytes: int) -> None:
+        """Wraps a socket."""
+        super().__init__(transport, max_bytes)
+        self._max_bytes = max_bytes
+        self._written_bytes = 0
+
+    def write(self, buf: bytes) -> None:
+        """Adds bytes to the frame."""
+        self._written_bytes += len(buf)
+        if self._written_bytes > self._max_bytes:
+            raise PeerMessageTooLargeError(
+                f'The message is larger than {self._max_bytes} bytes.',
+                remedy='Send it in parts.',
+            )
+        super().write(buf)
+
+    def flush(self) -> None:
+        """Sends the frame."""
+        self._written_bytes = 0
+        super().flush()
+
+
+def new_protocol(transport: Any) -> Any:
+    """Returns the compact protocol, accelerated where that is compiled."""
+    return TCompactProtocol.TCompactProtocolAccelerated(transport)
