--- a/cactusledge/api/server.py
+++ b/cactusledge/api/server.py
@@ -10,6 +10,7 @@
 
 SERVER_NAME = 'cactusledge'
 ACCEPT_QUEUE = 128
+SHUTDOWN_TIMEOUT_S = 5
 
 
 class ServerLimits(NamedTuple):
@@ -38,8 +39,8 @@
             numthreads=limits.worker_threads,
             server_name=SERVER_NAME,
             request_queue_size=ACCEPT_QUEUE,
-            timeout=limits.socket_timeout_s,
-            shutdown_timeout=limits.socket_timeout_s,
+            timeout=round(limits.socket_timeout_s),
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         self._server.max_request_body_size = limits.max_body_bytes
         self._server.max_request_header_size = limits.max_header_bytes
--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -20,14 +20,14 @@
 from cactusledge.environment import Environment
 from cactusledge.models import CallKind, CallSpec, Endpoint
 from cactusledge.programs.claims import Fence, InstanceView, wanted_logs
+from cactusledge.programs.durability import CommitWait
 from cactusledge.programs.ids import log_names
 from cactusledge.programs.leases import LeaseDesk
-from cactusledge.programs.durability import CommitWait
 from cactusledge.programs.log_opener import OpenerParts, StoreLogOpener
 from cactusledge.programs.logs import LogManager, LogTable
 from cactusledge.programs.router import Home, LocalPrograms, ProgramRouter
 from cactusledge.programs.runner import CallRunner
-from cactusledge.programs.sending import ModelSender, ServiceSender
+from cactusledge.programs.sending import ModelSender, Sender, ServiceSender
 from cactusledge.programs.work import WorkPool, engines_of
 from cactusledge.protocol.records import ProgramRecord
 from cactusledge.routing.client import DispatcherClient, Ticker
@@ -177,7 +177,7 @@
             ),
         )
         durability = CommitWait(opener.is_up, opener.hold_waiting)
-        senders = {
+        senders: Mapping[CallKind, Sender] = {
             CallKind.MODEL: ModelSender(self._desk, engines, self._price_of),
             CallKind.SERVICE: ServiceSender(
                 self._desk,
--- a/cactusledge/programs/call_spec.py
+++ b/cactusledge/programs/call_spec.py
@@ -1,6 +1,7 @@
 """Turns a caller's request into a call of the protocol."""
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from cactusledge.models import CallKind, CallSpec
@@ -122,7 +123,10 @@
     )
 
 
-_BUILDERS: Mapping[CallKind, Callable[[SpecInput], CallSpec]] = {
+_BUILDERS: Mapping[
+    CallKind,
+    Callable[[SpecInput], CallSpec],
+] = MappingProxyType({
     CallKind.MODEL: _model_spec,
     CallKind.SERVICE: _service_spec,
-}
+})
--- a/cactusledge/programs/call_stream.py
+++ b/cactusledge/programs/call_stream.py
@@ -73,7 +73,9 @@
         while time.monotonic() < deadline_s:
             events = self.read(offset, QUIET_INTERVAL_S)
             offset += len(events)
-            yield from events or [None]
+            yield from events
+            if not events:
+                yield None
             if events and isinstance(events[-1], Answer):
                 return
 
--- a/cactusledge/programs/durability.py
+++ b/cactusledge/programs/durability.py
@@ -39,20 +39,23 @@
         Raises:
             FencedError: Another owner sealed the log.
         """
-        if future is None:
-            return True
         give_up_s = time.monotonic() + self._longest_wait_s
-        while time.monotonic() < give_up_s:
-            try:
-                future.get(timeout=WAIT_STEP_S)
-            except pykka.Timeout:
-                if not self._is_up():
-                    break
-            except FencedError:
-                raise
-            except CactusledgeError:
+        durable = future is None
+        while not durable and time.monotonic() < give_up_s:
+            durable = _is_durable(future)
+            if not durable and not self._is_up():
                 break
-            else:
-                return True
-        self._hold()
+        if not durable:
+            self._hold()
+        return durable
+
+
+def _is_durable(future: Any) -> bool:
+    """Waits one step; raises FencedError."""
+    try:
+        future.get(timeout=WAIT_STEP_S)
+    except FencedError:
+        raise
+    except (pykka.Timeout, CactusledgeError):
         return False
+    return True
--- a/cactusledge/programs/ids.py
+++ b/cactusledge/programs/ids.py
@@ -11,7 +11,10 @@
 from cactusledge.errors import CactusledgeError, ErrorCode
 
 TOKEN_BYTES = 10
-PROGRAM_ID = re.compile(r'(?P<log>[a-z0-9][a-z0-9-]*-\d+)\.(?P<token>[0-9a-f]+)')
+HEXADECIMAL = 16
+PROGRAM_ID = re.compile(
+    r'(?P<log>[a-z0-9][a-z0-9-]*-\d+)\.(?P<token>[0-9a-f]+)'
+)
 
 
 class InvalidProgramIdError(CactusledgeError):
@@ -37,7 +40,7 @@
     open request finds the program that the first one opened.
     """
     token = _digest(account, key)
-    index = int(token, 16) % logs
+    index = int(token, HEXADECIMAL) % logs
     return f'{data_centre}-{index}.{token}'
 
 
--- /dev/null
+++ b/cactusledge/programs/launch.py
@@ -0,0 +1,132 @@
+"""Starts calls, and knows the ones that run."""
+
+import time
+from typing import Any, NamedTuple
+
+import pykka
+
+from cactusledge.models import CallSpec
+from cactusledge.programs.call_spec import spec_of
+from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.errors import (
+    PLATFORM_RETRY_S,
+    StoppingError,
+    platform_down,
+)
+from cactusledge.programs.ledger import Ledger
+from cactusledge.programs.tasks import CallTask, DriverContext
+from cactusledge.protocol import calls as protocol
+from cactusledge.protocol.state import ProgramState
+from cactusledge.settings.configuration import Program
+
+STOP_RETRY_S = 2.0
+
+
+class CallParts(NamedTuple):
+    """A call that was decided to start."""
+
+    spec: CallSpec
+    program: Program
+    traceparent: str = ''
+
+
+class Launcher:
+    """Hands calls to the workers; belongs to one driver."""
+
+    def __init__(
+        self,
+        ctx: DriverContext,
+        ledger: Ledger,
+        driver: pykka.ActorRef[Any],
+    ) -> None:
+        """Starts without running calls."""
+        self._ctx = ctx
+        self._ledger = ledger
+        self._driver = driver
+        self._running: dict[str, CallStream] = {}
+        self.draining = False
+
+    @property
+    def running(self) -> int:
+        """The number of calls that have not ended."""
+        return len(self._running)
+
+    def decided(
+        self,
+        decision: protocol.Decision,
+        state: ProgramState,
+        parts: CallParts,
+    ) -> CallStream:
+        """Carries out what the protocol decided of a call."""
+        if isinstance(decision, protocol.Refuse):
+            raise decision.error
+        if isinstance(decision, protocol.Join):
+            return self._running[state.program_id]
+        if isinstance(decision, protocol.Stored):
+            stored = CallStream()
+            stored.finish(decision.answer)
+            return stored
+        return self._start(decision, state, parts)
+
+    def resume(self, state: ProgramState) -> None:
+        """Sends an idempotent call again that the former owner left."""
+        call = state.running
+        program = self._ctx.config().programs.get(state.definition)
+        if call is None or program is None:
+            return
+        before = state._replace(calls=state.calls[:-1])
+        parts = CallParts(spec_of(state.program_id, call), program)
+        self._send(before, parts, self._ledger.last_commit)
+
+    def forget(self, program_id: str) -> None:
+        """Notes that a program's call has ended."""
+        self._running.pop(program_id, None)
+
+    def require_taking(self) -> None:
+        """Raises StoppingError unless new work is taken."""
+        if self.draining:
+            raise StoppingError(
+                'The instance is stopping; nothing was run.',
+                remedy='Repeat the request; another instance takes it.',
+                retry_after_s=STOP_RETRY_S,
+            )
+        if not self._ctx.sink.has_room():
+            raise StoppingError(
+                'The journal has no room; nothing was run.',
+                remedy='Repeat the request later.',
+                retry_after_s=PLATFORM_RETRY_S,
+            )
+
+    def _start(
+        self,
+        decision: protocol.Start,
+        state: ProgramState,
+        parts: CallParts,
+    ) -> CallStream:
+        self.require_taking()
+        if not parts.spec.idempotent and not self._ctx.sink.is_up():
+            raise platform_down()
+        intent = self._ledger.commit(decision.records)
+        return self._send(state, parts, intent)
+
+    def _send(
+        self,
+        state: ProgramState,
+        parts: CallParts,
+        intent: Any,
+    ) -> CallStream:
+        stream = CallStream()
+        self._running[state.program_id] = stream
+        self._ctx.work.run_call(
+            CallTask(
+                spec=parts.spec,
+                state=state,
+                program=parts.program,
+                stream=stream,
+                intent=intent,
+                driver=self._driver,
+                deadline_s=time.monotonic() + parts.program.deadline_s,
+                traceparent=parts.traceparent,
+            ),
+        )
+        return stream
--- a/cactusledge/programs/leases.py
+++ b/cactusledge/programs/leases.py
@@ -7,9 +7,9 @@
 import pykka
 
 from cactusledge.errors import CactusledgeError, ErrorCode
-from cactusledge.models import CallKind, Endpoint, Usage
+from cactusledge.models import CallKind, Endpoint
 from cactusledge.programs.prompt import prompt_text
-from cactusledge.programs.sending import Lease, ModelRequest
+from cactusledge.programs.sending import Lease, LeaseReport, ModelRequest
 from cactusledge.routing.client import DispatcherClient
 from cactusledge.routing.prefix import estimate_tokens, prefix_chain
 from cactusledge.routing.types import Finish, GroupKey, Job
@@ -113,18 +113,16 @@
         untried = [one for one in replicas if one.name not in avoid]
         return Lease(self._pick(untried or replicas))
 
-    def finish(
-        self,
-        lease: Lease,
-        *,
-        ok: bool,
-        latency_s: float,
-        usage: Usage = Usage(),
-    ) -> None:
+    def finish(self, lease: Lease, report: LeaseReport) -> None:
         """Gives a lease back."""
         ticket = lease.ticket
         if isinstance(ticket, Ticket):
-            finish = Finish(ticket.job_id, usage, ok, latency_s)
+            finish = Finish(
+                ticket.job_id,
+                report.usage,
+                report.ok,
+                report.latency_s,
+            )
             self._grants.finish(ticket.key, finish)
 
 
@@ -148,7 +146,7 @@
         deadline_s=now_s + _seconds_left(req),
         program_started_s=req.task.state.opened_at_s,
         retry=req.attempt > 0,
-        group_prefix=len(prefix_chain(req.task.program.common_prefix)),
+        common_chunks=len(prefix_chain(req.task.program.common_prefix)),
     )
 
 
--- a/cactusledge/programs/ledger.py
+++ b/cactusledge/programs/ledger.py
@@ -65,7 +65,7 @@
 
     def end(self, state: ProgramState, reason: str, at_s: float) -> Any:
         """Ends a program; a sub-agent's unspent share goes back."""
-        records = [*calls.end_records(state, reason, at_s)]
+        records = list(calls.end_records(state, reason, at_s))
         parent = self._programs.get(state.parent)
         if records and parent is not None and _has_share(parent, state):
             records.append(budget.return_share(parent, state))
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -1,16 +1,17 @@
 """Seals logs at the platform and starts the actors that serve them."""
 
+import itertools
 import threading
-import uuid
 from collections.abc import Callable, Sequence
 from concurrent.futures import Executor
 from typing import Any, NamedTuple, Protocol
 
 from cactusledge.platform.store import ObjectStore
-from cactusledge.programs.driver import DriverContext, DriverWork, LogDriver
+from cactusledge.programs.driver import LogDriver
 from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
 from cactusledge.programs.logs import OwnedLog
 from cactusledge.programs.takeover import TakeoverOptions, take_over
+from cactusledge.programs.tasks import DriverContext, DriverWork
 from cactusledge.protocol.errors import FencedError
 from cactusledge.protocol.records import ProgramRecord
 from cactusledge.settings.configuration import Configuration
@@ -86,9 +87,8 @@
     """Takes logs over from the platform."""
 
     def __init__(self, parts: OpenerParts) -> None:
-        """Makes an owner name that is unique to this start."""
+        """Keeps the parts; set `work` before a log is opened."""
         self._parts = parts
-        self._owner = f'{parts.instance}/{uuid.uuid4().hex}'
         self._writers: dict[str, JournalWriter] = {}
         self.work: DriverWork | None = None
 
@@ -100,11 +100,11 @@
         taken = take_over(
             parts.store,
             name,
-            self._owner,
+            parts.instance,
             parts.held.fetch(name),
             TakeoverOptions(
                 ring_size=parts.journal.ring_slots,
-                now_s=parts.now_s(),
+                now_s=parts.now_s,
             ),
         )
         writer = JournalWriter(
@@ -134,10 +134,8 @@
 
     def hold_waiting(self) -> bool:
         """Copies all waiting records to a peer; returns whether it has."""
-        return all(
-            self._hold(name, writer)
-            for name, writer in tuple(self._writers.items())
-        )
+        writers = tuple(self._writers.items())
+        return all(itertools.starmap(self._hold, writers))
 
     def _hold(self, name: str, writer: JournalWriter) -> bool:
         waiting = writer.waiting_records().get(timeout=CLOSE_WAIT_S)
--- a/cactusledge/programs/logs.py
+++ b/cactusledge/programs/logs.py
@@ -136,7 +136,7 @@
         self._running()
 
     def _running(self) -> int:
-        counts = [
+        counts: list[Any] = [
             owned.driver.ask(msg.Drain(), timeout=DRIVER_WAIT_S)
             for owned in self._table.all()
             if owned.driver.is_alive()
--- a/cactusledge/programs/router.py
+++ b/cactusledge/programs/router.py
@@ -2,11 +2,10 @@
 
 import time
 from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 import pykka
 
-from cactusledge.errors import CactusledgeError
 from cactusledge.programs import messages as msg
 from cactusledge.programs.call_stream import CallStream
 from cactusledge.programs.errors import NoDriverError
@@ -26,6 +25,8 @@
 )
 from cactusledge.protocol.errors import FencedError
 
+Reply = TypeVar('Reply')
+
 DRIVER_WAIT_S = 30.0
 OWNER_WAIT_S = 6.0
 OWNER_POLL_S = 0.1
@@ -210,19 +211,22 @@
             args.key,
         )
 
-    def _at_owner(self, program_id: str, ask: Callable[[Any], Any]) -> Any:
+    def _at_owner(
+        self,
+        program_id: str,
+        ask: 'Callable[[LocalPrograms | RemotePrograms], Reply]',
+    ) -> Reply:
         """Asks the log's owner, waiting a little for there to be one.
 
         Repeating is safe: every request names its program, sequence number
         and key, so the owner answers a second one like the first.
         """
+        log = log_of(program_id)
         give_up_s = time.monotonic() + OWNER_WAIT_S
         while True:
             try:
-                return ask(self._owner(log_of(program_id)))
-            except CactusledgeError as exc:
-                if not isinstance(exc, NoDriverError):
-                    raise
+                return ask(self._owner(log))
+            except NoDriverError:
                 if time.monotonic() >= give_up_s:
                     raise
             time.sleep(OWNER_POLL_S)
--- a/cactusledge/programs/runner.py
+++ b/cactusledge/programs/runner.py
@@ -8,9 +8,9 @@
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.models import Answer, CallKind, Outcome
 from cactusledge.programs import messages as msg
-from cactusledge.programs.driver import CallTask
 from cactusledge.programs.errors import platform_down
 from cactusledge.programs.sending import Sender, Sent, failed
+from cactusledge.programs.tasks import CallTask
 from cactusledge.protocol.errors import FencedError
 from cactusledge.telemetry.logs import get_logger
 from cactusledge.telemetry.traces import Traces
@@ -91,7 +91,7 @@
             sent.touched,
         )
         try:
-            recorded = task.driver.ask(finish, timeout=DRIVER_WAIT_S)
+            recorded: Any = task.driver.ask(finish, timeout=DRIVER_WAIT_S)
             if sent.answer.outcome is Outcome.NOT_RUN:
                 return sent.answer
             durable = self._durability.wait(recorded.durable)
--- a/cactusledge/programs/sending.py
+++ b/cactusledge/programs/sending.py
@@ -1,27 +1,27 @@
 """Sends calls to endpoints; one sender for each kind of call."""
 
 import time
+import uuid
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple, Protocol
+from http import HTTPStatus
+from typing import Any, NamedTuple, Protocol, Self
 
-from cactusledge.endpoints.engine import Chunk, EngineClient, Finished
+from cactusledge.endpoints.engine import EngineClient, Finished
 from cactusledge.endpoints.errors import EndpointError
 from cactusledge.endpoints.service import ServiceAnswer, ServiceClient
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import (
     Answer,
-    CallKind,
     CallSpec,
     Endpoint,
     Outcome,
     Usage,
 )
-from cactusledge.programs.driver import CallTask
 from cactusledge.programs.prompt import history_messages
+from cactusledge.programs.tasks import CallTask
 from cactusledge.settings.configuration import Operation
 
 MAX_ATTEMPTS = 4
-CONTINUATION_TIMEOUT_S = 10.0
 STATUS_TIMEOUT_S = 5.0
 
 Headers = Mapping[str, str]
@@ -42,6 +42,14 @@
     ticket: Any = None  # for the routing alone
 
 
+class LeaseReport(NamedTuple):
+    """How a leased call went."""
+
+    ok: bool
+    latency_s: float
+    usage: Usage = Usage()
+
+
 class ModelRequest(NamedTuple):
     """What the routing needs to know of a model call."""
 
@@ -60,17 +68,31 @@
     def lease_service(self, service: str, avoid: tuple[str, ...]) -> Lease:
         """Returns a replica of a service; raises when there is none."""
 
-    def finish(
-        self,
-        lease: Lease,
-        *,
-        ok: bool,
-        latency_s: float,
-        usage: Usage = Usage(),
-    ) -> None:
+    def finish(self, lease: Lease, report: LeaseReport) -> None:
         """Gives a lease back."""
 
 
+class LeaseUse:
+    """Gives a lease back at the end of a `with` block, however it ends."""
+
+    def __init__(self, routing: Routing, lease: Lease) -> None:
+        """Starts the clock."""
+        self._routing = routing
+        self._lease = lease
+        self._began_s = time.monotonic()
+        self.usage = Usage()
+
+    def __enter__(self) -> Self:
+        """Returns this object, whose `usage` may be set."""
+        return self
+
+    def __exit__(self, kind: object, exc: object, traceback: object) -> None:
+        """Reports the call; it went well unless an exception ended it."""
+        latency_s = time.monotonic() - self._began_s
+        report = LeaseReport(kind is None, latency_s, self.usage)
+        self._routing.finish(self._lease, report)
+
+
 class Sender(Protocol):
     """Sends calls of one kind."""
 
@@ -126,32 +148,19 @@
             'messages': req.messages,
             'max_tokens': spec.max_output_tokens,
         }
-        began_s = time.monotonic()
-        usage = Usage()
-        ok = False
-        try:
+        with LeaseUse(self._routing, lease) as use:
             for event in self._engines.stream(
                 lease.endpoint,
                 body,
-                request_id=f'{spec.program_id}:{spec.seq}:{began_s}',
+                request_id=f'{spec.program_id}:{spec.seq}:{uuid.uuid4().hex}',
                 deadline_s=req.task.deadline_s,
                 headers=headers,
             ):
-                if isinstance(event, Chunk):
-                    req.task.stream.put_text(event.text)
-                    continue
-                ok = True
-                usage = event.usage
-                return event
-            raise AssertionError('A stream ends with its whole answer.')
-        finally:
-            latency_s = time.monotonic() - began_s
-            self._routing.finish(
-                lease,
-                ok=ok,
-                latency_s=latency_s,
-                usage=usage,
-            )
+                if isinstance(event, Finished):
+                    use.usage = event.usage
+                    return event
+                req.task.stream.put_text(event.text)
+        raise AssertionError('A stream ends with its whole answer.')
 
 
 class ServiceSender:
@@ -194,29 +203,17 @@
     ) -> ServiceAnswer:
         spec = task.spec
         operation = self._operations(spec)
-        began_s = time.monotonic()
-        ok = False
-        try:
-            answer = self._services.call(
+        timeout_s = time.monotonic() + operation.timeout_s
+        with LeaseUse(self._routing, lease):
+            return self._services.call(
                 lease.endpoint,
                 spec.operation,
                 spec.body,
                 idempotent=spec.idempotent,
                 key=service_key(spec),
-                deadline_s=min(
-                    task.deadline_s,
-                    began_s + operation.timeout_s,
-                ),
+                deadline_s=min(task.deadline_s, timeout_s),
                 headers=headers,
             )
-            ok = True
-        finally:
-            self._routing.finish(
-                lease,
-                ok=ok,
-                latency_s=time.monotonic() - began_s,
-            )
-        return answer
 
     def _settle(
         self,
@@ -298,7 +295,7 @@
         program_id=spec.program_id,
         seq=spec.seq,
         outcome=Outcome.RAN,
-        status=200,
+        status=HTTPStatus.OK,
         body={'text': done.text, 'finish_reason': done.finish_reason},
         spent=used * units_per_token,
         usage=done.usage,
@@ -317,5 +314,3 @@
         spent=spec.reserve,
     )
     return Sent(answer, endpoint)
-
-
--- /dev/null
+++ b/cactusledge/programs/tasks.py
@@ -0,0 +1,56 @@
+"""Blocking work that a driver hands to the worker pool."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+import pykka
+
+from cactusledge.models import CallSpec
+from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.sink import RecordSink
+from cactusledge.protocol.state import ProgramState
+from cactusledge.settings.configuration import Configuration, Program
+
+
+class CallTask(NamedTuple):
+    """A call on its way to an endpoint, with all that sending it needs."""
+
+    spec: CallSpec
+    state: ProgramState  # before the call
+    program: Program
+    stream: CallStream
+    intent: Any  # pykka future that resolves once the intent is durable
+    driver: pykka.ActorRef[Any]
+    deadline_s: float  # monotonic
+    traceparent: str = ''
+
+
+class ReleaseTask(NamedTuple):
+    """A program's cache that an engine has to release."""
+
+    program_id: str
+    endpoint: str
+    driver: pykka.ActorRef[Any]
+
+
+class DriverWork(Protocol):
+    """Where the driver hands its blocking work."""
+
+    def run_call(self, task: CallTask) -> None:
+        """Sends the call in a worker; it ends with a `Finish` message."""
+
+    def release_cache(self, task: ReleaseTask) -> None:
+        """Releases a cache in a worker; it ends with `Released`."""
+
+    def continue_program(self, program_id: str, program: Program) -> None:
+        """Asks the program's service to take it up."""
+
+
+class DriverContext(NamedTuple):
+    """What a driver works with."""
+
+    log: str
+    sink: RecordSink
+    work: DriverWork
+    config: Callable[[], Configuration]
+    now_s: Callable[[], float]
--- /dev/null
+++ b/cactusledge/programs/upkeep.py
@@ -0,0 +1,92 @@
+"""Limits of programs without calls, and releases of ended ones' caches."""
+
+from typing import Any
+
+import pykka
+
+from cactusledge.programs import messages as msg
+from cactusledge.programs.ledger import Ledger
+from cactusledge.programs.tasks import DriverContext, ReleaseTask
+from cactusledge.protocol import calls as protocol
+from cactusledge.protocol.state import ProgramState
+
+IDLE = 'idle limit reached'
+TIME_OVER = 'time limit reached'
+
+
+class Upkeep:
+    """Ends programs past their limits; belongs to one driver."""
+
+    def __init__(
+        self,
+        ctx: DriverContext,
+        ledger: Ledger,
+        driver: pykka.ActorRef[Any],
+    ) -> None:
+        """Starts with every program as just used."""
+        self._ctx = ctx
+        self._ledger = ledger
+        self._driver = driver
+        self._last_used_s: dict[str, float] = {}
+        self._continued: set[str] = set()
+        self._releasing: set[tuple[str, str]] = set()
+
+    def used(self, program_id: str) -> None:
+        """Notes that a caller or an endpoint dealt with the program."""
+        self._last_used_s[program_id] = self._ctx.now_s()
+        self._continued.discard(program_id)
+
+    def tick(self) -> None:
+        """Checks every program once."""
+        for state in tuple(self._ledger.states()):
+            if state.ended:
+                self._release_caches(state)
+            elif state.running is None:
+                self._check_limits(state)
+
+    def end(self, state: ProgramState, reason: str) -> Any:
+        """Ends a program; returns the future of its records."""
+        durable = self._ledger.end(state, reason, self._ctx.now_s())
+        self._release_caches(self._ledger.state(state.program_id))
+        return durable
+
+    def released(self, message: msg.Released) -> None:
+        """Records that an engine holds a program's cache no longer."""
+        self._releasing.discard((message.program_id, message.endpoint))
+        state = self._ledger.find(message.program_id)
+        if state is None or message.endpoint not in state.releases:
+            return
+        if message.done:
+            record = protocol.release_record(
+                state,
+                message.endpoint,
+                done=True,
+            )
+            self._ledger.commit((record,))
+
+    def _check_limits(self, state: ProgramState) -> None:
+        now_s = self._ctx.now_s()
+        used_s = self._last_used_s.setdefault(state.program_id, now_s)
+        if now_s >= state.opened_at_s + state.time_limit_s:
+            self.end(state, TIME_OVER)
+        elif state.idle_limit_s and now_s >= used_s + state.idle_limit_s:
+            self._continue_or_end(state)
+
+    def _continue_or_end(self, state: ProgramState) -> None:
+        """Asks the program's service once; ends it if nothing follows."""
+        program = self._ctx.config().programs.get(state.definition)
+        is_new = state.program_id not in self._continued
+        if is_new and program is not None and program.continuation:
+            self.used(state.program_id)
+            self._continued.add(state.program_id)
+            self._ctx.work.continue_program(state.program_id, program)
+            return
+        self.end(state, IDLE)
+
+    def _release_caches(self, state: ProgramState) -> None:
+        for endpoint in state.releases:
+            duty = (state.program_id, endpoint)
+            if duty not in self._releasing:
+                self._releasing.add(duty)
+                task = ReleaseTask(*duty, driver=self._driver)
+                self._ctx.work.release_cache(task)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -7,8 +7,9 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Generator, Sequence
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -145,7 +146,7 @@
     def wait_ready(self, *names: str) -> None:
         """Waits until entry instances are ready and own all their logs."""
         for name in names:
-            wait_until(lambda one=name: self._is_ready(one), f'{name} ready')
+            wait_until(partial(self._is_ready, name), f'{name} ready')
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process."""
@@ -178,12 +179,9 @@
 
     def _identity(self, name: str, data_centre: str) -> tuple[str, ...]:
         return (
-            '--name',
-            name,
-            '--data-centre',
-            data_centre,
-            '--register',
-            self._platform_address(),
+            f'--name={name}',
+            f'--data-centre={data_centre}',
+            f'--register={self._platform_address()}',
         )
 
     def _platform_address(self) -> str:
@@ -260,7 +258,7 @@
 
 
 @contextmanager
-def deployment(folder: Path) -> Iterator[Deployment]:
+def deployment(folder: Path) -> Generator[Deployment]:
     """Gives a deployment and leaves nothing of it running."""
     deployed = Deployment(folder)
     try:
