--- a/cactusledge/endpoints/engine.py
+++ b/cactusledge/endpoints/engine.py
@@ -1,123 +1,82 @@
-"""Client of model engines: streams that resume, cache, load and orders."""
+"""Client of model engines: streams, cache, load, state and orders."""
 
-import json
-import time
 from collections.abc import Iterator, Mapping
 from contextlib import closing
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeAlias
 from urllib.parse import quote
 
-from cactusledge.endpoints.assembly import (
-    Assembly,
-    Chunk,
-    Finished,
-    ForeignChunkError,
-    StreamEvent,
-)
+from cactusledge.endpoints.assembly import Chunk, Finished, StreamEvent
 from cactusledge.endpoints.errors import (
-    AnswerMismatchError,
-    EndpointDeadlineError,
     EndpointError,
     EndpointFailedError,
-    EndpointRefusedError,
-    EndpointSilentError,
+    EndpointRejectedError,
 )
 from cactusledge.endpoints.pools import ConnectionPools
+from cactusledge.endpoints.reports import (
+    CacheEvents,
+    CacheExport,
+    EngineState,
+    LoadReport,
+    parse_events,
+    parse_load,
+    parse_state,
+)
+from cactusledge.endpoints.streams import (
+    EngineLimits,
+    ModelStream,
+    StreamRequest,
+)
 from cactusledge.endpoints.transport import Exchange, Outgoing, Waits, send
 from cactusledge.models import Endpoint
 
-REQUEST_ID_HEADER = 'X-Request-Id'
-COMPLETIONS_PATH = '/v1/chat/completions'
-DATA_PREFIX = b'data:'
-END_MARKER = b'[DONE]'
+__all__ = (
+    'Accepted',
+    'Chunk',
+    'EngineClient',
+    'EngineLimits',
+    'Finished',
+    'Mismatch',
+    'Order',
+    'OrderResult',
+    'StaleFencing',
+    'StreamEvent',
+)
+
+DEFAULT_LIMITS = EngineLimits()
 HTTP_OK = 200
+HTTP_CONFLICT = 409
+ORDER_SILENCE_S = 60
 
-__all__ = ('Chunk', 'EngineClient', 'EngineLimits', 'Finished', 'StreamEvent')
 
+class Order(NamedTuple):
+    """The state that an engine shall have."""
 
-class EngineLimits(NamedTuple):
-    """Limits on the waits of a stream, in seconds, and on its resumptions."""
+    fencing: int
+    model: str
+    adapter: str = ''
+    version: str = ''
+    role: str = 'serve'
 
-    connect_s: float = 1
-    first_token_s: float = 30
-    inter_token_s: float = 5
-    resumptions: int = 3
 
+class Accepted(NamedTuple):
+    """The engine has the ordered state, as it said itself."""
 
-DEFAULT_LIMITS = EngineLimits()
+    state: EngineState
 
 
-class _Stream:
-    """One request's stream across its connections."""
+class StaleFencing(NamedTuple):
+    """The engine refused: it has seen a higher fencing number."""
 
-    def __init__(
-        self,
-        endpoint: Endpoint,
-        request_id: str,
-        deadline_s: float,
-        limits: EngineLimits,
-    ) -> None:
-        self.endpoint = endpoint
-        self.request_id = request_id
-        self.assembly = Assembly(request_id)
-        self.deadline_s = deadline_s
-        self.limits = limits
-
-    def waits(self) -> Waits:
-        """Returns the limits that hold for the next read."""
-        first = self.assembly.offset == 0
-        limits = self.limits
-        silence_s = limits.first_token_s if first else limits.inter_token_s
-        return Waits(self.deadline_s, limits.connect_s, silence_s)
-
-    def read(self, exchange: Exchange) -> Iterator[StreamEvent]:
-        """Yields the events of one connection; returns at its end marker."""
-        exchange.waits = self.waits()
-        token_s = time.monotonic()
-        for line in _lines(exchange):
-            if line == END_MARKER:
-                return
-            chunks = self._take(line)
-            if chunks:
-                token_s = time.monotonic()
-                exchange.waits = self.waits()
-                yield from chunks
-            self._check_progress(token_s, exchange.waits)
-        raise self._failed('ended without its end marker')
-
-    def whole(self) -> Finished:
-        """Returns the whole answer."""
-        finished = self.assembly.finished()
-        if finished is None:
-            raise self._failed('ended before all of its chunks had come')
-        return finished
-
-    def _take(self, line: bytes) -> list[Chunk]:
-        try:
-            return self.assembly.take(json.loads(line))
-        except ForeignChunkError as exc:
-            raise AnswerMismatchError(
-                f'{self.endpoint.name} sent a chunk of the request {exc}.',
-                remedy='Ask another replica; report the fault to its owner.',
-                endpoint=self.endpoint.name,
-            ) from exc
-        except (ValueError, LookupError, TypeError) as exc:
-            raise self._failed('holds a chunk that cannot be read') from exc
-
-    def _check_progress(self, token_s: float, waits: Waits) -> None:
-        if time.monotonic() - token_s > waits.silence_s:
-            raise EndpointSilentError(
-                f'{self.endpoint.name} sent no token for {waits.silence_s} s.',
-                remedy='Resume the stream, or ask another replica.',
-                endpoint=self.endpoint.name,
-            )
+    fencing: int
 
-    def _failed(self, what: str) -> EndpointFailedError:
-        return EndpointFailedError(
-            f'The stream of {self.endpoint.name} {what}.',
-            remedy='Resume the stream, or ask another replica.',
-            endpoint=self.endpoint.name,
-        )
+
+class Mismatch(NamedTuple):
+    """The engine took the order and yet has another state."""
+
+    state: EngineState
+
+
+OrderResult: TypeAlias = Accepted | StaleFencing | Mismatch
 
 
 class EngineClient:
@@ -144,7 +103,8 @@
         """Yields the chunks of an answer in order, then the whole.
 
         A stream that breaks or goes silent is resumed at the same engine on a
-        fresh connection, a bounded number of times.
+        fresh connection, a bounded number of times. Closing the iterator
+        drops the connection; the engine goes on until `cancel`.
 
         Args:
             endpoint: Engine to ask.
@@ -158,86 +118,166 @@
             EndpointFailedError: Whether it ran is not known; `text` holds the
                 output that had arrived.
         """
-        stream = _Stream(endpoint, request_id, deadline_s, self._limits)
+        request = StreamRequest(
+            endpoint,
+            request_id,
+            body,
+            headers,
+            deadline_s,
+        )
+        stream = ModelStream(request, self._pools, self._limits)
         try:
-            yield from self._follow(stream, body, headers)
+            yield from stream.events()
         except EndpointError as exc:
-            exc.text = stream.assembly.text
+            exc.text = stream.text
             raise
 
-    def _follow(
+    def cancel(
         self,
-        stream: _Stream,
-        body: Mapping[str, Any],
-        headers: Mapping[str, str],
-    ) -> Iterator[StreamEvent]:
-        try:
-            yield from self._start(stream, body, headers)
-        except EndpointFailedError as exc:
-            self._pools.evict(stream.endpoint.address)
-            yield from self._resume(stream, headers, exc)
-        yield stream.whole()
+        endpoint: Endpoint,
+        request_id: str,
+        *,
+        deadline_s: float,
+    ) -> bool:
+        """Ends a stream; returns whether it was still running."""
+        request = Outgoing('DELETE', f'/v1/streams/{quote(request_id, "")}')
+        return bool(self._ask(endpoint, request, deadline_s)['cancelled'])
 
-    def _start(
+    def release_cache(
         self,
-        stream: _Stream,
-        body: Mapping[str, Any],
-        headers: Mapping[str, str],
-    ) -> Iterator[StreamEvent]:
-        request = Outgoing(
-            'POST',
-            COMPLETIONS_PATH,
-            {**headers, REQUEST_ID_HEADER: stream.request_id},
-            {**body, 'stream': True},
-        )
-        with self._pools.shared(stream.endpoint.address) as pool:
-            exchange = send(pool, stream.endpoint, request, stream.waits())
-            with closing(exchange):
-                yield from stream.read(exchange)
-                stream.whole()
+        endpoint: Endpoint,
+        program_id: str,
+        *,
+        deadline_s: float,
+    ) -> int:
+        """Frees a program's cache; returns the freed tokens. Idempotent."""
+        request = Outgoing('DELETE', _cache_path(program_id))
+        return int(self._ask(endpoint, request, deadline_s)['freed_tokens'])
 
-    def _resume(
+    def export_cache(
         self,
-        stream: _Stream,
-        headers: Mapping[str, str],
-        failure: EndpointError,
-    ) -> Iterator[StreamEvent]:
-        for _ in range(self._limits.resumptions):
-            if isinstance(failure, _FINAL):
-                break
-            try:
-                yield from self._read_on(stream, headers)
-            except EndpointRefusedError:
-                continue  # the first send decides the outcome
-            except EndpointFailedError as exc:
-                failure = exc
-                continue
-            return
-        raise failure
-
-    def _read_on(
+        endpoint: Endpoint,
+        program_id: str,
+        *,
+        deadline_s: float,
+    ) -> CacheExport:
+        """Returns a program's cache for `import_cache`."""
+        request = Outgoing('GET', _cache_path(program_id))
+        document = self._ask(endpoint, request, deadline_s)
+        return CacheExport(document['model'], tuple(document['chunks']))
+
+    def import_cache(
         self,
-        stream: _Stream,
-        headers: Mapping[str, str],
-    ) -> Iterator[StreamEvent]:
-        name = quote(stream.request_id, safe='')
-        path = f'/v1/streams/{name}?offset={stream.assembly.offset}'
-        request = Outgoing('GET', path, headers)
-        with self._pools.fresh(stream.endpoint.address) as pool:
-            exchange = send(pool, stream.endpoint, request, stream.waits())
-            with closing(exchange):
-                yield from stream.read(exchange)
-                stream.whole()
-
-
-_FINAL = (AnswerMismatchError, EndpointDeadlineError)
-
-
-def _lines(exchange: Exchange) -> Iterator[bytes]:
-    """Yields what follows `data:` on the lines of a body."""
-    rest = b''
-    for piece in exchange.pieces():
-        *lines, rest = (rest + piece).split(b'\n')
-        for line in lines:
-            if line.startswith(DATA_PREFIX):
-                yield line.removeprefix(DATA_PREFIX).strip()
+        endpoint: Endpoint,
+        program_id: str,
+        export: CacheExport,
+        *,
+        deadline_s: float,
+    ) -> None:
+        """Gives an engine the cache that another exported. Idempotent."""
+        body = export._asdict()
+        request = Outgoing('PUT', _cache_path(program_id), body=body)
+        self._ask(endpoint, request, deadline_s)
+
+    def load_report(
+        self,
+        endpoint: Endpoint,
+        *,
+        deadline_s: float,
+    ) -> LoadReport:
+        """Returns the engine's load, with the age of the report."""
+        request = Outgoing('GET', '/v1/load')
+        return parse_load(self._ask(endpoint, request, deadline_s))
+
+    def cache_events(
+        self,
+        endpoint: Endpoint,
+        after: int,
+        *,
+        deadline_s: float,
+    ) -> CacheEvents:
+        """Returns the cache events that follow a sequence number."""
+        request = Outgoing('GET', f'/v1/cache/events?after={after}')
+        document = self._ask(endpoint, request, deadline_s)
+        return parse_events(after, document['events'])
+
+    def read_state(
+        self,
+        endpoint: Endpoint,
+        *,
+        deadline_s: float,
+    ) -> EngineState:
+        """Returns what the engine serves."""
+        request = Outgoing('GET', '/v1/state')
+        return parse_state(self._ask(endpoint, request, deadline_s))
+
+    def order(
+        self,
+        endpoint: Endpoint,
+        order: Order,
+        *,
+        deadline_s: float,
+    ) -> OrderResult:
+        """Orders a state once and reads it back.
+
+        After a lost answer the state read back decides; if it is not the
+        ordered one, the order may still be under way and the error is raised.
+        """
+        try:
+            status, document = self._send_order(endpoint, order, deadline_s)
+        except EndpointFailedError:
+            state = self.read_state(endpoint, deadline_s=deadline_s)
+            if not has_state(state, order):
+                raise
+            return Accepted(state)
+        if status == HTTP_CONFLICT:
+            return StaleFencing(int(document['fencing']))
+        state = self.read_state(endpoint, deadline_s=deadline_s)
+        return Accepted(state) if has_state(state, order) else Mismatch(state)
+
+    def _send_order(
+        self,
+        endpoint: Endpoint,
+        order: Order,
+        deadline_s: float,
+    ) -> tuple[int, Any]:
+        request = Outgoing('POST', '/v1/orders', body=order._asdict())
+        waits = Waits(deadline_s, self._limits.connect_s, ORDER_SILENCE_S)
+        with self._pools.fresh(endpoint.address) as pool:
+            return _whole_answer(send(pool, endpoint, request, waits))
+
+    def _ask(
+        self,
+        endpoint: Endpoint,
+        request: Outgoing,
+        deadline_s: float,
+    ) -> Any:
+        limits = self._limits
+        waits = Waits(deadline_s, limits.connect_s, limits.inter_token_s)
+        with self._pools.shared(endpoint.address) as pool:
+            status, document = _whole_answer(
+                send(pool, endpoint, request, waits),
+            )
+        if status == HTTP_OK:
+            return document
+        raise EndpointRejectedError(
+            f'{endpoint.name} answered {request.path} with status {status}.',
+            remedy='Check that the endpoint is an engine of this protocol.',
+            endpoint=endpoint.name,
+            status=status,
+        )
+
+
+def has_state(state: EngineState, order: Order) -> bool:
+    """Returns whether a state is the ordered one, fencing number aside."""
+    wanted = (order.model, order.adapter, order.version, order.role)
+    return wanted == (state.model, state.adapter, state.version, state.role)
+
+
+def _whole_answer(exchange: Exchange) -> tuple[int, Any]:
+    with closing(exchange):
+        return exchange.response.status, exchange.document()
+
+
+def _cache_path(program_id: str) -> str:
+    return f'/v1/cache/{quote(program_id, safe="")}'
--- a/cactusledge/endpoints/errors.py
+++ b/cactusledge/endpoints/errors.py
@@ -48,6 +48,10 @@
     """The call was sent and its answer is missing or not whole."""
 
 
+class EndpointRejectedError(EndpointFailedError):
+    """The endpoint answered with a status that a new try will not change."""
+
+
 class EndpointSilentError(EndpointFailedError):
     """Nothing came on an open connection for longer than the limit."""
 
--- a/cactusledge/endpoints/service.py
+++ b/cactusledge/endpoints/service.py
@@ -7,7 +7,10 @@
 
 from urllib3 import HTTPConnectionPool
 
-from cactusledge.endpoints.errors import AnswerMismatchError
+from cactusledge.endpoints.errors import (
+    AnswerMismatchError,
+    EndpointFailedError,
+)
 from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.endpoints.transport import Exchange, Outgoing, Waits, send
 from cactusledge.models import Endpoint, Outcome
@@ -74,10 +77,13 @@
         path = f'/operations/{quote(operation, safe="")}'
         request = Outgoing('POST', path, {**headers, KEY_HEADER: key}, body)
         connections = self._connections(endpoint, idempotent=idempotent)
-        with connections as pool:
-            exchange = send(pool, endpoint, request, self._waits(deadline_s))
-            with closing(exchange):
-                return _answer(exchange, key)
+        waits = self._waits(deadline_s)
+        try:
+            with connections as pool:
+                return _answer(send(pool, endpoint, request, waits), key)
+        except EndpointFailedError:
+            self._pools.evict(endpoint.address)
+            raise
 
     def query_status(
         self,
@@ -95,8 +101,7 @@
         request = Outgoing('GET', path)
         with self._pools.fresh(endpoint.address) as pool:
             exchange = send(pool, endpoint, request, self._waits(deadline_s))
-            with closing(exchange):
-                return _status(exchange, key)
+            return _status(exchange, key)
 
     def _connections(
         self,
@@ -114,14 +119,16 @@
 
 def _answer(exchange: Exchange, key: str) -> ServiceAnswer:
     answered_key = exchange.response.headers.get(KEY_HEADER, key)
-    body = exchange.document()
+    with closing(exchange):
+        body = exchange.document()
     if answered_key != key:
         raise _mismatch(exchange, answered_key)
     return ServiceAnswer(exchange.response.status, body)
 
 
 def _status(exchange: Exchange, key: str) -> Outcome:
-    document = exchange.document()
+    with closing(exchange):
+        document = exchange.document()
     if exchange.response.status != HTTP_OK:
         return Outcome.UNKNOWN
     if document.get('key') != key:
--- a/cactusledge/endpoints/transport.py
+++ b/cactusledge/endpoints/transport.py
@@ -2,7 +2,9 @@
 
 import json
 import time
+from collections import deque
 from collections.abc import Iterator, Mapping
+from contextlib import suppress
 from typing import Any, NamedTuple
 
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
@@ -27,6 +29,7 @@
 NOT_RUN_HEADER = 'X-Not-Run'
 READ_BYTES = 65_536
 SHORTEST_WAIT_S = 0.001
+FINISH_LIMIT_S = 0.05
 HTTP_ERRORS_FROM = 500
 NOTHING_SENT = (NewConnectionError, ConnectTimeoutError, EmptyPoolError)
 
@@ -83,6 +86,13 @@
                 status=self.response.status,
             ) from exc
 
+    def finish(self) -> None:
+        """Reads what follows the answer, so that the connection is kept."""
+        deadline_s = time.monotonic() + FINISH_LIMIT_S
+        self.waits = self.waits._replace(deadline_s=deadline_s)
+        with suppress(EndpointError):
+            deque(self.pieces(), maxlen=0)
+
     def close(self) -> None:
         """Drops the connection unless the body has been read to its end."""
         self.response.close()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,45 +3,34 @@
 import threading
 import time
 from collections import deque
-from typing import Any, NamedTuple
+from http import HTTPStatus
+from typing import Any
 
-from standins.engine_batch import Batch, BatchSettings, Stream
-from standins.engine_cache import CacheSettings
+from standins.engine_batch import Batch, Stream
 from standins.engine_orders import EngineState, OrderDesk
+from standins.engine_settings import (
+    EngineSettings,
+    engine_parser,
+    engine_settings,
+)
 from standins.engine_wire import NO_FAULT, event_stream, job_of, whole_answer
 from standins.http import (
     NOT_RUN_HEADERS,
-    FaultyServer,
     Reply,
     Request,
     Route,
     Router,
     json_reply,
 )
-from standins.service_cli import common_parser, run_until_signal
+from standins.service_cli import run_until_signal
 from standins.service_faults import Fault
 from standins.service_register import Registrar, Registration, new_incarnation
+from standins.service_server import FaultyServer
 
 RECORDS_KEPT = 100_000
 STREAM_TYPE = 'text/event-stream'
 
 
-class EngineSettings(NamedTuple):
-    """Everything that can be set of an engine stand-in."""
-
-    name: str
-    model: str
-    data_centre: str = ''
-    listen: tuple[str, int] = ('127.0.0.1', 0)
-    register: str = ''  # host:port of the platform, '' to stay out of the list
-    threads: int = 64
-    batch: BatchSettings = BatchSettings()
-    cache: CacheSettings = CacheSettings()
-    load_lag_s: float = 0
-    ignore_fencing: bool = False
-    order_s: float = 0
-
-
 class EngineStandin:
     """An engine that makes deterministic text and records what it was asked."""
 
@@ -59,7 +48,7 @@
         self.requests: deque[Stream] = deque(maxlen=RECORDS_KEPT)
         self._server = FaultyServer(self._router(), cfg.listen, cfg.threads)
         self._registrar = Registrar(cfg.register) if cfg.register else None
-        self._load = (0.0, self.batch.load())
+        self._load = (time.monotonic(), self.batch.load())
         self._lock = threading.Lock()
 
     @property
@@ -133,28 +122,32 @@
 
     def _complete(self, request: Request) -> Reply:
         if self.leaving:
-            return json_reply(503, {'error': 'leaving'}, NOT_RUN_HEADERS)
+            return json_reply(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                {'error': 'leaving'},
+                NOT_RUN_HEADERS,
+            )
         request_id = request.headers.get('x-request-id', '')
         stream = self.batch.submit(job_of(request, request_id))
         self.requests.append(stream)
         fault = request.fault or NO_FAULT
         if request.document().get('stream'):
             events = event_stream(self.batch, stream, 0, fault)
-            return Reply(200, events, content_type=STREAM_TYPE)
-        return Reply(200, whole_answer(self.batch, stream, fault))
+            return Reply(HTTPStatus.OK, events, content_type=STREAM_TYPE)
+        return Reply(HTTPStatus.OK, whole_answer(self.batch, stream, fault))
 
     def _resume(self, request: Request, request_id: str) -> Reply:
         stream = self.batch.find(request_id)
         if stream is None:
-            return json_reply(404, {'error': 'no such stream'})
+            return json_reply(HTTPStatus.NOT_FOUND, {'error': 'no such stream'})
         offset = int(request.query.get('offset', 0))
         fault = request.fault or NO_FAULT
         events = event_stream(self.batch, stream, offset, fault)
-        return Reply(200, events, content_type=STREAM_TYPE)
+        return Reply(HTTPStatus.OK, events, content_type=STREAM_TYPE)
 
     def _cancel(self, _request: Request, request_id: str) -> Reply:
         was_running = self.batch.cancel(request_id)
-        return json_reply(200, {'cancelled': was_running})
+        return json_reply(HTTPStatus.OK, {'cancelled': was_running})
 
     def _report_load(self, _request: Request) -> Reply:
         now_s = time.monotonic()
@@ -163,7 +156,7 @@
                 self._load = (now_s, self.batch.load())
             taken_s, load = self._load
         lag_s = now_s - taken_s
-        return json_reply(200, {**load._asdict(), 'lag_s': lag_s})
+        return json_reply(HTTPStatus.OK, {**load._asdict(), 'lag_s': lag_s})
 
     def _report_events(self, request: Request) -> Reply:
         after = int(request.query.get('after', 0))
@@ -178,31 +171,33 @@
             }
             for event in events
         ]
-        return json_reply(200, {'events': listed})
+        return json_reply(HTTPStatus.OK, {'events': listed})
 
     def _release(self, _request: Request, program: str) -> Reply:
         with self.batch.lock:
             freed = self.batch.cache.release(program)
-        return json_reply(200, {'freed_tokens': freed})
+        return json_reply(HTTPStatus.OK, {'freed_tokens': freed})
 
     def _export(self, _request: Request, program: str) -> Reply:
         with self.batch.lock:
             chunks = self.batch.cache.export_chunks(program)
-        return json_reply(200, {'model': self.cfg.model, 'chunks': chunks})
+        return json_reply(
+            HTTPStatus.OK, {'model': self.cfg.model, 'chunks': chunks}
+        )
 
     def _import(self, request: Request, program: str) -> Reply:
         chunks = request.document()['chunks']
         with self.batch.lock:
             self.batch.cache.import_chunks(chunks, program)
-        return json_reply(200, {'imported': len(chunks)})
+        return json_reply(HTTPStatus.OK, {'imported': len(chunks)})
 
     def _order(self, request: Request) -> Reply:
         accepted = self.orders.carry_out(request.document())
-        status = 200 if accepted else 409
+        status = HTTPStatus.OK if accepted else HTTPStatus.CONFLICT
         return json_reply(status, self._state_document())
 
     def _report_state(self, _request: Request) -> Reply:
-        return json_reply(200, self._state_document())
+        return json_reply(HTTPStatus.OK, self._state_document())
 
     def _state_document(self) -> dict[str, Any]:
         return {
@@ -213,10 +208,10 @@
 
     def _leave(self, _request: Request) -> Reply:
         self.leave()
-        return json_reply(200, {})
+        return json_reply(HTTPStatus.OK, {})
 
     def _report_records(self, _request: Request) -> Reply:
-        return json_reply(200, self.records())
+        return json_reply(HTTPStatus.OK, self.records())
 
 
 def _record(stream: Stream) -> dict[str, Any]:
@@ -236,45 +231,9 @@
 
 def main() -> None:
     """Runs one engine until a signal."""
-    parser = common_parser('Stand-in of a model engine.')
-    parser.add_argument('--model', required=True)
-    parser.add_argument('--max-running', type=int, default=16)
-    parser.add_argument('--token-ms', type=float, default=1)
-    parser.add_argument('--batch-token-ms', type=float, default=0.1)
-    parser.add_argument('--prefill-token-ms', type=float, default=0.02)
-    parser.add_argument('--cache-tokens', type=int, default=100_000)
-    parser.add_argument('--event-delay-s', type=float, default=0)
-    parser.add_argument('--event-loss-every', type=int, default=0)
-    parser.add_argument('--load-lag-s', type=float, default=0)
-    parser.add_argument('--ignore-fencing', action='store_true')
-    parser.add_argument('--order-s', type=float, default=0)
-    args = parser.parse_args()
-    run_until_signal(EngineStandin(_settings(args)), args.port_file)
-
-
-def _settings(args: Any) -> EngineSettings:
-    return EngineSettings(
-        name=args.name,
-        model=args.model,
-        data_centre=args.data_centre,
-        listen=args.listen,
-        register=args.register,
-        threads=args.threads,
-        batch=BatchSettings(
-            max_running=args.max_running,
-            token_s=args.token_ms / 1000,
-            batch_token_s=args.batch_token_ms / 1000,
-            prefill_token_s=args.prefill_token_ms / 1000,
-        ),
-        cache=CacheSettings(
-            capacity_tokens=args.cache_tokens,
-            event_delay_s=args.event_delay_s,
-            event_loss_every=args.event_loss_every,
-        ),
-        load_lag_s=args.load_lag_s,
-        ignore_fencing=args.ignore_fencing,
-        order_s=args.order_s,
-    )
+    args = engine_parser().parse_args()
+    standin = EngineStandin(engine_settings(args))
+    run_until_signal(standin, args.port_file)
 
 
 if __name__ == '__main__':
--- a/standins/engine_wire.py
+++ b/standins/engine_wire.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from standins.engine_batch import (
@@ -10,7 +11,7 @@
     Job,
     Stream,
 )
-from standins.http import ConnectionResetFault, ConnectionSilentFault, Request
+from standins.http import ConnectionClosedFault, ConnectionSilentFault, Request
 from standins.service_faults import Fault, FaultKind
 
 NO_FAULT = Fault(FaultKind.SLOW)
@@ -69,11 +70,13 @@
     """Yields the server-sent events from a token offset."""
     request_id = _answer_id(stream, fault)
     for indexes in batch.follow(stream, offset):
-        events = [
-            _faulty_event(_event(request_id, stream, index), index, fault)
-            for index in indexes
+        before_break = [
+            index for index in indexes if not _breaks_before(index, fault)
         ]
-        yield b''.join(events)
+        yield b''.join(
+            _faulty_event(_event(request_id, stream, index), index, fault)
+            for index in before_break
+        )
         _break_off(indexes[-1], fault)
     if fault.kind is FaultKind.OMIT_END:
         return
@@ -119,13 +122,17 @@
     return event * 2 if twice and index == int(fault.parameter) else event
 
 
+def _breaks_before(index: int, fault: Fault) -> bool:
+    return fault.kind in _BREAKS and index > int(fault.parameter)
+
+
 def _break_off(index: int, fault: Fault) -> None:
     signal = _BREAKS.get(fault.kind)
     if signal is not None and index >= int(fault.parameter):
         raise signal
 
 
-_BREAKS: Mapping[FaultKind, type[Exception]] = {
+_BREAKS = MappingProxyType({
     FaultKind.SILENT_AT: ConnectionSilentFault,
-    FaultKind.CLOSE_AT: ConnectionResetFault,
-}
+    FaultKind.CLOSE_AT: ConnectionClosedFault,
+})
--- a/standins/service.py
+++ b/standins/service.py
@@ -5,11 +5,11 @@
 import time
 from collections import deque
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Any, NamedTuple
 
 from standins.http import (
     NOT_RUN_HEADERS,
-    FaultyServer,
     Reply,
     Request,
     Route,
@@ -19,6 +19,7 @@
 from standins.service_cli import common_parser, run_until_signal
 from standins.service_faults import Fault, FaultKind
 from standins.service_register import Registrar, Registration, new_incarnation
+from standins.service_server import FaultyServer
 
 RECORDS_KEPT = 100_000
 RUNS_KEPT = 10_000
@@ -118,13 +119,17 @@
     def _call(self, request: Request, name: str) -> Reply:
         operation = self.cfg.operations.get(name)
         if self.leaving:
-            return json_reply(503, {'error': 'leaving'}, NOT_RUN_HEADERS)
+            return json_reply(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                {'error': 'leaving'},
+                NOT_RUN_HEADERS,
+            )
         if operation is None:
             error = {'error': 'no such operation'}
-            return json_reply(404, error, NOT_RUN_HEADERS)
+            return json_reply(HTTPStatus.NOT_FOUND, error, NOT_RUN_HEADERS)
         key = request.headers.get('idempotency-key', '')
         answer = self._execute(request, name, key, operation)
-        return json_reply(200, answer, (_key_header(request, key),))
+        return json_reply(HTTPStatus.OK, answer, (_key_header(request, key),))
 
     def _execute(
         self,
@@ -148,18 +153,20 @@
     def _query(self, _request: Request, name: str, key: str) -> Reply:
         operation = self.cfg.operations.get(name, Operation())
         if not operation.status_query:
-            return json_reply(404, {'error': 'no status query'})
+            return json_reply(
+                HTTPStatus.NOT_FOUND, {'error': 'no status query'}
+            )
         with self._lock:
             answer = self._ran.get((name, key))
         document = {'key': key, 'ran': answer is not None, 'answer': answer}
-        return json_reply(200, document)
+        return json_reply(HTTPStatus.OK, document)
 
     def _leave(self, _request: Request) -> Reply:
         self.leave()
-        return json_reply(200, {})
+        return json_reply(HTTPStatus.OK, {})
 
     def _report_records(self, _request: Request) -> Reply:
-        return json_reply(200, self.records())
+        return json_reply(HTTPStatus.OK, self.records())
 
 
 def _key_header(request: Request, key: str) -> tuple[str, str]:
--- a/standins/service_cli.py
+++ b/standins/service_cli.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Protocol
 
+DEFAULT_THREADS = 64
+
 
 class Runnable(Protocol):
     """A stand-in that a command line runs."""
@@ -30,7 +32,7 @@
     parser.add_argument('--name', required=True)
     parser.add_argument('--data-centre', default='')
     parser.add_argument('--register', default='', metavar='HOST:PORT')
-    parser.add_argument('--threads', type=int, default=64)
+    parser.add_argument('--threads', type=int, default=DEFAULT_THREADS)
     return parser
 
 
@@ -43,8 +45,8 @@
 def run_until_signal(standin: Runnable, port_file: Path | None) -> None:
     """Runs a stand-in until SIGTERM or SIGINT."""
     stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    signal.signal(signal.SIGINT, lambda *_: stopped.set())
     standin.start()
     if port_file is not None:
         _write_whole(port_file, json.dumps({'port': standin.port}))
--- a/standins/service_faults.py
+++ b/standins/service_faults.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 
 UNLIMITED = -1
+CONTROL_PATHS = ('/faults', '/records')  # these meet no fault
 
 
 class FaultKind(enum.StrEnum):
--- a/standins/service_register.py
+++ b/standins/service_register.py
@@ -56,10 +56,6 @@
         """Ends the retries."""
         self._stopped.set()
 
-    def _publish(self, entry: Registration) -> None:
-        while not (self._stopped.is_set() or self.write(entry)):
-            self._stopped.wait(RETRY_S)
-
     def write(self, entry: Registration) -> bool:
         """Creates or updates the entry once; returns whether it is written."""
         try:
@@ -67,6 +63,10 @@
         except urllib3.exceptions.HTTPError:
             return False
 
+    def _publish(self, entry: Registration) -> None:
+        while not (self._stopped.is_set() or self.write(entry)):
+            self._stopped.wait(RETRY_S)
+
     def _create(self, entry: Registration) -> bool:
         metadata = {'name': entry.name}
         status, _ = self._send('POST', self._base, entry, metadata)
