--- a/cactusledge/endpoints/engine.py
+++ b/cactusledge/endpoints/engine.py
@@ -1,15 +1,20 @@
 """Client of model engines: streams, cache, load, state and orders."""
 
 from collections.abc import Iterator, Mapping
-from contextlib import closing
-from typing import Any, NamedTuple, TypeAlias
+from typing import Any
 from urllib.parse import quote
 
+from cactusledge.endpoints.asking import Asker
 from cactusledge.endpoints.assembly import Chunk, Finished, StreamEvent
-from cactusledge.endpoints.errors import (
-    EndpointError,
-    EndpointFailedError,
-    EndpointRejectedError,
+from cactusledge.endpoints.errors import EndpointError
+from cactusledge.endpoints.ordering import (
+    Accepted,
+    Mismatch,
+    Order,
+    OrderResult,
+    StaleFencing,
+    give_order,
+    read_state,
 )
 from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.endpoints.reports import (
@@ -19,14 +24,13 @@
     LoadReport,
     parse_events,
     parse_load,
-    parse_state,
 )
 from cactusledge.endpoints.streams import (
     EngineLimits,
     ModelStream,
     StreamRequest,
 )
-from cactusledge.endpoints.transport import Exchange, Outgoing, Waits, send
+from cactusledge.endpoints.transport import Outgoing
 from cactusledge.models import Endpoint
 
 __all__ = (
@@ -43,40 +47,6 @@
 )
 
 DEFAULT_LIMITS = EngineLimits()
-HTTP_OK = 200
-HTTP_CONFLICT = 409
-ORDER_SILENCE_S = 60
-
-
-class Order(NamedTuple):
-    """The state that an engine shall have."""
-
-    fencing: int
-    model: str
-    adapter: str = ''
-    version: str = ''
-    role: str = 'serve'
-
-
-class Accepted(NamedTuple):
-    """The engine has the ordered state, as it said itself."""
-
-    state: EngineState
-
-
-class StaleFencing(NamedTuple):
-    """The engine refused: it has seen a higher fencing number."""
-
-    fencing: int
-
-
-class Mismatch(NamedTuple):
-    """The engine took the order and yet has another state."""
-
-    state: EngineState
-
-
-OrderResult: TypeAlias = Accepted | StaleFencing | Mismatch
 
 
 class EngineClient:
@@ -90,6 +60,8 @@
         """Keeps the connections to use and the limits."""
         self._pools = pools
         self._limits = limits
+        self._asker = Asker(pools, limits.connect_s, limits.inter_token_s)
+        self._orders = self._asker._replace(silence_s=limits.order_s)
 
     def stream(
         self,
@@ -141,7 +113,7 @@
     ) -> bool:
         """Ends a stream; returns whether it was still running."""
         request = Outgoing('DELETE', f'/v1/streams/{quote(request_id, "")}')
-        return bool(self._ask(endpoint, request, deadline_s)['cancelled'])
+        return bool(self._asker.ask(endpoint, request, deadline_s)['cancelled'])
 
     def release_cache(
         self,
@@ -152,7 +124,9 @@
     ) -> int:
         """Frees a program's cache; returns the freed tokens. Idempotent."""
         request = Outgoing('DELETE', _cache_path(program_id))
-        return int(self._ask(endpoint, request, deadline_s)['freed_tokens'])
+        return int(
+            self._asker.ask(endpoint, request, deadline_s)['freed_tokens']
+        )
 
     def export_cache(
         self,
@@ -163,7 +137,7 @@
     ) -> CacheExport:
         """Returns a program's cache for `import_cache`."""
         request = Outgoing('GET', _cache_path(program_id))
-        document = self._ask(endpoint, request, deadline_s)
+        document = self._asker.ask(endpoint, request, deadline_s)
         return CacheExport(document['model'], tuple(document['chunks']))
 
     def import_cache(
@@ -177,7 +151,7 @@
         """Gives an engine the cache that another exported. Idempotent."""
         body = export._asdict()
         request = Outgoing('PUT', _cache_path(program_id), body=body)
-        self._ask(endpoint, request, deadline_s)
+        self._asker.ask(endpoint, request, deadline_s)
 
     def load_report(
         self,
@@ -187,7 +161,7 @@
     ) -> LoadReport:
         """Returns the engine's load, with the age of the report."""
         request = Outgoing('GET', '/v1/load')
-        return parse_load(self._ask(endpoint, request, deadline_s))
+        return parse_load(self._asker.ask(endpoint, request, deadline_s))
 
     def cache_events(
         self,
@@ -198,7 +172,7 @@
     ) -> CacheEvents:
         """Returns the cache events that follow a sequence number."""
         request = Outgoing('GET', f'/v1/cache/events?after={after}')
-        document = self._ask(endpoint, request, deadline_s)
+        document = self._asker.ask(endpoint, request, deadline_s)
         return parse_events(after, document['events'])
 
     def read_state(
@@ -208,8 +182,7 @@
         deadline_s: float,
     ) -> EngineState:
         """Returns what the engine serves."""
-        request = Outgoing('GET', '/v1/state')
-        return parse_state(self._ask(endpoint, request, deadline_s))
+        return read_state(self._asker, endpoint, deadline_s)
 
     def order(
         self,
@@ -218,65 +191,8 @@
         *,
         deadline_s: float,
     ) -> OrderResult:
-        """Orders a state once and reads it back.
-
-        After a lost answer the state read back decides; if it is not the
-        ordered one, the order may still be under way and the error is raised.
-        """
-        try:
-            status, document = self._send_order(endpoint, order, deadline_s)
-        except EndpointFailedError:
-            state = self.read_state(endpoint, deadline_s=deadline_s)
-            if not has_state(state, order):
-                raise
-            return Accepted(state)
-        if status == HTTP_CONFLICT:
-            return StaleFencing(int(document['fencing']))
-        state = self.read_state(endpoint, deadline_s=deadline_s)
-        return Accepted(state) if has_state(state, order) else Mismatch(state)
-
-    def _send_order(
-        self,
-        endpoint: Endpoint,
-        order: Order,
-        deadline_s: float,
-    ) -> tuple[int, Any]:
-        request = Outgoing('POST', '/v1/orders', body=order._asdict())
-        waits = Waits(deadline_s, self._limits.connect_s, ORDER_SILENCE_S)
-        with self._pools.fresh(endpoint.address) as pool:
-            return _whole_answer(send(pool, endpoint, request, waits))
-
-    def _ask(
-        self,
-        endpoint: Endpoint,
-        request: Outgoing,
-        deadline_s: float,
-    ) -> Any:
-        limits = self._limits
-        waits = Waits(deadline_s, limits.connect_s, limits.inter_token_s)
-        with self._pools.shared(endpoint.address) as pool:
-            status, document = _whole_answer(
-                send(pool, endpoint, request, waits),
-            )
-        if status == HTTP_OK:
-            return document
-        raise EndpointRejectedError(
-            f'{endpoint.name} answered {request.path} with status {status}.',
-            remedy='Check that the endpoint is an engine of this protocol.',
-            endpoint=endpoint.name,
-            status=status,
-        )
-
-
-def has_state(state: EngineState, order: Order) -> bool:
-    """Returns whether a state is the ordered one, fencing number aside."""
-    wanted = (order.model, order.adapter, order.version, order.role)
-    return wanted == (state.model, state.adapter, state.version, state.role)
-
-
-def _whole_answer(exchange: Exchange) -> tuple[int, Any]:
-    with closing(exchange):
-        return exchange.response.status, exchange.document()
+        """Sends an order once and reads the engine's state back."""
+        return give_order(self._orders, endpoint, order, deadline_s)
 
 
 def _cache_path(program_id: str) -> str:
--- a/cactusledge/endpoints/streams.py
+++ b/cactusledge/endpoints/streams.py
@@ -41,12 +41,13 @@
 
 
 class EngineLimits(NamedTuple):
-    """Limits on the waits of a stream, in seconds, and on its resumptions."""
+    """Limits on the waits for an engine, in seconds, and on resumptions."""
 
     connect_s: float = 1
     first_token_s: float = 30
     inter_token_s: float = 5
     resumptions: int = 3
+    order_s: float = 60  # until an engine has carried out an order
 
 
 class StreamRequest(NamedTuple):
--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -27,6 +27,7 @@
         order_s: float,
     ) -> None:
         """Starts in the given state."""
+        self.broken = False  # True accepts orders without an effect
         self.records: list[dict[str, Any]] = []
         self._state = state
         self._ignore_fencing = ignore_fencing
@@ -47,7 +48,7 @@
             self.records.append({**order, 'accepted': accepted})
             if accepted and not self._ignore_fencing:
                 self._state = self._state._replace(fencing=fencing)
-        if accepted:
+        if accepted and not self.broken:
             time.sleep(self._order_s)
             self._apply(order)
         return accepted
