--- a/cactusledge/cli/plan.py
+++ b/cactusledge/cli/plan.py
@@ -66,10 +66,6 @@
             yield f'    {field.field}: {field.old} -> {field.new}'
         if change.warning:
             yield f'    warning: {change.warning}'
-    yield (
-        f'{len(changes)} changes to generation {generation}.'
-        if changes
-        else f'No change to generation {generation}.'
-    )
+    yield f'Changes to generation {generation}: {len(changes)}.'
     if changes:
         yield f'Publish them with --expect-generation {generation}.'
--- a/cactusledge/cli/validate.py
+++ b/cactusledge/cli/validate.py
@@ -29,6 +29,7 @@
     if output is Format.JSON:
         write_json(env, {'files': list(found.files), 'definitions': counts})
         return ExitStatus.OK
-    listed = ', '.join(f'{count} {kind}' for kind, count in counts.items())
-    write_lines(env, (f'Valid: {len(found.files)} files; {listed}.',))
+    counted = {'files': len(found.files), **counts}
+    listed = ', '.join(f'{name} {count}' for name, count in counted.items())
+    write_lines(env, (f'Valid: {listed}.',))
     return ExitStatus.OK
--- a/cactusledge/settings/rollout.py
+++ b/cactusledge/settings/rollout.py
@@ -50,7 +50,7 @@
 def stale_report(report: Report, now: float, max_age_s: float) -> Report:
     """Returns the report, marked as a problem when it is too old."""
     age_s = now - report.reported_at
-    if age_s <= max_age_s:
+    if report.problem or age_s <= max_age_s:
         return report
     return report._replace(problem=f'the report is {age_s:.0f} s old')
 
