--- a/cactusledge/peers/channel.py
+++ b/cactusledge/peers/channel.py
@@ -5,29 +5,20 @@
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
-from thrift.protocol.TProtocol import TProtocolException
-from thrift.Thrift import TApplicationException
-from thrift.transport.TTransport import TTransportException
-
 from cactusledge.models import Address
-from cactusledge.peers.convert import error_from_thrift, from_thrift, to_thrift
+from cactusledge.peers import convert
 from cactusledge.peers.errors import PeerAnswerLostError, PeerUnreachableError
 from cactusledge.peers.thrift import Peers, ttypes
 from cactusledge.peers.transport import (
     MAX_MESSAGE_BYTES,
+    RECEIVE_ERRORS,
+    SEND_ERRORS,
     BoundedFrames,
     DeadlineSocket,
     new_protocol,
 )
 
 MAX_IDLE_CONNECTIONS = 4
-CONNECTION_ERRORS = (
-    OSError,
-    EOFError,
-    TTransportException,
-    TProtocolException,
-    TApplicationException,
-)
 
 # Whether a message may be sent again after its answer was lost.
 IDEMPOTENT: Mapping[str, bool] = MappingProxyType({
@@ -71,7 +62,8 @@
     def close(self) -> None:
         """Closes the idle connections."""
         with self._lock:
-            idle, self._idle = self._idle, []
+            idle = self._idle
+            self._idle = []
         for conn in idle:
             conn.close()
 
@@ -97,8 +89,8 @@
             answer = getattr(conn.client, f'recv_{method}')()
         except ttypes.PeerError as error:
             self._put_back(conn)
-            raise error_from_thrift(error) from None
-        except CONNECTION_ERRORS as exc:
+            raise convert.error_from_thrift(error) from None
+        except RECEIVE_ERRORS as exc:
             conn.close()
             raise PeerAnswerLostError(
                 f'The answer of {self.address} to {method} was lost'
@@ -106,7 +98,7 @@
                 remedy='Ask again only if the message is idempotent.',
             ) from exc
         self._put_back(conn)
-        return from_thrift(answer)
+        return convert.from_thrift(answer)
 
     def _send(
         self,
@@ -139,8 +131,8 @@
         conn.sock.set_deadline(timeout_s)
         send = getattr(conn.client, f'send_{method}')
         try:
-            send(*[to_thrift(arg) for arg in args])
-        except CONNECTION_ERRORS:
+            send(*[convert.to_thrift(arg) for arg in args])
+        except SEND_ERRORS:
             conn.close()
             return False
         except BaseException:
@@ -152,7 +144,7 @@
         sock = DeadlineSocket(self.address, timeout_s)
         try:
             sock.open()
-        except CONNECTION_ERRORS as exc:
+        except SEND_ERRORS as exc:
             raise unreachable(self.address, method) from exc
         protocol = new_protocol(BoundedFrames(sock, MAX_MESSAGE_BYTES))
         return Connection(sock, Peers.Client(protocol))
--- a/cactusledge/peers/convert.py
+++ b/cactusledge/peers/convert.py
@@ -31,14 +31,21 @@
     messages.HeldBatch,
     messages.ConfigReply,
 )
-THRIFT_CLASSES: Mapping[type[Any], type[Any]] = MappingProxyType({
+Classes = Mapping[type[Any], type[Any]]
+
+THRIFT_CLASSES: Classes = MappingProxyType({
     message: getattr(ttypes, message.__name__) for message in MESSAGES
 })
-MESSAGE_CLASSES: Mapping[type[Any], type[Any]] = MappingProxyType({
+MESSAGE_CLASSES: Classes = MappingProxyType({
     thrift: message for message, thrift in THRIFT_CLASSES.items()
 })
-ENUM_FIELDS: Mapping[type[Any], Mapping[str, type[Any]]] = MappingProxyType({
-    messages.ProgramEvent: {'kind': messages.ProgramEventKind},
+OUTCOMES: Mapping[Outcome, int] = MappingProxyType({
+    Outcome.NOT_RUN: ttypes.Outcome.NOT_RUN,
+    Outcome.RAN: ttypes.Outcome.RAN,
+    Outcome.UNKNOWN: ttypes.Outcome.UNKNOWN,
+})
+OUTCOMES_BY_NUMBER: Mapping[int, Outcome] = MappingProxyType({
+    number: outcome for outcome, number in OUTCOMES.items()
 })
 
 
@@ -64,12 +71,11 @@
 
 def read_fields(message: type[Any], struct: Any) -> Any:
     """Returns the message with the fields of a thrift struct."""
-    fields = {
-        name: from_thrift(getattr(struct, name)) for name in message._fields
-    }
-    for name, enum_type in ENUM_FIELDS.get(message, {}).items():
-        fields[name] = enum_type(fields[name])
-    return message(**fields)
+    fields = [from_thrift(getattr(struct, name)) for name in message._fields]
+    whole = message(*fields)
+    if isinstance(whole, messages.ProgramEvent):
+        return whole._replace(kind=messages.ProgramEventKind(whole.kind))
+    return whole
 
 
 def error_to_thrift(exc: Exception) -> ttypes.PeerError:
@@ -80,7 +86,7 @@
         code=str(exc.code),
         message=exc.message,
         remedy=exc.remedy,
-        outcome=ttypes.Outcome._NAMES_TO_VALUES[exc.outcome.name],
+        outcome=OUTCOMES[exc.outcome],
         retry_after_s=exc.retry_after_s,
     )
 
@@ -92,7 +98,7 @@
         ErrorCode(error.code) if known else ErrorCode.INTERNAL,
         error.message,
         remedy=error.remedy,
-        outcome=Outcome(ttypes.Outcome._VALUES_TO_NAMES[error.outcome]),
+        outcome=OUTCOMES_BY_NUMBER[error.outcome],
         retry_after_s=error.retry_after_s,
     )
 
--- a/cactusledge/peers/server.py
+++ b/cactusledge/peers/server.py
@@ -4,19 +4,20 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import structlog
 from thrift.transport import TSocket
 
 from cactusledge.models import Address
-from cactusledge.peers.channel import CONNECTION_ERRORS
-from cactusledge.peers.convert import error_to_thrift, from_thrift, to_thrift
+from cactusledge.peers import convert
 from cactusledge.peers.errors import PeerMessageTooLargeError
 from cactusledge.peers.handler import PeerHandler
 from cactusledge.peers.thrift import Peers
 from cactusledge.peers.transport import (
     MAX_MESSAGE_BYTES,
+    RECEIVE_ERRORS,
     BoundedFrames,
     new_protocol,
 )
@@ -24,7 +25,8 @@
 MAX_CONNECTIONS = 256
 BACKLOG = 128
 IDLE_TIMEOUT_S = 60
-SEND_GRACE_S = 1  # how long `stop` waits by default for calls to end
+STOP_GRACE_S = 1  # how long `stop` waits by default for calls to end
+SERVER_ERRORS = (*RECEIVE_ERRORS, PeerMessageTooLargeError)
 
 log = structlog.get_logger('peers')
 
@@ -38,16 +40,16 @@
 
     def __getattr__(self, method: str) -> Callable[..., Any]:
         """Returns the handler's method with thrift arguments and result."""
-        handle = getattr(self._handler, method)
-
-        def call(*args: Any) -> Any:
-            try:
-                return to_thrift(handle(*[from_thrift(arg) for arg in args]))
-            except Exception as exc:
-                log.info('peers: a message failed', method=method, error=exc)
-                raise error_to_thrift(exc) from exc
+        return partial(self._call, method)
 
-        return call
+    def _call(self, method: str, *args: Any) -> Any:
+        handle = getattr(self._handler, method)
+        received = [convert.from_thrift(arg) for arg in args]
+        try:
+            return convert.to_thrift(handle(*received))
+        except Exception as exc:
+            log.info('peers: a message failed', method=method, error=str(exc))
+            raise convert.error_to_thrift(exc) from exc
 
 
 class PeerServer:
@@ -86,7 +88,7 @@
         )
         thread.start()
 
-    def stop(self, grace_s: float = SEND_GRACE_S) -> None:
+    def stop(self, grace_s: float = STOP_GRACE_S) -> None:
         """Frees the port, lets calls under way end, closes connections.
 
         A message that has arrived is still answered within the grace time.
@@ -136,11 +138,15 @@
         try:
             while True:
                 self._processor.process(protocol, protocol)
-        except (*CONNECTION_ERRORS, PeerMessageTooLargeError):
-            sock.close()
+        except SERVER_ERRORS as exc:
+            log.debug('peers: connection ended', error=str(exc))
         finally:
-            with self._lock:
-                self._threads.pop(threading.current_thread(), None)
+            sock.close()
+            self._forget(threading.current_thread())
+
+    def _forget(self, thread: threading.Thread) -> None:
+        with self._lock:
+            self._threads.pop(thread, None)
 
 
 def shut(sock: socket.socket, how: int) -> None:
--- a/cactusledge/peers/transport.py
+++ b/cactusledge/peers/transport.py
@@ -1,19 +1,33 @@
 """Sockets and framing of the connections between instances."""
 
 import socket
+import struct
 import time
 from typing import Any
 
-from thrift.protocol import TCompactProtocol
+from thrift.protocol import TCompactProtocol, TProtocol
+from thrift.Thrift import TApplicationException
 from thrift.transport import TSocket, TTransport
 
 from cactusledge.models import Address
 from cactusledge.peers.errors import PeerMessageTooLargeError
 
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-
-
-class DeadlineSocket(TSocket.TSocket):
+MIB = 1024 * 1024  # bytes
+MAX_MESSAGE_BYTES = 16 * MIB  # noqa: WPS432 - the unit is named
+SEND_ERRORS = (OSError, TTransport.TTransportException)
+RECEIVE_ERRORS = (
+    *SEND_ERRORS,
+    EOFError,
+    MemoryError,
+    TypeError,
+    ValueError,
+    struct.error,
+    TProtocol.TProtocolException,
+    TApplicationException,
+)
+
+
+class DeadlineSocket(TSocket.TSocket):  # type: ignore[misc]
     """A socket whose reads and writes share one deadline."""
 
     def __init__(self, address: Address, timeout_s: float) -> None:
@@ -53,7 +67,7 @@
         return left_s
 
 
-class BoundedFrames(TTransport.TFramedTransport):
+class BoundedFrames(TTransport.TFramedTransport):  # type: ignore[misc]
     """Frames that refuse a message above the size limit before it is sent."""
 
     def __init__(self, transport: Any, max_bytes: int) -> None:
--- a/cactusledge/platform/client.py
+++ b/cactusledge/platform/client.py
@@ -138,6 +138,11 @@
         version: str,
     ) -> StoredObject:
         """Replaces the object if it still has the given version."""
+        if not version:
+            raise StoreRefusedError(
+                f'{kind}/{name} was to be replaced whatever its version.',
+                remedy='Read the object and pass the version read.',
+            )
         stored = StoredObject(kind, name, version, body)
         return self._write('PUT', wire.object_path(kind, name), stored)
 
--- /dev/null
+++ b/cactusledge/platform/outage.py
@@ -0,0 +1,87 @@
+"""Whether the platform is up, judged by the results of requests.
+
+Pure: the caller passes the time and the jitter. A platform that answers with
+a conflict or a missing object is up.
+"""
+
+import enum
+from typing import NamedTuple
+
+SUSPECT_FAILURES = 3  # failures in a row before an outage is assumed
+FIRST_BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 2.0
+JITTER_SHARE = 0.5  # part of the backoff that is random
+LARGEST_EXPONENT = 16
+
+
+class Phase(enum.StrEnum):
+    """State of the platform as this instance sees it."""
+
+    UP = 'up'
+    SUSPECT = 'suspect'  # the last request failed
+    DOWN = 'down'
+
+
+class OutageState(NamedTuple):
+    """Phase, failures in a row, and when the next try is due."""
+
+    phase: Phase = Phase.UP
+    failures: int = 0
+    since_s: float = 0
+    retry_at_s: float = 0
+
+    @property
+    def is_up(self) -> bool:
+        """Whether requests may be expected to succeed."""
+        return self.phase is not Phase.DOWN
+
+
+def after_success(state: OutageState, now_s: float) -> OutageState:
+    """Returns the state after an answer from the platform."""
+    if state.phase is Phase.UP:
+        return state
+    return OutageState(since_s=now_s)
+
+
+def after_failure(
+    state: OutageState,
+    now_s: float,
+    jitter: float,
+    retry_after_s: float | None = None,
+) -> OutageState:
+    """Returns the state after a request without an answer.
+
+    Args:
+        state: The state before.
+        now_s: The time.
+        jitter: A random number from 0 to 1.
+        retry_after_s: The wait that the platform asked for, if it did.
+    """
+    failures = state.failures + 1
+    phase = phase_for(failures)
+    wait_s = backoff_s(failures, jitter)
+    return OutageState(
+        phase=phase,
+        failures=failures,
+        since_s=state.since_s if phase is state.phase else now_s,
+        retry_at_s=now_s + max(wait_s, retry_after_s or 0),
+    )
+
+
+def phase_for(failures: int) -> Phase:
+    """Returns the phase after so many failures in a row."""
+    if not failures:
+        return Phase.UP
+    return Phase.SUSPECT if failures < SUSPECT_FAILURES else Phase.DOWN
+
+
+def backoff_s(failures: int, jitter: float) -> float:
+    """Returns the wait before the next try, longer with each failure."""
+    exponent = min(failures - 1, LARGEST_EXPONENT)
+    longest_s = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * float(2**exponent))
+    return longest_s * (1 - JITTER_SHARE * jitter)
+
+
+def wait_s(state: OutageState, now_s: float) -> float:
+    """Returns the seconds until the next try is due."""
+    return max(0, state.retry_at_s - now_s)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -15,6 +15,7 @@
     hang: bool
     slow_ms: int
     lose_answers_after_effect: int  # so many writes, or ALL
+    cut_answers_after_effect: int  # so many writes, or ALL
     lose_before_effect: int  # so many writes, or ALL
     late_landing_ms: int
     watch_silent: bool
@@ -26,6 +27,7 @@
 
     lose_before: bool = False
     lose_after: bool = False
+    cut_after: bool = False
     late_s: float = 0
 
 
@@ -59,6 +61,7 @@
             return WriteFaults(
                 lose_before=self._take('lose_before_effect'),
                 lose_after=self._take('lose_answers_after_effect'),
+                cut_after=self._take('cut_answers_after_effect'),
                 late_s=self._settings.get('late_landing_ms', 0) / 1000,
             )
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,7 +10,7 @@
 import socket
 import threading
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from cheroot import wsgi
 
@@ -21,7 +21,9 @@
 from standins.platform_limits import Limits
 
 SERVER_THREADS = 64  # a watch or a hanging request holds one
+CONTROL_THREADS = 2
 STOP_TIMEOUT_S = 1
+SELECT_TIMEOUT_S = 0.05  # how soon a stop is noticed
 LOOPBACK = '127.0.0.1'
 
 
@@ -38,10 +40,11 @@
 class HttpListener:
     """A cheroot server on one port that can close and reopen it."""
 
-    def __init__(self, address: Address, app: Any) -> None:
+    def __init__(self, address: Address, app: Any, threads: int) -> None:
         """Keeps the address; listens after `start`."""
         self._address = address
         self._app = app
+        self._threads = threads
         self._server: wsgi.Server | None = None
         self._thread: threading.Thread | None = None
 
@@ -50,10 +53,11 @@
         server = wsgi.Server(
             tuple(self._address),
             self._app,
-            numthreads=SERVER_THREADS,
+            numthreads=self._threads,
             shutdown_timeout=STOP_TIMEOUT_S,
         )
         server.gateway = ConnectionGateway
+        server.expiration_interval = SELECT_TIMEOUT_S
         server.prepare()
         self._server = server
         self._thread = threading.Thread(target=server.serve, daemon=True)
@@ -81,9 +85,13 @@
         self.port = port or free_port()
         self.control_port = control_port or free_port()
         self.app = PlatformApp(limits or Limits())
-        self._api = HttpListener(self.address, self.app)
+        self._api = HttpListener(self.address, self.app, SERVER_THREADS)
         control = Address(LOOPBACK, self.control_port)
-        self._control = HttpListener(control, self._serve_control)
+        self._control = HttpListener(
+            control,
+            self._serve_control,
+            CONTROL_THREADS,
+        )
         self._lock = threading.Lock()
         self._refusing = False
 
@@ -92,7 +100,7 @@
         """The address of the object API."""
         return Address(LOOPBACK, self.port)
 
-    def start(self) -> 'PlatformStandin':
+    def start(self) -> Self:
         """Opens both ports and returns the stand-in."""
         self._api.start()
         self._control.start()
@@ -104,6 +112,14 @@
         self._api.stop()
         self._control.stop()
 
+    def __enter__(self) -> Self:
+        """Starts the stand-in."""
+        return self.start()
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stops the stand-in."""
+        self.stop()
+
     def store(self, **options: Any) -> HttpObjectStore:
         """Returns a client of this stand-in."""
         return HttpObjectStore([self.address], **options)
--- a/standins/platform_app.py
+++ b/standins/platform_app.py
@@ -3,7 +3,6 @@
 import math
 import socket
 import threading
-import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from http import HTTPStatus
 from types import MappingProxyType
@@ -13,9 +12,9 @@
 import msgspec
 
 from cactusledge.platform import wire
-from cactusledge.platform.store import BOOKMARK, StoredObject, WatchEvent
+from cactusledge.platform.store import StoredObject
 from standins.faults import Faults, WriteFaults, decode_faults
-from standins.platform_limits import Limits, RateLimiter
+from standins.platform_limits import Limits, request_budget
 from standins.platform_table import (
     Counters,
     GoneError,
@@ -23,6 +22,7 @@
     MissingError,
     ObjectTable,
 )
+from standins.platform_watch import WatchQuery, WatchStream
 
 CONNECTION_KEY = 'standins.connection'
 Environ = Mapping[str, Any]
@@ -71,8 +71,8 @@
         self.counters = Counters()
         self.stopping = threading.Event()
         self._limits = limits
-        self._reads = RateLimiter(limits.reads_per_s)
-        self._writes = RateLimiter(limits.writes_per_s)
+        self._reads = request_budget(limits.reads_per_s)
+        self._writes = request_budget(limits.writes_per_s)
         self._stale = self.table
 
     def __call__(
@@ -108,11 +108,11 @@
             return failure(status_of(exc))
 
     def _handle(self, req: Request) -> Response:
-        limiter = self._reads if req.method == 'GET' else self._writes
+        budget = self._reads if req.method == 'GET' else self._writes
         self.counters.count(group_of(req), req.path[0])
         if self.faults.settings.get('down'):
             return failure(HTTPStatus.SERVICE_UNAVAILABLE)
-        wait_s = limiter.wait_s()
+        wait_s = budget.wait_s() if budget else 0
         if wait_s:
             return failure(HTTPStatus.TOO_MANY_REQUESTS, wait_s)
         if len(req.body) > self._limits.object_bytes:
@@ -149,6 +149,8 @@
             timer.start()
             return drop(req)
         response = self._land(req)
+        if faults.cut_after:
+            return cut(req, response)
         return drop(req) if faults.lose_after else response
 
     def _land(self, req: Request) -> Response:
@@ -168,57 +170,16 @@
         return self.table.update(kind, req.path[1], sent.body, sent.version)
 
     def _watch(self, req: Request) -> Response:
-        version = req.query['resourceVersion']
-        self.table.events_after(version)  # raises if the version is too old
-        return Response(HTTPStatus.OK, self._stream(req, version))
-
-    def _stream(self, req: Request, version: str) -> Iterator[bytes]:
-        kind = req.path[0]
-        epoch = self.faults.silence_epoch
-        deadline = time.monotonic() + float(req.query['timeoutSeconds'])
-        yield wire.encode_event(bookmark_at(kind, version))
-        while time.monotonic() < deadline and not self.stopping.is_set():
-            try:
-                events = self._next_events(version, deadline)
-            except GoneError:
-                return
-            version = events[-1].object.version
-            if epoch != self.faults.silence_epoch:
-                self.stopping.wait()
-                return
-            yield b''.join(
-                wire.encode_event(event)
-                for event in events
-                if matches(event, kind, req.query.get('prefix', ''))
-            )
-
-    def _next_events(
-        self,
-        version: str,
-        deadline: float,
-    ) -> tuple[WatchEvent, ...]:
-        """Returns the next events, or a bookmark when none came in time."""
-        left_s = max(0, deadline - time.monotonic())
-        table = self.table
-        with table.condition:
-            table.condition.wait_for(
-                lambda: table.events_after(version),
-                min(left_s, self._limits.bookmark_s),
-            )
-            events = table.events_after(version)
-            return events or (table.bookmark(''),)
-
-
-def bookmark_at(kind: str, version: str) -> WatchEvent:
-    """Returns an event that only carries a version."""
-    return WatchEvent(BOOKMARK, StoredObject(kind, '', version, {}))
-
-
-def matches(event: WatchEvent, kind: str, prefix: str) -> bool:
-    """Returns whether a watch wants the event; bookmarks always pass."""
-    if event.type == BOOKMARK:
-        return True
-    return event.object.kind == kind and event.object.name.startswith(prefix)
+        query = WatchQuery(
+            kind=req.path[0],
+            prefix=req.query.get('prefix', ''),
+            version=req.query['resourceVersion'],
+            timeout_s=float(req.query['timeoutSeconds']),
+            bookmark_s=self._limits.bookmark_s,
+        )
+        self.table.events_after(query.version)  # raises if it is too old
+        stream = WatchStream(self.table, self.faults, self.stopping)
+        return Response(HTTPStatus.OK, stream.lines(query))
 
 
 def parse_request(environ: Environ) -> Request:
@@ -271,3 +232,20 @@
     """Closes the connection, so that no answer reaches the client."""
     req.connection.shutdown(socket.SHUT_RDWR)
     return failure(HTTPStatus.OK)
+
+
+def cut(req: Request, response: Response) -> Response:
+    """Sends half of the answer and closes the connection."""
+    content = b''.join(response.body)
+    length = str(len(content))
+    return Response(
+        response.status,
+        send_half(req, content),
+        (('Content-Length', length),),
+    )
+
+
+def send_half(req: Request, content: bytes) -> Iterator[bytes]:
+    """Yields half of the content, then closes the connection."""
+    yield content[: len(content) // 2]
+    req.connection.shutdown(socket.SHUT_RDWR)
