Ask the owner of a program or an engine group over the peer service

Cause: with several instances a program is driven by one of them, and the queue of an engine group is kept by one of them; requests reach any. Change: remote programs with resumable polling, forwarded calls, grants from the group's owner with the own scheduler as fallback, held records in a peer's memory, assembly of the parts, and the demonstration.

--- /dev/null
+++ b/cactusledge/assembly/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the parts of an instance from its settings, one module a part."""
--- /dev/null
+++ b/cactusledge/assembly/api.py
@@ -0,0 +1,42 @@
+"""Builds the caller API."""
+
+from importlib.resources import files
+
+from cactusledge.api.app import ApiApp
+from cactusledge.api.handlers import ApiContext
+from cactusledge.api.server import ApiServer, ServerLimits
+from cactusledge.api.service import InstanceReport, ProgramService
+from cactusledge.assembly.base import Base
+
+
+def build_api(
+    base: Base,
+    programs: ProgramService,
+    report: InstanceReport,
+) -> ApiServer:
+    """Returns the server of the caller API and the status API."""
+    limits = base.settings.limits
+    openapi = files('cactusledge.api').joinpath('openapi.json')
+
+    def find_account(token: str) -> str | None:
+        account = base.config.current().account_for_token(token)
+        return account.name if account else None
+
+    ctx = ApiContext(
+        programs=programs,
+        report=report,
+        find_account=find_account,
+        request_timeout_s=limits.request_timeout_s,
+        openapi=openapi.read_bytes(),
+    )
+    return ApiServer(
+        base.settings.listen.api,
+        ApiApp(ctx, limits.max_body_bytes),
+        ServerLimits(
+            worker_threads=limits.worker_threads,
+            max_connections=limits.max_connections,
+            max_body_bytes=limits.max_body_bytes,
+            max_header_bytes=limits.max_header_bytes,
+            socket_timeout_s=limits.request_timeout_s,
+        ),
+    )
--- /dev/null
+++ b/cactusledge/assembly/base.py
@@ -0,0 +1,64 @@
+"""What every part of an instance builds on."""
+
+from concurrent.futures import Executor, ThreadPoolExecutor
+from typing import NamedTuple
+
+from cactusledge.environment import Environment
+from cactusledge.platform.store import ObjectStore
+from cactusledge.settings.follower import ConfigFollower
+from cactusledge.settings.sections import InstanceSettings
+from cactusledge.telemetry.logs import configure_logs
+from cactusledge.telemetry.metrics import Metrics
+from cactusledge.telemetry.traces import Traces, new_exporter
+
+
+class Base(NamedTuple):
+    """Settings, telemetry, the platform, the configuration and threads."""
+
+    settings: InstanceSettings
+    metrics: Metrics
+    traces: Traces
+    store: ObjectStore
+    config: ConfigFollower
+    workers: Executor  # calls, cache releases and the journal
+    followers: Executor  # calls that were forwarded to peers
+
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self.settings.instance.name
+
+    @property
+    def data_centre(self) -> str:
+        """Data centre of this instance."""
+        return self.settings.instance.data_centre
+
+
+def build_base(settings: InstanceSettings, env: Environment) -> Base:
+    """Returns the base of an instance; starts nothing but the logs."""
+    identity = settings.instance
+    configure_logs(
+        env.stderr,
+        log_format=settings.logs.format,
+        level=settings.logs.level,
+        instance=identity.name,
+        data_centre=identity.data_centre,
+    )
+    traces = Traces(
+        instance=identity.name,
+        data_centre=identity.data_centre,
+        exporter=new_exporter(settings.traces.exporter, settings.traces.path),
+        sample_ratio=settings.traces.sample_ratio,
+    )
+    platform = settings.platform
+    store = env.open_store(platform.addresses, platform.timeout_s)
+    threads = settings.limits.worker_threads
+    return Base(
+        settings=settings,
+        metrics=Metrics(),
+        traces=traces,
+        store=store,
+        config=ConfigFollower(store),
+        workers=ThreadPoolExecutor(threads, thread_name_prefix='worker'),
+        followers=ThreadPoolExecutor(threads, thread_name_prefix='follower'),
+    )
--- /dev/null
+++ b/cactusledge/assembly/peers.py
@@ -0,0 +1,97 @@
+"""Builds the peer service and membership."""
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cactusledge.assembly.base import Base
+from cactusledge.assembly.programs import ProgramsPart
+from cactusledge.assembly.routing import RoutingPart
+from cactusledge.errors import CactusledgeError
+from cactusledge.peers.membership import Membership
+from cactusledge.peers.server import PeerServer
+from cactusledge.programs.held import HeldStore
+from cactusledge.programs.neighbours import (
+    Neighbours,
+    generation_of,
+    member_state,
+)
+from cactusledge.programs.peer_handler import EntryPeerHandler, HandlerParts
+from cactusledge.telemetry.logs import get_logger
+
+log = get_logger('peers')
+
+
+class PeersPart(NamedTuple):
+    """The peer service and what it serves from."""
+
+    server: PeerServer
+    membership: Membership
+    neighbours: Neighbours
+    base: Base
+    programs: ProgramsPart
+
+    def start(self) -> None:
+        """Listens, then tells the peers of this instance."""
+        self.server.start()
+        self.membership.start()
+
+    def tick(self) -> None:
+        """Tells the peers what changed, and learns newer configurations."""
+        generation = self.base.config.current().generation
+        names = self.programs.table.names()
+        self.membership.set_state(member_state(names, generation))
+        newest = max(
+            (generation_of(one) for one in self.membership.alive()),
+            default=0,
+        )
+        if newest > generation:
+            self._fetch_config(generation)
+
+    def leave(self) -> None:
+        """Tells the peers that this instance takes no new work."""
+        self.membership.leave()
+
+    def stop(self) -> None:
+        """Closes the connections from and to peers."""
+        self.membership.stop()
+        self.server.stop()
+        self.neighbours.close()
+
+    def _fetch_config(self, known: int) -> None:
+        for client in self.neighbours.nearby():
+            try:
+                reply = client.get_config(known)
+            except CactusledgeError as exc:
+                log.info('Configuration not read.', reason=exc.message)
+                continue
+            if reply.document is not None:
+                self.base.config.offer(reply.generation, reply.document)
+                return
+
+
+def build_peers(
+    base: Base,
+    routing: RoutingPart,
+    programs: ProgramsPart,
+    neighbours: Neighbours,
+    membership: Membership,
+) -> PeersPart:
+    """Returns the peer service of an instance."""
+    handler = EntryPeerHandler(
+        HandlerParts(
+            name=base.name,
+            heartbeats=membership,
+            programs=programs.local,
+            grants=routing.grant_desk,
+            held=HeldStore(),
+            config=base.config,
+            want_log=programs.logs.want,
+        ),
+    )
+    server = PeerServer(
+        base.settings.listen.peers,
+        handler,
+        base.settings.limits.max_connections,
+    )
+    return PeersPart(server, membership, neighbours, base, programs)
--- /dev/null
+++ b/cactusledge/assembly/routing.py
@@ -0,0 +1,99 @@
+"""Builds the routing: endpoints, engine queues and leases."""
+
+import random
+from typing import NamedTuple
+
+import pykka
+
+from cactusledge.assembly.base import Base
+from cactusledge.endpoints.directory import EndpointDirectory
+from cactusledge.models import CallKind, Endpoint
+from cactusledge.platform.watcher import Watcher, WatchTarget
+from cactusledge.programs.grants import GrantDesk, GrantRouter
+from cactusledge.programs.leases import LeaseDesk
+from cactusledge.programs.neighbours import Neighbours
+from cactusledge.routing.client import DispatcherClient, Ticker
+from cactusledge.routing.dispatcher import Dispatcher
+from cactusledge.routing.policy import LATENCY_FIRST
+from cactusledge.routing.types import CacheRelease, EngineLimits, GroupKey, Warm
+from cactusledge.telemetry.logs import get_logger
+
+INSTANCES_KIND = 'instances'
+
+log = get_logger('routing')
+
+
+class RoutingPart(NamedTuple):
+    """The endpoints and who decides about them."""
+
+    directory: EndpointDirectory
+    watcher: Watcher
+    dispatcher: pykka.ActorRef[Dispatcher]
+    grant_desk: GrantDesk
+    leases: LeaseDesk
+    ticker: Ticker
+
+    def start(self) -> None:
+        """Follows the live list and lets the queues tick."""
+        self.watcher.start()
+        self.ticker.start()
+
+    def tick(self) -> None:
+        """Takes back what dead instances asked for."""
+        self.grant_desk.tick()
+
+    def stop(self) -> None:
+        """Stops following and answers what waits."""
+        self.watcher.stop()
+        self.ticker.stop()
+        self.dispatcher.stop(block=False)
+
+
+def build_routing(base: Base, neighbours: Neighbours) -> RoutingPart:
+    """Returns the routing of an instance."""
+    dispatcher = Dispatcher.start(
+        owner=base.name,
+        settings=LATENCY_FIRST,
+        emit=_log_effect,
+    )
+    client = DispatcherClient(dispatcher)
+    directory = EndpointDirectory(
+        base.data_centre,
+        lambda: _fixed_endpoints(base),
+        lambda: _set_engines(client, directory),
+    )
+    grants = GrantRouter(client, neighbours.owner_of_group, base.name)
+    return RoutingPart(
+        directory=directory,
+        watcher=Watcher(base.store, WatchTarget(INSTANCES_KIND), directory),
+        dispatcher=dispatcher,
+        grant_desk=GrantDesk(client),
+        leases=LeaseDesk(directory, grants, random.choice),
+        ticker=Ticker(client),
+    )
+
+
+def engines_of(directory: EndpointDirectory) -> tuple[Endpoint, ...]:
+    """Returns all known model engines."""
+    return tuple(one for one in directory.all() if one.kind is CallKind.MODEL)
+
+
+def _fixed_endpoints(base: Base) -> tuple[Endpoint, ...]:
+    by_service = base.config.current().endpoints
+    return tuple(one for group in by_service.values() for one in group)
+
+
+def _set_engines(
+    client: DispatcherClient,
+    directory: EndpointDirectory,
+) -> None:
+    groups: dict[GroupKey, list[Endpoint]] = {}
+    for engine in engines_of(directory):
+        key = GroupKey(engine.data_centre, engine.service)
+        groups.setdefault(key, []).append(engine)
+    for key, members in groups.items():
+        client.set_engines(key, members, EngineLimits())
+
+
+def _log_effect(effect: CacheRelease | Warm) -> None:
+    log.debug('Effect.', engine=effect.engine)
--- a/cactusledge/endpoints/directory.py
+++ b/cactusledge/endpoints/directory.py
@@ -4,8 +4,14 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
+from cactusledge.errors import StoreError
 from cactusledge.models import Address, CallKind, Endpoint
-from cactusledge.platform.store import StoredObject
+from cactusledge.platform.store import (
+    DELETED,
+    ObjectList,
+    StoredObject,
+    WatchEvent,
+)
 
 ENDPOINT_ROLE = 'endpoint'
 
@@ -20,22 +26,47 @@
     def __init__(
         self,
         data_centre: str,
-        fixed: Callable[[], Iterable[Endpoint]] = lambda: (),
+        fixed: Callable[[], Iterable[Endpoint]],
+        changed: Callable[[], None],
     ) -> None:
-        """Starts without endpoints of the live list."""
+        """Starts without endpoints of the live list.
+
+        Args:
+            data_centre: Where this instance is.
+            fixed: Endpoints that the configuration names.
+            changed: Called after the live list has changed.
+        """
+        self._changed = changed
         self._data_centre = data_centre
         self._fixed = fixed
         self._listed: dict[str, Endpoint] = {}
         self._left: set[tuple[str, str]] = set()
         self._lock = threading.Lock()
 
-    def replace(self, found: Iterable[StoredObject]) -> None:
+    def on_snapshot(self, listed: ObjectList) -> None:
         """Takes in the whole live list."""
-        parsed = [parse_endpoint(one) for one in found]
+        parsed = [parse_endpoint(one) for one in listed.items]
         with self._lock:
             self._listed = {one.name: one for one in parsed if one}
             for endpoint in self._listed.values():
                 self._note_leaving(endpoint)
+        self._changed()
+
+    def on_event(self, event: WatchEvent) -> None:
+        """Takes in a change of one object of the live list."""
+        name = event.object.name
+        endpoint = None
+        if event.type != DELETED:
+            endpoint = parse_endpoint(event.object)
+        with self._lock:
+            self._listed.pop(name, None)
+            if endpoint is not None:
+                self._listed[name] = endpoint
+                self._note_leaving(endpoint)
+        self._changed()
+
+    def on_failure(self, exc: StoreError) -> None:
+        """Keeps what is known while the platform cannot be followed."""
 
     def mark_leaving(self, endpoint: Endpoint) -> None:
         """Notes that an endpoint refused a call because it is leaving."""
--- a/cactusledge/programs/driver.py
+++ b/cactusledge/programs/driver.py
@@ -132,9 +132,9 @@
         self._launcher.draining = True
         return self._launcher.running
 
-    def _owned(self, account: str, program_id: str) -> ProgramState:
+    def _owned(self, account: str | None, program_id: str) -> ProgramState:
         state = self._ledger.find(program_id)
-        if state is None or state.account != account:
+        if state is None or account not in {None, state.account}:
             raise no_such_program(program_id)
         return state
 
--- /dev/null
+++ b/cactusledge/programs/forwarded.py
@@ -0,0 +1,72 @@
+"""Calls that peers forwarded to this instance."""
+
+import threading
+import time
+from collections import OrderedDict
+from typing import NamedTuple
+
+from cactusledge.errors import CactusledgeError, ErrorCode
+from cactusledge.peers.messages import EventBatch
+from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.remote import encode_event
+
+KEPT_CALLS = 4096
+KEPT_S = 120.0
+MS_PER_S = 1000
+
+
+class UnknownCallError(CactusledgeError):
+    """This instance knows no such forwarded call."""
+
+    code = ErrorCode.NOT_FOUND
+
+
+class _Forwarded(NamedTuple):
+    stream: CallStream
+    since_s: float
+
+
+class ForwardedCalls:
+    """Streams of forwarded calls by call id, kept until they are read."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._calls: OrderedDict[str, _Forwarded] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def put(self, call_id: str, stream: CallStream) -> None:
+        """Keeps a call; a repeat of it takes the place of the first."""
+        now_s = time.monotonic()
+        with self._lock:
+            self._calls[call_id] = _Forwarded(stream, now_s)
+            self._calls.move_to_end(call_id)
+            self._forget_old(now_s)
+
+    def read(self, call_id: str, offset: int, wait_ms: int) -> EventBatch:
+        """Returns the events from an offset, after at most `wait_ms`."""
+        with self._lock:
+            found = self._calls.get(call_id)
+        if found is None:
+            raise UnknownCallError(
+                f'No forwarded call {call_id!r} is here.',
+                remedy='Forward the call again.',
+            )
+        events = found.stream.read(offset, wait_ms / MS_PER_S)
+        return EventBatch(
+            events=tuple(
+                encode_event(offset + index, event)
+                for index, event in enumerate(events)
+            ),
+            next_offset=offset + len(events),
+            finished=found.stream.finished,
+        )
+
+    def _forget_old(self, now_s: float) -> None:
+        """Drops what ended long ago, and the oldest beyond the limit."""
+        while self._calls:
+            oldest = next(iter(self._calls.values()))
+            is_old = now_s - oldest.since_s > KEPT_S
+            done = oldest.stream.finished and is_old
+            if not done and len(self._calls) <= KEPT_CALLS:
+                return
+            self._calls.popitem(last=False)
--- /dev/null
+++ b/cactusledge/programs/grants.py
@@ -0,0 +1,203 @@
+"""Grants of engines, from the group's owner or from this instance."""
+
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+import msgspec
+import pykka
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.peers import messages as peer
+from cactusledge.peers.client import PeerClient
+from cactusledge.peers.errors import PeerAnswerLostError, PeerUnreachableError
+from cactusledge.routing.client import DispatcherClient
+from cactusledge.routing.types import Finish, GroupKey, Job
+from cactusledge.telemetry.logs import get_logger
+
+POLL_WAIT_MS = 1000
+MS_PER_S = 1000
+UNASKED_LIMIT_S = 6.0
+
+log = get_logger('grants')
+
+
+class Granted(NamedTuple):
+    """A granted engine, and whom to tell when its call has ended."""
+
+    key: GroupKey
+    job_id: str
+    engine: str
+    grantor: PeerClient | None  # None for this instance
+
+
+class GrantSource(Protocol):
+    """Asks for grants of engines."""
+
+    def acquire(self, key: GroupKey, job: Job, wait_s: float) -> Granted | None:
+        """Returns a grant, or None when the wait is over.
+
+        Raises:
+            CactusledgeError: The job was refused; nothing was run.
+        """
+
+    def finish(self, granted: Granted, finish: Finish) -> None:
+        """Tells how a granted job ended."""
+
+
+class GrantRouter:
+    """Asks the soft owner of an engine group.
+
+    While the owner cannot be asked, this instance's own scheduler decides;
+    it knows less of the group's load, which costs speed and nothing else.
+    """
+
+    def __init__(
+        self,
+        local: DispatcherClient,
+        owner_of: Callable[[GroupKey], PeerClient | None],
+        sender: str,
+    ) -> None:
+        """Prepares to ask.
+
+        Args:
+            local: This instance's schedulers.
+            owner_of: Returns the group's owner, None for this instance.
+            sender: Name of this instance.
+        """
+        self._local = local
+        self._owner_of = owner_of
+        self._sender = sender
+
+    def acquire(self, key: GroupKey, job: Job, wait_s: float) -> Granted | None:
+        """Returns a grant, or None when the wait is over."""
+        owner = self._owner_of(key)
+        if owner is None:
+            return self._acquire_here(key, job, wait_s)
+        try:
+            return self._acquire_at(owner, key, job, wait_s)
+        except (PeerUnreachableError, PeerAnswerLostError) as exc:
+            log.info('Owner not asked.', group=str(key), reason=exc.message)
+        return self._acquire_here(key, job, wait_s)
+
+    def finish(self, granted: Granted, finish: Finish) -> None:
+        """Tells whoever granted the job how it ended."""
+        if granted.grantor is None:
+            self._local.finish(granted.key, finish)
+            return
+        report = peer.GrantFinish(
+            granted.job_id,
+            str(granted.key),
+            msgspec.json.encode((granted.key, finish)),
+        )
+        try:
+            granted.grantor.finish_grant(report)
+        except CactusledgeError as exc:
+            log.info('Finish not told.', reason=exc.message)
+
+    def _acquire_here(
+        self,
+        key: GroupKey,
+        job: Job,
+        wait_s: float,
+    ) -> Granted | None:
+        future = self._local.request(key, job)
+        try:
+            grant = future.get(timeout=wait_s)
+        except pykka.Timeout:
+            self._local.cancel(key, job.job_id)
+            return None
+        return Granted(key, job.job_id, grant.engine, None)
+
+    def _acquire_at(
+        self,
+        owner: PeerClient,
+        key: GroupKey,
+        job: Job,
+        wait_s: float,
+    ) -> Granted | None:
+        """Asks again and again; the job keeps its place in the queue."""
+        give_up_s = time.monotonic() + wait_s
+        request = peer.GrantRequest(
+            job_id=job.job_id,
+            group=str(key),
+            sender=self._sender,
+            job=msgspec.json.encode((key, job)),
+            wait_ms=POLL_WAIT_MS,
+        )
+        while (left_s := give_up_s - time.monotonic()) > 0:
+            wait_ms = min(POLL_WAIT_MS, round(left_s * MS_PER_S))
+            reply = owner.request_grant(request._replace(wait_ms=wait_ms))
+            if reply.endpoint:
+                return Granted(key, job.job_id, reply.endpoint, owner)
+        return None
+
+
+class _Waiting(NamedTuple):
+    key: GroupKey
+    future: Any
+    polled_s: float
+
+
+class GrantDesk:
+    """Answers the grant requests of peers.
+
+    A job whose sender stops asking is taken back, so that a dead instance's
+    jobs hold no engine.
+    """
+
+    def __init__(self, local: DispatcherClient) -> None:
+        """Starts without jobs."""
+        self._local = local
+        self._waiting: dict[str, _Waiting] = {}
+
+    def request(self, request: peer.GrantRequest) -> peer.GrantReply:
+        """Waits for the job's grant, at most as long as the request says."""
+        key, job = msgspec.json.decode(request.job, type=tuple[GroupKey, Job])
+        known = self._waiting.get(job.job_id)
+        future = known.future if known else self._local.request(key, job)
+        now_s = time.monotonic()
+        self._waiting[job.job_id] = _Waiting(key, future, now_s)
+        try:
+            grant = future.get(timeout=request.wait_ms / MS_PER_S)
+        except pykka.Timeout:
+            return peer.GrantReply(job.job_id)
+        except CactusledgeError:
+            self._waiting.pop(job.job_id, None)
+            raise
+        polled = _Waiting(key, future, time.monotonic())
+        self._waiting[job.job_id] = polled
+        return peer.GrantReply(
+            job.job_id,
+            grant_id=job.job_id,
+            endpoint=grant.engine,
+        )
+
+    def finish(self, report: peer.GrantFinish) -> None:
+        """Takes in how a granted job ended."""
+        self._waiting.pop(report.grant_id, None)
+        key, finish = msgspec.json.decode(
+            report.document,
+            type=tuple[GroupKey, Finish],
+        )
+        self._local.finish(key, finish)
+
+    def tick(self) -> None:
+        """Takes back the jobs that nobody has asked for in a while."""
+        oldest_s = time.monotonic() - UNASKED_LIMIT_S
+        for job_id, waiting in tuple(self._waiting.items()):
+            is_waiting = _is_pending(waiting.future)
+            if is_waiting and waiting.polled_s < oldest_s:
+                self._waiting.pop(job_id, None)
+                self._local.cancel(waiting.key, job_id)
+
+
+
+def _is_pending(future: Any) -> bool:
+    try:
+        future.get(timeout=0)
+    except pykka.Timeout:
+        return True
+    except CactusledgeError:
+        return False
+    return False
--- /dev/null
+++ b/cactusledge/programs/held.py
@@ -0,0 +1,142 @@
+"""Copies of journal records that wait for the platform."""
+
+import threading
+import time
+from collections.abc import Callable, Sequence
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.peers.client import PeerClient
+from cactusledge.peers.messages import HeldBatch
+from cactusledge.protocol.records import (
+    ProgramRecord,
+    Record,
+    Seal,
+    Void,
+    decode_batch,
+    encode_batch,
+)
+from cactusledge.telemetry.logs import get_logger
+
+MAX_HELD_BYTES = 16 * 1024 * 1024
+FIRST_PEERS = 2  # copies are tried at this many peers
+ALL_NUMBERS = 2**62
+
+log = get_logger('held')
+
+
+class HeldStore:
+    """What this instance holds for others, bounded in bytes.
+
+    The latest batch of an owner contains all that waits, so it takes the
+    place of the one before.
+    """
+
+    def __init__(self, max_bytes: int = MAX_HELD_BYTES) -> None:
+        """Starts empty."""
+        self._max_bytes = max_bytes
+        self._batches: dict[tuple[str, str], HeldBatch] = {}
+        self._lock = threading.Lock()
+
+    def put(self, batch: HeldBatch) -> bool:
+        """Keeps a batch; returns whether there was room."""
+        key = (batch.log, batch.owner)
+        with self._lock:
+            held = self._batches.get(key)
+            if held is not None and held.number >= batch.number:
+                return True
+            others = sum(
+                len(one.records)
+                for name, one in self._batches.items()
+                if name != key
+            )
+            if others + len(batch.records) > self._max_bytes:
+                return False
+            self._batches[key] = batch
+            return True
+
+    def find(self, log_name: str) -> tuple[HeldBatch, ...]:
+        """Returns the batches held for a log."""
+        with self._lock:
+            return tuple(
+                batch
+                for (name, _), batch in sorted(self._batches.items())
+                if name == log_name
+            )
+
+    def drop(self, log_name: str, up_to: int) -> None:
+        """Drops the batches of a log up to and including a number."""
+        with self._lock:
+            self._batches = {
+                key: batch
+                for key, batch in self._batches.items()
+                if key[0] != log_name or batch.number > up_to
+            }
+
+
+class PeerHeldRecords:
+    """Copies this instance's waiting records to its peers' memory."""
+
+    def __init__(
+        self,
+        owner: str,
+        peers: Callable[[], Sequence[PeerClient]],
+    ) -> None:
+        """Prepares to copy.
+
+        Args:
+            owner: Unique name of this start of this instance.
+            peers: Live instances of this data centre, the nearest first.
+        """
+        self._owner = owner
+        self._peers = peers
+        self._holding: set[str] = set()
+
+    def fetch(self, log_name: str) -> Sequence[ProgramRecord]:
+        """Returns what the live peers hold of a log."""
+        batches: dict[tuple[str, int], HeldBatch] = {}
+        for client in self._peers():
+            try:
+                held = client.held_records(log_name)
+            except CactusledgeError as exc:
+                log.info('Held records not read.', reason=exc.message)
+                continue
+            for batch in held:
+                batches[batch.owner, batch.number] = batch
+        return [
+            record
+            for key in sorted(batches)
+            for record in _program_records(decode_batch(batches[key].records))
+        ]
+
+    def hold(self, log_name: str, records: Sequence[ProgramRecord]) -> bool:
+        """Copies records to a peer; returns whether one has them."""
+        batch = HeldBatch(
+            log=log_name,
+            number=time.time_ns(),
+            owner=self._owner,
+            records=encode_batch(records),
+        )
+        for client in self._peers()[:FIRST_PEERS]:
+            try:
+                client.hold_records(batch)
+            except CactusledgeError as exc:
+                log.info('Records not held.', reason=exc.message)
+                continue
+            self._holding.add(log_name)
+            return True
+        return False
+
+    def drop(self, log_name: str) -> None:
+        """Tells the peers that the log's records are durable."""
+        if log_name not in self._holding:
+            return
+        self._holding.discard(log_name)
+        for client in self._peers()[:FIRST_PEERS]:
+            try:
+                client.drop_held(log_name, time.time_ns())
+            except CactusledgeError as exc:
+                log.info('Held records not dropped.', reason=exc.message)
+
+
+def _program_records(records: Sequence[Record]) -> list[ProgramRecord]:
+    return [one for one in records if not isinstance(one, Seal | Void)]
--- a/cactusledge/programs/leases.py
+++ b/cactusledge/programs/leases.py
@@ -2,15 +2,13 @@
 
 import time
 from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple, Protocol
-
-import pykka
+from typing import Protocol
 
 from cactusledge.errors import CactusledgeError, ErrorCode
-from cactusledge.models import CallKind, Endpoint
+from cactusledge.models import CallKind, Endpoint, Usage
+from cactusledge.programs.grants import Granted, GrantSource
 from cactusledge.programs.prompt import prompt_text
 from cactusledge.programs.sending import Lease, LeaseReport, ModelRequest
-from cactusledge.routing.client import DispatcherClient
 from cactusledge.routing.prefix import estimate_tokens, prefix_chain
 from cactusledge.routing.types import Finish, GroupKey, Job
 
@@ -39,33 +37,13 @@
         """Returns an endpoint by its name, also while it is leaving."""
 
 
-class GrantSource(Protocol):
-    """Asks the owner of an engine group for grants."""
-
-    def request(self, key: GroupKey, job: Job) -> Any:
-        """Returns a future of the grant."""
-
-    def cancel(self, key: GroupKey, job_id: str) -> None:
-        """Takes a job back."""
-
-    def finish(self, key: GroupKey, finish: Finish) -> None:
-        """Tells how a granted job ended."""
-
-
-class Ticket(NamedTuple):
-    """What identifies an engine lease to its group's owner."""
-
-    key: GroupKey
-    job_id: str
-
-
 class LeaseDesk:
     """Chooses endpoints for the senders."""
 
     def __init__(
         self,
         endpoints: EndpointSource,
-        grants: GrantSource | DispatcherClient,
+        grants: GrantSource,
         pick: Callable[[Sequence[Endpoint]], Endpoint],
     ) -> None:
         """Prepares the desk.
@@ -92,18 +70,15 @@
         if not engines:
             raise _no_endpoint(CallKind.MODEL, model)
         key = GroupKey(engines[0].data_centre, model)
-        job = _job_of(req)
-        future = self._grants.request(key, job)
-        try:
-            grant = future.get(timeout=_seconds_left(req))
-        except pykka.Timeout:
-            self._grants.cancel(key, job.job_id)
-            raise _too_late(model) from None
-        endpoint = self._endpoints.find(grant.engine)
+        granted = self._grants.acquire(key, _job_of(req), _seconds_left(req))
+        if granted is None:
+            raise _too_late(model)
+        endpoint = self._endpoints.find(granted.engine)
         if endpoint is None:
-            self._grants.cancel(key, job.job_id)
+            finish = Finish(granted.job_id, Usage(), ok=False, latency_s=0)
+            self._grants.finish(granted, finish)
             raise _no_endpoint(CallKind.MODEL, model)
-        return Lease(endpoint, Ticket(key, job.job_id))
+        return Lease(endpoint, granted)
 
     def lease_service(self, service: str, avoid: tuple[str, ...]) -> Lease:
         """Returns a replica, one that has not failed the call if possible."""
@@ -115,15 +90,15 @@
 
     def finish(self, lease: Lease, report: LeaseReport) -> None:
         """Gives a lease back."""
-        ticket = lease.ticket
-        if isinstance(ticket, Ticket):
+        granted = lease.ticket
+        if isinstance(granted, Granted):
             finish = Finish(
-                ticket.job_id,
+                granted.job_id,
                 report.usage,
                 report.ok,
                 report.latency_s,
             )
-            self._grants.finish(ticket.key, finish)
+            self._grants.finish(granted, finish)
 
 
 def _job_of(req: ModelRequest) -> Job:
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable, Sequence
 from concurrent.futures import Executor
+from functools import partial
 from typing import Any, NamedTuple, Protocol
 
 from cactusledge.platform.store import ObjectStore
@@ -119,7 +120,7 @@
         limit = parts.journal.max_waiting_bytes
         ctx = DriverContext(
             log=name,
-            sink=WriterSink(writer, limit, on_lost),
+            sink=WriterSink(writer, limit, partial(self._lost, name, on_lost)),
             work=self.work,
             config=parts.config,
             now_s=parts.now_s,
@@ -137,13 +138,20 @@
         writers = tuple(self._writers.items())
         return all(itertools.starmap(self._hold, writers))
 
+    def _lost(self, name: str, on_lost: Callable[[], None]) -> None:
+        """Forgets a writer that another instance fenced."""
+        self._writers.pop(name, None)
+        on_lost()
+
     def _hold(self, name: str, writer: JournalWriter) -> bool:
         waiting = writer.waiting_records().get(timeout=CLOSE_WAIT_S)
         return not waiting or self._parts.held.hold(name, waiting)
 
     def _close(self, name: str) -> None:
         """Writes what waits; what cannot be written goes to a peer."""
-        writer = self._writers.pop(name)
+        writer = self._writers.pop(name, None)
+        if writer is None:
+            return
         left = writer.stop(CLOSE_WAIT_S)
         if left:
             self._parts.held.hold(name, left)
--- a/cactusledge/programs/logs.py
+++ b/cactusledge/programs/logs.py
@@ -82,7 +82,6 @@
         opener: LogOpener,
         workers: Executor,
         wanted: Callable[[Mapping[str, Fence]], tuple[str, ...]],
-        changed: Callable[[], None],
     ) -> None:
         """Prepares the manager.
 
@@ -91,13 +90,11 @@
             opener: Seals logs.
             workers: Where sealing runs.
             wanted: Names the logs to take over, given the fences.
-            changed: Called after the owned logs have changed.
         """
         self._table = table
         self._opener = opener
         self._workers = workers
         self._wanted = wanted
-        self._changed = changed
         self._lock = threading.Lock()
         self._opening: set[str] = set()
         self._fences: dict[str, Fence] = {}
@@ -110,6 +107,11 @@
         for owned in self._table.all():
             owned.driver.tell(msg.Tick())
 
+    def want(self, name: str) -> None:
+        """Takes a log over that a peer asks this instance for."""
+        if name in self._wanted(self._fences):
+            self._start_opening(name)
+
     def drain(self, deadline_s: float) -> int:
         """Lets the running calls end and gives the logs back.
 
@@ -127,7 +129,7 @@
         for owned in self._table.all():
             self._table.pop(owned.name)
             owned.close()
-        self._changed()
+            owned.driver.stop(block=False)
         return left
 
     def refuse_new(self) -> None:
@@ -160,8 +162,7 @@
         else:
             self._table.put(owned)
             log.info('Taken over.', log=name)
-            self._changed()
-        finally:
+            finally:
             self._opening.discard(name)
 
     def _lost(self, name: str) -> None:
@@ -171,4 +172,4 @@
         log.warning('Lost to another instance.', log=name)
         if owned is not None:
             owned.driver.stop(block=False)
-            self._changed()
+    
--- a/cactusledge/programs/messages.py
+++ b/cactusledge/programs/messages.py
@@ -32,7 +32,7 @@
 class View(NamedTuple):
     """Asks for a program's state; the reply is a `ProgramView`."""
 
-    account: str
+    account: str | None  # None for any
     program_id: str
 
 
--- /dev/null
+++ b/cactusledge/programs/neighbours.py
@@ -0,0 +1,141 @@
+"""The other instances, as drivers and queues need them."""
+
+import threading
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
+
+from cactusledge.models import Address
+from cactusledge.peers.client import PeerClient
+from cactusledge.peers.messages import MemberView
+from cactusledge.programs.claims import Choose, InstanceView
+from cactusledge.programs.ids import data_centre_of
+from cactusledge.routing.types import GroupKey
+
+LOGS_KEY = 'logs'
+GENERATION_KEY = 'generation'
+SEPARATOR = ','
+
+
+class Self(NamedTuple):
+    """This instance's identity."""
+
+    name: str
+    data_centre: str
+
+
+class Neighbours:
+    """Finds owners among the instances believed alive."""
+
+    def __init__(
+        self,
+        me: Self,
+        alive: Callable[[], Iterable[MemberView]],
+        choose: Choose,
+        timeout_s: float,
+    ) -> None:
+        """Prepares to look.
+
+        Args:
+            me: This instance.
+            alive: The members believed alive, with or without this one.
+            choose: Rendezvous hashing.
+            timeout_s: Limit of one message to a peer.
+        """
+        self._me = me
+        self._alive = alive
+        self._choose = choose
+        self._timeout_s = timeout_s
+        self._clients: dict[Address, PeerClient] = {}
+        self._lock = threading.Lock()
+
+    def others(self) -> tuple[InstanceView, ...]:
+        """Returns the other live instances of all data centres."""
+        return tuple(_instance_view(one) for one in self._members())
+
+    def nearby(self) -> Sequence[PeerClient]:
+        """Returns clients of the live instances of this data centre."""
+        return [
+            self._client(one)
+            for one in self._members()
+            if one.data_centre == self._me.data_centre and not one.leaving
+        ]
+
+    def owner_of_log(self, log: str) -> PeerClient | None:
+        """Returns who drives a log, or who should take it over.
+
+        None means this instance, or nobody that can be asked.
+        """
+        members = self._members()
+        owners = [one for one in members if log in _logs_of(one)]
+        if owners:
+            return self._client(owners[0])
+        return self._chosen(log, data_centre_of(log), members)
+
+    def owner_of_group(self, key: GroupKey) -> PeerClient | None:
+        """Returns who queues for an engine group; None means this instance."""
+        return self._chosen(str(key), key.data_centre, self._members())
+
+    def close(self) -> None:
+        """Closes the connections."""
+        with self._lock:
+            clients = tuple(self._clients.values())
+            self._clients.clear()
+        for client in clients:
+            client.close()
+
+    def _chosen(
+        self,
+        key: str,
+        data_centre: str,
+        members: Sequence[MemberView],
+    ) -> PeerClient | None:
+        candidates = {
+            one.name: one
+            for one in members
+            if one.data_centre == data_centre and not one.leaving
+        }
+        names = list(candidates)
+        if data_centre == self._me.data_centre:
+            names.append(self._me.name)
+        chosen = candidates.get(self._choose(key, names)) if names else None
+        return self._client(chosen) if chosen else None
+
+    def _members(self) -> list[MemberView]:
+        found = [one for one in self._alive() if one.name != self._me.name]
+        return sorted(found, key=lambda one: one.name)
+
+    def _client(self, member: MemberView) -> PeerClient:
+        address = Address(member.host, member.port)
+        with self._lock:
+            client = self._clients.get(address)
+            if client is None:
+                client = PeerClient(address, self._timeout_s)
+                self._clients[address] = client
+        return client
+
+
+def member_state(logs: Iterable[str], generation: int) -> dict[str, bytes]:
+    """Returns what an instance tells of itself with its heartbeats."""
+    return {
+        LOGS_KEY: SEPARATOR.join(logs).encode(),
+        GENERATION_KEY: str(generation).encode(),
+    }
+
+
+def generation_of(member: MemberView) -> int:
+    """Returns the configuration generation that a member has in force."""
+    return int((member.state or {}).get(GENERATION_KEY, b'0'))
+
+
+def _logs_of(member: MemberView) -> tuple[str, ...]:
+    text = (member.state or {}).get(LOGS_KEY, b'').decode()
+    return tuple(text.split(SEPARATOR)) if text else ()
+
+
+def _instance_view(member: MemberView) -> InstanceView:
+    return InstanceView(
+        member.name,
+        member.data_centre,
+        member.leaving,
+        _logs_of(member),
+    )
--- /dev/null
+++ b/cactusledge/programs/remote.py
@@ -0,0 +1,217 @@
+"""Programs that another instance drives."""
+
+import time
+from collections.abc import Callable, Mapping
+from concurrent.futures import Executor
+from typing import Any
+
+import msgspec
+
+from cactusledge.errors import CactusledgeError, ErrorCode
+from cactusledge.models import Answer
+from cactusledge.peers import messages as peer
+from cactusledge.peers.client import PeerClient
+from cactusledge.peers.errors import PeerAnswerLostError, PeerUnreachableError
+from cactusledge.programs.call_stream import CallStream, TextChunk
+from cactusledge.programs.errors import NoDriverError, no_such_program
+from cactusledge.programs.views import (
+    CallArgs,
+    HistoryEntry,
+    OpenArgs,
+    ProgramView,
+)
+from cactusledge.telemetry.logs import get_logger
+
+POLL_WAIT_MS = 1000
+POLL_FAILURES = 3
+FOLLOW_LIMIT_S = 600.0
+WHOLE_HISTORY = 1_000_000
+RETRY_S = 1.0
+
+log = get_logger('remote')
+
+
+class PeerPrograms:
+    """Asks the instance that owns a log, over its peer service."""
+
+    def __init__(
+        self,
+        client: PeerClient,
+        sender: str,
+        followers: Executor,
+        again: Callable[[CallArgs], CallStream],
+    ) -> None:
+        """Prepares to ask.
+
+        Args:
+            client: Connection to the owner.
+            sender: Name of this instance.
+            followers: Threads that follow forwarded calls.
+            again: Makes a call anew, wherever its program is driven by then.
+        """
+        self._client = client
+        self._sender = sender
+        self._followers = followers
+        self._again = again
+
+    def open_program(self, program_id: str, args: OpenArgs) -> ProgramView:
+        """Opens a program there."""
+        request = peer.OpenRequest(program_id, msgspec.json.encode(args))
+        reply = self._ask(lambda: self._client.open_program(request))
+        return msgspec.json.decode(reply.document, type=ProgramView)
+
+    def call(self, args: CallArgs) -> CallStream:
+        """Makes a call there; a thread follows its events."""
+        forwarded = peer.ForwardedCall(
+            call_id=f'{args.program_id}:{args.seq}:{args.key}',
+            program_id=args.program_id,
+            seq=args.seq,
+            sender=self._sender,
+            deadline_s=FOLLOW_LIMIT_S,
+            document=msgspec.json.encode(args),
+            headers={'traceparent': args.traceparent},
+        )
+        handle = self._ask(lambda: self._client.forward_call(forwarded))
+        stream = CallStream()
+        self._followers.submit(self._follow, args, handle.call_id, stream)
+        return stream
+
+    def view(self, account: str, program_id: str) -> ProgramView:
+        """Returns a program's state from there."""
+        request = peer.HistoryRequest(program_id, limit=0)
+        return self._read(account, request)[0]
+
+    def history(
+        self,
+        account: str,
+        program_id: str,
+    ) -> tuple[HistoryEntry, ...]:
+        """Returns a program's calls from there."""
+        request = peer.HistoryRequest(program_id, limit=WHOLE_HISTORY)
+        return self._read(account, request)[1]
+
+    def end_program(
+        self,
+        account: str,
+        program_id: str,
+        reason: str,
+    ) -> ProgramView:
+        """Ends a program there, if it belongs to the account."""
+        self.view(account, program_id)
+        request = peer.EndRequest(program_id, reason)
+        reply = self._ask(lambda: self._client.end_program(request))
+        return msgspec.json.decode(reply.document, type=ProgramView)
+
+    def _read(
+        self,
+        account: str,
+        request: peer.HistoryRequest,
+    ) -> tuple[ProgramView, tuple[HistoryEntry, ...]]:
+        reply = self._ask(lambda: self._client.read_history(request))
+        view, entries = msgspec.json.decode(
+            reply.document,
+            type=tuple[ProgramView, tuple[HistoryEntry, ...]],
+        )
+        if view.account != account:
+            raise no_such_program(request.program_id)
+        return view, entries
+
+    def _ask(self, send: Callable[[], Any]) -> Any:
+        """Sends a message that names its program, so that it may be repeated.
+
+        Raises:
+            NoDriverError: The peer cannot be asked, or drives it no longer.
+        """
+        try:
+            return send()
+        except (PeerUnreachableError, PeerAnswerLostError) as exc:
+            raise _not_there(exc) from exc
+        except CactusledgeError as exc:
+            if exc.code is ErrorCode.PEER_UNREACHABLE:
+                raise _not_there(exc) from exc
+            raise
+
+    def _follow(self, args: CallArgs, call_id: str, stream: CallStream) -> None:
+        """Copies a forwarded call's events; goes on elsewhere if need be."""
+        offset = 0
+        failures = 0
+        give_up_s = time.monotonic() + FOLLOW_LIMIT_S
+        while not stream.finished and time.monotonic() < give_up_s:
+            try:
+                batch = self._client.poll_call(call_id, offset, POLL_WAIT_MS)
+            except CactusledgeError as exc:
+                failures += 1
+                if _is_gone(exc) or failures >= POLL_FAILURES:
+                    self._go_on_elsewhere(args, stream, exc)
+                    return
+                continue
+            failures = 0
+            offset = batch.next_offset
+            for event in batch.events:
+                _copy(event, stream)
+
+    def _go_on_elsewhere(
+        self,
+        args: CallArgs,
+        stream: CallStream,
+        reason: CactusledgeError,
+    ) -> None:
+        """Makes the call again: its owner joins or answers it, or refuses."""
+        log.info('Call goes on elsewhere.', reason=reason.message)
+        stream.restart()
+        try:
+            again = self._again(args)
+        except CactusledgeError as exc:
+            stream.finish(_refused(args, exc))
+            return
+        give_up_s = time.monotonic() + FOLLOW_LIMIT_S
+        for event in again.follow(give_up_s):
+            if isinstance(event, Answer):
+                stream.finish(event)
+            elif event is not None:
+                stream.put_text(event.text)
+
+
+def encode_event(offset: int, event: TextChunk | Answer) -> peer.CallEvent:
+    """Returns the message that tells an event of a call."""
+    if isinstance(event, Answer):
+        return peer.CallEvent(offset, answer=msgspec.json.encode(event))
+    text = None if event.restart else event.text
+    return peer.CallEvent(offset, text=text)
+
+
+def _copy(event: peer.CallEvent, stream: CallStream) -> None:
+    if event.answer is not None:
+        stream.finish(msgspec.json.decode(event.answer, type=Answer))
+    elif event.text is None:
+        stream.restart()
+    else:
+        stream.put_text(event.text)
+
+
+def _is_gone(exc: CactusledgeError) -> bool:
+    """Returns whether the peer no longer knows the call."""
+    return exc.code is ErrorCode.NOT_FOUND
+
+
+def _not_there(exc: CactusledgeError) -> NoDriverError:
+    return NoDriverError(
+        f'The owner of the program cannot be asked: {exc.message}',
+        remedy='Repeat the request with the same key.',
+        retry_after_s=RETRY_S,
+    )
+
+
+def _refused(args: CallArgs, exc: CactusledgeError) -> Answer:
+    body: Mapping[str, Any] = {'message': exc.message}
+    return Answer(
+        program_id=args.program_id,
+        seq=args.seq,
+        outcome=exc.outcome,
+        status=0,
+        body=body,
+        spent=0,
+        code=str(exc.code),
+        remedy=exc.remedy,
+        retry_after_s=exc.retry_after_s,
+    )
--- a/cactusledge/programs/router.py
+++ b/cactusledge/programs/router.py
@@ -88,6 +88,11 @@
         view: ProgramView = self._ask(program_id, msg.View(account, program_id))
         return view
 
+    def view_unchecked(self, program_id: str) -> ProgramView:
+        """Returns a program's state, whichever account it belongs to."""
+        view: ProgramView = self._ask(program_id, msg.View(None, program_id))
+        return view
+
     def history(
         self,
         account: str,
--- a/cactusledge/programs/work.py
+++ b/cactusledge/programs/work.py
@@ -10,7 +10,7 @@
 from cactusledge.endpoints.engine import EngineClient
 from cactusledge.endpoints.service import ServiceClient
 from cactusledge.errors import CactusledgeError
-from cactusledge.models import CallKind, Endpoint
+from cactusledge.models import Endpoint
 from cactusledge.programs import messages as msg
 from cactusledge.programs.leases import EndpointSource
 from cactusledge.programs.runner import CallRunner
@@ -20,6 +20,7 @@
 from cactusledge.telemetry.logs import get_logger
 
 CONTINUE_TIMEOUT_S = 10.0
+RELEASE_TIMEOUT_S = 5.0
 
 log = get_logger('programs')
 
@@ -46,15 +47,18 @@
 
     def run_call(self, task: CallTask) -> None:
         """Sends the call in a worker."""
-        self._workers.submit(self._runner.run, task)
+        self._submit(self._runner.run, task)
 
     def release_cache(self, task: ReleaseTask) -> None:
         """Releases a program's cache in a worker."""
-        self._workers.submit(self._release, task)
+        self._submit(self._release, task)
 
     def continue_program(self, program_id: str, program: Program) -> None:
         """Asks the program's service to take it up."""
-        self._workers.submit(self._continue, program_id, program)
+        self._submit(self._continue, program_id, program)
+
+    def _submit(self, work: Callable[..., None], *args: Any) -> None:
+        self._workers.submit(_logged, work, *args)
 
     def _release(self, task: ReleaseTask) -> None:
         done = all(
@@ -72,7 +76,11 @@
 
     def _release_at(self, endpoint: Endpoint, program_id: str) -> bool:
         try:
-            self._engines.release_cache(endpoint, program_id)
+            self._engines.release_cache(
+                endpoint,
+                program_id,
+                deadline_s=time.monotonic() + RELEASE_TIMEOUT_S,
+            )
         except CactusledgeError as exc:
             log.info(
                 'Cache not released yet.',
@@ -104,9 +112,11 @@
             log.warning('Not continued.', reason=exc.message)
 
 
-def engines_of(endpoints: tuple[Endpoint, ...]) -> tuple[Endpoint, ...]:
-    """Returns the model engines among the endpoints."""
-    return tuple(one for one in endpoints if one.kind is CallKind.MODEL)
+def _logged(work: Callable[..., None], *args: Any) -> None:
+    try:
+        work(*args)
+    except Exception:
+        log.exception('Work failed.')
 
 
 def _tell(driver: pykka.ActorRef[Any], message: Any) -> None:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -40,6 +40,7 @@
         """Keeps the folder for settings, ports and logs."""
         self._folder = folder
         self._started: dict[str, Started] = {}
+        self._spawned: list[subprocess.Popen[bytes]] = []
         self._http = PoolManager(
             retries=False,
             timeout=Timeout(connect=2, read=10),
@@ -172,6 +173,14 @@
             process.kill()
             process.wait()
 
+    def is_running(self, name: str) -> bool:
+        """Returns whether a process was started and not ended yet."""
+        return name in self._started
+
+    def processes_left(self) -> int:
+        """Returns how many of the started processes still run."""
+        return sum(process.poll() is None for process in self._spawned)
+
     def log_of(self, name: str) -> str:
         """Returns what a process has written."""
         path = self._folder / f'{name}.log'
@@ -228,13 +237,15 @@
     ) -> subprocess.Popen[bytes]:
         path = self._folder / f'{name}.log'
         with path.open('ab') as output:
-            return subprocess.Popen(
+            process = subprocess.Popen(
                 (sys.executable, '-m', *command),
                 cwd=ROOT,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
+        self._spawned.append(process)
+        return process
 
 
 def free_port() -> int:
