--- a/cactusledge/endpoints/errors.py
+++ b/cactusledge/endpoints/errors.py
@@ -41,7 +41,13 @@
 
 
 class EndpointNotRunError(EndpointRefusedError):
-    """The endpoint answered that it did not run the call."""
+    """The endpoint answered that it did not run the call.
+
+    Attributes:
+        leaving: Whether it gave as the reason that it is leaving.
+    """
+
+    leaving = False
 
 
 class EndpointFailedError(EndpointError):
--- /dev/null
+++ b/cactusledge/endpoints/failures.py
@@ -0,0 +1,107 @@
+"""Builds the typed error of each way in which a request fails."""
+
+from urllib3 import BaseHTTPResponse
+from urllib3.exceptions import HTTPError, ReadTimeoutError
+
+from cactusledge.endpoints.errors import (
+    EndpointDeadlineError,
+    EndpointFailedError,
+    EndpointNotRunError,
+    EndpointRefusedError,
+    EndpointSilentError,
+)
+from cactusledge.models import Endpoint
+
+NOT_RUN_HEADER = 'X-Not-Run'
+LEAVING_HEADER = 'X-Leaving'
+
+
+def says(response: BaseHTTPResponse, header: str) -> bool:
+    """Returns whether an answer carries `true` in a header."""
+    return response.headers.get(header, '').lower() == 'true'
+
+
+def no_connection(endpoint: Endpoint) -> EndpointRefusedError:
+    """Returns the error of a request for which no connection was had."""
+    return EndpointRefusedError(
+        f'{endpoint.name} at {endpoint.address} takes no connection.',
+        remedy='Send the call to another replica.',
+        endpoint=endpoint.name,
+    )
+
+
+def too_late_to_send(endpoint: Endpoint) -> EndpointRefusedError:
+    """Returns the error of a request that was not sent in time."""
+    return EndpointRefusedError(
+        f'The deadline passed before the call to {endpoint.name} was sent.',
+        remedy='Allow the call more time.',
+        endpoint=endpoint.name,
+    )
+
+
+def unsendable(endpoint: Endpoint, header: str) -> EndpointRefusedError:
+    """Returns the error of a request that HTTP cannot carry."""
+    return EndpointRefusedError(
+        f'The header {header} of a call to {endpoint.name} was not sent.',
+        remedy='Use printable ASCII characters in keys and ids.',
+        endpoint=endpoint.name,
+    )
+
+
+def not_run(
+    endpoint: Endpoint,
+    response: BaseHTTPResponse,
+) -> EndpointNotRunError:
+    """Returns the error of a request that the endpoint did not run."""
+    exc = EndpointNotRunError(
+        f'{endpoint.name} answered that it did not run the call.',
+        remedy='Send it to another replica, or later.',
+        endpoint=endpoint.name,
+        status=response.status,
+        retry_after_s=_retry_after(response),
+    )
+    exc.leaving = says(response, LEAVING_HEADER)
+    return exc
+
+
+def server_error(
+    endpoint: Endpoint,
+    response: BaseHTTPResponse,
+) -> EndpointFailedError:
+    """Returns the error of an answer with a status from 500 on."""
+    return EndpointFailedError(
+        f'{endpoint.name} answered with status {response.status}.',
+        remedy='Query its state before a repeat; see its own log.',
+        endpoint=endpoint.name,
+        status=response.status,
+        retry_after_s=_retry_after(response),
+    )
+
+
+def too_late(endpoint: Endpoint) -> EndpointDeadlineError:
+    """Returns the error of an answer that is not whole at the deadline."""
+    return EndpointDeadlineError(
+        f'The deadline passed before {endpoint.name} had answered.',
+        remedy='Allow the call more time; query its state before a repeat.',
+        endpoint=endpoint.name,
+    )
+
+
+def lost_answer(endpoint: Endpoint, exc: HTTPError) -> EndpointFailedError:
+    """Returns the error of an answer whose connection failed."""
+    if isinstance(exc, ReadTimeoutError):
+        return EndpointSilentError(
+            f'{endpoint.name} sent nothing for longer than the limit.',
+            remedy='Query its state before a repeat.',
+            endpoint=endpoint.name,
+        )
+    return EndpointFailedError(
+        f'The connection to {endpoint.name} broke before the whole answer.',
+        remedy='Query its state before a repeat.',
+        endpoint=endpoint.name,
+    )
+
+
+def _retry_after(response: BaseHTTPResponse) -> float | None:
+    text = response.headers.get('Retry-After', '')
+    return float(text) if text.isdecimal() else None
--- /dev/null
+++ b/cactusledge/endpoints/registry.py
@@ -0,0 +1,107 @@
+"""What is known of the endpoints: who serves what, and who is leaving; pure.
+
+Three sources tell that an endpoint leaves: the platform's live list, its own
+refusal and another instance. Each is enough, and none can take it back: only
+another incarnation of the endpoint receives work again.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cactusledge.models import Endpoint
+
+LEAVING_KEPT = 8192  # incarnations that are remembered as leaving
+
+
+class Leaving(NamedTuple):
+    """An incarnation of an endpoint that receives no new work."""
+
+    name: str
+    incarnation: str
+
+
+class Group(NamedTuple):
+    """Endpoints that can stand in for each other without a detour."""
+
+    service: str
+    data_centre: str
+
+
+class EndpointRegistry:
+    """Known endpoints. Not thread-safe: one actor owns it."""
+
+    def __init__(self, leaving_kept: int = LEAVING_KEPT) -> None:
+        """Starts without endpoints."""
+        self._leaving_kept = leaving_kept
+        self._endpoints: dict[str, Endpoint] = {}
+        self._groups: dict[Group, set[str]] = {}
+        self._leaving: OrderedDict[Leaving, None] = OrderedDict()
+
+    def replace_all(self, listed: Iterable[Endpoint]) -> None:
+        """Takes a whole list; endpoints that it lacks are forgotten."""
+        by_name = {endpoint.name: endpoint for endpoint in listed}
+        for name in self._endpoints.keys() - by_name.keys():
+            self.remove(name)
+        for endpoint in by_name.values():
+            self.put(endpoint)
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Takes an added or changed entry of the list."""
+        self.remove(endpoint.name)
+        self._endpoints[endpoint.name] = endpoint
+        self._groups.setdefault(_group(endpoint), set()).add(endpoint.name)
+        if endpoint.leaving:
+            self.note_leaving(Leaving(endpoint.name, endpoint.incarnation))
+
+    def remove(self, name: str) -> None:
+        """Takes a deleted entry of the list; that it left is kept."""
+        endpoint = self._endpoints.pop(name, None)
+        if endpoint is None:
+            return
+        group = _group(endpoint)
+        self._groups[group].discard(name)
+        if not self._groups[group]:
+            self._groups.pop(group)
+
+    def note_leaving(self, word: Leaving) -> bool:
+        """Starts the drain of an incarnation; returns whether it is news."""
+        news = word not in self._leaving
+        self._leaving[word] = None
+        if len(self._leaving) > self._leaving_kept:
+            self._leaving.popitem(last=False)
+        return news
+
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint receives no new work."""
+        word = Leaving(endpoint.name, endpoint.incarnation)
+        return endpoint.leaving or word in self._leaving
+
+    def leaving(self) -> tuple[Leaving, ...]:
+        """Returns what to tell other instances, oldest first."""
+        return tuple(self._leaving)
+
+    def find(self, name: str) -> Endpoint | None:
+        """Returns an endpoint, with `leaving` as it is known."""
+        endpoint = self._endpoints.get(name)
+        if endpoint is None:
+            return None
+        return endpoint._replace(leaving=self.is_leaving(endpoint))
+
+    def available(
+        self,
+        service: str,
+        data_centre: str,
+    ) -> tuple[Endpoint, ...]:
+        """Returns the endpoints that may receive new work, by name."""
+        names = self._groups.get(Group(service, data_centre), ())
+        known = (self._endpoints[name] for name in sorted(names))
+        return tuple(one for one in known if not self.is_leaving(one))
+
+    def groups(self) -> tuple[Group, ...]:
+        """Returns the services and data centres that have endpoints."""
+        return tuple(sorted(self._groups))
+
+
+def _group(endpoint: Endpoint) -> Group:
+    return Group(endpoint.service, endpoint.data_centre)
--- a/cactusledge/endpoints/transport.py
+++ b/cactusledge/endpoints/transport.py
@@ -9,29 +9,27 @@
 
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
 from urllib3.exceptions import (
+    ClosedPoolError,
     ConnectTimeoutError,
     EmptyPoolError,
     HTTPError,
     NewConnectionError,
-    ReadTimeoutError,
 )
 
-from cactusledge.endpoints.errors import (
-    EndpointDeadlineError,
-    EndpointError,
-    EndpointFailedError,
-    EndpointNotRunError,
-    EndpointRefusedError,
-    EndpointSilentError,
-)
+from cactusledge.endpoints import failures
+from cactusledge.endpoints.errors import EndpointError, EndpointFailedError
 from cactusledge.models import Endpoint
 
-NOT_RUN_HEADER = 'X-Not-Run'
 READ_BYTES = 65_536
 SHORTEST_WAIT_S = 0.001
 FINISH_LIMIT_S = 0.05
 HTTP_ERRORS_FROM = 500
-NOTHING_SENT = (NewConnectionError, ConnectTimeoutError, EmptyPoolError)
+NOTHING_SENT = (
+    NewConnectionError,
+    ConnectTimeoutError,
+    EmptyPoolError,
+    ClosedPoolError,  # evicted by another thread before the send
+)
 
 
 class Outgoing(NamedTuple):
@@ -50,6 +48,10 @@
     connect_s: float = 1
     silence_s: float = 10  # without a byte from the endpoint
 
+    def left_s(self) -> float:
+        """Returns the time until the deadline."""
+        return self.deadline_s - time.monotonic()
+
 
 class Exchange:
     """The answer to one request, read under limits."""
@@ -102,10 +104,12 @@
         try:
             return self.response.read1(READ_BYTES)
         except HTTPError as exc:
-            raise lost_answer(self.endpoint, exc, self.waits) from exc
+            raise _lost(self.endpoint, exc, self.waits) from exc
 
     def _limit_next_read(self) -> None:
-        left_s = _time_left(self.endpoint, self.waits)
+        left_s = self.waits.left_s()
+        if left_s <= SHORTEST_WAIT_S:
+            raise failures.too_late(self.endpoint)
         conn = self.response.connection
         sock = getattr(conn, 'sock', None)
         if sock is not None:
@@ -125,17 +129,21 @@
         EndpointNotRunError: The endpoint said that it did not run.
         EndpointFailedError: It was sent; whether it ran is not known.
     """
-    left_s = _time_before_send(endpoint, waits)
+    left_s = waits.left_s()
+    if left_s <= SHORTEST_WAIT_S:
+        raise failures.too_late_to_send(endpoint)
+    _check_headers(endpoint, request.headers)
     timeout = Timeout(
+        total=left_s,
         connect=min(left_s, waits.connect_s),
         read=min(left_s, waits.silence_s),
     )
     try:
-        response = _urlopen(pool, request, timeout, waits.connect_s)
+        response = _urlopen(pool, request, timeout)
     except NOTHING_SENT as exc:
-        raise _refused(endpoint) from exc
+        raise failures.no_connection(endpoint) from exc
     except HTTPError as exc:
-        raise lost_answer(endpoint, exc, waits) from exc
+        raise _lost(endpoint, exc, waits) from exc
     exchange = Exchange(endpoint, response, waits)
     _check_status(exchange)
     return exchange
@@ -145,7 +153,6 @@
     pool: HTTPConnectionPool,
     request: Outgoing,
     timeout: Timeout,
-    pool_wait_s: float,
 ) -> BaseHTTPResponse:
     headers = {'Content-Type': 'application/json', **request.headers}
     body = None if request.body is None else json.dumps(request.body).encode()
@@ -157,88 +164,32 @@
         retries=False,
         redirect=False,
         timeout=timeout,
-        pool_timeout=pool_wait_s,  # type: ignore[arg-type]
+        pool_timeout=timeout.connect_timeout,  # type: ignore[arg-type]
         preload_content=False,
     )
 
 
 def _check_status(exchange: Exchange) -> None:
     response, endpoint = exchange.response, exchange.endpoint
-    if response.headers.get(NOT_RUN_HEADER, '').lower() == 'true':
+    if failures.says(response, failures.NOT_RUN_HEADER):
         exchange.close()
-        raise EndpointNotRunError(
-            f'{endpoint.name} answered that it did not run the call.',
-            remedy='Send it to another replica, or later.',
-            endpoint=endpoint.name,
-            status=response.status,
-            retry_after_s=_retry_after(response),
-        )
+        raise failures.not_run(endpoint, response)
     if response.status >= HTTP_ERRORS_FROM:
         exchange.close()
-        raise EndpointFailedError(
-            f'{endpoint.name} answered with status {response.status}.',
-            remedy='Query its state before a repeat; see its own log.',
-            endpoint=endpoint.name,
-            status=response.status,
-            retry_after_s=_retry_after(response),
-        )
-
-
-def _retry_after(response: BaseHTTPResponse) -> float | None:
-    text = response.headers.get('Retry-After', '')
-    return float(text) if text.isdecimal() else None
-
-
-def _time_before_send(endpoint: Endpoint, waits: Waits) -> float:
-    left_s = waits.deadline_s - time.monotonic()
-    if left_s > SHORTEST_WAIT_S:
-        return left_s
-    raise EndpointRefusedError(
-        f'The deadline passed before the call to {endpoint.name} was sent.',
-        remedy='Allow the call more time.',
-        endpoint=endpoint.name,
-    )
+        raise failures.server_error(endpoint, response)
 
 
-def _time_left(endpoint: Endpoint, waits: Waits) -> float:
-    left_s = waits.deadline_s - time.monotonic()
-    if left_s > SHORTEST_WAIT_S:
-        return left_s
-    raise _deadline(endpoint)
+def _check_headers(endpoint: Endpoint, headers: Mapping[str, str]) -> None:
+    for header, text in headers.items():
+        if not (text.isascii() and text.isprintable()):
+            raise failures.unsendable(endpoint, header)
 
 
-def _deadline(endpoint: Endpoint) -> EndpointError:
-    return EndpointDeadlineError(
-        f'The deadline passed before {endpoint.name} had answered.',
-        remedy='Allow the call more time; query its state before a repeat.',
-        endpoint=endpoint.name,
-    )
-
-
-def _refused(endpoint: Endpoint) -> EndpointError:
-    return EndpointRefusedError(
-        f'{endpoint.name} at {endpoint.address} takes no connection.',
-        remedy='Send the call to another replica.',
-        endpoint=endpoint.name,
-    )
-
-
-def lost_answer(
+def _lost(
     endpoint: Endpoint,
     exc: HTTPError,
     waits: Waits,
-) -> EndpointError:
-    """Returns the error of a call that was sent and got no whole answer."""
-    if time.monotonic() >= waits.deadline_s - SHORTEST_WAIT_S:
-        return _deadline(endpoint)
-    if isinstance(exc, ReadTimeoutError):
-        return EndpointSilentError(
-            f'{endpoint.name} sent nothing for {waits.silence_s} s.',
-            remedy='Query its state before a repeat.',
-            endpoint=endpoint.name,
-        )
-    return EndpointFailedError(
-        f'The connection to {endpoint.name} broke before the whole answer.',
-        remedy='Query its state before a repeat.',
-        endpoint=endpoint.name,
-    )
+) -> EndpointFailedError:
+    if waits.left_s() <= SHORTEST_WAIT_S:
+        return failures.too_late(endpoint)
+    return failures.lost_answer(endpoint, exc)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,7 +15,7 @@
 )
 from standins.engine_wire import NO_FAULT, event_stream, job_of, whole_answer
 from standins.http import (
-    NOT_RUN_HEADERS,
+    LEAVING_HEADERS,
     Reply,
     Request,
     Route,
@@ -125,7 +125,7 @@
             return json_reply(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 {'error': 'leaving'},
-                NOT_RUN_HEADERS,
+                LEAVING_HEADERS,
             )
         request_id = request.headers.get('x-request-id', '')
         stream = self.batch.submit(job_of(request, request_id))
--- a/standins/http.py
+++ b/standins/http.py
@@ -21,6 +21,7 @@
 
 PEEK_BYTES = 256
 NOT_RUN_HEADERS = (('X-Not-Run', 'true'),)
+LEAVING_HEADERS = (*NOT_RUN_HEADERS, ('X-Leaving', 'true'))
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)  # SO_LINGER: on, zero seconds
 
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from standins.http import (
+    LEAVING_HEADERS,
     NOT_RUN_HEADERS,
     Reply,
     Request,
@@ -122,7 +123,7 @@
             return json_reply(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 {'error': 'leaving'},
-                NOT_RUN_HEADERS,
+                LEAVING_HEADERS,
             )
         if operation is None:
             error = {'error': 'no such operation'}
--- /dev/null
+++ b/tests/test_endpoints_orders.py
@@ -0,0 +1,106 @@
+"""Orders to engines that ignore fencing numbers."""
+
+import pytest
+
+from cactusledge.endpoints.errors import (
+    EndpointFailedError,
+    EndpointNotRunError,
+)
+from cactusledge.endpoints.orderer import run_order
+from cactusledge.endpoints.ordering import Order
+from cactusledge.endpoints.orders import OrderLimits, Phase
+from cactusledge.endpoints.reports import EngineState
+from cactusledge.errors import StoreUnavailableError
+
+LIMITS = OrderLimits(send_window_s=5, longest_order_s=60, tries=2)
+WANTED = Order(4, 'm-2')
+OLD = EngineState('m-1', '', '', 'serve', 0, 'a', leaving=False)
+NEW = OLD._replace(model='m-2')
+SILENT = EndpointFailedError('Silent.', remedy='Wait.')
+REFUSED = EndpointNotRunError('Leaving.', remedy='Go elsewhere.')
+DOWN = StoreUnavailableError('Down.', remedy='Wait.')
+
+
+class ScriptedPort:
+    """Answers the orderer's questions in turn and notes what it did."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.done = []
+        self.time_s = 0
+
+    def now_s(self):
+        """Returns the scripted time."""
+        return self.time_s
+
+    def wait(self, duration_s):
+        """Notes the wait."""
+        self.done.append(('wait', duration_s))
+
+    def read_state(self):
+        """Returns the scripted state."""
+        return self._next('read')
+
+    def is_owner(self):
+        """Returns the scripted owner."""
+        return self._next('owner')
+
+    def send(self, order, limit_s):
+        """Notes the order."""
+        assert (order, limit_s) == (WANTED, LIMITS.longest_order_s)
+        self._next('send')
+
+    def _next(self, action):
+        self.done.append(action)
+        answer = self.script.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        if isinstance(answer, tuple) and answer[0] == 'late':
+            self.time_s += answer[1]
+            return True
+        return answer
+
+
+WAIT = ('wait', 65)
+TRY = (WAIT, 'read', 'owner', 'send')
+
+
+@pytest.mark.parametrize(
+    ('script', 'phase', 'done'),
+    [
+        ((NEW,), Phase.DONE, (WAIT, 'read')),
+        ((OLD, True, None, NEW), Phase.DONE, (*TRY, 'read')),
+        ((OLD, False), Phase.SUPERSEDED, (WAIT, 'read', 'owner')),
+        # A late order of a predecessor won: wait it out and order again.
+        (
+            (OLD, True, None, OLD, OLD, True, None, NEW),
+            Phase.DONE,
+            (*TRY, 'read', *TRY, 'read'),
+        ),
+        # The answer is lost, the order had landed.
+        ((OLD, True, SILENT, NEW), Phase.DONE, (*TRY, WAIT, 'read')),
+        ((OLD, True, REFUSED, NEW), Phase.DONE, (*TRY, WAIT, 'read')),
+        # The owner's answer came too late to send on its strength.
+        (
+            (OLD, ('late', 6), OLD, False),
+            Phase.SUPERSEDED,
+            (WAIT, 'read', 'owner', WAIT, 'read', 'owner'),
+        ),
+        ((SILENT, SILENT), Phase.GIVEN_UP, (WAIT, 'read') * 2),
+        (
+            (OLD, DOWN, OLD, DOWN),
+            Phase.GIVEN_UP,
+            (WAIT, 'read', 'owner') * 2,
+        ),
+        (
+            (OLD, True, None, OLD, OLD, True, None, OLD),
+            Phase.GIVEN_UP,
+            (*TRY, 'read', *TRY, 'read'),
+        ),
+    ],
+)
+def test_orderer(script, phase, done):
+    port = ScriptedPort(script)
+    assert run_order(port, WANTED, LIMITS).phase is phase
+    assert tuple(port.done) == done
+    assert not port.script
--- /dev/null
+++ b/tests/test_endpoints_pools.py
@@ -0,0 +1,81 @@
+"""Connection pools, and requests that are refused before the send."""
+
+import time
+
+import pytest
+
+from cactusledge.endpoints.errors import EndpointRefusedError
+from cactusledge.endpoints.pools import ConnectionPools, PoolLimits
+from cactusledge.endpoints.reports import parse_events
+from cactusledge.endpoints.transport import Outgoing, Waits, send
+from cactusledge.models import Address, CallKind, Endpoint
+
+ADDRESSES = tuple(Address('127.0.0.1', port) for port in (1, 2, 3))
+REPLICA = Endpoint('s-1', 'booking', CallKind.SERVICE, ADDRESSES[0], 'dc-1')
+
+
+def find(pools, address):
+    with pools.shared(address) as pool:
+        return pool
+
+
+def test_pools_are_bounded_and_the_oldest_is_dropped():
+    pools = ConnectionPools(PoolLimits(addresses=2))
+    first, second = (find(pools, address) for address in ADDRESSES[:2])
+    assert find(pools, ADDRESSES[0]) is first
+    find(pools, ADDRESSES[2])
+    assert len(pools) == 2
+    assert second.pool is None
+    assert find(pools, ADDRESSES[0]) is first
+    pools.close()
+    assert not len(pools)
+
+
+def test_request_without_a_free_connection_is_not_sent():
+    pools = ConnectionPools(PoolLimits(connections=1))
+    waits = Waits(time.monotonic() + 5, connect_s=0.01)
+    pool = find(pools, ADDRESSES[0])
+    pool.pool.get()
+    with pytest.raises(EndpointRefusedError):
+        send(pool, REPLICA, Outgoing('GET', '/'), waits)
+
+
+def test_request_on_an_evicted_pool_is_not_sent():
+    pools = ConnectionPools()
+    pool = find(pools, ADDRESSES[0])
+    pools.evict(ADDRESSES[0])
+    with pytest.raises(EndpointRefusedError):
+        send(pool, REPLICA, Outgoing('GET', '/'), Waits(time.monotonic() + 5))
+
+
+@pytest.mark.parametrize('key', ['k\r\nX-Role: admin', 'ክፍያ'])
+def test_unsendable_key_is_refused(key):
+    request = Outgoing('POST', '/', {'Idempotency-Key': key})
+    with pytest.raises(EndpointRefusedError, match='printable ASCII'):
+        send(
+            find(ConnectionPools(), ADDRESSES[0]),
+            REPLICA,
+            request,
+            Waits(time.monotonic() + 5),
+        )
+
+
+@pytest.mark.parametrize(
+    ('after', 'numbers', 'kept', 'last', 'missing'),
+    [
+        (0, (), (), 0, 0),
+        (0, (1, 2), (1, 2), 2, 0),
+        (3, (3, 2, 5, 4, 5), (4, 5), 5, 0),
+        (3, (6, 8), (6, 8), 8, 3),
+    ],
+)
+def test_cache_events_are_ordered_and_gaps_counted(
+    after, numbers, kept, last, missing
+):
+    documents = [
+        {'seq': seq, 'type': 'stored', 'chunk': 'c', 'program': 'p'}
+        for seq in numbers
+    ]
+    report = parse_events(after, documents)
+    assert tuple(event.seq for event in report.events) == kept
+    assert (report.last_seq, report.missing) == (last, missing)
--- /dev/null
+++ b/tests/test_endpoints_registry.py
@@ -0,0 +1,84 @@
+"""Registry: leaving is sticky for an incarnation, whoever said it."""
+
+import pytest
+
+from cactusledge.endpoints.registry import EndpointRegistry, Leaving
+from cactusledge.models import Address, CallKind, Endpoint
+
+FIRST = Endpoint(
+    'e-1', 'agent', CallKind.MODEL, Address('127.0.0.1', 1), 'bole', 'a'
+)
+OTHER = FIRST._replace(name='e-2')
+ELSEWHERE = FIRST._replace(name='e-3', data_centre='yeka')
+WORD = Leaving('e-1', 'a')
+
+
+def names(registry, data_centre='bole'):
+    return [one.name for one in registry.available('agent', data_centre)]
+
+
+@pytest.fixture(name='registry')
+def listed_registry():
+    registry = EndpointRegistry()
+    registry.replace_all([FIRST, OTHER, ELSEWHERE])
+    return registry
+
+
+def test_available_is_by_service_and_data_centre(registry):
+    assert names(registry) == ['e-1', 'e-2']
+    assert names(registry, 'yeka') == ['e-3']
+    assert not registry.available('another', 'bole')
+
+
+@pytest.mark.parametrize(
+    'source',
+    [
+        lambda registry: registry.put(FIRST._replace(leaving=True)),
+        lambda registry: registry.note_leaving(WORD),
+    ],
+    ids=['list', 'refusal or peer'],
+)
+@pytest.mark.parametrize(
+    ('listed', 'expected'),
+    [
+        ([FIRST, OTHER], ['e-2']),  # an old list cannot end the drain
+        ([OTHER], ['e-2']),
+        ([FIRST._replace(incarnation='b'), OTHER], ['e-1', 'e-2']),
+    ],
+    ids=['same', 'gone', 'replaced'],
+)
+def test_leaving_ends_by_another_incarnation_only(
+    registry, source, listed, expected
+):
+    source(registry)
+    assert names(registry) == ['e-2']
+    registry.replace_all(listed)
+    assert names(registry) == expected
+    registry.remove('e-1')
+    registry.put(FIRST)
+    assert names(registry) == ['e-2']
+
+
+def test_word_may_come_before_the_entry():
+    registry = EndpointRegistry()
+    assert registry.note_leaving(WORD)
+    assert not registry.note_leaving(WORD)
+    registry.put(FIRST)
+    assert not names(registry)
+    assert registry.find('e-1').leaving
+    assert registry.leaving() == (WORD,)
+
+
+def test_entry_moves_between_data_centres(registry):
+    registry.put(FIRST._replace(data_centre='yeka'))
+    assert names(registry) == ['e-2']
+    assert names(registry, 'yeka') == ['e-1', 'e-3']
+    registry.replace_all([])
+    assert not registry.groups()
+
+
+def test_memory_of_leaving_is_bounded():
+    registry = EndpointRegistry(leaving_kept=2)
+    for number in range(3):
+        registry.note_leaving(Leaving('e-1', str(number)))
+    assert [word.incarnation for word in registry.leaving()] == ['1', '2']
--- a/tests/test_service_contract.py
+++ b/tests/test_service_contract.py
@@ -184,6 +184,7 @@
 
 def test_leaving_service_refuses_and_says_so(client, replica, service):
     service.leave()
-    with pytest.raises(EndpointNotRunError):
+    with pytest.raises(EndpointNotRunError) as caught:
         call(client, replica, 'hold', 'k-1')
+    assert caught.value.leaving
     assert not service.executions
