Hold long prefills until the engine's earlier ones are done

Cause: engines prefill in arrival order, so a later turn's short prefill waited behind several long ones that were sent together. Change: an estimate of each engine's prefill backlog, priced as wait; a prefill above half a second is sent only once the backlog is short.

--- a/cactusledge/routing/dispatch.py
+++ b/cactusledge/routing/dispatch.py
@@ -49,7 +49,7 @@
         return None
     fastest = min(state.ejector.slowness(eng.view.name) for eng in usable)
     candidates = [
-        _candidate(state, job, engine, claims[engine.view.name], fastest)
+        _candidate(state, job, engine, claims[engine.view.name], fastest, now)
         for engine in usable
     ]
     return placement.choose(candidates, state.settings, new_program=new_program)
@@ -59,6 +59,8 @@
     resident = state.programs.resident_tokens(engine.view.name)
     size = max(needed_tokens(job), state.meter.program_tokens)
     bound = engine.view.limits.kv_tokens * state.settings.resident_share
+    if not state.settings.bound_resident:
+        return True
     return not resident or resident + size <= bound
 
 
@@ -68,6 +70,7 @@
     engine: EngineState,
     claimed: int,
     fastest: float,
+    now: float,
 ) -> placement.Candidate:
     name = engine.view.name
     limits = engine.view.limits
@@ -75,14 +78,17 @@
     cached = state.cache.cached_tokens(name, job.prefix)
     expected_s = state.meter.expected_s(job, cached, limits)
     slowness = state.ejector.slowness(name) / fastest
+    missing_s = max(0, job.prompt_tokens - cached) / limits.prefill_tokens_s
     free = engine.fits(job, cfg.batch_share, cfg.memory_share)
     wait_s = 0 if free else engine.slot_interval_s() * (claimed + 1)
-    missing = max(0, job.prompt_tokens - cached)
+    wait_s += engine.prefill_wait_s(now)
+    if cfg.hold_prefills and missing_s > cfg.long_prefill_s:
+        free = free and engine.prefill_wait_s(now) <= cfg.long_prefill_s
     return placement.Candidate(
         engine=name,
         free=free,
         wait_s=wait_s * slowness,
-        missing_s=missing / limits.prefill_tokens_s,
+        missing_s=missing_s,
         load=engine.load(),
         resident=state.programs.resident_tokens(name) / limits.kv_tokens,
         slow_s=(slowness - 1) * expected_s,
@@ -97,7 +103,9 @@
     if job.turn == 1:
         waiting = state.queue.new_programs()
         state.starts.started(now, others_wait=waiting > 0)
-    engine.start(Running(job, name, now, cached, expected_s))
+    missing = max(0, job.prompt_tokens - cached)
+    prefill_s = missing / engine.view.limits.prefill_tokens_s
+    engine.start(Running(job, name, now, cached, expected_s), prefill_s)
     state.granted[job.job_id] = name
     state.cache.used(name, job.prefix, now)
     state.shares.charge(job.account, expected_s)
--- a/cactusledge/routing/engines.py
+++ b/cactusledge/routing/engines.py
@@ -5,6 +5,8 @@
 
 from cactusledge.routing.types import EngineView, Job
 
+PREFILL_SHARE = 0.7  # of an engine, while it prefills and decodes
+
 
 class Running(NamedTuple):
     """A granted job that has not been finished."""
@@ -24,10 +26,13 @@
         self.view = view
         self.running: dict[str, Running] = {}
         self.committed_tokens = 0
+        self._prefill_free_s: float = 0
 
-    def start(self, running: Running) -> None:
-        """Adds a granted job."""
+    def start(self, running: Running, prefill_s: float) -> None:
+        """Adds a granted job whose prefill takes some time alone."""
         self.running[running.job.job_id] = running
+        begins_s = max(running.granted_s, self._prefill_free_s)
+        self._prefill_free_s = begins_s + prefill_s / PREFILL_SHARE
         self.committed_tokens += needed_tokens(running.job)
 
     def stop(self, job_id: str) -> None:
@@ -35,6 +40,12 @@
         running = self.running.pop(job_id)
         self.committed_tokens -= needed_tokens(running.job)
 
+    def prefill_wait_s(self, now: float) -> float:
+        """Returns the expected time until the sent prefills are done."""
+        if not self.running:
+            return 0
+        return max(0, self._prefill_free_s - now)
+
     def fits(self, job: Job, batch_share: float, memory_share: float) -> bool:
         """Returns whether the engine can batch the job at once."""
         limits = self.view.limits
