Add view merging, rendezvous hashing and liveness; fix the stand-in's backlog

Cause: the racing-writers test lost a connection attempt: the HTTP server kept only five connections waiting, so that of eight at once some waited for a second SYN. Ruled out: a fault of the client, which rightly said 'not carried out'. Change: a backlog of 128; the pure core of the membership. Conclusion: servers on cheroot need an explicit backlog.

--- a/cactusledge/peers/messages.py
+++ b/cactusledge/peers/messages.py
@@ -16,21 +16,23 @@
     port: int
     data_centre: str
     incarnation: int
-    counter: int = 0
+    counter: int = 0  # grows with each interval
+    version: int = 0  # grows with each change of leaving or state
     leaving: bool = False
     state: Mapping[str, bytes] | None = None
 
 
 class MemberDigest(NamedTuple):
-    """Which version of a member the sender holds."""
+    """Which view of a member the sender holds."""
 
     name: str
     incarnation: int
     counter: int
+    version: int
 
 
 class Heartbeat(NamedTuple):
-    """The sender's changed views and the versions that it holds."""
+    """Views that the receiver lacks, and digests of all in the scope."""
 
     sender: str
     members: tuple[MemberView, ...]
@@ -38,9 +40,11 @@
 
 
 class HeartbeatReply(NamedTuple):
-    """The views that the sender of the heartbeat lacks."""
+    """Newer views and digests, and names whose views the replier lacks."""
 
     members: tuple[MemberView, ...] = ()
+    digest: tuple[MemberDigest, ...] = ()
+    wanted: tuple[str, ...] = ()
 
 
 class ForwardedCall(NamedTuple):
--- a/cactusledge/peers/peers.thrift
+++ b/cactusledge/peers/peers.thrift
@@ -16,7 +16,10 @@
   5: optional double retry_after_s,
 }
 
-/** What one instance knows of another; the newest counter wins. */
+/**
+ * What one instance knows of another. The counter grows with each interval,
+ * the version with each change of leaving or state.
+ */
 struct MemberView {
   1: required string name,
   2: required string host,
@@ -24,15 +27,17 @@
   4: required string data_centre,
   5: required i64 incarnation,
   6: required i64 counter,
-  7: required bool leaving,
-  8: optional map<string, binary> state,
+  7: required i32 version,
+  8: required bool leaving,
+  9: optional map<string, binary> state,
 }
 
-/** A digest entry: which version of a member the sender holds. */
+/** Which view of a member the sender holds; a newer counter counts as seen. */
 struct MemberDigest {
   1: required string name,
   2: required i64 incarnation,
   3: required i64 counter,
+  4: required i32 version,
 }
 
 struct Heartbeat {
@@ -41,8 +46,11 @@
   3: required list<MemberDigest> digest,
 }
 
+/** Newer views and digests, and names whose views the replier lacks. */
 struct HeartbeatReply {
   1: required list<MemberView> members,
+  2: required list<MemberDigest> digest,
+  3: required list<string> wanted,
 }
 
 struct ForwardedCall {
--- /dev/null
+++ b/cactusledge/peers/rendezvous.py
@@ -0,0 +1,21 @@
+"""Rendezvous hashing: the owner of a key among named members."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def weight(key: str, name: str) -> int:
+    """Returns the weight of a member for a key."""
+    return int(xxhash.xxh3_64_intdigest(f'{key}\0{name}'))
+
+
+def ranked(key: str, names: Iterable[str]) -> tuple[str, ...]:
+    """Returns the names from the key's owner to its last substitute."""
+    by_weight = sorted(((weight(key, name), name) for name in names))
+    return tuple(name for _, name in reversed(by_weight))
+
+
+def owner(key: str, names: Iterable[str]) -> str | None:
+    """Returns the key's owner, None without members."""
+    return max(names, key=lambda name: (weight(key, name), name), default=None)
--- a/cactusledge/peers/thrift/Peers.py
+++ b/cactusledge/peers/thrift/Peers.py
@@ -3,7 +3,7 @@
 #
 # DO NOT EDIT UNLESS YOU ARE SURE THAT YOU KNOW WHAT YOU ARE DOING
 #
-#  options string: py:package_prefix=
+#  options string: py
 #
 
 from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
@@ -2399,11 +2399,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = HeldBatch()
-                        _elem60.read(iprot)
-                        self.success.append(_elem60)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = HeldBatch()
+                        _elem74.read(iprot)
+                        self.success.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2425,8 +2425,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter61 in self.success:
-                iter61.write(oprot)
+            for iter75 in self.success:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.error is not None:
--- a/cactusledge/peers/thrift/constants.py
+++ b/cactusledge/peers/thrift/constants.py
@@ -3,7 +3,7 @@
 #
 # DO NOT EDIT UNLESS YOU ARE SURE THAT YOU KNOW WHAT YOU ARE DOING
 #
-#  options string: py:package_prefix=
+#  options string: py
 #
 
 from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
--- a/cactusledge/peers/thrift/ttypes.py
+++ b/cactusledge/peers/thrift/ttypes.py
@@ -3,7 +3,7 @@
 #
 # DO NOT EDIT UNLESS YOU ARE SURE THAT YOU KNOW WHAT YOU ARE DOING
 #
-#  options string: py:package_prefix=
+#  options string: py
 #
 
 from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
@@ -186,7 +186,8 @@
 
 class MemberView(object):
     """
-    What one instance knows of another; the newest counter wins.
+    What one instance knows of another. The counter grows with each interval,
+    the version with each change of leaving or state.
 
     Attributes:
      - name
@@ -195,19 +196,21 @@
      - data_centre
      - incarnation
      - counter
+     - version
      - leaving
      - state
 
     """
 
 
-    def __init__(self, name=None, host=None, port=None, data_centre=None, incarnation=None, counter=None, leaving=None, state=None,):
+    def __init__(self, name=None, host=None, port=None, data_centre=None, incarnation=None, counter=None, version=None, leaving=None, state=None,):
         self.name = name
         self.host = host
         self.port = port
         self.data_centre = data_centre
         self.incarnation = incarnation
         self.counter = counter
+        self.version = version
         self.leaving = leaving
         self.state = state
 
@@ -251,11 +254,16 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
                 if ftype == TType.BOOL:
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 9:
                 if ftype == TType.MAP:
                     self.state = {}
                     (_ktype1, _vtype2, _size0) = iprot.readMapBegin()
@@ -300,12 +308,16 @@
             oprot.writeFieldBegin('counter', TType.I64, 6)
             oprot.writeI64(self.counter)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 7)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
         if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 7)
+            oprot.writeFieldBegin('leaving', TType.BOOL, 8)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
         if self.state is not None:
-            oprot.writeFieldBegin('state', TType.MAP, 8)
+            oprot.writeFieldBegin('state', TType.MAP, 9)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.state))
             for kiter7, viter8 in self.state.items():
                 oprot.writeString(kiter7.encode('utf-8') if sys.version_info[0] == 2 else kiter7)
@@ -328,6 +340,8 @@
             raise TProtocolException(message='Required field incarnation is unset!')
         if self.counter is None:
             raise TProtocolException(message='Required field counter is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
         if self.leaving is None:
             raise TProtocolException(message='Required field leaving is unset!')
         return
@@ -346,20 +360,22 @@
 
 class MemberDigest(object):
     """
-    A digest entry: which version of a member the sender holds.
+    Which view of a member the sender holds; a newer counter counts as seen.
 
     Attributes:
      - name
      - incarnation
      - counter
+     - version
 
     """
 
 
-    def __init__(self, name=None, incarnation=None, counter=None,):
+    def __init__(self, name=None, incarnation=None, counter=None, version=None,):
         self.name = name
         self.incarnation = incarnation
         self.counter = counter
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -385,6 +401,11 @@
                     self.counter = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -407,6 +428,10 @@
             oprot.writeFieldBegin('counter', TType.I64, 3)
             oprot.writeI64(self.counter)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 4)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -417,6 +442,8 @@
             raise TProtocolException(message='Required field incarnation is unset!')
         if self.counter is None:
             raise TProtocolException(message='Required field counter is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
         return
 
     def __repr__(self):
@@ -536,14 +563,20 @@
 
 class HeartbeatReply(object):
     """
+    Newer views and digests, and names whose views the replier lacks.
+
     Attributes:
      - members
+     - digest
+     - wanted
 
     """
 
 
-    def __init__(self, members=None,):
+    def __init__(self, members=None, digest=None, wanted=None,):
         self.members = members
+        self.digest = digest
+        self.wanted = wanted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -565,6 +598,27 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.digest = []
+                    (_etype32, _size29) = iprot.readListBegin()
+                    for _i33 in range(_size29):
+                        _elem34 = MemberDigest()
+                        _elem34.read(iprot)
+                        self.digest.append(_elem34)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.wanted = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -578,8 +632,22 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter29 in self.members:
-                iter29.write(oprot)
+            for iter41 in self.members:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.digest))
+            for iter42 in self.digest:
+                iter42.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.wanted))
+            for iter43 in self.wanted:
+                oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -588,6 +656,10 @@
     def validate(self):
         if self.members is None:
             raise TProtocolException(message='Required field members is unset!')
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
+        if self.wanted is None:
+            raise TProtocolException(message='Required field wanted is unset!')
         return
 
     def __repr__(self):
@@ -667,11 +739,11 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.headers = {}
-                    (_ktype31, _vtype32, _size30) = iprot.readMapBegin()
-                    for _i34 in range(_size30):
-                        _key35 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key35] = _val36
+                    (_ktype45, _vtype46, _size44) = iprot.readMapBegin()
+                    for _i48 in range(_size44):
+                        _key49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val50 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key49] = _val50
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -712,9 +784,9 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter37, viter38 in self.headers.items():
-                oprot.writeString(kiter37.encode('utf-8') if sys.version_info[0] == 2 else kiter37)
-                oprot.writeString(viter38.encode('utf-8') if sys.version_info[0] == 2 else viter38)
+            for kiter51, viter52 in self.headers.items():
+                oprot.writeString(kiter51.encode('utf-8') if sys.version_info[0] == 2 else kiter51)
+                oprot.writeString(viter52.encode('utf-8') if sys.version_info[0] == 2 else viter52)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -927,11 +999,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = CallEvent()
-                        _elem44.read(iprot)
-                        self.events.append(_elem44)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = CallEvent()
+                        _elem58.read(iprot)
+                        self.events.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -958,8 +1030,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.events))
-            for iter45 in self.events:
-                iter45.write(oprot)
+            for iter59 in self.events:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.next_offset is not None:
@@ -1031,11 +1103,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.headers = {}
-                    (_ktype47, _vtype48, _size46) = iprot.readMapBegin()
-                    for _i50 in range(_size46):
-                        _key51 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val52 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key51] = _val52
+                    (_ktype61, _vtype62, _size60) = iprot.readMapBegin()
+                    for _i64 in range(_size60):
+                        _key65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key65] = _val66
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1060,9 +1132,9 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter53, viter54 in self.headers.items():
-                oprot.writeString(kiter53.encode('utf-8') if sys.version_info[0] == 2 else kiter53)
-                oprot.writeString(viter54.encode('utf-8') if sys.version_info[0] == 2 else viter54)
+            for kiter67, viter68 in self.headers.items():
+                oprot.writeString(kiter67.encode('utf-8') if sys.version_info[0] == 2 else kiter67)
+                oprot.writeString(viter68.encode('utf-8') if sys.version_info[0] == 2 else viter68)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1962,8 +2034,9 @@
     (4, TType.STRING, 'data_centre', 'UTF8', None, ),  # 4
     (5, TType.I64, 'incarnation', None, None, ),  # 5
     (6, TType.I64, 'counter', None, None, ),  # 6
-    (7, TType.BOOL, 'leaving', None, None, ),  # 7
-    (8, TType.MAP, 'state', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 8
+    (7, TType.I32, 'version', None, None, ),  # 7
+    (8, TType.BOOL, 'leaving', None, None, ),  # 8
+    (9, TType.MAP, 'state', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 9
 )
 all_structs.append(MemberDigest)
 MemberDigest.thrift_spec = (
@@ -1971,6 +2044,7 @@
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.I64, 'counter', None, None, ),  # 3
+    (4, TType.I32, 'version', None, None, ),  # 4
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
@@ -1983,6 +2057,8 @@
 HeartbeatReply.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'members', (TType.STRUCT, [MemberView, None], False), None, ),  # 1
+    (2, TType.LIST, 'digest', (TType.STRUCT, [MemberDigest, None], False), None, ),  # 2
+    (3, TType.LIST, 'wanted', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
 all_structs.append(ForwardedCall)
 ForwardedCall.thrift_spec = (
--- /dev/null
+++ b/cactusledge/peers/view.py
@@ -0,0 +1,144 @@
+"""Merging of what instances know of one another.
+
+`merge` is commutative, associative and idempotent, so that the order in
+which views arrive and their repetition do not matter. A view of an older
+incarnation never replaces one of a newer, and leaving lasts for the whole
+incarnation.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from cactusledge.peers.messages import MemberDigest, MemberView
+
+
+class Member(NamedTuple):
+    """A member's view, and when it last made progress by our clock."""
+
+    view: MemberView
+    progress_at_s: float
+
+    @property
+    def digest(self) -> MemberDigest:
+        """Which view this is."""
+        view = self.view
+        return MemberDigest(
+            view.name,
+            view.incarnation,
+            view.counter,
+            view.version,
+        )
+
+
+Table = Mapping[str, Member]
+
+
+class Absorbed(NamedTuple):
+    """A table after a message, and the names whose views it lacks."""
+
+    table: Table
+    wanted: tuple[str, ...]
+
+
+def merge(left: MemberView, right: MemberView) -> MemberView:
+    """Returns what the two views of one member say together."""
+    if left.incarnation != right.incarnation:
+        return max(left, right, key=lambda view: view.incarnation)
+    newer = max(left, right, key=content_order)
+    return newer._replace(
+        counter=max(left.counter, right.counter),
+        leaving=left.leaving or right.leaving,
+    )
+
+
+def content_order(view: MemberView) -> tuple[object, ...]:
+    """Returns the order of a member's contents within one incarnation."""
+    state = sorted((view.state or {}).items())
+    return (
+        view.version,
+        view.state is not None,
+        state,
+        view.host,
+        view.port,
+        view.data_centre,
+    )
+
+
+def absorb(
+    table: Table,
+    views: Iterable[MemberView],
+    digests: Iterable[MemberDigest],
+    now_s: float,
+) -> Absorbed:
+    """Returns the table with the views and the progress in the digests."""
+    merged = dict(table)
+    for view in views:
+        merged[view.name] = progressed(merged.get(view.name), view, now_s)
+    wanted = []
+    for digest in digests:
+        known = merged.get(digest.name)
+        if lacks(known, digest):
+            wanted.append(digest.name)
+        elif known is not None:
+            view = with_counter(known.view, digest)
+            merged[digest.name] = progressed(known, view, now_s)
+    return Absorbed(merged, tuple(wanted))
+
+
+def progressed(
+    known: Member | None,
+    view: MemberView,
+    now_s: float,
+) -> Member:
+    """Returns the member after a view; progress is a newer counter."""
+    if known is None:
+        return Member(view, now_s)
+    merged = merge(known.view, view)
+    if clock_of(merged) > clock_of(known.view):
+        return Member(merged, now_s)
+    return known._replace(view=merged)
+
+
+def clock_of(view: MemberView) -> tuple[int, int]:
+    """Returns what grows with each interval that the member lives."""
+    return view.incarnation, view.counter
+
+
+def lacks(known: Member | None, digest: MemberDigest) -> bool:
+    """Returns whether the digest names a view with news beyond progress."""
+    if known is None:
+        return True
+    held = (known.view.incarnation, known.view.version)
+    return held < (digest.incarnation, digest.version)
+
+
+def with_counter(view: MemberView, digest: MemberDigest) -> MemberView:
+    """Returns the view with the digest's counter if that is newer."""
+    if view.incarnation != digest.incarnation:
+        return view
+    return view._replace(counter=max(view.counter, digest.counter))
+
+
+def newer_than(
+    table: Table,
+    digests: Iterable[MemberDigest],
+) -> tuple[tuple[MemberView, ...], tuple[MemberDigest, ...]]:
+    """Returns the views, or just digests, newer than those of the sender."""
+    views = []
+    progress = []
+    for digest in digests:
+        known = table.get(digest.name)
+        if known is None:
+            continue
+        held = known.digest
+        if content_clock(held) > content_clock(digest):
+            views.append(known.view)
+        elif content_clock(held) == content_clock(digest):
+            if held.counter > digest.counter:
+                progress.append(held)
+    return tuple(views), tuple(progress)
+
+
+def content_clock(digest: MemberDigest) -> tuple[int, int]:
+    """Returns what grows with each change of a member's contents."""
+    return digest.incarnation, digest.version
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -22,6 +22,7 @@
 
 SERVER_THREADS = 64  # a watch or a hanging request holds one
 CONTROL_THREADS = 2
+BACKLOG = 128  # connections that the kernel keeps until they are accepted
 STOP_TIMEOUT_S = 1
 SELECT_TIMEOUT_S = 0.05  # how soon a stop is noticed
 LOOPBACK = '127.0.0.1'
@@ -54,6 +55,7 @@
             tuple(self._address),
             self._app,
             numthreads=self._threads,
+            request_queue_size=BACKLOG,
             shutdown_timeout=STOP_TIMEOUT_S,
         )
         server.gateway = ConnectionGateway
