--- /dev/null
+++ b/cactusledge/peers/membership.py
@@ -0,0 +1,112 @@
+"""The membership of an instance: heartbeats, and who is alive."""
+
+import threading
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from typing import Any, cast
+
+import pykka
+
+from cactusledge.models import Address
+from cactusledge.peers.heartbeats import HeartbeatSender
+from cactusledge.peers.liveness import INTERVAL_S, LiveMembers
+from cactusledge.peers.membership_actor import MembershipActor, Outbox
+from cactusledge.peers.messages import Heartbeat, HeartbeatReply, MemberView
+
+ASK_TIMEOUT_S = 1.0
+
+OnChange = Callable[[LiveMembers], None]
+
+
+class Membership:
+    """Sends heartbeats each interval and tells who is alive.
+
+    The methods may be called from any thread. Reading who is alive takes no
+    lock and asks no actor.
+    """
+
+    def __init__(
+        self,
+        me: MemberView,
+        seeds: Iterable[Address] = (),
+        interval_s: float = INTERVAL_S,
+    ) -> None:
+        """Knows only the present instance; `start` begins the heartbeats."""
+        self._live = LiveMembers(me.name, (me,))
+        self._start = (me, tuple(seeds))
+        self._interval_s = interval_s
+        self._listeners: list[OnChange] = []
+        self._stopping = threading.Event()
+        self._sender = HeartbeatSender()
+        self._actor: Any = None
+
+    @property
+    def live(self) -> LiveMembers:
+        """The members believed alive; immutable."""
+        return self._live
+
+    def start(self) -> None:
+        """Starts the actor and the thread that counts intervals."""
+        me, seeds = self._start
+        outbox = Outbox(self._sender.send, self._publish)
+        self._actor = MembershipActor.start(me, seeds, outbox).proxy()
+        threading.Thread(
+            target=self._tick,
+            name='membership',
+            daemon=True,
+        ).start()
+
+    def stop(self) -> None:
+        """Stops the heartbeats and closes their connections."""
+        self._stopping.set()
+        self._actor.stop()
+        self._sender.close()
+
+    def subscribe(self, listener: OnChange) -> None:
+        """Calls the listener on each change, in the actor's thread."""
+        self._listeners.append(listener)
+
+    def alive(self, data_centre: str | None = None) -> tuple[MemberView, ...]:
+        """Returns the members that take new work."""
+        return self._live.alive(data_centre)
+
+    def owner_of(
+        self,
+        key: str,
+        data_centre: str | None = None,
+    ) -> MemberView | None:
+        """Returns the key's owner by rendezvous hashing."""
+        return self._live.owner_of(key, data_centre)
+
+    def handle_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
+        """Merges a peer's heartbeat and returns the reply to it."""
+        reply = self._actor.receive(message).get(timeout=ASK_TIMEOUT_S)
+        return cast(HeartbeatReply, reply)
+
+    def report_unreachable(self, name: str) -> None:
+        """Sets a member aside until it makes progress again."""
+        self._actor.mark_unreachable.defer(name)
+
+    def add_seeds(self, seeds: Iterable[Address]) -> None:
+        """Adds addresses at which instances may be found."""
+        self._actor.add_seeds.defer(tuple(seeds))
+
+    def set_state(self, key: str, data: bytes) -> None:
+        """Changes an entry of the state that the peers see."""
+        self._actor.set_state.defer(key, data)
+
+    def leave(self) -> None:
+        """Marks this incarnation as leaving, for good."""
+        self._actor.leave().get(timeout=ASK_TIMEOUT_S)
+
+    def _publish(self, live: LiveMembers) -> None:
+        """Takes a change from the actor and tells the listeners."""
+        self._live = live
+        for listener in self._listeners:
+            listener(live)
+
+    def _tick(self) -> None:
+        while not self._stopping.is_set():
+            with suppress(pykka.ActorDeadError):
+                self._actor.tick.defer()
+            self._stopping.wait(self._interval_s)
--- /dev/null
+++ b/cactusledge/peers/membership_actor.py
@@ -0,0 +1,155 @@
+"""Actor that owns the gossip state of an instance."""
+
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+import pykka
+
+from cactusledge.models import Address
+from cactusledge.peers import gossip
+from cactusledge.peers.liveness import LiveMembers
+from cactusledge.peers.messages import Heartbeat, HeartbeatReply, MemberView
+
+MAX_PENDING = 16  # heartbeats under way at once
+LOST_INTERVALS = 2  # a lost contact is tried every so many intervals
+
+
+class Contact(NamedTuple):
+    """Where a heartbeat goes; the name is '' for a seed not yet met."""
+
+    name: str
+    address: Address
+
+
+class Outbox(NamedTuple):
+    """Takes what the actor gives out; neither may block."""
+
+    send: Callable[[Contact, Heartbeat, Any], None]  # reports to the actor
+    publish: Callable[[LiveMembers], None]
+
+
+class MembershipActor(pykka.ThreadingActor):
+    """Runs the rounds of heartbeats and merges what comes in."""
+
+    def __init__(
+        self,
+        me: MemberView,
+        seeds: Iterable[Address],
+        outbox: Outbox,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Starts alone."""
+        super().__init__()
+        self._state = gossip.GossipState(me)
+        self._seeds = frozenset(seeds)
+        self._outbox = outbox
+        self._clock = clock
+        self._pending: set[Address] = set()
+        self._published: LiveMembers | None = None
+        self._proxy: Any = None
+
+    def on_start(self) -> None:
+        """Keeps a proxy for the results of heartbeats."""
+        self._proxy = self.actor_ref.proxy()
+
+    def tick(self) -> None:
+        """Begins an interval: sends the heartbeats that are due."""
+        now_s = self._clock()
+        begun = gossip.begin_round(self._state, now_s, random.shuffle)
+        self._state = begun.state
+        for view in begun.targets:
+            self._send(Contact(view.name, address_of(view)))
+        for address in self._lost_contacts():
+            self._send(Contact('', address))
+        self._publish()
+
+    def receive(self, message: Heartbeat) -> HeartbeatReply:
+        """Merges a peer's heartbeat and returns the reply."""
+        exchange = gossip.receive(self._state, message, self._clock())
+        self._state = exchange.state
+        self._publish()
+        return exchange.reply
+
+    def replied(self, contact: Contact, reply: HeartbeatReply) -> None:
+        """Merges a reply; sends the views that the peer lacks."""
+        self._pending.discard(contact.address)
+        state, views = gossip.receive_reply(self._state, reply, self._clock())
+        self._state = state
+        if views:
+            self._post(contact, Heartbeat(self._state.me.name, views))
+        self._publish()
+
+    def failed(self, contact: Contact, *, delivered: bool) -> None:
+        """Takes note of a heartbeat without a reply."""
+        self._pending.discard(contact.address)
+        if not delivered:
+            self.mark_unreachable(contact.name)
+
+    def mark_unreachable(self, name: str) -> None:
+        """Sets a member aside until its counter makes progress."""
+        self._state = gossip.mark_unreachable(self._state, name)
+        self._publish()
+
+    def add_seeds(self, seeds: Iterable[Address]) -> None:
+        """Adds addresses at which instances may be found."""
+        self._seeds = self._seeds.union(seeds)
+
+    def set_state(self, key: str, data: bytes) -> None:
+        """Changes an entry of the state that the peers see."""
+        self._state = gossip.set_state(self._state, key, data)
+        self._publish()
+
+    def leave(self) -> None:
+        """Marks this incarnation as leaving, and tells some peers at once."""
+        self._state = gossip.leave(self._state)
+        self.tick()
+
+    def _send(self, contact: Contact) -> None:
+        if contact.address in self._pending:
+            return
+        if len(self._pending) >= MAX_PENDING:
+            return
+        now_s = self._clock()
+        message = gossip.heartbeat_for(self._state, contact.name, now_s)
+        self._post(contact, message)
+
+    def _post(self, contact: Contact, message: Heartbeat) -> None:
+        self._pending.add(contact.address)
+        self._outbox.send(contact, message, self._proxy)
+
+    def _lost_contacts(self) -> tuple[Address, ...]:
+        """Returns at most one address of nobody alive, to find it again."""
+        live = self._state.live(self._clock()).members
+        if len(live) > 1 and self._state.turn % LOST_INTERVALS:
+            return ()
+        known = {
+            address_of(one.view)
+            for one in self._state.table.values()
+            if not one.view.leaving
+        }
+        lost = (known | self._seeds) - {address_of(view) for view in live}
+        return tuple(random.sample(sorted(lost), k=min(1, len(lost))))
+
+    def _publish(self) -> None:
+        live = self._state.live(self._clock())
+        if self._published and same_members(self._published, live):
+            return
+        self._published = live
+        self._outbox.publish(live)
+
+
+def address_of(view: MemberView) -> Address:
+    """Returns the address at which a member takes messages."""
+    return Address(view.host, view.port)
+
+
+def same_members(left: LiveMembers, right: LiveMembers) -> bool:
+    """Returns whether the two differ at most in counters."""
+    if len(left.members) != len(right.members):
+        return False
+    return all(
+        one._replace(counter=0) == other._replace(counter=0)
+        for one, other in zip(left.members, right.members, strict=True)
+    )
--- a/cactusledge/peers/rendezvous.py
+++ b/cactusledge/peers/rendezvous.py
@@ -7,12 +7,12 @@
 
 def weight(key: str, name: str) -> int:
     """Returns the weight of a member for a key."""
-    return int(xxhash.xxh3_64_intdigest(f'{key}\0{name}'))
+    return xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode())
 
 
 def ranked(key: str, names: Iterable[str]) -> tuple[str, ...]:
     """Returns the names from the key's owner to its last substitute."""
-    by_weight = sorted(((weight(key, name), name) for name in names))
+    by_weight = sorted((weight(key, name), name) for name in names)
     return tuple(name for _, name in reversed(by_weight))
 
 
--- a/cactusledge/peers/view.py
+++ b/cactusledge/peers/view.py
@@ -58,9 +58,7 @@
         view.version,
         view.state is not None,
         state,
-        view.host,
-        view.port,
-        view.data_centre,
+        (view.host, view.port, view.data_centre),
     )
 
 
@@ -80,8 +78,8 @@
         if lacks(known, digest):
             wanted.append(digest.name)
         elif known is not None:
-            view = with_counter(known.view, digest)
-            merged[digest.name] = progressed(known, view, now_s)
+            counted = with_counter(known.view, digest)
+            merged[digest.name] = progressed(known, counted, now_s)
     return Absorbed(merged, tuple(wanted))
 
 
@@ -124,19 +122,23 @@
     digests: Iterable[MemberDigest],
 ) -> tuple[tuple[MemberView, ...], tuple[MemberDigest, ...]]:
     """Returns the views, or just digests, newer than those of the sender."""
-    views = []
-    progress = []
-    for digest in digests:
-        known = table.get(digest.name)
-        if known is None:
-            continue
-        held = known.digest
-        if content_clock(held) > content_clock(digest):
-            views.append(known.view)
-        elif content_clock(held) == content_clock(digest):
-            if held.counter > digest.counter:
-                progress.append(held)
-    return tuple(views), tuple(progress)
+    pairs = [
+        (table[digest.name], digest)
+        for digest in digests
+        if digest.name in table
+    ]
+    views = tuple(
+        known.view
+        for known, digest in pairs
+        if content_clock(known.digest) > content_clock(digest)
+    )
+    progress = tuple(
+        known.digest
+        for known, digest in pairs
+        if content_clock(known.digest) == content_clock(digest)
+        and known.view.counter > digest.counter
+    )
+    return views, progress
 
 
 def content_clock(digest: MemberDigest) -> tuple[int, int]:
