Drive programs on any of several instances, with takeover after a kill

Cause: the thin path had one instance; nobody took over the programs of a killed one. Before: demo failed with 'No instance drives log addis-bole-0'.

--- a/cactusledge/api/server.py
+++ b/cactusledge/api/server.py
@@ -10,7 +10,6 @@
 
 SERVER_NAME = 'cactusledge'
 ACCEPT_QUEUE = 128
-SHUTDOWN_TIMEOUT_S = 5
 
 
 class ServerLimits(NamedTuple):
@@ -21,6 +20,7 @@
     max_body_bytes: int
     max_header_bytes: int
     socket_timeout_s: float
+    shutdown_timeout_s: float  # for requests in progress at a stop
 
 
 class ApiServer:
@@ -40,7 +40,7 @@
             server_name=SERVER_NAME,
             request_queue_size=ACCEPT_QUEUE,
             timeout=round(limits.socket_timeout_s),
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            shutdown_timeout=round(limits.shutdown_timeout_s),
         )
         self._server.max_request_body_size = limits.max_body_bytes
         self._server.max_request_header_size = limits.max_header_bytes
--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -13,12 +13,13 @@
 from cactusledge.assembly.programs import build_programs
 from cactusledge.assembly.routing import build_routing
 from cactusledge.environment import Environment
-from cactusledge.peers.rendezvous import choose
+from cactusledge.peers.rendezvous import owner
 from cactusledge.settings.sections import InstanceSettings
 from cactusledge.telemetry.logs import get_logger
 
 TICK_S = 0.5
 STOP_WAIT_S = 5.0
+SETTLE_S = 3.0  # for the first answers of the seeds
 
 log = get_logger('entry')
 
@@ -30,13 +31,13 @@
         """Builds the parts; `start` sets them going."""
         self._settings = settings
         self._base = build_base(settings, env)
-        membership, neighbours = build_membership(self._base, choose)
+        membership, neighbours = build_membership(self._base)
         self._routing = build_routing(self._base, neighbours)
         self._programs = build_programs(
             self._base,
             self._routing,
             neighbours,
-            choose,
+            owner,
         )
         self._peers = build_peers(
             self._base,
@@ -48,6 +49,7 @@
         self._api = build_api(self._base, self._programs.router, self)
         self._ready = threading.Event()
         self._stopping = threading.Event()
+        self._started_s = time.monotonic()
         self._timer = threading.Thread(target=self._run_timer, daemon=True)
 
     def start(self) -> None:
@@ -56,6 +58,7 @@
         self._peers.start()
         self._routing.start()
         self._api.start()
+        self._started_s = time.monotonic()
         self._timer.start()
         log.info('Started.', api=str(self._settings.listen.api))
 
@@ -89,7 +92,7 @@
 
     def is_ready(self) -> bool:
         """Returns whether the balancer should send requests here."""
-        return self._ready.is_set()
+        return self._ready.is_set() and not self._programs.unowned_logs()
 
     def status(self) -> Mapping[str, Any]:
         """Returns the document of `GET /status`."""
@@ -115,6 +118,13 @@
         """Returns the metrics in Prometheus's text format."""
         return self._base.metrics.render()
 
+    def _may_claim(self) -> bool:
+        """Returns whether the peers had time to say which logs they own."""
+        is_alone = not self._peers.neighbours.others()
+        waited_s = time.monotonic() - self._started_s
+        has_seeds = bool(self._settings.peers.seeds)
+        return not (has_seeds and is_alone) or waited_s > SETTLE_S
+
     def _run_timer(self) -> None:
         while not self._stopping.wait(TICK_S):
             try:
@@ -125,6 +135,6 @@
     def _tick(self) -> None:
         self._peers.tick()
         self._routing.tick()
-        if self._base.config.current().generation:
+        if self._base.config.current().generation and self._may_claim():
             self._programs.logs.tick()
             self._ready.set()
--- a/cactusledge/assembly/api.py
+++ b/cactusledge/assembly/api.py
@@ -38,5 +38,6 @@
             max_body_bytes=limits.max_body_bytes,
             max_header_bytes=limits.max_header_bytes,
             socket_timeout_s=limits.request_timeout_s,
+            shutdown_timeout_s=base.settings.shutdown.drain_timeout_s,
         ),
     )
--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -1,7 +1,6 @@
 """Builds the peer service and membership."""
 
 import time
-from collections.abc import Callable
 from typing import NamedTuple
 
 from cactusledge.assembly.base import Base
@@ -9,9 +8,12 @@
 from cactusledge.assembly.routing import RoutingPart
 from cactusledge.errors import CactusledgeError
 from cactusledge.peers.membership import Membership
+from cactusledge.peers.messages import MemberView
+from cactusledge.peers.rendezvous import owner
 from cactusledge.peers.server import PeerServer
 from cactusledge.programs.held import HeldStore
 from cactusledge.programs.neighbours import (
+    Me,
     Neighbours,
     generation_of,
     member_state,
@@ -19,6 +21,8 @@
 from cactusledge.programs.peer_handler import EntryPeerHandler, HandlerParts
 from cactusledge.telemetry.logs import get_logger
 
+PEER_TIMEOUT_S = 5.0
+
 log = get_logger('peers')
 
 
@@ -40,16 +44,15 @@
         """Tells the peers what changed, and learns newer configurations."""
         generation = self.base.config.current().generation
         names = self.programs.table.names()
-        self.membership.set_state(member_state(names, generation))
-        newest = max(
-            (generation_of(one) for one in self.membership.alive()),
-            default=0,
-        )
+        for key, data in member_state(names, generation).items():
+            self.membership.set_state(key, data)
+        newest = max(map(generation_of, self.membership.alive()), default=0)
         if newest > generation:
             self._fetch_config(generation)
 
     def leave(self) -> None:
         """Tells the peers that this instance takes no new work."""
+        self.neighbours.leaving = True
         self.membership.leave()
 
     def stop(self) -> None:
@@ -70,6 +73,30 @@
                 return
 
 
+def build_membership(base: Base) -> tuple[Membership, Neighbours]:
+    """Returns membership, and the neighbours that it knows of."""
+    peers = base.settings.peers
+    address = base.settings.listen.peers
+    membership = Membership(
+        MemberView(
+            name=base.name,
+            host=address.host,
+            port=address.port,
+            data_centre=base.data_centre,
+            incarnation=time.time_ns(),
+        ),
+        peers.seeds,
+        peers.heartbeat_interval_s,
+    )
+    neighbours = Neighbours(
+        Me(base.name, base.data_centre),
+        lambda: membership.live.members,
+        owner,
+        PEER_TIMEOUT_S,
+    )
+    return membership, neighbours
+
+
 def build_peers(
     base: Base,
     routing: RoutingPart,
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -38,6 +38,19 @@
     local: LocalPrograms
     router: ProgramRouter
     pools: ConnectionPools
+    neighbours: Neighbours
+    home: Home
+
+    def unowned_logs(self) -> tuple[str, ...]:
+        """Returns the logs of this data centre that nobody drives."""
+        views = self.neighbours.others()
+        owned = {name for view in views for name in view.logs}
+        names = log_names(self.home.data_centre, self.home.logs)
+        return tuple(
+            name
+            for name in names
+            if name not in owned and self.table.find(name) is None
+        )
 
 
 class _Definitions:
@@ -84,7 +97,15 @@
         return PeerPrograms(client, base.name, base.followers, router.call)
 
     router = ProgramRouter(home, local, find_remote)
-    return ProgramsPart(table, logs, local, router, pools)
+    return ProgramsPart(
+        table,
+        logs,
+        local,
+        router,
+        pools,
+        neighbours,
+        home,
+    )
 
 
 def _build_opener(base: Base, neighbours: Neighbours) -> StoreLogOpener:
--- a/cactusledge/programs/claims.py
+++ b/cactusledge/programs/claims.py
@@ -6,7 +6,7 @@
 FIRST_BACK_OFF_S = 4.0
 LONGEST_BACK_OFF_S = 120.0
 
-Choose = Callable[[str, Sequence[str]], str]
+Choose = Callable[[str, Sequence[str]], str | None]
 
 
 class InstanceView(NamedTuple):
--- a/cactusledge/programs/errors.py
+++ b/cactusledge/programs/errors.py
@@ -24,7 +24,7 @@
 
 
 class StoppingError(CactusledgeError):
-    """The instance takes no further calls."""
+    """The request cannot be taken now."""
 
     code = ErrorCode.STOPPING
 
@@ -41,6 +41,12 @@
     code = ErrorCode.PEER_UNREACHABLE
 
 
+class MovingError(NoDriverError):
+    """The program's driver is stopping; another instance takes it over."""
+
+    code = ErrorCode.PEER_UNREACHABLE
+
+
 class TooManyProgramsError(CactusledgeError):
     """The account has as many programs under way as it may."""
 
--- a/cactusledge/programs/grants.py
+++ b/cactusledge/programs/grants.py
@@ -192,7 +192,6 @@
                 self._local.cancel(waiting.key, job_id)
 
 
-
 def _is_pending(future: Any) -> bool:
     try:
         future.get(timeout=0)
--- a/cactusledge/programs/launch.py
+++ b/cactusledge/programs/launch.py
@@ -10,6 +10,7 @@
 from cactusledge.programs.call_stream import CallStream
 from cactusledge.programs.errors import (
     PLATFORM_RETRY_S,
+    MovingError,
     StoppingError,
     platform_down,
 )
@@ -85,9 +86,9 @@
     def require_taking(self) -> None:
         """Raises StoppingError unless new work is taken."""
         if self.draining:
-            raise StoppingError(
-                'The instance is stopping; nothing was run.',
-                remedy='Repeat the request; another instance takes it.',
+            raise MovingError(
+                'The program moves to another instance; nothing was run.',
+                remedy='Repeat the request with the same key.',
                 retry_after_s=STOP_RETRY_S,
             )
         if not self._ctx.sink.has_room():
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -127,7 +127,12 @@
         )
         driver = LogDriver.start(ctx, taken.programs)
         self._writers[name] = writer
-        return OwnedLog(name, driver, lambda: self._close(name))
+        return OwnedLog(
+            name,
+            driver,
+            partial(self._close, name),
+            writer.fenced,
+        )
 
     def is_up(self) -> bool:
         """Returns whether the platform answers this instance's writers."""
--- a/cactusledge/programs/logs.py
+++ b/cactusledge/programs/logs.py
@@ -25,6 +25,7 @@
     name: str
     driver: pykka.ActorRef[Any]
     close: Callable[[], None]  # writes what waits, then stops the writer
+    is_lost: Callable[[], bool]  # whether another instance has sealed it
 
 
 class LogOpener(Protocol):
@@ -132,11 +133,6 @@
             owned.driver.stop(block=False)
         return left
 
-    def refuse_new(self) -> None:
-        """Has every driver refuse new calls; running ones go on."""
-        self._closed = True
-        self._running()
-
     def _running(self) -> int:
         counts: list[Any] = [
             owned.driver.ask(msg.Drain(), timeout=DRIVER_WAIT_S)
@@ -162,7 +158,9 @@
         else:
             self._table.put(owned)
             log.info('Taken over.', log=name)
-            finally:
+            if owned.is_lost():
+                self._lost(name)
+        finally:
             self._opening.discard(name)
 
     def _lost(self, name: str) -> None:
@@ -172,4 +170,3 @@
         log.warning('Lost to another instance.', log=name)
         if owned is not None:
             owned.driver.stop(block=False)
-    
--- a/cactusledge/programs/neighbours.py
+++ b/cactusledge/programs/neighbours.py
@@ -16,7 +16,7 @@
 SEPARATOR = ','
 
 
-class Self(NamedTuple):
+class Me(NamedTuple):
     """This instance's identity."""
 
     name: str
@@ -28,7 +28,7 @@
 
     def __init__(
         self,
-        me: Self,
+        me: Me,
         alive: Callable[[], Iterable[MemberView]],
         choose: Choose,
         timeout_s: float,
@@ -45,6 +45,7 @@
         self._alive = alive
         self._choose = choose
         self._timeout_s = timeout_s
+        self.leaving = False
         self._clients: dict[Address, PeerClient] = {}
         self._lock = threading.Lock()
 
@@ -95,9 +96,9 @@
             if one.data_centre == data_centre and not one.leaving
         }
         names = list(candidates)
-        if data_centre == self._me.data_centre:
+        if data_centre == self._me.data_centre and not self.leaving:
             names.append(self._me.name)
-        chosen = candidates.get(self._choose(key, names)) if names else None
+        chosen = candidates.get(self._choose(key, names) or '')
         return self._client(chosen) if chosen else None
 
     def _members(self) -> list[MemberView]:
--- a/cactusledge/programs/peer_handler.py
+++ b/cactusledge/programs/peer_handler.py
@@ -25,7 +25,7 @@
 class Heartbeats(Protocol):
     """Membership as the peers' messages reach it."""
 
-    def receive(self, message: peer.Heartbeat) -> peer.HeartbeatReply:
+    def handle_heartbeat(self, message: peer.Heartbeat) -> peer.HeartbeatReply:
         """Merges the sender's views and returns what the sender lacks."""
 
 
@@ -51,7 +51,7 @@
 
     def heartbeat(self, message: peer.Heartbeat) -> peer.HeartbeatReply:
         """Hands the heartbeat to membership."""
-        return self._parts.heartbeats.receive(message)
+        return self._parts.heartbeats.handle_heartbeat(message)
 
     def forward_call(self, call: peer.ForwardedCall) -> peer.CallHandle:
         """Starts, joins or re-reads a call."""
@@ -130,10 +130,11 @@
 
     def get_config(self, known_generation: int) -> peer.ConfigReply:
         """Returns the configuration if it is newer than the one known."""
-        generation, document = self._parts.config.snapshot()
+        snapshot = self._parts.config.snapshot()
+        generation = snapshot.configuration.generation
         if generation <= known_generation:
             return peer.ConfigReply(generation)
-        return peer.ConfigReply(generation, document)
+        return peer.ConfigReply(generation, snapshot.encoded)
 
     def _want_log(self, program_id: str) -> None:
         """Has the log taken over soon if the sender thinks it is ours."""
--- a/examples/demo_program.py
+++ b/examples/demo_program.py
@@ -24,7 +24,7 @@
 
 SHOWROOM = Scenario(
     definition='itinerary',
-    token='demo-showroom-token',  # noqa: S106 - a token of the example
+    token='demo-showroom-token',
     service='booking',
     read_operation='availability',
     write_operation='confirm',
@@ -33,7 +33,7 @@
 )
 LEDGER = Scenario(
     definition='reconciliation',
-    token='demo-ledger-token',  # noqa: S106 - a token of the example
+    token='demo-ledger-token',
     service='ledger',
     read_operation='read_ledger',
     write_operation='transfer_hours',
@@ -119,4 +119,3 @@
     def _api(self, entry: str) -> ApiClient:
         address = Address(LOOPBACK, self._deployed.port(entry))
         return ApiClient(address, self.scenario.token)
-
--- /dev/null
+++ b/tests/test_api_contract.py
@@ -0,0 +1,239 @@
+"""Caller API: its description, its errors and its limits."""
+
+import json
+import socket
+
+import pytest
+from openapi_spec_validator import validate
+from urllib3 import PoolManager
+
+from cactusledge.api.app import ROUTES, ApiApp
+from cactusledge.api.handlers import ApiContext
+from cactusledge.api.server import ApiServer, ServerLimits
+from cactusledge.models import Address, Answer, Outcome
+from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.errors import no_such_program, platform_down
+from cactusledge.programs.views import ProgramView
+from standins.deployment import LOOPBACK, ROOT, free_port
+
+TOKEN = 'token-1'
+OPENAPI = (ROOT / 'cactusledge/api/openapi.json').read_bytes()
+LIMITS = ServerLimits(
+    worker_threads=4,
+    max_connections=8,
+    max_body_bytes=2000,
+    max_header_bytes=4000,
+    socket_timeout_s=1,
+    shutdown_timeout_s=1,
+)
+VIEW = ProgramView(
+    program_id='bole-0.ab',
+    account='buyers',
+    definition='itinerary',
+    parent='',
+    next_seq=1,
+    budget=10,
+    spent=0,
+    reserved=0,
+    ended=False,
+    end_reason='',
+    durable=True,
+)
+
+
+class FakePrograms:
+    """Answers every request, or raises what a test sets."""
+
+    def __init__(self):
+        self.error = None
+        self.answer = Answer('bole-0.ab', 1, Outcome.RAN, 200, {'text': 'a'}, 3)
+
+    def open_program(self, args):
+        return self._reply(VIEW)
+
+    def call(self, args):
+        stream = CallStream()
+        stream.put_text('a')
+        stream.finish(self.answer)
+        return self._reply(stream)
+
+    def view(self, account, program_id):
+        return self._reply(VIEW)
+
+    def history(self, account, program_id):
+        return self._reply(())
+
+    def end_program(self, account, program_id, reason):
+        return self._reply(VIEW)
+
+    def is_ready(self):
+        return False
+
+    def status(self):
+        return {'instance': 'entry-1'}
+
+    def metrics_text(self):
+        return b'# metrics\n'
+
+    def _reply(self, reply):
+        if self.error is not None:
+            raise self.error
+        return reply
+
+
+@pytest.fixture
+def programs():
+    return FakePrograms()
+
+
+@pytest.fixture
+def port(programs):
+    ctx = ApiContext(
+        programs=programs,
+        report=programs,
+        find_account={TOKEN: 'buyers'}.get,
+        request_timeout_s=1,
+        openapi=OPENAPI,
+    )
+    address = Address(LOOPBACK, free_port())
+    server = ApiServer(address, ApiApp(ctx, LIMITS.max_body_bytes), LIMITS)
+    server.start()
+    yield server.port
+    server.stop()
+
+
+@pytest.fixture
+def send(port):
+    pool = PoolManager(retries=False)
+
+    def request(method, path, body=None, token=TOKEN):
+        return pool.request(
+            method,
+            f'http://{LOOPBACK}:{port}{path}',
+            body=body if isinstance(body, bytes) else json.dumps(body or {}),
+            headers={'Authorization': f'Bearer {token}'},
+        )
+
+    return request
+
+
+OPEN = {'definition': 'itinerary', 'key': 'k'}
+CALL = {'seq': 1, 'key': 'k', 'kind': 'model', 'messages': [{'role': 'user'}]}
+CALLS = '/v1/programs/bole-0.ab/calls'
+
+
+def test_description_is_valid_and_names_every_route():
+    document = json.loads(OPENAPI)
+    validate(document)
+    described = {
+        (method.upper(), path)
+        for path, methods in document['paths'].items()
+        for method in methods
+    }
+    served = {
+        (method, path.replace('(?P<program_id>[^/]+)', '{program_id}'))
+        for method, path in ROUTES
+    }
+    assert described == served
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'status'),
+    [
+        ('POST', '/v1/programs', OPEN, 201),
+        ('POST', CALLS, CALL, 200),
+        ('GET', '/v1/programs/bole-0.ab', None, 200),
+        ('GET', '/v1/programs/bole-0.ab/history', None, 200),
+        ('POST', '/v1/programs/bole-0.ab/end', {}, 200),
+        ('GET', '/livez', None, 200),
+        ('GET', '/readyz', None, 503),
+        ('GET', '/status', None, 200),
+        ('GET', '/metrics', None, 200),
+        ('GET', '/openapi.json', None, 200),
+        ('POST', '/v1/programs', b'{', 400),
+        ('POST', '/v1/programs', {**OPEN, 'budgett': 1}, 400),
+        ('POST', CALLS, {**CALL, 'seq': 0}, 400),
+        ('POST', CALLS, {**CALL, 'seq': '1'}, 400),
+        ('POST', '/v1/programs', b'x' * 2001, 413),
+        ('GET', '/v1/unknown', None, 404),
+        ('PUT', '/v1/programs', OPEN, 405),
+    ],
+)
+def test_each_request_has_its_status(send, method, path, body, status):
+    assert send(method, path, body).status == status
+
+
+def test_unknown_token_is_refused(send):
+    response = send('POST', '/v1/programs', OPEN, token='other')
+    assert response.status == 401
+    assert response.json()['error']['outcome'] == 'NOT_RUN'
+
+
+@pytest.mark.parametrize(
+    ('error', 'status', 'retry'),
+    [
+        (no_such_program('bole-0.ab'), 404, None),
+        (platform_down(), 503, '5'),
+        (RuntimeError('fault'), 500, '1'),
+    ],
+)
+def test_errors_tell_code_remedy_and_return(
+    send, programs, error, status, retry
+):
+    programs.error = error
+    response = send('POST', CALLS, CALL)
+    assert response.status == status
+    assert response.headers.get('Retry-After') == retry
+    assert response.json()['error']['remedy']
+
+
+@pytest.mark.parametrize(
+    ('code', 'outcome', 'status'),
+    [
+        ('', Outcome.RAN, 200),
+        ('overloaded', Outcome.NOT_RUN, 429),
+        ('outcome_unknown', Outcome.UNKNOWN, 502),
+        ('deadline_exceeded', Outcome.UNKNOWN, 504),
+    ],
+)
+def test_answers_tell_their_outcome(send, programs, code, outcome, status):
+    programs.answer = programs.answer._replace(
+        code=code,
+        outcome=outcome,
+        retry_after_s=2.5,
+    )
+    response = send('POST', CALLS, CALL)
+    assert response.status == status
+    assert response.json()['outcome'] == outcome
+    assert response.headers['Retry-After'] == '3'
+
+
+def test_stream_ends_with_the_answer(send):
+    response = send('POST', CALLS, {**CALL, 'stream': True})
+    events = response.data.decode().strip().split('\n\n')
+    assert events[-1].startswith('event: answer')
+    assert 'event: text' in events[-2]
+
+
+def raw_exchange(port, data):
+    with socket.create_connection((LOOPBACK, port), timeout=5) as conn:
+        conn.sendall(data)
+        return conn.recv(4096).decode()
+
+
+@pytest.mark.parametrize(
+    ('data', 'status'),
+    [
+        (b'NONSENSE\r\n\r\n', ' 400 '),
+        (b'GET /livez HTTP/1.1\r\nA: ' + b'x' * 8000 + b'\r\n\r\n', ' 413 '),
+        (
+            b'POST /v1/programs HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n',
+            ' 408 ',
+        ),
+    ],
+)
+def test_malformed_huge_and_slow_requests_cost_others_nothing(
+    port, send, data, status
+):
+    assert status in raw_exchange(port, data)
+    assert send('GET', '/livez').status == 200
