--- a/cactusledge/api/app.py
+++ b/cactusledge/api/app.py
@@ -3,16 +3,16 @@
 import re
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
-from cactusledge.api import handlers
+from cactusledge.api import handlers as api
 from cactusledge.api.faults import (
     NotFoundError,
     error_document,
     retry_headers,
     status_of,
 )
-from cactusledge.api.handlers import ApiContext
 from cactusledge.api.http import (
     Request,
     Response,
@@ -25,21 +25,21 @@
 from cactusledge.models import Outcome
 from cactusledge.telemetry.logs import get_logger
 
-Handler = Callable[[ApiContext, Request], Response]
+Handler = Callable[[api.ApiContext, Request], Response]
 
 PROGRAM = r'/v1/programs/(?P<program_id>[^/]+)'
-ROUTES: Mapping[tuple[str, str], Handler] = {
-    ('POST', '/v1/programs'): handlers.open_program,
-    ('GET', PROGRAM): handlers.view_program,
-    ('POST', f'{PROGRAM}/calls'): handlers.make_call,
-    ('GET', f'{PROGRAM}/history'): handlers.read_history,
-    ('POST', f'{PROGRAM}/end'): handlers.end_program,
-    ('GET', '/livez'): handlers.liveness,
-    ('GET', '/readyz'): handlers.readiness,
-    ('GET', '/status'): handlers.instance_status,
-    ('GET', '/metrics'): handlers.metrics,
-    ('GET', '/openapi.json'): handlers.openapi,
-}
+ROUTES: Mapping[tuple[str, str], Handler] = MappingProxyType({
+    ('POST', '/v1/programs'): api.open_program,
+    ('GET', PROGRAM): api.view_program,
+    ('POST', f'{PROGRAM}/calls'): api.make_call,
+    ('GET', f'{PROGRAM}/history'): api.read_history,
+    ('POST', f'{PROGRAM}/end'): api.end_program,
+    ('GET', '/livez'): api.liveness,
+    ('GET', '/readyz'): api.readiness,
+    ('GET', '/status'): api.instance_status,
+    ('GET', '/metrics'): api.metrics,
+    ('GET', '/openapi.json'): api.openapi,
+})
 
 
 class InternalError(CactusledgeError):
@@ -64,7 +64,7 @@
 class ApiApp:
     """The caller API and status API as one WSGI application."""
 
-    def __init__(self, ctx: ApiContext, max_body_bytes: int) -> None:
+    def __init__(self, ctx: api.ApiContext, max_body_bytes: int) -> None:
         """Compiles the routes."""
         self._ctx = ctx
         self._max_body_bytes = max_body_bytes
--- a/cactusledge/api/faults.py
+++ b/cactusledge/api/faults.py
@@ -1,12 +1,14 @@
 """Errors of the caller API and how each is told over HTTP."""
 
+import math
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any
 
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.models import Answer, Outcome
 
-STATUS_BY_CODE = {
+STATUS_BY_CODE = MappingProxyType({
     ErrorCode.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
     ErrorCode.UNAUTHORIZED: HTTPStatus.UNAUTHORIZED,
     ErrorCode.FORBIDDEN: HTTPStatus.FORBIDDEN,
@@ -26,7 +28,7 @@
     ErrorCode.ENDPOINT_REFUSED: HTTPStatus.BAD_GATEWAY,
     ErrorCode.ENDPOINT_FAILED: HTTPStatus.BAD_GATEWAY,
     ErrorCode.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
-}
+})
 
 
 class BadRequestError(CactusledgeError):
@@ -78,7 +80,7 @@
     """Returns the Retry-After header in whole seconds, rounded up."""
     if retry_after_s is None:
         return ()
-    return (('Retry-After', str(max(1, -int(-retry_after_s // 1)))),)
+    return (('Retry-After', str(max(1, math.ceil(retry_after_s)))),)
 
 
 def answer_status(answer: Answer) -> HTTPStatus:
--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -79,14 +79,7 @@
         self._api.stop()
         self._stopping.set()
         self._timer.join(STOP_WAIT_S)
-        self._peers.stop()
-        self._routing.stop()
-        self._base.config.stop()
-        self._base.workers.shutdown(wait=False, cancel_futures=True)
-        self._base.followers.shutdown(wait=False, cancel_futures=True)
-        pykka.ActorRegistry.stop_all(timeout=STOP_WAIT_S)
-        self._programs.pools.close()
-        self._base.traces.stop()
+        self._stop_parts()
         log.info('Stopped.', calls_cut=left)
         return left
 
@@ -125,6 +118,13 @@
         has_seeds = bool(self._settings.peers.seeds)
         return not (has_seeds and is_alone) or waited_s > SETTLE_S
 
+    def _stop_parts(self) -> None:
+        self._peers.stop()
+        self._routing.stop()
+        self._programs.pools.close()
+        pykka.ActorRegistry.stop_all(timeout=STOP_WAIT_S)
+        self._base.stop()
+
     def _run_timer(self) -> None:
         while not self._stopping.wait(TICK_S):
             try:
--- a/cactusledge/assembly/api.py
+++ b/cactusledge/assembly/api.py
@@ -1,5 +1,6 @@
 """Builds the caller API."""
 
+from functools import partial
 from importlib.resources import files
 
 from cactusledge.api.app import ApiApp
@@ -18,14 +19,10 @@
     limits = base.settings.limits
     openapi = files('cactusledge.api').joinpath('openapi.json')
 
-    def find_account(token: str) -> str | None:
-        account = base.config.current().account_for_token(token)
-        return account.name if account else None
-
     ctx = ApiContext(
         programs=programs,
         report=report,
-        find_account=find_account,
+        find_account=partial(_find_account, base),
         request_timeout_s=limits.request_timeout_s,
         openapi=openapi.read_bytes(),
     )
@@ -41,3 +38,8 @@
             shutdown_timeout_s=base.settings.shutdown.drain_timeout_s,
         ),
     )
+
+
+def _find_account(base: Base, token: str) -> str | None:
+    account = base.config.current().account_for_token(token)
+    return account.name if account else None
--- a/cactusledge/assembly/base.py
+++ b/cactusledge/assembly/base.py
@@ -33,6 +33,13 @@
         """Data centre of this instance."""
         return self.settings.instance.data_centre
 
+    def stop(self) -> None:
+        """Stops the threads and writes the spans that wait."""
+        self.config.stop()
+        self.workers.shutdown(wait=False, cancel_futures=True)
+        self.followers.shutdown(wait=False, cancel_futures=True)
+        self.traces.stop()
+
 
 def build_base(settings: InstanceSettings, env: Environment) -> Base:
     """Returns the base of an instance; starts nothing but the logs."""
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -1,15 +1,14 @@
 """Builds the programs part: logs, drivers, senders and the router."""
 
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from cactusledge.assembly.base import Base
-from cactusledge.assembly.routing import RoutingPart, engines_of
-from cactusledge.endpoints.engine import EngineClient
+from cactusledge.assembly.routing import RoutingPart
+from cactusledge.assembly.sending import build_work
 from cactusledge.endpoints.pools import ConnectionPools
-from cactusledge.endpoints.service import ServiceClient
-from cactusledge.models import CallKind, CallSpec
+from cactusledge.programs.call_stream import CallStream
 from cactusledge.programs.claims import Choose, Fence, InstanceView, wanted_logs
 from cactusledge.programs.durability import CommitWait
 from cactusledge.programs.held import PeerHeldRecords
@@ -24,10 +23,7 @@
     ProgramRouter,
     RemotePrograms,
 )
-from cactusledge.programs.runner import CallRunner
-from cactusledge.programs.sending import ModelSender, Sender, ServiceSender
-from cactusledge.programs.work import WorkPool
-from cactusledge.settings.configuration import Operation
+from cactusledge.programs.views import CallArgs
 
 
 class ProgramsPart(NamedTuple):
@@ -53,20 +49,25 @@
         )
 
 
-class _Definitions:
-    """Looks things up in the configuration in force."""
+class _Remotes:
+    """Finds the owners of logs among the peers."""
 
-    def __init__(self, base: Base) -> None:
-        self._config = base.config
+    def __init__(self, base: Base, neighbours: Neighbours) -> None:
+        self._base = base
+        self._neighbours = neighbours
+        self.again: Callable[[CallArgs], CallStream] | None = None
 
-    def price_of(self, model: str) -> int:
-        """Returns the units of one token."""
-        return self._config.current().model(model).units_per_token
-
-    def operation_of(self, spec: CallSpec) -> Operation:
-        """Returns the operation that a call names."""
-        service = self._config.current().service(spec.target)
-        return service.operation(spec.operation)
+    def find(self, log: str) -> RemotePrograms | None:
+        """Returns the programs of the log's owner."""
+        client = self._neighbours.owner_of_log(log)
+        if client is None or self.again is None:
+            return None
+        return PeerPrograms(
+            client,
+            self._base.name,
+            self._base.followers,
+            self.again,
+        )
 
 
 def build_programs(
@@ -80,7 +81,7 @@
     opener = _build_opener(base, neighbours)
     durability = CommitWait(opener.is_up, opener.hold_waiting)
     pools = ConnectionPools()
-    opener.work = _build_work(base, routing, pools, durability)
+    opener.work = build_work(base, routing, pools, durability)
     logs = LogManager(
         table,
         opener,
@@ -89,14 +90,9 @@
     )
     local = LocalPrograms(table, durability)
     home = Home(base.data_centre, base.settings.journal.logs_per_data_centre)
-
-    def find_remote(name: str) -> RemotePrograms | None:
-        client = neighbours.owner_of_log(name)
-        if client is None:
-            return None
-        return PeerPrograms(client, base.name, base.followers, router.call)
-
-    router = ProgramRouter(home, local, find_remote)
+    remotes = _Remotes(base, neighbours)
+    router = ProgramRouter(home, local, remotes.find)
+    remotes.again = router.call
     return ProgramsPart(
         table,
         logs,
@@ -123,37 +119,6 @@
     )
 
 
-def _build_work(
-    base: Base,
-    routing: RoutingPart,
-    pools: ConnectionPools,
-    durability: CommitWait,
-) -> WorkPool:
-    engines = EngineClient(pools)
-    services = ServiceClient(pools)
-    definitions = _Definitions(base)
-    senders: Mapping[CallKind, Sender] = {
-        CallKind.MODEL: ModelSender(
-            routing.leases,
-            engines,
-            definitions.price_of,
-        ),
-        CallKind.SERVICE: ServiceSender(
-            routing.leases,
-            services,
-            definitions.operation_of,
-        ),
-    }
-    return WorkPool(
-        base.workers,
-        CallRunner(senders, durability, base.traces),
-        engines,
-        services,
-        routing.directory,
-        lambda: engines_of(routing.directory),
-    )
-
-
 def _wanted(
     base: Base,
     table: LogTable,
--- /dev/null
+++ b/cactusledge/assembly/sending.py
@@ -0,0 +1,63 @@
+"""Builds the workers that send calls to endpoints."""
+
+from collections.abc import Mapping
+
+from cactusledge.assembly.base import Base
+from cactusledge.assembly.routing import RoutingPart, engines_of
+from cactusledge.endpoints.engine import EngineClient
+from cactusledge.endpoints.pools import ConnectionPools
+from cactusledge.endpoints.service import ServiceClient
+from cactusledge.models import CallKind, CallSpec
+from cactusledge.programs.durability import CommitWait
+from cactusledge.programs.runner import CallRunner
+from cactusledge.programs.sending import ModelSender, Sender, ServiceSender
+from cactusledge.programs.work import WorkPool
+from cactusledge.settings.configuration import Operation
+
+
+class _Definitions:
+    """Looks things up in the configuration in force."""
+
+    def __init__(self, base: Base) -> None:
+        self._config = base.config
+
+    def price_of(self, model: str) -> int:
+        """Returns the units of one token."""
+        return self._config.current().model(model).units_per_token
+
+    def operation_of(self, spec: CallSpec) -> Operation:
+        """Returns the operation that a call names."""
+        service = self._config.current().service(spec.target)
+        return service.operation(spec.operation)
+
+
+def build_work(
+    base: Base,
+    routing: RoutingPart,
+    pools: ConnectionPools,
+    durability: CommitWait,
+) -> WorkPool:
+    """Returns the worker pool of the drivers."""
+    engines = EngineClient(pools)
+    services = ServiceClient(pools)
+    definitions = _Definitions(base)
+    senders: Mapping[CallKind, Sender] = {
+        CallKind.MODEL: ModelSender(
+            routing.leases,
+            engines,
+            definitions.price_of,
+        ),
+        CallKind.SERVICE: ServiceSender(
+            routing.leases,
+            services,
+            definitions.operation_of,
+        ),
+    }
+    return WorkPool(
+        base.workers,
+        CallRunner(senders, durability, base.traces),
+        engines,
+        services,
+        routing.directory,
+        lambda: engines_of(routing.directory),
+    )
--- a/cactusledge/cli/api_client.py
+++ b/cactusledge/cli/api_client.py
@@ -81,7 +81,7 @@
             return self._pool.request(
                 method,
                 f'{self._url}{path}',
-                body=json.dumps(body).encode() if body is not None else None,
+                body=None if body is None else json.dumps(body).encode(),
                 headers=self._headers,
                 preload_content=preload_content,
             )
--- a/cactusledge/cli/call.py
+++ b/cactusledge/cli/call.py
@@ -2,6 +2,7 @@
 
 import json
 import uuid
+from types import MappingProxyType
 from typing import Annotated, Any
 
 import typer
@@ -38,11 +39,11 @@
     typer.Option('--arguments', help='JSON object for the service.'),
 ]
 
-EXIT_BY_OUTCOME = {
+EXIT_BY_OUTCOME = MappingProxyType({
     Outcome.RAN: ExitStatus.OK,
     Outcome.NOT_RUN: ExitStatus.REFUSED,
     Outcome.UNKNOWN: ExitStatus.UNKNOWN_OUTCOME,
-}
+})
 
 
 def command(
--- a/cactusledge/cli/entry.py
+++ b/cactusledge/cli/entry.py
@@ -29,8 +29,8 @@
     env = environment_of(ctx)
     app = Application(load_settings(settings, env.environ), env)
     stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
+    signal.signal(signal.SIGTERM, lambda *_: stopping.set())
+    signal.signal(signal.SIGINT, lambda *_: stopping.set())
     app.start()
     stopping.wait()
     left = app.stop()
--- a/cactusledge/programs/call_stream.py
+++ b/cactusledge/programs/call_stream.py
@@ -8,6 +8,7 @@
 from cactusledge.models import Answer
 
 QUIET_INTERVAL_S = 1.0
+QUIET = (None,)
 
 
 class TextChunk(NamedTuple):
@@ -73,11 +74,9 @@
         while time.monotonic() < deadline_s:
             events = self.read(offset, QUIET_INTERVAL_S)
             offset += len(events)
-            yield from events
-            if not events:
-                yield None
+            yield from tuple(events or QUIET)
             if events and isinstance(events[-1], Answer):
-                return
+                break
 
     def wait(self, timeout_s: float) -> Answer | None:
         """Returns the final answer, or None if it is not there in time."""
--- a/cactusledge/programs/grants.py
+++ b/cactusledge/programs/grants.py
@@ -125,8 +125,9 @@
             job=msgspec.json.encode((key, job)),
             wait_ms=POLL_WAIT_MS,
         )
-        while (left_s := give_up_s - time.monotonic()) > 0:
-            wait_ms = min(POLL_WAIT_MS, round(left_s * MS_PER_S))
+        while time.monotonic() < give_up_s:
+            left_s = give_up_s - time.monotonic()
+            wait_ms = min(POLL_WAIT_MS, max(0, round(left_s * MS_PER_S)))
             reply = owner.request_grant(request._replace(wait_ms=wait_ms))
             if reply.endpoint:
                 return Granted(key, job.job_id, reply.endpoint, owner)
--- a/cactusledge/programs/held.py
+++ b/cactusledge/programs/held.py
@@ -17,9 +17,8 @@
 )
 from cactusledge.telemetry.logs import get_logger
 
-MAX_HELD_BYTES = 16 * 1024 * 1024
+MAX_HELD_BYTES = 16_777_216
 FIRST_PEERS = 2  # copies are tried at this many peers
-ALL_NUMBERS = 2**62
 
 log = get_logger('held')
 
--- a/cactusledge/programs/peer_handler.py
+++ b/cactusledge/programs/peer_handler.py
@@ -56,7 +56,7 @@
     def forward_call(self, call: peer.ForwardedCall) -> peer.CallHandle:
         """Starts, joins or re-reads a call."""
         args = msgspec.json.decode(call.document, type=CallArgs)
-        self._want_log(args.program_id)
+        _want_log(self._parts, args.program_id)
         stream = self._parts.programs.call(args)
         self._calls.put(call.call_id, stream)
         return peer.CallHandle(call.call_id, self._parts.name)
@@ -73,7 +73,7 @@
     def open_program(self, message: peer.OpenRequest) -> peer.ProgramReply:
         """Opens a program."""
         args = msgspec.json.decode(message.document, type=OpenArgs)
-        self._want_log(message.program_id)
+        _want_log(self._parts, message.program_id)
         view = self._parts.programs.open_program(message.program_id, args)
         document = msgspec.json.encode(view)
         return peer.ProgramReply(message.program_id, document)
@@ -92,7 +92,7 @@
 
     def read_history(self, message: peer.HistoryRequest) -> peer.HistoryReply:
         """Returns a program's state and its calls."""
-        self._want_log(message.program_id)
+        _want_log(self._parts, message.program_id)
         programs = self._parts.programs
         view = programs.view_unchecked(message.program_id)
         entries: tuple[HistoryEntry, ...] = ()
@@ -136,8 +136,9 @@
             return peer.ConfigReply(generation)
         return peer.ConfigReply(generation, snapshot.encoded)
 
-    def _want_log(self, program_id: str) -> None:
-        """Has the log taken over soon if the sender thinks it is ours."""
-        name = log_of(program_id)
-        if not self._parts.programs.drives(name):
-            self._parts.want_log(name)
+
+def _want_log(parts: HandlerParts, program_id: str) -> None:
+    """Has the log taken over soon if the sender thinks it is ours."""
+    name = log_of(program_id)
+    if not parts.programs.drives(name):
+        parts.want_log(name)
--- a/cactusledge/programs/remote.py
+++ b/cactusledge/programs/remote.py
@@ -181,7 +181,7 @@
 
 
 def _copy(event: peer.CallEvent, stream: CallStream) -> None:
-    if event.answer is not None:
+    if event.answer:
         stream.finish(msgspec.json.decode(event.answer, type=Answer))
     elif event.text is None:
         stream.restart()
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -16,7 +16,7 @@
     gather,
 )
 from examples.demo_program import LEDGER, SHOWROOM, Caller
-from standins.deployment import ROOT, Deployment, deployment, wait_until
+from standins.deployment import ROOT, Deployment, wait_until
 
 ENGINES = ('engine-booking', 'engine-ledger')
 SERVICES = ('booking-1', 'ledger-1')
@@ -30,10 +30,10 @@
 def main() -> int:
     """Runs the demonstration; returns 0 only if every check holds."""
     with tempfile.TemporaryDirectory() as folder:
-        with deployment(Path(folder)) as deployed:
+        deployed = Deployment(Path(folder))
+        with deployed:
             start(deployed)
-            checks = run(deployed)
-            checks.append(stop(deployed))
+            checks = [*run(deployed), stop(deployed)]
         checks.append(check_processes(deployed))
     write_table(checks)
     return 0 if all(check.holds for check in checks) else 1
--- a/examples/demo_checks.py
+++ b/examples/demo_checks.py
@@ -1,6 +1,7 @@
 """Checks of the demonstration against the stand-ins' own records."""
 
 from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
 from typing import Any, NamedTuple
 
 from examples.demo_program import Caller
@@ -58,19 +59,27 @@
     program_id: str,
 ) -> Check:
     """Waits until no engine holds the ended program's cache."""
-
-    def held() -> list[str]:
-        return [
-            name
-            for name in engines
-            if program_id in deployed.get(name, '/records')['cache']
-        ]
-
-    try:
-        wait_until(lambda: not held(), 'caches released')
-    except TimeoutError:
-        return Check(program_id, 'cache left held', ', '.join(held()), False)
-    return Check(program_id, 'cache left held', '0 engines', True)
+    names = tuple(engines)
+    with suppress(TimeoutError):
+        wait_until(
+            lambda: not _holders(deployed, names, program_id),
+            'caches released',
+        )
+    found = _holders(deployed, names, program_id)
+    what = f'{len(found)} engines'
+    return Check(program_id, 'cache left held', what, not found)
+
+
+def _holders(
+    deployed: Deployment,
+    engines: Iterable[str],
+    program_id: str,
+) -> list[str]:
+    return [
+        name
+        for name in engines
+        if program_id in deployed.get(name, '/records')['cache']
+    ]
 
 
 def _check_order(caller: Caller, entry: str, evidence: Evidence) -> Check:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -7,11 +7,10 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Generator, Sequence
-from contextlib import contextmanager
+from collections.abc import Callable, Sequence
 from functools import partial
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Self
 
 import yaml
 from urllib3 import PoolManager, Timeout
@@ -46,6 +45,14 @@
             timeout=Timeout(connect=2, read=10),
         )
 
+    def __enter__(self) -> Self:
+        """Returns this object; nothing is started yet."""
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Leaves nothing of the deployment running."""
+        self.stop_all()
+
     def start_platform(self, *options: str) -> Started:
         """Starts the platform stand-in."""
         return self._start_standin('platform', 'platform', options)
@@ -266,13 +273,3 @@
         if time.monotonic() > give_up_s:
             raise TimeoutError(f'Not within {timeout_s} s: {what}')
         time.sleep(POLL_S)
-
-
-@contextmanager
-def deployment(folder: Path) -> Generator[Deployment]:
-    """Gives a deployment and leaves nothing of it running."""
-    deployed = Deployment(folder)
-    try:
-        yield deployed
-    finally:
-        deployed.stop_all()
--- a/tests/test_api_contract.py
+++ b/tests/test_api_contract.py
@@ -225,7 +225,7 @@
     ('data', 'status'),
     [
         (b'NONSENSE\r\n\r\n', ' 400 '),
-        (b'GET /livez HTTP/1.1\r\nA: ' + b'x' * 8000 + b'\r\n\r\n', ' 413 '),
+        (b'GET /livez HTTP/1.1\r\nA: %b\r\n\r\n' % (b'x' * 8000), ' 413 '),
         (
             b'POST /v1/programs HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n',
             ' 408 ',
--- a/tests/test_path_process.py
+++ b/tests/test_path_process.py
@@ -4,7 +4,7 @@
 
 from cactusledge.cli.api_client import ApiClient
 from cactusledge.models import Address
-from standins.deployment import LOOPBACK, ROOT, deployment, wait_until
+from standins.deployment import LOOPBACK, ROOT, Deployment, wait_until
 
 pytestmark = pytest.mark.process
 
@@ -13,7 +13,7 @@
 
 @pytest.fixture
 def path(tmp_path):
-    with deployment(tmp_path) as deployed:
+    with Deployment(tmp_path) as deployed:
         deployed.start_platform()
         deployed.start_engine('engine-1', 'booking-agent', 'bole')
         deployed.start_service(
