Give abandoned connections back; accept more forms of streams

Cause: a stream closed before its end kept its place in the bounded pool, so 64 abandoned streams would have shut an engine off; a reader slower than the inter-token limit was taken for a silent engine; a last chunk that carries text lost it, a chunk with the usage alone broke the stream; answers and lines had no size limit.

Ruled out: an unbounded pool; measuring silence from the chunk before the reader took it.

Change: Exchange.close returns the connection's place; silence is counted from the reader's return; assembly.py takes text in the last chunk and usage alone; limits of 8 MiB a document and 1 MiB a line.

Conclusion: these faults are closed; request ids inside chunks still must be the ones sent.

--- a/cactusledge/endpoints/assembly.py
+++ b/cactusledge/endpoints/assembly.py
@@ -40,7 +40,9 @@
         self._request_id = request_id
         self._texts: list[str] = []
         self._early: dict[int, str] = {}  # chunks whose predecessors miss
-        self._last: Mapping[str, Any] | None = None
+        self._usage: Mapping[str, Any] = {}
+        self._finish_reason = ''
+        self._end = 0  # offset after the last token, 0 if it was not said
 
     @property
     def offset(self) -> int:
@@ -56,23 +58,27 @@
         """Returns the chunks that a new one completes, in their order."""
         if document.get('id', self._request_id) != self._request_id:
             raise ForeignChunkError(document['id'])
+        self._usage = document.get('usage') or self._usage
+        if not document['choices']:
+            return []  # a chunk of the usage alone
         choice = document['choices'][0]
+        text = choice['delta'].get('content') or ''
         if choice.get('finish_reason'):
-            self._last = document
-            return []
-        return self._place(document, choice['delta'].get('content', ''))
+            self._finish_reason = str(choice['finish_reason'])
+            end = int(document.get('token_offset', 0))
+            self._end = end + 1 if text else end
+        return self._place(document, text)
 
     def finished(self) -> Finished | None:
         """Returns the whole answer, or None if a part of it is missing."""
-        if self._last is None or self._early or self._is_short():
+        short = self._early or self.offset < self._end
+        if short or not self._finish_reason:
             return None
-        reason = str(self._last['choices'][0]['finish_reason'])
-        usage = usage_of(self._last.get('usage') or {})
-        return Finished(self.text, usage, reason)
-
-    def _is_short(self) -> bool:
-        end = self._last.get('token_offset') if self._last else None
-        return end is not None and self.offset < int(end)
+        return Finished(
+            self.text,
+            usage_of(self._usage),
+            self._finish_reason,
+        )
 
     def _place(self, document: Mapping[str, Any], text: str) -> list[Chunk]:
         index = int(document.get('token_offset', self.offset))
--- a/cactusledge/endpoints/failures.py
+++ b/cactusledge/endpoints/failures.py
@@ -78,6 +78,15 @@
     )
 
 
+def too_large(endpoint: Endpoint, limit_bytes: int) -> EndpointFailedError:
+    """Returns the error of an answer that is not read to its end."""
+    return EndpointFailedError(
+        f'{endpoint.name} answered with more than {limit_bytes} bytes.',
+        remedy='Make the endpoint answer in parts.',
+        endpoint=endpoint.name,
+    )
+
+
 def too_late(endpoint: Endpoint) -> EndpointDeadlineError:
     """Returns the error of an answer that is not whole at the deadline."""
     return EndpointDeadlineError(
--- a/cactusledge/endpoints/streams.py
+++ b/cactusledge/endpoints/streams.py
@@ -31,6 +31,7 @@
 DATA_PREFIX = b'data:'
 END_MARKER = b'[DONE]'
 HTTP_OK = 200
+LINE_LIMIT_BYTES = 1_048_576
 RESUME_PAUSE_S = 0.05
 UNREADABLE = (ValueError, LookupError, TypeError, AttributeError)
 NOT_RESUMED = (
@@ -139,9 +140,9 @@
                 return
             chunks = self._take(line)
             if chunks:
-                token_s = time.monotonic()
-                exchange.waits = self._waits()
                 yield from chunks
+                exchange.waits = self._waits()
+                token_s = time.monotonic()  # the reader may have been slow
             self._check_progress(token_s)
         raise self._failed('ended without its end marker')
 
@@ -203,6 +204,8 @@
     rest = b''
     for piece in pieces:
         *lines, rest = (rest + piece).split(b'\n')
+        if len(rest) > LINE_LIMIT_BYTES:
+            return  # the end marker is missing then
         for line in lines:
             if line.startswith(DATA_PREFIX):
                 yield line.removeprefix(DATA_PREFIX).strip()
--- a/cactusledge/endpoints/transport.py
+++ b/cactusledge/endpoints/transport.py
@@ -21,6 +21,7 @@
 from cactusledge.models import Endpoint
 
 READ_BYTES = 65_536
+DOCUMENT_LIMIT_BYTES = 8_388_608
 SHORTEST_WAIT_S = 0.001
 FINISH_LIMIT_S = 0.05
 HTTP_ERRORS_FROM = 500
@@ -77,7 +78,7 @@
 
     def document(self) -> Any:
         """Returns the whole body, a JSON document."""
-        body = b''.join(self.pieces())
+        body = b''.join(self._limited_pieces())
         try:
             return json.loads(body)
         except ValueError as exc:
@@ -98,6 +99,15 @@
     def close(self) -> None:
         """Drops the connection unless the body has been read to its end."""
         self.response.close()
+        self.response.release_conn()  # gives its place in the pool back
+
+    def _limited_pieces(self) -> Iterator[bytes]:
+        size = 0
+        for piece in self.pieces():
+            size += len(piece)
+            if size > DOCUMENT_LIMIT_BYTES:
+                raise failures.too_large(self.endpoint, DOCUMENT_LIMIT_BYTES)
+            yield piece
 
     def _read(self) -> bytes:
         self._limit_next_read()
--- /dev/null
+++ b/tests/test_endpoints_assembly.py
@@ -0,0 +1,93 @@
+"""Assembly of a model's answer from its chunks."""
+
+from types import MappingProxyType
+
+import pytest
+
+from cactusledge.endpoints.assembly import Assembly, ForeignChunkError
+from cactusledge.endpoints.streams import LINE_LIMIT_BYTES, data_lines
+
+USAGE = MappingProxyType({
+    'prompt_tokens': 3,
+    'completion_tokens': 2,
+    'prompt_tokens_details': {'cached_tokens': 1},
+})
+LONG_LINE = b'x' * (LINE_LIMIT_BYTES + 1)
+
+
+def chunk(text, offset=None, reason=None, **fields):
+    choice = {'delta': {'content': text}, 'finish_reason': reason}
+    place = {} if offset is None else {'token_offset': offset}
+    return {'id': 'r', 'choices': [choice], **place, **fields}
+
+
+END = chunk(None, 2, 'stop', usage=USAGE)
+
+
+@pytest.mark.parametrize(
+    'documents',
+    [
+        (chunk('a', 0), chunk('b', 1), END),
+        (chunk('', 0), chunk('a', 0), chunk('b', 1), END),
+        (chunk('a', 0), chunk('a', 0), chunk('b', 1), chunk('a', 0), END),
+        (chunk('b', 1), chunk('a', 0), END),
+        (chunk('a', 0), END, chunk('b', 1)),
+        (chunk('a'), chunk('b'), chunk('', reason='stop', usage=USAGE)),
+        (chunk('a', 0), chunk('b', 1, 'stop', usage=USAGE)),
+        (
+            chunk('a', 0),
+            chunk('b', 1, 'stop'),
+            {'id': 'r', 'choices': [], 'usage': USAGE},
+        ),
+    ],
+    ids=[
+        'plain',
+        'role first',
+        'twice',
+        'swapped',
+        'after the end',
+        'not numbered',
+        'end with text',
+        'usage alone',
+    ],
+)
+def test_answer_is_whole(documents):
+    assembly = Assembly('r')
+    chunks = [piece for one in documents for piece in assembly.take(one)]
+    assert chunks == [(0, 'a'), (1, 'b')]
+    assert assembly.finished() == ('ab', (3, 1, 2), 'stop')
+
+
+@pytest.mark.parametrize(
+    'documents',
+    [
+        (),
+        (chunk('a', 0), chunk('b', 1)),
+        (chunk('a', 0), END),
+        (chunk('b', 1), END),
+        (chunk('b', 1, 'stop'),),
+    ],
+)
+def test_answer_with_a_part_missing_is_not_whole(documents):
+    assembly = Assembly('r')
+    for document in documents:
+        assembly.take(document)
+    assert assembly.finished() is None
+
+
+def test_chunk_of_another_request_is_not_taken():
+    with pytest.raises(ForeignChunkError):
+        Assembly('r').take(chunk('a', 0, id='s'))
+
+
+@pytest.mark.parametrize(
+    ('pieces', 'expected'),
+    [
+        ((b'data: a\n\ndata: b\n',), [b'a', b'b']),
+        ((b'da', b'ta: a\r\n', b': ping\n\ndata:b\n\n'), [b'a', b'b']),
+        ((b'data: a\ndata: cut',), [b'a']),
+        ((b'data: a\n', LONG_LINE, b'\ndata: b\n'), [b'a']),
+    ],
+)
+def test_data_lines(pieces, expected):
+    assert list(data_lines(iter(pieces))) == expected
--- a/tests/test_engine_contract.py
+++ b/tests/test_engine_contract.py
@@ -25,7 +25,7 @@
     EndpointRejectedError,
     EndpointSilentError,
 )
-from cactusledge.endpoints.pools import ConnectionPools
+from cactusledge.endpoints.pools import ConnectionPools, PoolLimits
 from cactusledge.models import Address, CallKind, Endpoint, Outcome
 from standins.engine import EngineStandin
 from standins.engine_batch import BatchSettings
@@ -354,3 +354,26 @@
     with pytest.raises(EndpointFailedError) as caught:
         client.order(replica_of(engine), Order(1, 'm-2'), deadline_s=soon())
     assert caught.value.outcome is Outcome.UNKNOWN
+
+
+def test_abandoned_streams_give_their_connections_back(start_engine):
+    engine = start_engine(batch=BatchSettings(token_s=0.01))
+    pools = ConnectionPools(PoolLimits(connections=1))
+    client = EngineClient(pools, LIMITS)
+    for request_id in ('r-1', 'r-2'):
+        events = stream(client, engine, request_id)
+        assert isinstance(next(events), Chunk)
+        events.close()
+    assert isinstance(list(stream(client, engine, 'r-3'))[-1], Finished)
+    pools.close()
+
+
+def test_slow_reader_is_not_taken_for_a_silent_engine(engine):
+    pools = ConnectionPools()
+    client = EngineClient(pools, LIMITS._replace(resumptions=0))
+    events = stream(client, engine)
+    first = next(events)
+    time.sleep(2 * LIMITS.inter_token_s)
+    *chunks, _ = [first, *events]
+    assert len(chunks) == TOKENS
+    pools.close()
