--- a/cactusledge/endpoints/orderer.py
+++ b/cactusledge/endpoints/orderer.py
@@ -1,14 +1,20 @@
 """Runs the orderer's states against an engine."""
 
+import threading
+import time
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Protocol, TypeAlias
 
 from cactusledge.endpoints import orders
+from cactusledge.endpoints.engine import EngineClient
 from cactusledge.endpoints.errors import EndpointError
 from cactusledge.endpoints.ordering import Order
 from cactusledge.endpoints.reports import EngineState
 from cactusledge.errors import StoreError
+from cactusledge.models import Endpoint
+
+QUESTION_LIMIT_S = 5
 
 
 class OrderPort(Protocol):
@@ -30,6 +36,45 @@
         """Sends an order, to be answered within a limit."""
 
 
+class EnginePort:
+    """The port to an engine over HTTP."""
+
+    def __init__(
+        self,
+        client: EngineClient,
+        endpoint: Endpoint,
+        is_owner: Callable[[], bool],
+        stopped: threading.Event,
+    ) -> None:
+        """Keeps what to ask; a set `stopped` ends the ownership."""
+        self._client = client
+        self._endpoint = endpoint
+        self._is_owner = is_owner
+        self._stopped = stopped
+
+    def now_s(self) -> float:
+        """Returns the time of the monotonic clock."""
+        return time.monotonic()
+
+    def wait(self, duration_s: float) -> None:
+        """Returns after a duration, or at the stop."""
+        self._stopped.wait(duration_s)
+
+    def read_state(self) -> EngineState:
+        """Asks the engine for its state."""
+        deadline_s = self.now_s() + QUESTION_LIMIT_S
+        return self._client.read_state(self._endpoint, deadline_s=deadline_s)
+
+    def is_owner(self) -> bool:
+        """Asks the platform, unless the wait was cut short by the stop."""
+        return not self._stopped.is_set() and self._is_owner()
+
+    def send(self, order: Order, limit_s: float) -> None:
+        """Sends the order; the orderer reads the state back itself."""
+        deadline_s = self.now_s() + limit_s
+        self._client.order(self._endpoint, order, deadline_s=deadline_s)
+
+
 def run_order(
     port: OrderPort,
     wanted: Order,
--- a/standins/service_faults.py
+++ b/standins/service_faults.py
@@ -12,7 +12,7 @@
 class FaultKind(enum.StrEnum):
     """What goes wrong with a request that a fault matches."""
 
-    REFUSE = 'refuse'  # no connection is accepted
+    REFUSE = 'refuse'  # parameter: seconds, 0 until it is switched off
     RESET_BEFORE_READING = 'reset_before_reading'
     RESET_AFTER_EFFECT = 'reset_after_effect'
     HALF_ANSWER = 'half_answer'
@@ -30,6 +30,10 @@
     DUPLICATE_CHUNK = 'duplicate_chunk'  # parameter: token sent twice
 
 
+# These act when they are switched on, not on a request.
+AT_SWITCHING = frozenset((FaultKind.REFUSE, FaultKind.SILENCE_OPEN))
+
+
 class Fault(NamedTuple):
     """A switched-on fault."""
 
@@ -75,7 +79,9 @@
         hits = (
             fault
             for fault in self._faults
-            if fault.times and path.startswith(fault.match)
+            if fault.times
+            and fault.kind not in AT_SWITCHING
+            and path.startswith(fault.match)
         )
         return next(hits, None)
 
--- a/standins/service_server.py
+++ b/standins/service_server.py
@@ -86,10 +86,17 @@
         """Switches the given faults on and all others off."""
         chosen = tuple(faults)
         self.switches.replace(chosen)
-        kinds = {fault.kind for fault in chosen}
-        if FaultKind.SILENCE_OPEN in kinds:
+        by_kind = {fault.kind: fault for fault in chosen}
+        if FaultKind.SILENCE_OPEN in by_kind:
             self.silence_open()
-        self._set_refusing(FaultKind.REFUSE in kinds)
+        refuse = by_kind.get(FaultKind.REFUSE)
+        self._set_refusing(refuse is not None)
+        if refuse is not None and refuse.parameter:
+            threading.Timer(
+                refuse.parameter,
+                self._set_refusing,
+                (False,),
+            ).start()
 
     def silence_open(self) -> None:
         """Makes the connections that are open now silent for good."""
--- a/tests/test_engine_contract.py
+++ b/tests/test_engine_contract.py
@@ -1,5 +1,6 @@
 """Contract of model engines: fault, outcome, executions, text."""
 
+import threading
 import time
 from functools import partial
 
@@ -25,6 +26,8 @@
     EndpointRejectedError,
     EndpointSilentError,
 )
+from cactusledge.endpoints.orderer import EnginePort, run_order
+from cactusledge.endpoints.orders import OrderLimits, Phase
 from cactusledge.endpoints.pools import ConnectionPools, PoolLimits
 from cactusledge.models import Address, CallKind, Endpoint, Outcome
 from standins.engine import EngineStandin
@@ -218,7 +221,7 @@
     engine = start_engine(batch=BatchSettings(token_s=0.01))
     events = stream(client, engine)
     first = next(events)
-    engine.set_faults(Fault(FaultKind.SILENCE_OPEN, times=0))
+    engine.set_faults(Fault(FaultKind.SILENCE_OPEN))
     *chunks, finished = [first, *events]
     assert [chunk.index for chunk in chunks] == list(range(TOKENS))
     assert finished.text == text_without_faults(engine)
@@ -226,7 +229,7 @@
 
 def test_silent_pooled_connection_is_not_used_twice(client, engine):
     list(stream(client, engine))
-    engine.set_faults(Fault(FaultKind.SILENCE_OPEN, times=0))
+    engine.set_faults(Fault(FaultKind.SILENCE_OPEN))
     with pytest.raises(EndpointError) as caught:
         list(stream(client, engine, 'r-2'))
     assert caught.value.outcome is Outcome.UNKNOWN
@@ -377,3 +380,25 @@
     *chunks, _ = [first, *events]
     assert len(chunks) == TOKENS
     pools.close()
+
+
+@pytest.mark.parametrize(
+    ('is_owner', 'stopped', 'phase', 'orders'),
+    [
+        (True, False, Phase.DONE, 1),
+        (False, False, Phase.SUPERSEDED, 0),
+        (True, True, Phase.SUPERSEDED, 0),
+    ],
+)
+def test_orderer_of_an_engine_that_ignores_fencing(
+    client, start_engine, is_owner, stopped, phase, orders
+):
+    engine = start_engine(ignore_fencing=True)
+    stop = threading.Event()
+    if stopped:
+        stop.set()
+    port = EnginePort(client, replica_of(engine), lambda: is_owner, stop)
+    limits = OrderLimits(send_window_s=0.5, longest_order_s=0.5, tries=1)
+    progress = run_order(port, Order(3, 'm-2'), limits)
+    assert progress.phase is phase
+    assert len(engine.orders.records) == orders
--- a/tests/test_service_contract.py
+++ b/tests/test_service_contract.py
@@ -161,7 +161,7 @@
 
 def test_silent_connections_are_not_used_twice(client, replica, service):
     call(client, replica, 'hold', 'k-1', idempotent=True)
-    service.set_faults(Fault(FaultKind.SILENCE_OPEN, times=0))
+    service.set_faults(Fault(FaultKind.SILENCE_OPEN))
     assert call(client, replica, 'hold', 'k-2').status == 200
     with pytest.raises(EndpointSilentError):
         call(client, replica, 'hold', 'k-3', idempotent=True)
--- a/tests/test_service_process.py
+++ b/tests/test_service_process.py
@@ -158,3 +158,13 @@
     leave = '/v1/leave' if spec['kind'] == 'model' else '/leave'
     assert http.request('POST', f'{base}{leave}').status == 200
     wait_for(partial(has_entry, instances, leaving=True))
+
+
+def test_refusal_ends_by_itself(platform, instances):
+    http = urllib3.PoolManager(retries=False, timeout=5)
+    faults = {'faults': [{'kind': 'refuse', 'parameter': 0.2}]}
+    http.request('PUT', f'http://{platform}/faults', json=faults)
+    registrar = Registrar(platform)
+    assert not registrar.write(ENTRY)
+    wait_for(partial(registrar.write, ENTRY))
+    assert 'e-1' in instances.objects
