Refuse late starts by the share of time used; probe failing engines

Change: a first turn is refused for good once a quarter of the program's time is gone; an engine that failed three times in a row gets one job at a time; the retry reserve is two per slot.

--- a/benchmarks/policy_run.py
+++ b/benchmarks/policy_run.py
@@ -141,6 +141,8 @@
         if walk is None:
             return
         self.tally.refused(self._now - walk.asked_s)
+        if refusal.reason is types.RefusalReason.DEADLINE:
+            return
         wait_s = max(refusal.retry_after_s, BACKOFF_S)
         self._at(self._now + wait_s, self._ask, walk)
 
--- a/cactusledge/routing/admission.py
+++ b/cactusledge/routing/admission.py
@@ -46,9 +46,16 @@
 def refuse_new(
     job: Job, wait_s: float, now: float, settings: PolicySettings
 ) -> Refusal | None:
-    """Returns a refusal if a first turn would wait too long, else None."""
-    late = now + wait_s + job.remaining_estimate_s > job.deadline_s
-    if wait_s <= settings.max_new_wait_s and not late:
+    """Returns a refusal if a first turn would start too late, else None.
+
+    A program that has little of its time left would only be ended by its
+    deadline with work done in vain, so its refusal is final.
+    """
+    allowed_s = job.deadline_s - job.program_started_s
+    latest_s = job.program_started_s + allowed_s * settings.latest_start_share
+    if now > latest_s:
+        return Refusal(job.job_id, 0, RefusalReason.DEADLINE)
+    if wait_s <= settings.max_new_wait_s:
         return None
     return Refusal(
         job_id=job.job_id,
--- a/cactusledge/routing/dispatch.py
+++ b/cactusledge/routing/dispatch.py
@@ -80,6 +80,8 @@
     slowness = state.ejector.slowness(name) / fastest
     missing_s = max(0, job.prompt_tokens - cached) / limits.prefill_tokens_s
     free = engine.fits(job, cfg.batch_share, cfg.memory_share)
+    if cfg.breaker and engine.failures >= cfg.breaker_failures:
+        free = not engine.running
     wait_s = 0 if free else engine.slot_interval_s() * (claimed + 1)
     wait_s += engine.prefill_wait_s(now)
     if cfg.hold_prefills and missing_s > cfg.long_prefill_s:
--- a/cactusledge/routing/engines.py
+++ b/cactusledge/routing/engines.py
@@ -26,6 +26,7 @@
         self.view = view
         self.running: dict[str, Running] = {}
         self.committed_tokens = 0
+        self.failures = 0  # in a row
         self._prefill_free_s: float = 0
 
     def start(self, running: Running, prefill_s: float) -> None:
--- a/cactusledge/routing/group_state.py
+++ b/cactusledge/routing/group_state.py
@@ -46,14 +46,13 @@
             self.drop_if_idle(engine)
         for name in wanted.keys() - self.engines.keys():
             self._add(wanted[name])
+        self.retries.resize(
+            sum(engine.view.limits.max_batch for engine in self._staying())
+        )
 
     def usable(self, now: float) -> list[EngineState]:
         """Returns the engines that may get new jobs."""
-        staying = [
-            name
-            for name, engine in self.engines.items()
-            if not engine.view.leaving
-        ]
+        staying = [engine.view.name for engine in self._staying()]
         if self.settings.eject:
             staying = self.ejector.usable(staying, now)
         return [self.engines[name] for name in staying]
@@ -63,6 +62,13 @@
         if engine.view.leaving and not engine.running:
             self._drop(engine.view.name)
 
+    def _staying(self) -> list[EngineState]:
+        return [
+            engine
+            for engine in self.engines.values()
+            if not engine.view.leaving
+        ]
+
     def _add(self, view: EngineView) -> None:
         self.engines[view.name] = EngineState(view)
         self.cache.add_engine(view.name, view.limits.kv_tokens)
--- a/cactusledge/routing/policy.py
+++ b/cactusledge/routing/policy.py
@@ -17,11 +17,15 @@
     resident_share: float = 0.9  # of the KV memory for live programs
     starvation_s: float = 15.0  # a job that waited longer goes first
     max_new_wait_s: float = 4.0  # expected wait at which programs are refused
+    latest_start_share: float = (
+        0.25  # of a program's time, until its first turn
+    )
     retry_spread: float = 1.0  # width of the come-back times, in their minimum
     min_retry_after_s: float = 1.0
     share_half_life_s: float = 30.0
     retry_ratio: float = 0.1  # retries per first try
-    retry_burst: int = 10  # retries kept in reserve
+    retry_burst: float = 2.0  # retries kept in reserve, per slot
+    breaker_failures: int = 3  # in a row, from which an engine is only probed
     keep_pause_s: float = 60.0  # longest pause a cache is kept for
     pressure_pause_s: float = 10.0  # the same while memory is short
     pressure_share: float = 0.9  # of the KV memory; above it, memory is short
@@ -44,6 +48,8 @@
     release: bool = True
     warm: bool = True
     eject: bool = True
+    breaker: bool = True
+    retry_budget: bool = True
     learn_usage: bool = True
     learn_events: bool = True
 
--- a/cactusledge/routing/retry_budget.py
+++ b/cactusledge/routing/retry_budget.py
@@ -7,14 +7,20 @@
     """Token bucket that first tries fill and retries empty."""
 
     def __init__(self, settings: PolicySettings) -> None:
-        """Starts with the full reserve."""
-        self._ratio = settings.retry_ratio
-        self._burst = float(settings.retry_burst)
-        self.level = self._burst
+        """Starts empty."""
+        self._settings = settings
+        self._burst: float = 0
+        self.level: float = 0
+
+    def resize(self, slots: int) -> None:
+        """Takes the number of sequences that the engines can batch."""
+        burst = self._settings.retry_burst * slots
+        self.level += max(0, burst - self._burst)
+        self._burst = burst
 
     def deposit(self) -> None:
         """Counts a first try."""
-        self.level = min(self._burst, self.level + self._ratio)
+        self.level = min(self._burst, self.level + self._settings.retry_ratio)
 
     def withdraw(self) -> bool:
         """Returns whether one more retry may be sent, and counts it."""
--- a/cactusledge/routing/upkeep.py
+++ b/cactusledge/routing/upkeep.py
@@ -32,7 +32,7 @@
         return Refusal(job.job_id, retry_s, RefusalReason.NO_ENGINE)
     if not job.retry:
         state.retries.deposit()
-    elif not state.retries.withdraw():
+    elif state.settings.retry_budget and not state.retries.withdraw():
         return Refusal(job.job_id, retry_s, RefusalReason.RETRY_BUDGET)
     if job.turn > 1 or not state.settings.refuse:
         return None
@@ -59,7 +59,9 @@
     if engine is None:
         return
     slowness = FAILURE_SLOWNESS
+    engine.failures += 1
     if finish.ok:
+        engine.failures = 0
         slowness = _slowness(engine, finish)
         state.meter.call_ended(finish.usage)
         _correct_cache(state, running, finish)
