--- a/cactusledge/routing/engines.py
+++ b/cactusledge/routing/engines.py
@@ -27,8 +27,13 @@
         self.running: dict[str, Running] = {}
         self.committed_tokens = 0
         self.failures = 0  # in a row
+        self.listed = True
         self._prefill_free_s: float = 0
 
+    def staying(self) -> bool:
+        """Returns whether the engine may get new jobs."""
+        return self.listed and not self.view.leaving
+
     def start(self, running: Running, prefill_s: float) -> None:
         """Adds a granted job whose prefill takes some time alone."""
         self.running[running.job.job_id] = running
--- a/cactusledge/routing/group_state.py
+++ b/cactusledge/routing/group_state.py
@@ -25,6 +25,7 @@
         self.settings = settings
         self.engines: dict[str, EngineState] = {}
         self.granted: dict[str, str] = {}  # job to engine
+        self._left: dict[str, str] = {}  # engine to incarnation
         self.queue = JobQueue(settings)
         self.cache = CacheMap()
         self.programs = ProgramTable()
@@ -35,20 +36,18 @@
         self.meter = Meter()
 
     def set_engines(self, views: Sequence[EngineView]) -> None:
-        """Takes the group's engines; those that are gone finish their jobs."""
-        wanted = {view.name: view for view in views}
+        """Takes the group's engines in.
+
+        Engines that are not listed finish their jobs and may come back; one
+        that left gets no jobs until it returns as another incarnation.
+        """
+        wanted = {view.name: self._sticky(view) for view in views}
         for name, engine in list(self.engines.items()):
-            view = wanted.get(name, engine.view._replace(leaving=True))
-            if view.incarnation != engine.view.incarnation:
-                self._drop(name)
-                continue
-            engine.view = view
-            self.drop_if_idle(engine)
-        for name in wanted.keys() - self.engines.keys():
-            self._add(wanted[name])
-        self.retries.resize(
-            sum(engine.view.limits.max_batch for engine in self._staying())
-        )
+            self._update(engine, wanted.get(name))
+        for added in wanted.keys() - self.engines.keys():
+            self._add(wanted[added])
+        slots = sum(known.view.limits.max_batch for known in self._staying())
+        self.retries.resize(slots)
 
     def usable(self, now: float) -> list[EngineState]:
         """Returns the engines that may get new jobs."""
@@ -58,18 +57,30 @@
         return [self.engines[name] for name in staying]
 
     def drop_if_idle(self, engine: EngineState) -> None:
-        """Forgets a leaving engine once its jobs are finished."""
-        if engine.view.leaving and not engine.running:
+        """Forgets an engine without future once its jobs are finished."""
+        if not engine.staying() and not engine.running:
             self._drop(engine.view.name)
 
     def _staying(self) -> list[EngineState]:
-        return [
-            engine
-            for engine in self.engines.values()
-            if not engine.view.leaving
-        ]
+        return [known for known in self.engines.values() if known.staying()]
+
+    def _sticky(self, view: EngineView) -> EngineView:
+        if view.leaving:
+            self._left[view.name] = view.incarnation
+        left = self._left.get(view.name) == view.incarnation
+        return view._replace(leaving=left)
+
+    def _update(self, engine: EngineState, view: EngineView | None) -> None:
+        engine.listed = view is not None
+        if view is not None and view.incarnation != engine.view.incarnation:
+            self._drop(view.name)
+            return
+        engine.view = view or engine.view
+        self.drop_if_idle(engine)
 
     def _add(self, view: EngineView) -> None:
+        if view.leaving:
+            return
         self.engines[view.name] = EngineState(view)
         self.cache.add_engine(view.name, view.limits.kv_tokens)
 
