--- a/cactusledge/cli/reports.py
+++ b/cactusledge/cli/reports.py
@@ -7,6 +7,7 @@
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import Address
 from cactusledge.settings.rollout import (
+    STATUS_KIND,
     Report,
     missing_report,
     parse_report,
@@ -16,9 +17,8 @@
 if TYPE_CHECKING:
     from cactusledge.platform.store import ObjectStore
 
-STATUS_KIND = 'instancestatuses'
 LIVE_KIND = 'instances'
-ENTRY_KIND = 'entry'  # entries of the live list that are instances of ours
+ENTRY_ROLE = 'entry'  # marks instances of ours in the live list
 STATUS_PATH = '/status'
 QUERY_TIMEOUT_S = 3.0
 
@@ -72,6 +72,6 @@
     return frozenset(
         found.name
         for found in store.list(LIVE_KIND).items
-        if found.body.get('kind') == ENTRY_KIND
+        if found.body.get('role') == ENTRY_ROLE
         and not found.body.get('leaving')
     )
--- a/cactusledge/settings/follower.py
+++ b/cactusledge/settings/follower.py
@@ -20,7 +20,8 @@
 if TYPE_CHECKING:
     from cactusledge.platform.store import ObjectStore, StoredObject
 
-STOP_WAIT_S = 2.0
+STOP_WAIT_S = 0.5
+NEVER_S = float('-inf')
 FROM_PLATFORM = 'platform'
 FROM_WATCH = 'watch'
 
@@ -68,7 +69,7 @@
         self._in_force = ConfigInForce(store)
         self._stopping = threading.Event()
         self._hinted = threading.Event()
-        self._heard_at = time.monotonic()
+        self._heard_at = NEVER_S
         self._threads: tuple[threading.Thread, ...] = ()
 
     def current(self) -> Configuration:
@@ -132,9 +133,9 @@
             HEAD_KIND, heads.version, self._pace.watch_timeout_s, HEAD_NAME
         )
         for event in events:
-            self._take(event.object)
             if self._stopping.is_set():
                 return
+            self._take(event.object)
 
     def _take(self, found: 'StoredObject') -> None:
         """Applies what was heard; a bookmark carries no head."""
@@ -143,7 +144,7 @@
             self._in_force.learn(parse_head(found.body), FROM_WATCH)
 
     def _poll_loop(self) -> None:
-        """Reads the head after a hint, or when nothing was heard too long."""
+        """Reads the head at start, after a hint, and after a long silence."""
         limit_s = self._pace.silence_limit_s
         while not self._stopping.is_set():
             quiet_s = time.monotonic() - self._heard_at
--- a/cactusledge/settings/rollout.py
+++ b/cactusledge/settings/rollout.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
+STATUS_KIND = 'instancestatuses'
 UNKNOWN_GENERATION = -1
 
 
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -100,8 +100,8 @@
 ):
     run('publish', folder)
     for name in live:
-        store.put('instances', name, {'kind': 'entry'})
-    store.put('instances', 'engine-1', {'kind': 'model'})
+        store.put('instances', name, {'role': 'entry'})
+    store.put('instances', 'engine-1', {'role': 'endpoint'})
     for name, (generation, age_s) in reports.items():
         body = {'generation': generation, 'reported_at': NOW - age_s}
         store.put('instancestatuses', name, body)
--- a/tests/test_publish_follower.py
+++ b/tests/test_publish_follower.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cactusledge.errors import StoreUnavailableError
+from cactusledge.errors import StoreNotFoundError, StoreUnavailableError
 from cactusledge.settings.definitions import merge, parse_file
 from cactusledge.settings.follower import ConfigFollower, Pace
 from cactusledge.settings.parts import CorruptPartError
@@ -39,6 +39,20 @@
     return iter(())
 
 
+def read_only_parts(read, kind, name):
+    if kind == 'configheads':
+        raise StoreUnavailableError('Down.', remedy='Wait.')
+    return read(kind, name)
+
+
+def read_and_tell(read, told, kind, name):
+    try:
+        return read(kind, name)
+    except StoreNotFoundError:
+        told.set()
+        raise
+
+
 def failing_watch(*args):
     raise StoreUnavailableError('Down.', remedy='Wait.')
 
@@ -143,7 +157,7 @@
     publish_model(store, 'b')
     newest = store.objects['configheads', 'head']
     store.list = lambda *args: SimpleNamespace(items=(), version='0')
-    store.read = lambda kind, name: store.objects[kind, name]
+    store.read = partial(read_only_parts, store.read)
     bookmark = SimpleNamespace(name='', body={}, version='9')
     store.events = [event(bookmark), event(newest)]
     follower = ConfigFollower(store, pace=HINTED)
@@ -156,7 +170,10 @@
 def test_a_hint_has_the_head_read_at_once(store):
     follower = ConfigFollower(store, pace=HINTED, watches=never)
     _, reached = recording(follower)
+    has_read = threading.Event()
+    store.read = partial(read_and_tell, store.read, has_read)
     follower.start()
+    assert has_read.wait(WAIT_S / 2)
     follower.hint(publish_model(store, 'a'))
     assert reached.wait(WAIT_S / 2)
     follower.stop()
