--- a/cactusledge/endpoints/errors.py
+++ b/cactusledge/endpoints/errors.py
@@ -41,13 +41,23 @@
 
 
 class EndpointNotRunError(EndpointRefusedError):
-    """The endpoint answered that it did not run the call."""
+    """The endpoint answered that it did not run the call.
+
+    Attributes:
+        leaving: Whether it gave as the reason that it is leaving.
+    """
+
+    leaving = False
 
 
 class EndpointFailedError(EndpointError):
     """The call was sent and its answer is missing or not whole."""
 
 
+class EndpointRejectedError(EndpointFailedError):
+    """The endpoint answered with a status that a new try will not change."""
+
+
 class EndpointSilentError(EndpointFailedError):
     """Nothing came on an open connection for longer than the limit."""
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -7,8 +7,9 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Generator, Sequence
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -39,6 +40,7 @@
         """Keeps the folder for settings, ports and logs."""
         self._folder = folder
         self._started: dict[str, Started] = {}
+        self._spawned: list[subprocess.Popen[bytes]] = []
         self._http = PoolManager(
             retries=False,
             timeout=Timeout(connect=2, read=10),
@@ -145,7 +147,7 @@
     def wait_ready(self, *names: str) -> None:
         """Waits until entry instances are ready and own all their logs."""
         for name in names:
-            wait_until(lambda one=name: self._is_ready(one), f'{name} ready')
+            wait_until(partial(self._is_ready, name), f'{name} ready')
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process."""
@@ -171,6 +173,14 @@
             process.kill()
             process.wait()
 
+    def is_running(self, name: str) -> bool:
+        """Returns whether a process was started and not ended yet."""
+        return name in self._started
+
+    def processes_left(self) -> int:
+        """Returns how many of the started processes still run."""
+        return sum(process.poll() is None for process in self._spawned)
+
     def log_of(self, name: str) -> str:
         """Returns what a process has written."""
         path = self._folder / f'{name}.log'
@@ -178,12 +188,9 @@
 
     def _identity(self, name: str, data_centre: str) -> tuple[str, ...]:
         return (
-            '--name',
-            name,
-            '--data-centre',
-            data_centre,
-            '--register',
-            self._platform_address(),
+            f'--name={name}',
+            f'--data-centre={data_centre}',
+            f'--register={self._platform_address()}',
         )
 
     def _platform_address(self) -> str:
@@ -230,13 +237,15 @@
     ) -> subprocess.Popen[bytes]:
         path = self._folder / f'{name}.log'
         with path.open('ab') as output:
-            return subprocess.Popen(
+            process = subprocess.Popen(
                 (sys.executable, '-m', *command),
                 cwd=ROOT,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
+        self._spawned.append(process)
+        return process
 
 
 def free_port() -> int:
@@ -260,7 +269,7 @@
 
 
 @contextmanager
-def deployment(folder: Path) -> Iterator[Deployment]:
+def deployment(folder: Path) -> Generator[Deployment]:
     """Gives a deployment and leaves nothing of it running."""
     deployed = Deployment(folder)
     try:
