Show plans field by field, wait for a roll-out, check settings together

Cause: the plan printed whole lists of operations; status could not wait; a jsonl exporter without a path and an unreadable status document ended as internal errors. Ruled out: a general diff library for a dozen lines.

--- a/cactusledge/cli/plan.py
+++ b/cactusledge/cli/plan.py
@@ -1,5 +1,6 @@
 """The `plan` command."""
 
+import json
 from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Any
@@ -63,7 +64,8 @@
     for change in changes:
         yield f'{SIGNS[change.action]} {change.kind} {change.name}'
         for field in change.fields:
-            yield f'    {field.field}: {field.old} -> {field.new}'
+            old, new = json.dumps(field.old), json.dumps(field.new)
+            yield f'    {field.field}: {old} -> {new}'
         if change.warning:
             yield f'    warning: {change.warning}'
     yield f'Changes to generation {generation}: {len(changes)}.'
--- a/cactusledge/cli/reports.py
+++ b/cactusledge/cli/reports.py
@@ -1,14 +1,17 @@
 """Collects what instances report of themselves."""
 
-from collections.abc import Iterable, Sequence
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Protocol
 
 from cactusledge.environment import Environment
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import Address
+from cactusledge.settings.published import read_head
 from cactusledge.settings.rollout import (
     STATUS_KIND,
     Report,
+    Rollout,
+    judge,
     missing_report,
     parse_report,
     stale_report,
@@ -23,55 +26,83 @@
 QUERY_TIMEOUT_S = 3.0
 
 
-def platform_reports(
-    store: 'ObjectStore', now: float, max_age_s: float
-) -> list[Report]:
-    """Returns the stored reports, and a missing one for each silent instance.
-
-    A report that is too old proves nothing: its instance may have been
-    replaced since.
-    """
-    reports = {
-        found.name: parse_report(found.name, found.body)
-        for found in store.list(STATUS_KIND).items
-    }
-    checked = [
-        stale_report(report, now, max_age_s) for report in reports.values()
-    ]
-    live = _live_instances(store)
-    if live:
-        checked = [one for one in checked if one.instance in live]
-    silent = live - reports.keys()
-    return [
-        *checked,
-        *(missing_report(name, 'it has not reported') for name in silent),
-    ]
-
-
-def queried_reports(
-    env: Environment, addresses: Sequence[Address]
-) -> list[Report]:
-    """Returns what each instance answers, and who gave no answer."""
-    return [_query(env, address) for address in addresses]
-
-
-def newest_generation(reports: Iterable[Report]) -> int:
-    """Returns the highest generation that any instance reports."""
-    return max((0, *(report.generation for report in reports)))
-
-
-def _query(env: Environment, address: Address) -> Report:
-    try:
-        body = env.fetch_json(address, STATUS_PATH, QUERY_TIMEOUT_S)
-    except CactusledgeError as exc:
-        return missing_report(str(address), exc.message)
-    return parse_report(str(address), body)
-
-
-def _live_instances(store: 'ObjectStore') -> frozenset[str]:
-    return frozenset(
-        found.name
-        for found in store.list(LIVE_KIND).items
-        if found.body.get('role') == ENTRY_ROLE
-        and not found.body.get('leaving')
-    )
+class ReportSource(Protocol):
+    """Where reports come from."""
+
+    def rollout(self, generation: int | None) -> Rollout:
+        """Returns who runs the generation, or the newest one if None."""
+
+
+class StoredReports:
+    """The reports that instances wrote to the platform."""
+
+    def __init__(
+        self,
+        store: 'ObjectStore',
+        now: Callable[[], float],
+        max_age_s: float,
+    ) -> None:
+        """Keeps the platform; an older report counts as none.
+
+        The instance of an old report may have been replaced since.
+        """
+        self._store = store
+        self._now = now
+        self._max_age_s = max_age_s
+
+    def rollout(self, generation: int | None) -> Rollout:
+        """Returns who runs the generation, or the published one if None."""
+        if generation is None:
+            head = read_head(self._store).head
+            generation = head.generation if head else 0
+        return judge(generation, self._reports())
+
+    def _reports(self) -> list[Report]:
+        reports = {
+            found.name: self._parse(found.name, found.body)
+            for found in self._store.list(STATUS_KIND).items
+        }
+        live = self._live_instances()
+        if not live:
+            return list(reports.values())
+        return [
+            reports.get(name) or missing_report(name, 'it has not reported')
+            for name in live
+        ]
+
+    def _parse(self, name: str, body: object) -> Report:
+        report = parse_report(name, body)
+        return stale_report(report, self._now(), self._max_age_s)
+
+    def _live_instances(self) -> frozenset[str]:
+        return frozenset(
+            found.name
+            for found in self._store.list(LIVE_KIND).items
+            if found.body.get('role') == ENTRY_ROLE
+            and not found.body.get('leaving')
+        )
+
+
+class Queries:
+    """The status API of the instances themselves."""
+
+    def __init__(self, env: Environment, addresses: Sequence[Address]) -> None:
+        """Keeps whom to ask."""
+        self._env = env
+        self._addresses = addresses
+
+    def rollout(self, generation: int | None) -> Rollout:
+        """Returns who runs the generation, or the highest seen if None."""
+        reports = [self._query(address) for address in self._addresses]
+        if generation is None:
+            generation = max((0, *(report.generation for report in reports)))
+        return judge(generation, reports)
+
+    def _query(self, address: Address) -> Report:
+        try:
+            document = self._env.fetch_json(
+                address, STATUS_PATH, QUERY_TIMEOUT_S
+            )
+        except CactusledgeError as exc:
+            return missing_report(str(address), exc.message)
+        return parse_report(str(address), document)
--- a/cactusledge/cli/status.py
+++ b/cactusledge/cli/status.py
@@ -14,16 +14,12 @@
     parse_addresses,
 )
 from cactusledge.cli.output import write_json, write_lines
-from cactusledge.cli.reports import (
-    newest_generation,
-    platform_reports,
-    queried_reports,
-)
-from cactusledge.settings.published import read_head
-from cactusledge.settings.rollout import Report, Rollout, judge
+from cactusledge.cli.reports import Queries, StoredReports
+from cactusledge.settings.rollout import Report, Rollout
 from cactusledge.status import ExitStatus
 
 MAX_REPORT_AGE_S = 60.0
+WAIT_INTERVAL_S = 0.5
 
 Instances = Annotated[
     str,
@@ -40,6 +36,10 @@
     float, typer.Option(help='Oldest report that proves anything, in s.')
 ]
 
+Wait = Annotated[
+    float, typer.Option(help='Wait so long for it to be in force, in s.')
+]
+
 
 def command(
     ctx: typer.Context,
@@ -47,25 +47,26 @@
     instances: Instances = '',
     generation: Generation = None,
     max_age_s: MaxAge = MAX_REPORT_AGE_S,
+    wait_s: Wait = 0,
     output: OutputFormat = Format.TEXT,
 ) -> ExitStatus:
     """Prove that a generation is in force everywhere, or name who is behind.
 
-    Example: cactusledge status --platform 127.0.0.1:8400
+    Example: cactusledge status --platform 127.0.0.1:8400 --wait-s 10
 
     Example: cactusledge status --instances 127.0.0.1:8420,127.0.0.1:8430
     """
     env = environment_of(ctx)
-    if instances:
-        asked = parse_addresses(instances, '--instances')
-        reports = queried_reports(env, asked)
-        newest = newest_generation(reports)
-    else:
-        store = open_platform(env, platform)
-        head = read_head(store).head
-        newest = head.generation if head else 0
-        reports = platform_reports(store, env.now(), max_age_s)
-    rollout = judge(newest if generation is None else generation, reports)
+    source = (
+        Queries(env, parse_addresses(instances, '--instances'))
+        if instances
+        else StoredReports(open_platform(env, platform), env.now, max_age_s)
+    )
+    until = env.now() + wait_s
+    rollout = source.rollout(generation)
+    while not rollout.everywhere and env.now() < until:
+        env.sleep(WAIT_INTERVAL_S)
+        rollout = source.rollout(generation)
     if output is Format.JSON:
         write_json(env, _document(rollout))
     else:
--- a/cactusledge/environment.py
+++ b/cactusledge/environment.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Callable, Mapping, Sequence
 from importlib import import_module
-from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple, TextIO
 
 from cactusledge.models import Address
@@ -14,8 +13,6 @@
     from cactusledge.platform.store import ObjectStore
 
 PROGRAM_NAME = 'cactusledge'
-SETTINGS_VARIABLE = 'CACTUSLEDGE_SETTINGS'
-DEFAULT_SETTINGS_PATH = Path('/etc/cactusledge/instance.yaml')
 
 OpenStore = Callable[[Sequence[Address], float], 'ObjectStore']
 FetchJson = Callable[[Address, str, float], Any]
@@ -48,12 +45,6 @@
     open_store: OpenStore = open_http_store
     fetch_json: FetchJson = fetch_json
 
-    @property
-    def settings_path(self) -> Path:
-        """Path of the instance's settings file."""
-        named = self.environ.get(SETTINGS_VARIABLE)
-        return Path(named) if named else DEFAULT_SETTINGS_PATH
-
 
 def process_environment() -> Environment:
     """Returns the environment of this process."""
--- a/cactusledge/settings/in_force.py
+++ b/cactusledge/settings/in_force.py
@@ -5,13 +5,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from cactusledge.settings.configuration import Configuration
+from cactusledge.settings.definitions import configure
 from cactusledge.settings.head import Head, decide_apply
 from cactusledge.settings.parts import Part
-from cactusledge.settings.published import (
-    Published,
-    StoredHead,
-    read_definitions,
-)
+from cactusledge.settings.published import read_definitions
 from cactusledge.settings.snapshot import decode_snapshot, encode_snapshot
 from cactusledge.telemetry.logs import get_logger
 
@@ -69,9 +66,12 @@
         with self._fetch_lock:
             definitions = read_definitions(self._store, head, self._parts)
             self._forget_parts_beside(head)
-        published = Published(StoredHead(head, ''), definitions)
-        encoded = encode_snapshot(definitions, head.generation, head.digest)
-        return self._apply(Snapshot(published.configuration(), encoded), source)
+        identity = (head.generation, head.digest)
+        learnt = Snapshot(
+            configure(definitions, *identity),
+            encode_snapshot(definitions, *identity),
+        )
+        return self._apply(learnt, source)
 
     def _is_newer(self, generation: int) -> bool:
         return decide_apply(self._snapshot.configuration.generation, generation)
--- a/cactusledge/settings/instance.py
+++ b/cactusledge/settings/instance.py
@@ -21,7 +21,8 @@
 )
 
 ENVIRONMENT_PREFIX = 'CACTUSLEDGE_'
-SETTINGS_PATH_VARIABLE = 'CACTUSLEDGE_SETTINGS'
+# Variables of the command line that no setting is named after.
+RESERVED_VARIABLES = frozenset(('CACTUSLEDGE_TOKEN', 'CACTUSLEDGE_API'))
 NESTING = '__'
 
 
@@ -63,7 +64,7 @@
     """Writes one variable into the settings; returns the field's location."""
     if not name.startswith(ENVIRONMENT_PREFIX):
         return ()
-    if name == SETTINGS_PATH_VARIABLE:
+    if name in RESERVED_VARIABLES:
         return ()
     loc = _field_location(name)
     target = merged
--- a/cactusledge/settings/plan.py
+++ b/cactusledge/settings/plan.py
@@ -1,6 +1,7 @@
 """Compares the published definitions with those that are wanted."""
 
 import enum
+from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
 
 from cactusledge.settings.schema import KEY_FIELDS, Definitions
@@ -17,9 +18,9 @@
 class FieldChange(NamedTuple):
     """One field that gets another value."""
 
-    field: str
+    field: str  # dotted; list entries by their name
     old: Any
-    new: Any
+    new: Any  # None when it goes
 
 
 class Change(NamedTuple):
@@ -59,11 +60,7 @@
     if new is None:
         warning = NOW_UNDEFINED if kind in _REMOVAL_WARNINGS else ''
         return Change(Action.REMOVE, kind, name, warning=warning)
-    fields = tuple(
-        FieldChange(field, old.get(field), new.get(field))
-        for field in sorted(old.keys() | new.keys())
-        if old.get(field) != new.get(field)
-    )
+    fields = tuple(_field_changes(_flat(old), _flat(new)))
     warning = NOW_REPEATED if _becomes_idempotent(kind, old, new) else ''
     return Change(Action.CHANGE, kind, name, fields, warning)
 
@@ -76,3 +73,31 @@
     }
     allowed = {one['name'] for one in new['operations'] if one['idempotent']}
     return bool(forbidden & allowed)
+
+
+def _field_changes(
+    old: Mapping[str, Any], new: Mapping[str, Any]
+) -> Iterator[FieldChange]:
+    for field in sorted(old.keys() | new.keys()):
+        change = FieldChange(field, old.get(field), new.get(field))
+        if change.old != change.new:
+            yield change
+
+
+def _flat(node: Any, prefix: str = '') -> dict[str, Any]:
+    """Returns the fields of a definition by their dotted names."""
+    if _is_named_list(node):
+        node = {item['name']: item for item in node}
+    if not isinstance(node, dict):
+        return {prefix: node}
+    flat: dict[str, Any] = {}
+    for name, child in node.items():
+        flat.update(_flat(child, f'{prefix}.{name}' if prefix else name))
+    return flat
+
+
+def _is_named_list(node: Any) -> bool:
+    """Returns whether a node is a list of operations and the like."""
+    return isinstance(node, list) and all(
+        isinstance(item, dict) and 'name' in item for item in node
+    )
--- a/cactusledge/settings/reporter.py
+++ b/cactusledge/settings/reporter.py
@@ -1,10 +1,10 @@
 """Tells the platform which generation this instance runs."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from cactusledge.errors import StoreError, StoreNotFoundError
-from cactusledge.settings.rollout import STATUS_KIND
+from cactusledge.settings.rollout import STATUS_KIND, StatusBody
 from cactusledge.telemetry.logs import get_logger
 
 if TYPE_CHECKING:
@@ -60,7 +60,7 @@
         self._reported = generation
         return True
 
-    def _body(self, generation: int) -> dict[str, Any]:
+    def _body(self, generation: int) -> StatusBody:
         return {
             'instance': self._instance,
             'data_centre': self._data_centre,
@@ -68,7 +68,7 @@
             'reported_at': self._now(),
         }
 
-    def _write(self, body: dict[str, Any]) -> None:
+    def _write(self, body: StatusBody) -> None:
         version = self._version or self._read_version()
         if version == UNKNOWN_VERSION:
             stored = self._store.create(STATUS_KIND, self._instance, body)
--- a/cactusledge/settings/rollout.py
+++ b/cactusledge/settings/rollout.py
@@ -1,12 +1,23 @@
 """Decides whether a generation is in force on every instance."""
 
-from collections.abc import Iterable, Mapping
-from typing import Any, NamedTuple
+from collections.abc import Iterable
+from typing import NamedTuple, NotRequired, TypedDict
+
+import msgspec
 
 STATUS_KIND = 'instancestatuses'
 UNKNOWN_GENERATION = -1
 
 
+class StatusBody(TypedDict):
+    """What an instance's status document says of the configuration."""
+
+    generation: int
+    instance: NotRequired[str]
+    data_centre: NotRequired[str]
+    reported_at: NotRequired[float]  # seconds since the epoch
+
+
 class Report(NamedTuple):
     """What one instance says of itself."""
 
@@ -30,16 +41,17 @@
         return bool(self.in_force) and not self.behind
 
 
-def parse_report(instance: str, body: Mapping[str, Any]) -> Report:
+def parse_report(instance: str, document: object) -> Report:
     """Returns the report in a status document."""
-    generation = body.get('generation')
-    if not isinstance(generation, int):
-        return missing_report(instance, 'the report names no generation')
+    try:
+        body = msgspec.convert(document, StatusBody)
+    except msgspec.ValidationError as exc:
+        return missing_report(instance, f'its report is not valid: {exc}')
     return Report(
-        str(body.get('instance', instance)),
-        str(body.get('data_centre', '')),
-        generation,
-        float(body.get('reported_at', 0)),
+        body.get('instance', instance),
+        body.get('data_centre', ''),
+        body['generation'],
+        body.get('reported_at', 0),
     )
 
 
--- a/cactusledge/settings/sections.py
+++ b/cactusledge/settings/sections.py
@@ -1,8 +1,8 @@
 """Types of the settings of one instance, with defaults and descriptions."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, Self
 
-from pydantic import Field
+from pydantic import Field, model_validator
 
 from cactusledge.settings.strict import (
     Addresses,
@@ -101,6 +101,12 @@
         description='Records held in memory while the platform is away.',
     )
 
+    @model_validator(mode='after')
+    def _check_sizes(self) -> Self:
+        if self.max_waiting_bytes < self.max_batch_bytes:
+            raise ValueError('max_waiting_bytes is below max_batch_bytes')
+        return self
+
 
 class LimitsSection(StrictModel):
     """Limits on requests and on the instance's own resources."""
@@ -163,6 +169,12 @@
         default=1.0, description='Share of the traces that are recorded.'
     )
 
+    @model_validator(mode='after')
+    def _check_path(self) -> Self:
+        if self.exporter == 'jsonl' and not self.path:
+            raise ValueError('the jsonl exporter needs a path')
+        return self
+
 
 class InstanceSettings(StrictModel):
     """All settings of one instance."""
--- a/cactusledge/telemetry/traces.py
+++ b/cactusledge/telemetry/traces.py
@@ -18,8 +18,11 @@
     TraceContextTextMapPropagator,
 )
 
+from cactusledge.settings.errors import InvalidSettingsError, Problem
+
 SERVICE_NAME = 'cactusledge'
 EXPORT_INTERVAL_MS = 1000
+JSONL = 'jsonl'
 
 _propagator = TraceContextTextMapPropagator()
 
@@ -120,4 +123,14 @@
 
 def new_exporter(exporter: str, path: str) -> SpanExporter | None:
     """Returns the exporter that the settings name."""
-    return JsonlExporter(Path(path)) if exporter == 'jsonl' else None
+    if exporter != JSONL:
+        return None
+    try:
+        return JsonlExporter(Path(path))
+    except OSError as exc:
+        problem = Problem(
+            'traces.path',
+            f"'{path}' cannot be written: {exc.strerror}.",
+            'Name a file in a folder that exists and may be written.',
+        )
+        raise InvalidSettingsError((problem,)) from exc
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -31,7 +31,7 @@
     (('a', 'b'), {'a': (1, 1)}, ExitStatus.ERROR, 'b: it has not reported'),
     (('a',), {'a': (1, 900)}, ExitStatus.ERROR, 'report is 900 s old'),
     (('a',), {'a': (1, 1), 'gone': (0, 1)}, ExitStatus.OK, '1 instances'),
-    (('a',), {'a': ('1', 1)}, ExitStatus.ERROR, 'names no generation'),
+    (('a',), {'a': ('1', 1)}, ExitStatus.ERROR, 'its report is not valid'),
     ((), {}, ExitStatus.ERROR, '0 of 0'),
 )
 
@@ -156,3 +156,15 @@
     page = examples.parent / 'docs/operators/settings.md'
     assert page.read_text(encoding='utf-8') == reference_page()
     assert run('settings-reference').out == reference_page()
+
+
+def test_status_waits_for_a_report(run, folder, store, env):
+    run('publish', folder)
+    body = {'generation': 1, 'reported_at': NOW}
+    waited = run(
+        'status',
+        '--wait-s',
+        '9',
+        sleep=lambda pause_s: store.put('instancestatuses', 'a', body),
+    )
+    assert waited.status is ExitStatus.OK
--- a/tests/test_publish_head.py
+++ b/tests/test_publish_head.py
@@ -24,7 +24,12 @@
     join,
     split,
 )
-from cactusledge.settings.plan import NOW_REPEATED, NOW_UNDEFINED, plan
+from cactusledge.settings.plan import (
+    NOW_REPEATED,
+    NOW_UNDEFINED,
+    FieldChange,
+    plan,
+)
 from cactusledge.settings.publish import (
     Publisher,
     PublishUnsettledError,
@@ -208,7 +213,9 @@
     )
     changes = plan(old, new)
     assert [change.warning for change in changes] == [NOW_REPEATED]
-    assert changes[0].fields[0].field == 'operations'
+    assert changes[0].fields == (
+        FieldChange('operations.o.idempotent', old=False, new=True),
+    )
     removed, added = plan(models('a').merged, models('b').merged)
     assert (removed.action, removed.warning) == ('remove', NOW_UNDEFINED)
     assert (added.action, added.name) == ('add', 'b')
--- a/tests/test_settings_instance.py
+++ b/tests/test_settings_instance.py
@@ -22,6 +22,8 @@
     ('platform: {addresses: []}', ':2', 'at least 1 item'),
     ('logs: {format: xml}', ':2', "'json' or 'console'"),
     ('peers:\n  seeds:\n  - 127.0.0.1:1\n  - x', ':5', 'host:port'),
+    ('traces: {exporter: jsonl}', ':2', 'needs a path'),
+    ('journal: {max_waiting_bytes: 9}', ':2', 'below max_batch_bytes'),
     ('instance: {name: b}', ':2', 'stands twice'),
     ('logs: &a {level: info}', ':2', 'Anchors and aliases'),
     ('logs: {level: info', ':2', 'not valid YAML'),
@@ -58,7 +60,7 @@
     cfg = load_settings(
         path,
         {
-            'CACTUSLEDGE_SETTINGS': str(path),
+            'CACTUSLEDGE_TOKEN': 'secret',
             'CACTUSLEDGE_LIMITS__WORKER_THREADS': '7',
             'CACTUSLEDGE_LISTEN__API': '127.0.0.9:1',
             'CACTUSLEDGE_PEERS__SEEDS': '127.0.0.1:1, 127.0.0.2:2',
--- a/tests/test_telemetry_output.py
+++ b/tests/test_telemetry_output.py
@@ -7,6 +7,7 @@
 import structlog
 from opentelemetry.trace import SpanKind
 
+from cactusledge.settings.errors import InvalidSettingsError
 from cactusledge.telemetry.logs import configure_logs, get_logger
 from cactusledge.telemetry.metric_table import METRICS
 from cactusledge.telemetry.metrics import Metrics
@@ -103,6 +104,11 @@
     assert inner['context']['span_id'] == f'0x{span_id}'
 
 
+def test_a_span_file_that_cannot_be_opened_is_named(tmp_path):
+    with pytest.raises(InvalidSettingsError, match='cannot be written'):
+        new_exporter('jsonl', str(tmp_path / 'missing' / 'spans.jsonl'))
+
+
 def test_without_an_exporter_the_trace_still_goes_on():
     traces = Traces(instance='a', data_centre='b', exporter=None)
     with traces.span('call', {'traceparent': PARENT}):
