Test writes of the head that land late

Cause: a write whose answer is lost may land between the read-back and the repeat; the table had no such case. Ruled out: nothing; the decisions stay as they were. Change: the fake store carries 'late' writes out just before the next one.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,7 +30,8 @@
 
     `faults` says what happens to the next writes, in order: '' nothing,
     'lost' no answer and not carried out, 'landed' no answer but carried out,
-    'down' refused; or a function that runs before the write.
+    'late' no answer but carried out just before the next write, 'down'
+    refused; or a function that runs before the write.
     """
 
     def __init__(self) -> None:
@@ -40,6 +41,7 @@
         self.requests: list[tuple[str, str]] = []
         self.events: list[Any] = []
         self._version = 0
+        self._late: list[Callable[[], object]] = []
 
     def read(self, kind: str, name: str) -> Any:
         """Returns the object."""
@@ -86,20 +88,34 @@
 
     def _write(self, verb, kind, name, body, version):
         self.requests.append((verb, kind))
+        while self._late:
+            self._late.pop()()
         fault = self.faults.pop(0) if self.faults else ''
+        write = partial(self._land, kind, name, body, version)
+        self._fail_before(fault, write)
+        if not write():
+            raise StoreConflictError('Another version.', remedy=REMEDY)
+        if fault == 'landed':
+            raise StoreAnswerLostError('No answer.', remedy=REMEDY)
+        return self.objects[kind, name]
+
+    def _fail_before(self, fault, write):
         if callable(fault):
             fault()
+        if fault == 'late':
+            self._late.append(write)
+        if fault in {'lost', 'late'}:
+            raise StoreAnswerLostError('No answer.', remedy=REMEDY)
         if fault == 'down':
             raise StoreUnavailableError('Down.', remedy=REMEDY)
-        if fault == 'lost':
-            raise StoreAnswerLostError('No answer.', remedy=REMEDY)
+
+    def _land(self, kind, name, body, version):
+        """Carries a write out if its condition holds."""
         found = self.objects.get((kind, name), _ABSENT)
         if version != found.version:
-            raise StoreConflictError('Another version.', remedy=REMEDY)
-        stored = self.put(kind, name, body)
-        if fault == 'landed':
-            raise StoreAnswerLostError('No answer.', remedy=REMEDY)
-        return stored
+            return False
+        self.put(kind, name, body)
+        return True
 
 
 class Run(NamedTuple):
