Bound whole numbers and durations in settings and definitions

Cause: a whole number beyond 64 bits passed validation and ended as an internal error when the definitions were encoded. Ruled out: catching the encoder's error, which knows no line. Change: whole numbers up to 2^53 - 1, durations up to a year; Configuration.fixed_endpoints for the endpoint directory.

--- a/cactusledge/settings/configuration.py
+++ b/cactusledge/settings/configuration.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Mapping
+from itertools import chain
 from typing import NamedTuple, TypeVar
 
 from cactusledge.models import Endpoint
@@ -123,6 +124,10 @@
         name = self.account_names.get(hashed)
         return None if name is None else self.accounts[name]
 
+    def fixed_endpoints(self) -> tuple[Endpoint, ...]:
+        """Returns all endpoints that definition files name."""
+        return tuple(chain.from_iterable(self.endpoints.values()))
+
     def endpoints_of(self, service: str) -> tuple[Endpoint, ...]:
         """Returns the fixed endpoints of a model or service."""
         return self.endpoints.get(service, ())
--- a/cactusledge/settings/strict.py
+++ b/cactusledge/settings/strict.py
@@ -20,6 +20,8 @@
 )
 
 MAX_PORT = 65535
+MAX_INTEGER = 9_007_199_254_740_991  # exact in every JSON reader
+YEAR_S = 31_536_000.0
 UNKNOWN_FIELD = 'extra_forbidden'
 MAX_SHOWN_CHARACTERS = 40
 
@@ -63,9 +65,9 @@
 ]
 Addresses = Annotated[tuple[AddressField, ...], Field(strict=False)]
 Names = Annotated[tuple[str, ...], Field(strict=False)]
-Seconds = Annotated[float, Field(gt=0)]
-Count = Annotated[int, Field(gt=0)]
-Amount = Annotated[int, Field(ge=0)]
+Seconds = Annotated[float, Field(gt=0, le=YEAR_S)]
+Count = Annotated[int, Field(gt=0, le=MAX_INTEGER)]
+Amount = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 
 
 def validate(
--- a/tests/test_definitions_files.py
+++ b/tests/test_definitions_files.py
@@ -28,6 +28,7 @@
     ('program: []', 1, "Did you mean 'programs'?"),
     ('models:\n- {name: M, context_tokens: 1}', 2, 'match pattern'),
     ('models:\n- {name: m, context_tokens: 1.5}', 2, 'valid integer'),
+    ('models: [{name: m, context_tokens: 99999999999999999999}]', 1, 'less'),
     ('services: [{name: s, operations: []}]', 1, 'at least 1 item'),
     (
         'services:\n- name: s\n  operations:\n  - {name: o, idempotent: 1}',
@@ -208,6 +209,7 @@
     endpoint = Endpoint('e', 'm1', CallKind.MODEL, address, 'd')
     assert cfg.endpoints_of('m1') == (endpoint,)
     assert cfg.endpoints_of('m2') == ()
+    assert cfg.fixed_endpoints() == (endpoint,)
 
 
 def test_encoding_restores_and_does_not_depend_on_order():
--- a/tests/test_settings_instance.py
+++ b/tests/test_settings_instance.py
@@ -19,6 +19,7 @@
     ('limits: {max_body_bytes: -1}', ':2', 'greater than 0'),
     ('limits: {max_body_bytes: true}', ':2', 'valid integer'),
     ('platform: {timeout_s: .inf}', ':2', 'finite number'),
+    ('platform: {timeout_s: 1.0e+300}', ':2', 'less than'),
     ('platform: {addresses: []}', ':2', 'at least 1 item'),
     ('logs: {format: xml}', ':2', "'json' or 'console'"),
     ('peers:\n  seeds:\n  - 127.0.0.1:1\n  - x', ':5', 'host:port'),
