--- a/cactusledge/peers/channel.py
+++ b/cactusledge/peers/channel.py
@@ -15,10 +15,11 @@
     SEND_ERRORS,
     BoundedFrames,
     DeadlineSocket,
-    new_protocol,
+    MatchedProtocol,
 )
 
 MAX_IDLE_CONNECTIONS = 4
+SEQUENCE_FIELD = '_seqid'  # of thrift's generated clients
 
 # Whether a message may be sent again after its answer was lost.
 IDEMPOTENT: Mapping[str, bool] = MappingProxyType({
@@ -42,8 +43,15 @@
     """An open connection and the generated client on it."""
 
     sock: DeadlineSocket
+    protocol: MatchedProtocol
     client: Any
 
+    def prepare(self, timeout_s: float) -> None:
+        """Starts a call: its deadline, and the number that its answer has."""
+        self.sock.set_deadline(timeout_s)
+        self.protocol.expected_seqid += 1
+        setattr(self.client, SEQUENCE_FIELD, self.protocol.expected_seqid)
+
     def close(self) -> None:
         """Closes the socket."""
         self.sock.close()
@@ -128,7 +136,7 @@
         args: tuple[Any, ...],
         timeout_s: float,
     ) -> bool:
-        conn.sock.set_deadline(timeout_s)
+        conn.prepare(timeout_s)
         send = getattr(conn.client, f'send_{method}')
         try:
             send(*[convert.to_thrift(arg) for arg in args])
@@ -146,15 +154,16 @@
             sock.open()
         except SEND_ERRORS as exc:
             raise unreachable(self.address, method) from exc
-        protocol = new_protocol(BoundedFrames(sock, MAX_MESSAGE_BYTES))
-        return Connection(sock, Peers.Client(protocol))
+        protocol = MatchedProtocol(BoundedFrames(sock, MAX_MESSAGE_BYTES))
+        return Connection(sock, protocol, Peers.Client(protocol))
 
     def _take_idle(self) -> Connection | None:
         with self._lock:
             while self._idle:
                 conn = self._idle.pop()
-                if conn.sock.isOpen():
+                if conn.sock.is_clean():
                     return conn
+                conn.close()
         return None
 
     def _put_back(self, conn: Connection) -> None:
--- a/cactusledge/peers/gossip.py
+++ b/cactusledge/peers/gossip.py
@@ -224,11 +224,10 @@
     """Returns the near and the far ones among the other members."""
     total = len(state.table) + 1
     others = [view for view in views if view.name != state.me.name]
-    near = [
-        view for view in others if is_near(view, state.me.data_centre, total)
-    ]
-    far = [view for view in others if view not in near]
-    return tuple(near), tuple(far)
+    centre = state.me.data_centre
+    near = tuple(view for view in others if is_near(view, centre, total))
+    far = tuple(view for view in others if not is_near(view, centre, total))
+    return near, far
 
 
 def digest_of(view: MemberView) -> MemberDigest:
--- a/cactusledge/peers/transport.py
+++ b/cactusledge/peers/transport.py
@@ -8,6 +8,7 @@
 from thrift.protocol import TCompactProtocol, TProtocol
 from thrift.Thrift import TApplicationException
 from thrift.transport import TSocket, TTransport
+from typing_extensions import override
 
 from cactusledge.models import Address
 from cactusledge.peers.errors import PeerMessageTooLargeError
@@ -47,6 +48,17 @@
         )
         self.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def is_clean(self) -> bool:
+        """Returns whether the connection is open and nothing unread waits."""
+        self.handle.settimeout(0)
+        try:
+            self.handle.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def read(self, sz: int) -> bytes:
         """Returns up to `sz` bytes."""
         self.handle.settimeout(self._left_s())
@@ -92,6 +104,25 @@
         super().flush()
 
 
+_CompactProtocol: Any = TCompactProtocol.TCompactProtocolAccelerated
+
+
+class MatchedProtocol(_CompactProtocol):  # type: ignore[misc]
+    """A client's protocol that takes no answer to another message."""
+
+    expected_seqid = 0
+
+    @override
+    def readMessageBegin(self) -> tuple[str, int, int]:
+        """Reads the head of an answer; raises if it is not the awaited one."""
+        name, kind, seqid = super().readMessageBegin()
+        if seqid != self.expected_seqid:
+            raise TProtocol.TProtocolException(
+                message=f'answer {seqid} came instead of {self.expected_seqid}',
+            )
+        return name, kind, seqid
+
+
 def new_protocol(transport: Any) -> Any:
     """Returns the compact protocol, accelerated where that is compiled."""
-    return TCompactProtocol.TCompactProtocolAccelerated(transport)
+    return _CompactProtocol(transport)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,8 +16,8 @@
 
 from cactusledge.models import Address
 from cactusledge.platform.client import HttpObjectStore
-from standins.faults import FaultSettings
 from standins.platform_app import CONNECTION_KEY, PlatformApp
+from standins.platform_faults import FaultSettings
 from standins.platform_limits import Limits
 
 SERVER_THREADS = 64  # a watch or a hanging request holds one
--- a/standins/platform_app.py
+++ b/standins/platform_app.py
@@ -13,7 +13,7 @@
 
 from cactusledge.platform import wire
 from cactusledge.platform.store import StoredObject
-from standins.faults import Faults, WriteFaults, decode_faults
+from standins.platform_faults import Faults, WriteFaults, decode_faults
 from standins.platform_limits import Limits, request_budget
 from standins.platform_table import (
     Counters,
--- a/standins/platform_watch.py
+++ b/standins/platform_watch.py
@@ -7,7 +7,7 @@
 
 from cactusledge.platform import wire
 from cactusledge.platform.store import BOOKMARK, StoredObject, WatchEvent
-from standins.faults import Faults
+from standins.platform_faults import Faults
 from standins.platform_table import GoneError, ObjectTable
 
 
