Add the model of calls that drives the production functions

Cause: order, history, budget and at most one run have to be checked exhaustively, with the functions that run in production. Conclusion: drivers must decide a joined request anew after NOT_RUN.

--- /dev/null
+++ b/model/driving.py
@@ -0,0 +1,267 @@
+"""Transitions of an instance that owns the log, as the drivers make them."""
+
+from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
+from typing import TypeAlias
+
+from cactusledge.errors import ErrorCode
+from cactusledge.models import Answer, CallKind, CallSpec, Outcome
+from cactusledge.protocol import calls, journal
+from cactusledge.protocol import journal_types as msg
+from cactusledge.protocol import records as rec
+from cactusledge.protocol.state import CallState, ProgramState
+from model.appends import Move, append
+from model.batches import read_log
+from model.commits import resume_step
+from model.world import (
+    ENGINE,
+    Instance,
+    Scenario,
+    Step,
+    World,
+    position_of,
+    replace_instance,
+    tell,
+)
+
+MAX_RUNS = 2  # counted; more are as wrong
+VOID = rec.encode_batch((rec.Void('model'),))
+_Moves: TypeAlias = Callable[
+    [Scenario, World, int, ProgramState],
+    Iterator[Move],
+]
+
+
+def driving_moves(scenario: Scenario, world: World, index: int) -> Iterator[Move]:
+    """Yields what an instance may do with its program."""
+    instance = world.instances[index]
+    state = instance.journal
+    if state is None:
+        yield from _takeover_moves(scenario, world, index)
+        return
+    if instance.program is not None and instance.program.running:
+        if world.asked != index:
+            joined = world._replace(asked=index, joined=True)
+            yield f'i{index} gets the call again', joined
+    if state.phase is journal.Phase.IDLE and instance.program is not None:
+        if state.number < scenario.max_number:
+            moves = _MOVES[instance.step]
+            yield from moves(scenario, world, index, instance.program)
+    elif instance.step is Step.INTENT:
+        yield from _early_moves(world, index)
+
+
+def _takeover_moves(
+    scenario: Scenario,
+    world: World,
+    index: int,
+) -> Iterator[Move]:
+    if not world.left.takeovers:
+        return
+    listed = read_log(world.platform.slots)
+    if listed.ring is None or listed.ring.next_n >= scenario.max_number:
+        return
+    owner = f'{index}.{world.left.takeovers}'
+    state = journal.start('log', owner, listed.ring)
+    instance = Instance(state, listed.program, listed.base)
+    left = world.left._replace(takeovers=world.left.takeovers - 1)
+    world = replace_instance(world, index, instance)._replace(left=left)
+    seal = rec.Seal(owner, listed.ring.owner)
+    yield f'i{index} lists and seals', append(world, index, (seal,), Step.SEALING)
+
+
+def _early_moves(world: World, index: int) -> Iterator[Move]:
+    """Yields what may happen while an intent is being appended."""
+    instance = world.instances[index]
+    program = instance.program
+    if program is None or program.running is None or instance.journal is None:
+        return
+    if may_send_early(program.running) and not instance.sent:
+        changed = instance._replace(sent=True, found=Outcome.RAN)
+        sent = replace_instance(world, index, changed)
+        ran = _run(sent, index, program.running)
+        yield f'i{index} sends call {program.running.seq} early', ran
+    voided = instance.journal.attempts[-1].void
+    if world.left.give_ups and not instance.sent and not voided:
+        state, _ = journal.step(instance.journal, msg.GiveUp(VOID))
+        left = world.left._replace(give_ups=world.left.give_ups - 1)
+        changed = instance._replace(journal=state)
+        yield f'i{index} gives up', replace_instance(
+            world, index, changed
+        )._replace(left=left)
+
+
+def may_send_early(running: CallState) -> bool:
+    """Returns whether a call is sent before its intent is durable."""
+    return running.idempotent
+
+
+def _sealed_moves(
+    scenario: Scenario,
+    world: World,
+    index: int,
+    program: ProgramState,
+) -> Iterator[Move]:
+    records = calls.takeover_records(program)
+    if records:
+        taken = append(world, index, records, Step.TAKING)
+    else:
+        changed = world.instances[index]._replace(step=resume_step(program))
+        taken = replace_instance(world, index, changed)
+    yield f'i{index} settles what it took over', taken
+
+
+def _ready_moves(
+    scenario: Scenario,
+    world: World,
+    index: int,
+    program: ProgramState,
+) -> Iterator[Move]:
+    for spec in scenario.calls:
+        if _may_ask(scenario, world, position_of(spec.key)):
+            label = f'i{index} gets call {spec.seq}'
+            yield label, _decide(world, index, program, spec)
+    if scenario.ends and all(world.answers) and not program.ended:
+        records = calls.end_records(program, 'done', 1)
+        label = f'i{index} ends the program'
+        yield label, append(world, index, records, Step.ENDING)
+    if program.releases:
+        changed = world.instances[index]._replace(step=Step.RELEASED)
+        released = replace_instance(world, index, changed)
+        yield f'i{index} releases the cache', drop_cache(released)
+
+
+def _may_ask(scenario: Scenario, world: World, position: int) -> bool:
+    """Returns whether the caller sends the call, perhaps once more."""
+    earlier = world.answers[:position]
+    given_up = world.answers[position] == Outcome.NOT_RUN
+    return not given_up and (scenario.eager or all(earlier))
+
+
+def _decide(
+    world: World,
+    index: int,
+    program: ProgramState,
+    spec: CallSpec,
+) -> World:
+    world = world._replace(asked=index, joined=False)
+    position = position_of(spec.key)
+    voided = world.answers[:position].count(Outcome.NOT_RUN)
+    asked = spec._replace(seq=spec.seq - voided)
+    decision = calls.decide_call(program, asked, 1)
+    if isinstance(decision, calls.Start):
+        return append(world, index, decision.records, Step.INTENT)
+    if isinstance(decision, calls.Stored):
+        return tell(world, index, spec.key, decision.answer.outcome)
+    if isinstance(decision, calls.Refuse):
+        return _refuse(world, index, spec, decision)
+    return world
+
+
+def _refuse(
+    world: World,
+    index: int,
+    spec: CallSpec,
+    decision: calls.Refuse,
+) -> World:
+    if decision.error.code is ErrorCode.SEQUENCE_GAP:
+        return world
+    return tell(world, index, spec.key, Outcome.NOT_RUN)
+
+
+def _send_moves(
+    scenario: Scenario,
+    world: World,
+    index: int,
+    program: ProgramState,
+) -> Iterator[Move]:
+    running = program.running
+    if running is None:
+        return
+    label = f'i{index} sends call {running.seq}'
+    ran = _run(world, index, running)
+    yield f'{label}: RAN', _found(ran, index, Outcome.RAN)
+    if not running.idempotent:
+        yield f'{label}: runs, lost', _found(ran, index, Outcome.UNKNOWN)
+        yield f'{label}: lost', _found(world, index, Outcome.UNKNOWN)
+        yield f'{label}: refused', _found(world, index, Outcome.NOT_RUN)
+
+
+def _run(world: World, index: int, running: CallState) -> World:
+    """Returns the world after the endpoint ran the call.
+
+    A former owner that sends after its log was sealed has to release that
+    cache itself when it is fenced; the model leaves that cache out.
+    """
+    position = position_of(running.key)
+    runs = list(world.runs)
+    runs[position] = min(runs[position] + 1, MAX_RUNS)
+    state = world.instances[index].journal
+    owner = max(world.platform.slots).owner
+    holds = running.kind is CallKind.MODEL and state is not None
+    owns = state is not None and state.owner == owner
+    return world._replace(
+        runs=tuple(runs),
+        cached=world.cached or (holds and owns),
+    )
+
+
+def _found(world: World, index: int, outcome: Outcome) -> World:
+    changed = world.instances[index]._replace(
+        found=outcome,
+        step=Step.ANSWERED,
+    )
+    return answer_early(replace_instance(world, index, changed), index)
+
+
+def answer_early(world: World, index: int) -> World:
+    """Returns the world unchanged: the outcome has to be durable first."""
+    return world
+
+
+def drop_cache(world: World) -> World:
+    """Returns the world after the engine released the cache."""
+    return world._replace(cached=False)
+
+
+def _answered_moves(
+    scenario: Scenario,
+    world: World,
+    index: int,
+    program: ProgramState,
+) -> Iterator[Move]:
+    found = world.instances[index].found
+    running = program.running
+    if running is None or found is None:
+        return
+    answer = Answer(
+        program_id=program.program_id,
+        seq=running.seq,
+        outcome=found,
+        status=0,
+        body={},
+        spent=running.reserve,
+    )
+    record = calls.outcome_record(program, running.seq, answer, ENGINE)
+    label = f'i{index} records {found.value}'
+    yield label, append(world, index, (record,), Step.OUTCOME)
+
+
+def _released_moves(
+    scenario: Scenario,
+    world: World,
+    index: int,
+    program: ProgramState,
+) -> Iterator[Move]:
+    record = calls.release_record(program, program.releases[0], done=True)
+    label = f'i{index} records the release'
+    yield label, append(world, index, (record,), Step.RELEASING)
+
+
+_MOVES: Mapping[Step, _Moves] = MappingProxyType({
+    Step.SEALED: _sealed_moves,
+    Step.READY: _ready_moves,
+    Step.MAY_SEND: _send_moves,
+    Step.ANSWERED: _answered_moves,
+    Step.RELEASED: _released_moves,
+})
