Trace a call through every hop and count what instances do

Cause: spans and metrics were declared but nothing set them. Measured: one trace id is found at the API of one instance, the driver on another and the engine's own records; 33 tests of these parts pass.

--- a/cactusledge/api/app.py
+++ b/cactusledge/api/app.py
@@ -1,11 +1,14 @@
 """WSGI application of the caller API: routes, and errors as JSON."""
 
 import re
+import time
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
+from opentelemetry.trace import SpanKind
+
 from cactusledge.api import handlers as api
 from cactusledge.api.faults import (
     NotFoundError,
@@ -80,6 +83,7 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Answers one request."""
+        began_s = time.monotonic()
         try:
             response = self._respond(environ)
         except CactusledgeError as exc:
@@ -87,12 +91,33 @@
         except Exception:
             self._log.exception('Request failed.')
             response = _error_response(_internal_error())
+        self._measure(environ, response, began_s)
         return send_response(response, start_response)
 
     def _respond(self, environ: Mapping[str, Any]) -> Response:
         req = read_request(environ, self._max_body_bytes)
         route, path_args = self._find(req)
-        return route.handler(self._ctx, req._replace(path_args=path_args))
+        with self._ctx.traces.span(
+            f'{route.method} {route.pattern.pattern}',
+            req.headers,
+            kind=SpanKind.SERVER,
+            **path_args,
+        ):
+            return route.handler(self._ctx, req._replace(path_args=path_args))
+
+    def _measure(
+        self,
+        environ: Mapping[str, Any],
+        response: Response,
+        began_s: float,
+    ) -> None:
+        """Counts a request; a streamed one up to its first byte."""
+        route = str(environ['REQUEST_METHOD'])
+        metrics = self._ctx.metrics
+        status = str(response.status.value)
+        metrics.add('http_requests_total', route=route, status=status)
+        spent_s = time.monotonic() - began_s
+        metrics.observe('http_request_seconds', spent_s, route=route)
 
     def _find(self, req: Request) -> tuple[_Route, Mapping[str, str]]:
         known_path = False
--- a/cactusledge/api/handlers.py
+++ b/cactusledge/api/handlers.py
@@ -26,6 +26,8 @@
 from cactusledge.models import CallKind, Outcome
 from cactusledge.programs.call_stream import CallStream
 from cactusledge.programs.views import CallArgs, OpenArgs, ProgramView
+from cactusledge.telemetry.metrics import Metrics
+from cactusledge.telemetry.traces import Traces
 
 BEARER = 'bearer '
 METRICS_TYPE = 'text/plain; version=0.0.4'
@@ -46,6 +48,8 @@
     find_account: AccountLookup
     request_timeout_s: float
     openapi: bytes
+    metrics: Metrics
+    traces: Traces
 
 
 def open_program(ctx: ApiContext, req: Request) -> Response:
@@ -69,7 +73,7 @@
     account = _account(ctx, req)
     body = parse_body(req.body, CallBody)
     deadline_s = time.monotonic() + ctx.request_timeout_s
-    stream = ctx.programs.call(_call_args(account, req, body))
+    stream = ctx.programs.call(_call_args(ctx, account, req, body))
     if body.stream:
         return Response(
             HTTPStatus.OK,
@@ -150,7 +154,12 @@
     )
 
 
-def _call_args(account: str, req: Request, body: CallBody) -> CallArgs:
+def _call_args(
+    ctx: ApiContext,
+    account: str,
+    req: Request,
+    body: CallBody,
+) -> CallArgs:
     kind = CallKind(body.kind)
     documents = {
         CallKind.MODEL: {'messages': body.messages},
@@ -166,7 +175,7 @@
         operation=body.operation,
         body=documents[kind],
         max_output_tokens=body.max_output_tokens or 0,
-        traceparent=req.header('traceparent'),
+        traceparent=ctx.traces.headers().get('traceparent', ''),
     )
 
 
--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -109,7 +109,13 @@
 
     def metrics_text(self) -> bytes:
         """Returns the metrics in Prometheus's text format."""
-        return self._base.metrics.render()
+        metrics = self._base.metrics
+        generation = self._base.config.current().generation
+        metrics.put('config_generation', generation)
+        metrics.put('peers_alive', len(self._peers.neighbours.others()))
+        metrics.put('platform_up', self._programs.platform_up())
+        metrics.put('journal_waiting_bytes', self._programs.waiting_bytes())
+        return metrics.render()
 
     def _may_claim(self) -> bool:
         """Returns whether the peers had time to say which logs they own."""
--- a/cactusledge/assembly/api.py
+++ b/cactusledge/assembly/api.py
@@ -25,6 +25,8 @@
         find_account=partial(_find_account, base),
         request_timeout_s=limits.request_timeout_s,
         openapi=openapi.read_bytes(),
+        metrics=base.metrics,
+        traces=base.traces,
     )
     return ApiServer(
         base.settings.listen.api,
--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -19,6 +19,7 @@
     member_state,
 )
 from cactusledge.programs.peer_handler import EntryPeerHandler, HandlerParts
+from cactusledge.programs.reporting import Identity, StatusReporter
 from cactusledge.telemetry.logs import get_logger
 
 PEER_TIMEOUT_S = 5.0
@@ -34,11 +35,13 @@
     neighbours: Neighbours
     base: Base
     programs: ProgramsPart
+    reporter: StatusReporter
 
     def start(self) -> None:
         """Listens, then tells the peers of this instance."""
         self.server.start()
         self.membership.start()
+        self.base.workers.submit(self._find_peers)
 
     def tick(self) -> None:
         """Tells the peers what changed, and learns newer configurations."""
@@ -46,6 +49,8 @@
         names = self.programs.table.names()
         for key, data in member_state(names, generation).items():
             self.membership.set_state(key, data)
+        if self.reporter.is_due(generation):
+            self.base.workers.submit(self.reporter.report, generation)
         newest = max(map(generation_of, self.membership.alive()), default=0)
         if newest > generation:
             self._fetch_config(generation)
@@ -61,6 +66,13 @@
         self.server.stop()
         self.neighbours.close()
 
+    def _find_peers(self) -> None:
+        """Adds the instances that reported to the platform as seeds."""
+        try:
+            self.membership.add_seeds(self.reporter.peers())
+        except CactusledgeError as exc:
+            log.info('Peers not listed.', reason=exc.message)
+
     def _fetch_config(self, known: int) -> None:
         for client in self.neighbours.nearby():
             try:
@@ -113,6 +125,7 @@
             grants=routing.grant_desk,
             held=HeldStore(),
             config=base.config,
+            traces=base.traces,
             want_log=programs.logs.want,
         ),
     )
@@ -121,4 +134,21 @@
         handler,
         base.settings.limits.max_connections,
     )
-    return PeersPart(server, membership, neighbours, base, programs)
+    reporter = StatusReporter(
+        base.store,
+        Identity(
+            base.name,
+            base.data_centre,
+            base.settings.listen.api,
+            base.settings.listen.peers,
+        ),
+        time.time,
+    )
+    return PeersPart(
+        server,
+        membership,
+        neighbours,
+        base,
+        programs,
+        reporter,
+    )
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -36,6 +36,15 @@
     pools: ConnectionPools
     neighbours: Neighbours
     home: Home
+    opener: StoreLogOpener
+
+    def platform_up(self) -> bool:
+        """Returns whether the platform answers the journal's writers."""
+        return self.opener.is_up()
+
+    def waiting_bytes(self) -> int:
+        """Returns the size of the records that are not yet durable."""
+        return self.opener.waiting_bytes()
 
     def unowned_logs(self) -> tuple[str, ...]:
         """Returns the logs of this data centre that nobody drives."""
@@ -101,6 +110,7 @@
         pools,
         neighbours,
         home,
+        opener,
     )
 
 
--- a/cactusledge/assembly/sending.py
+++ b/cactusledge/assembly/sending.py
@@ -46,16 +46,18 @@
             routing.leases,
             engines,
             definitions.price_of,
+            base.traces,
         ),
         CallKind.SERVICE: ServiceSender(
             routing.leases,
             services,
             definitions.operation_of,
+            base.traces,
         ),
     }
     return WorkPool(
         base.workers,
-        CallRunner(senders, durability, base.traces),
+        CallRunner(senders, durability, base.traces, base.metrics),
         engines,
         services,
         routing.directory,
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -138,6 +138,10 @@
         """Returns whether the platform answers this instance's writers."""
         return all(one.platform_up() for one in self._writers.values())
 
+    def waiting_bytes(self) -> int:
+        """Returns the size of the records that are not yet durable."""
+        return sum(one.waiting_bytes() for one in self._writers.values())
+
     def hold_waiting(self) -> bool:
         """Copies all waiting records to a peer; returns whether it has."""
         writers = tuple(self._writers.items())
--- a/cactusledge/programs/peer_handler.py
+++ b/cactusledge/programs/peer_handler.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 import msgspec
+from opentelemetry.trace import SpanKind
 
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.peers import messages as peer
@@ -14,6 +15,7 @@
 from cactusledge.programs.router import LocalPrograms
 from cactusledge.programs.views import CallArgs, HistoryEntry, OpenArgs
 from cactusledge.settings.follower import ConfigFollower
+from cactusledge.telemetry.traces import Traces
 
 
 class NoRoomError(CactusledgeError):
@@ -38,6 +40,7 @@
     grants: GrantDesk
     held: HeldStore
     config: ConfigFollower
+    traces: Traces
     want_log: Callable[[str], None]  # called for a log without an owner
 
 
@@ -56,8 +59,24 @@
     def forward_call(self, call: peer.ForwardedCall) -> peer.CallHandle:
         """Starts, joins or re-reads a call."""
         args = msgspec.json.decode(call.document, type=CallArgs)
+        with self._parts.traces.span(
+            'forwarded call',
+            call.headers or {},
+            kind=SpanKind.SERVER,
+        ):
+            return self._start_call(call, args)
+
+    def _start_call(
+        self,
+        call: peer.ForwardedCall,
+        args: CallArgs,
+    ) -> peer.CallHandle:
+        headers = self._parts.traces.headers()
+        traceparent = headers.get('traceparent', '')
         _want_log(self._parts, args.program_id)
-        stream = self._parts.programs.call(args)
+        stream = self._parts.programs.call(
+            args._replace(traceparent=traceparent),
+        )
         self._calls.put(call.call_id, stream)
         return peer.CallHandle(call.call_id, self._parts.name)
 
--- a/cactusledge/programs/runner.py
+++ b/cactusledge/programs/runner.py
@@ -1,5 +1,6 @@
 """Runs one call in a worker thread, from its intent to its answer."""
 
+import time
 from collections.abc import Mapping
 from typing import Any, Protocol
 
@@ -13,6 +14,7 @@
 from cactusledge.programs.tasks import CallTask
 from cactusledge.protocol.errors import FencedError
 from cactusledge.telemetry.logs import get_logger
+from cactusledge.telemetry.metrics import Metrics
 from cactusledge.telemetry.traces import Traces
 
 INTENT_WAIT_S = 5.0
@@ -47,15 +49,18 @@
         senders: Mapping[CallKind, Sender],
         durability: Durability,
         traces: Traces,
+        metrics: Metrics,
     ) -> None:
         """Keeps the senders and what waits for the journal."""
         self._senders = senders
         self._durability = durability
         self._traces = traces
+        self._metrics = metrics
 
     def run(self, task: CallTask) -> None:
         """Runs the call; its stream always ends with an answer."""
         parent = {'traceparent': task.traceparent} if task.traceparent else None
+        began_s = time.monotonic()
         with self._traces.span(
             f'{task.spec.kind} call',
             parent,
@@ -65,6 +70,7 @@
             sent = self._send(task)
             answer = self._record(task, sent)
         task.stream.finish(answer)
+        self._measure(task, answer, time.monotonic() - began_s)
 
     def _send(self, task: CallTask) -> Sent:
         try:
@@ -72,7 +78,7 @@
                 _await_intent(task)
             return self._senders[task.spec.kind].send(
                 task,
-                self._headers(task),
+                _headers(task),
             )
         except CactusledgeError as exc:
             log.info('Call failed.', code=str(exc.code), reason=exc.message)
@@ -103,12 +109,25 @@
         answer: Answer = recorded.reply
         return answer._replace(durable=durable)
 
-    def _headers(self, task: CallTask) -> dict[str, str]:
-        return {
-            **self._traces.headers(),
-            'X-Program-Id': task.spec.program_id,
-            'X-Sequence': str(task.spec.seq),
-        }
+    def _measure(self, task: CallTask, answer: Answer, spent_s: float) -> None:
+        metrics = self._metrics
+        kind = str(task.spec.kind)
+        metrics.add('calls_total', kind=kind, outcome=str(answer.outcome))
+        metrics.observe('call_seconds', spent_s, kind=kind)
+        program = task.program.name
+        metrics.add('spent_units_total', answer.spent, program=program)
+        if task.spec.kind is CallKind.MODEL:
+            usage = answer.usage
+            model = task.spec.target
+            metrics.add('prompt_tokens_total', usage.prompt_tokens, model=model)
+            metrics.add('cached_tokens_total', usage.cached_tokens, model=model)
+
+
+def _headers(task: CallTask) -> dict[str, str]:
+    return {
+        'X-Program-Id': task.spec.program_id,
+        'X-Sequence': str(task.spec.seq),
+    }
 
 
 def _await_intent(task: CallTask) -> None:
--- a/cactusledge/programs/sending.py
+++ b/cactusledge/programs/sending.py
@@ -6,6 +6,8 @@
 from http import HTTPStatus
 from typing import Any, NamedTuple, Protocol, Self
 
+from opentelemetry.trace import SpanKind
+
 from cactusledge.endpoints.engine import EngineClient, Finished
 from cactusledge.endpoints.errors import EndpointError
 from cactusledge.endpoints.service import ServiceAnswer, ServiceClient
@@ -20,6 +22,7 @@
 from cactusledge.programs.prompt import history_messages
 from cactusledge.programs.tasks import CallTask
 from cactusledge.settings.configuration import Operation
+from cactusledge.telemetry.traces import Traces
 
 MAX_ATTEMPTS = 4
 STATUS_TIMEOUT_S = 5.0
@@ -108,8 +111,10 @@
         routing: Routing,
         engines: EngineClient,
         units_per_token: Callable[[str], int],
+        traces: Traces,
     ) -> None:
         """Keeps the routing, the client and the price of a model's token."""
+        self._traces = traces
         self._routing = routing
         self._engines = engines
         self._units_per_token = units_per_token
@@ -148,13 +153,16 @@
             'messages': req.messages,
             'max_tokens': spec.max_output_tokens,
         }
-        with LeaseUse(self._routing, lease) as use:
+        with (
+            LeaseUse(self._routing, lease) as use,
+            self._traces.span('engine request', kind=SpanKind.CLIENT),
+        ):
             for event in self._engines.stream(
                 lease.endpoint,
                 body,
                 request_id=f'{spec.program_id}:{spec.seq}:{uuid.uuid4().hex}',
                 deadline_s=req.task.deadline_s,
-                headers=headers,
+                headers={**headers, **self._traces.headers()},
             ):
                 if isinstance(event, Finished):
                     use.usage = event.usage
@@ -171,8 +179,10 @@
         routing: Routing,
         services: ServiceClient,
         operations: 'OperationLookup',
+        traces: Traces,
     ) -> None:
         """Keeps the routing, the client and the definitions."""
+        self._traces = traces
         self._routing = routing
         self._services = services
         self._operations = operations
@@ -204,7 +214,10 @@
         spec = task.spec
         operation = self._operations(spec)
         timeout_s = time.monotonic() + operation.timeout_s
-        with LeaseUse(self._routing, lease):
+        with (
+            LeaseUse(self._routing, lease),
+            self._traces.span('service request', kind=SpanKind.CLIENT),
+        ):
             return self._services.call(
                 lease.endpoint,
                 spec.operation,
@@ -212,7 +225,7 @@
                 idempotent=spec.idempotent,
                 key=service_key(spec),
                 deadline_s=min(task.deadline_s, timeout_s),
-                headers=headers,
+                headers={**headers, **self._traces.headers()},
             )
 
     def _settle(
--- a/model/batches.py
+++ b/model/batches.py
@@ -45,7 +45,9 @@
         ledger.restore({PROGRAM: program}, {PROGRAM: base})
     carried = ledger.carry(number, 0)
     folded = [
-        record for record in records if not isinstance(record, (rec.Seal, rec.Void))
+        record
+        for record in records
+        if not isinstance(record, (rec.Seal, rec.Void))
     ]
     ledger.fold(number, folded)
     oldest = ledger.oldest(number)
--- a/model/driving.py
+++ b/model/driving.py
@@ -32,7 +32,9 @@
 ]
 
 
-def driving_moves(scenario: Scenario, world: World, index: int) -> Iterator[Move]:
+def driving_moves(
+    scenario: Scenario, world: World, index: int
+) -> Iterator[Move]:
     """Yields what an instance may do with its program."""
     instance = world.instances[index]
     state = instance.journal
@@ -67,7 +69,10 @@
     left = world.left._replace(takeovers=world.left.takeovers - 1)
     world = replace_instance(world, index, instance)._replace(left=left)
     seal = rec.Seal(owner, listed.ring.owner)
-    yield f'i{index} lists and seals', append(world, index, (seal,), Step.SEALING)
+    yield (
+        f'i{index} lists and seals',
+        append(world, index, (seal,), Step.SEALING),
+    )
 
 
 def _early_moves(world: World, index: int) -> Iterator[Move]:
@@ -86,9 +91,10 @@
         state, _ = journal.step(instance.journal, msg.GiveUp(VOID))
         left = world.left._replace(give_ups=world.left.give_ups - 1)
         changed = instance._replace(journal=state)
-        yield f'i{index} gives up', replace_instance(
-            world, index, changed
-        )._replace(left=left)
+        yield (
+            f'i{index} gives up',
+            replace_instance(world, index, changed)._replace(left=left),
+        )
 
 
 def may_send_early(running: CallState) -> bool:
--- a/tests/test_api_contract.py
+++ b/tests/test_api_contract.py
@@ -14,6 +14,8 @@
 from cactusledge.programs.call_stream import CallStream
 from cactusledge.programs.errors import no_such_program, platform_down
 from cactusledge.programs.views import ProgramView
+from cactusledge.telemetry.metrics import Metrics
+from cactusledge.telemetry.traces import Traces
 from standins.deployment import LOOPBACK, ROOT, free_port
 
 TOKEN = 'token-1'
@@ -94,6 +96,8 @@
         find_account={TOKEN: 'buyers'}.get,
         request_timeout_s=1,
         openapi=OPENAPI,
+        metrics=Metrics(),
+        traces=Traces(instance='entry-1', data_centre='bole'),
     )
     address = Address(LOOPBACK, free_port())
     server = ApiServer(address, ApiApp(ctx, LIMITS.max_body_bytes), LIMITS)
