Check the publisher's decisions in every interleaving

Cause: the table of faults covers chosen orders only, while a late write may land at any moment. Ruled out: a copy of the decisions in the model; it calls settings.head. Change: an explicit-state check of racing publishers with late writes and lost answers, and a wrong variant that it has to refute. Conclusion: the read-back by nonce gives a true verdict or none.

--- /dev/null
+++ b/tests/test_publish_model.py
@@ -0,0 +1,209 @@
+"""Checks every interleaving of racing publishers, late and lost writes.
+
+The model drives the functions that the publisher itself uses. A write may
+land at any time after it was sent, also after its publisher gave up waiting;
+an answer may be lost; a publisher may stop for good in any state.
+"""
+
+from collections.abc import Callable, Iterator
+from functools import partial
+from types import MappingProxyType
+from typing import NamedTuple
+
+import pytest
+from minicheck import Protocol, check_safety
+
+from cactusledge.settings.head import (
+    Draft,
+    Head,
+    PublishStep,
+    Settlement,
+    decide_publish,
+    next_head,
+    settle,
+)
+
+SCENARIOS = ((2, 2), (2, 3), (3, 1))  # publishers, sends of each
+ENDED = frozenset(('won', 'lost', 'unsettled'))
+AFTER_SETTLEMENT = MappingProxyType({
+    Settlement.PUBLISHED: 'won',
+    Settlement.LOST: 'lost',
+    Settlement.REPEAT: 'ready',
+    Settlement.UNDECIDED: 'unsettled',
+})
+
+
+class Operator(NamedTuple):
+    """One publisher and what it knows."""
+
+    nonce: str
+    phase: str = 'idle'
+    base: int = 0  # version of the head that it read
+    mine: Head | None = None
+    sends_left: int = 1
+    in_doubt: bool = False
+
+
+class Write(NamedTuple):
+    """One write under way."""
+
+    base: int
+    head: Head
+    number: int  # tells the sends of its publisher apart
+
+
+class State(NamedTuple):
+    """The head's object, writes under way and all publishers."""
+
+    head: Head | None
+    version: int
+    accepted: tuple[str, ...]  # nonces in the order of taking effect
+    flying: frozenset[Write]
+    operators: tuple[Operator, ...]
+
+
+Steps = Iterator[tuple[str, State]]
+OnConflict = Callable[[Operator], str]
+
+
+def on_conflict(operator: Operator) -> str:
+    """What the publisher does: a conflict is certain only without doubt."""
+    return 'doubt' if operator.in_doubt else 'lost'
+
+
+def conflict_is_loss(operator: Operator) -> str:
+    """A wrong variant, which the model has to refute."""
+    return 'lost'
+
+
+def replace(state: State, place: int, **fields) -> State:
+    operators = list(state.operators)
+    operators[place] = operators[place]._replace(**fields)
+    return state._replace(operators=tuple(operators))
+
+
+def read_first(state: State, place: int) -> Steps:
+    nonce = state.operators[place].nonce
+    if decide_publish(state.head, nonce, None) is PublishStep.WRITE:
+        mine = next_head(state.head, Draft(nonce, nonce, (), nonce, ''))
+        yield (
+            'read',
+            replace(state, place, phase='ready', base=state.version, mine=mine),
+        )
+
+
+def send(state: State, place: int) -> Steps:
+    operator = state.operators[place]
+    if not operator.sends_left:
+        yield 'give up', replace(state, place, phase='unsettled')
+        return
+    write = Write(operator.base, operator.mine, operator.sends_left)
+    sent = replace(state, place, phase='waiting', sends_left=write.number - 1)
+    yield 'send', sent._replace(flying=state.flying | {write})
+
+
+def stop_waiting(state: State, place: int) -> Steps:
+    yield 'time out', replace(state, place, phase='doubt', in_doubt=True)
+
+
+def read_back(state: State, place: int) -> Steps:
+    settlement = settle(state.operators[place].mine, state.head)
+    phase = AFTER_SETTLEMENT[settlement]
+    yield 'read back', replace(state, place, phase=phase)
+
+
+STEPS = MappingProxyType({
+    'idle': read_first,
+    'ready': send,
+    'waiting': stop_waiting,
+    'doubt': read_back,
+})
+
+
+def land(state: State, write: Write, conflict: OnConflict) -> Steps:
+    taken = write.base == state.version
+    after = state._replace(flying=state.flying - {write})
+    if taken:
+        after = after._replace(
+            head=write.head,
+            version=state.version + 1,
+            accepted=(*state.accepted, write.head.nonce),
+        )
+    yield 'land, answer lost', after
+    for place, operator in enumerate(state.operators):
+        if is_waiting_for(operator, write):
+            phase = 'won' if taken else conflict(operator)
+            yield 'land, answered', replace(after, place, phase=phase)
+
+
+def is_waiting_for(operator: Operator, write: Write) -> bool:
+    sent = (operator.mine, operator.sends_left + 1)
+    return operator.phase == 'waiting' and sent == write[1:]
+
+
+def transitions(conflict: OnConflict, state: State) -> list:
+    found = []
+    for place, operator in enumerate(state.operators):
+        if operator.phase not in ENDED:
+            found.extend(STEPS[operator.phase](state, place))
+    for write in state.flying:
+        found.extend(land(state, write, conflict))
+    return found
+
+
+def nothing_lost_took_effect(state) -> bool:
+    return all(
+        operator.nonce not in state['accepted']
+        for operator in state['operators']
+        if operator.phase == 'lost'
+    )
+
+
+def all_won_took_effect(state) -> bool:
+    return all(
+        operator.nonce in state['accepted']
+        for operator in state['operators']
+        if operator.phase == 'won'
+    )
+
+
+def one_head_a_generation(state) -> bool:
+    accepted = state['accepted']
+    generation = state['head'].generation if state['head'] else 0
+    unique = len(set(accepted)) == len(accepted)
+    return unique and generation == len(accepted) == state['version']
+
+
+def check(operators: int, sends: int, conflict: OnConflict):
+    initial = State(
+        None,
+        0,
+        (),
+        frozenset(),
+        tuple(Operator(nonce, sends_left=sends) for nonce in 'abc'[:operators]),
+    )
+    model = Protocol(
+        name='publish',
+        candidate=False,
+        fields=State._fields,
+        initial=initial,
+        transitions=partial(transitions, conflict),
+        invariants={
+            'lost': nothing_lost_took_effect,
+            'won': all_won_took_effect,
+            'generation': one_head_a_generation,
+        },
+    )
+    return check_safety(model)
+
+
+@pytest.mark.parametrize(('operators', 'sends'), SCENARIOS)
+def test_a_publishers_verdict_is_true_in_every_interleaving(operators, sends):
+    checked = check(operators, sends, on_conflict)
+    assert all(verdict['holds'] for verdict in checked['properties'].values())
+
+
+def test_taking_every_conflict_for_a_loss_is_refuted():
+    checked = check(2, 2, conflict_is_loss)
+    assert not checked['properties']['lost']['holds']
+    assert checked['properties']['generation']['holds']
