--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -19,7 +19,8 @@
     member_state,
 )
 from cactusledge.programs.peer_handler import EntryPeerHandler, HandlerParts
-from cactusledge.programs.reporting import Identity, StatusReporter
+from cactusledge.settings.peer_reports import reported_peers
+from cactusledge.settings.reporter import StatusReporter
 from cactusledge.telemetry.logs import get_logger
 
 PEER_TIMEOUT_S = 5.0
@@ -49,8 +50,7 @@
         names = self.programs.table.names()
         for key, data in member_state(names, generation).items():
             self.membership.set_state(key, data)
-        if self.reporter.is_due(generation):
-            self.base.workers.submit(self.reporter.report, generation)
+        self.base.workers.submit(self.reporter.tick)
         newest = max(map(generation_of, self.membership.alive()), default=0)
         if newest > generation:
             self._fetch_config(generation)
@@ -69,7 +69,12 @@
     def _find_peers(self) -> None:
         """Adds the instances that reported to the platform as seeds."""
         try:
-            self.membership.add_seeds(self.reporter.peers())
+            found = reported_peers(
+                self.base.store,
+                self.base.name,
+                time.time(),
+            )
+            self.membership.add_seeds(found)
         except CactusledgeError as exc:
             log.info('Peers not listed.', reason=exc.message)
 
@@ -136,13 +141,11 @@
     )
     reporter = StatusReporter(
         base.store,
-        Identity(
-            base.name,
-            base.data_centre,
-            base.settings.listen.api,
-            base.settings.listen.peers,
-        ),
-        time.time,
+        instance=base.name,
+        data_centre=base.data_centre,
+        generation=lambda: base.config.current().generation,
+        now=time.time,
+        peers=str(base.settings.listen.peers),
     )
     return PeersPart(
         server,
--- a/cactusledge/assembly/routing.py
+++ b/cactusledge/assembly/routing.py
@@ -79,8 +79,7 @@
 
 
 def _fixed_endpoints(base: Base) -> tuple[Endpoint, ...]:
-    by_service = base.config.current().endpoints
-    return tuple(one for group in by_service.values() for one in group)
+    return base.config.current().fixed_endpoints()
 
 
 def _set_engines(
--- a/cactusledge/programs/peer_handler.py
+++ b/cactusledge/programs/peer_handler.py
@@ -8,6 +8,7 @@
 
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.peers import messages as peer
+from cactusledge.programs.call_stream import CallStream
 from cactusledge.programs.forwarded import ForwardedCalls
 from cactusledge.programs.grants import GrantDesk
 from cactusledge.programs.held import HeldStore
@@ -64,19 +65,7 @@
             call.headers or {},
             kind=SpanKind.SERVER,
         ):
-            return self._start_call(call, args)
-
-    def _start_call(
-        self,
-        call: peer.ForwardedCall,
-        args: CallArgs,
-    ) -> peer.CallHandle:
-        headers = self._parts.traces.headers()
-        traceparent = headers.get('traceparent', '')
-        _want_log(self._parts, args.program_id)
-        stream = self._parts.programs.call(
-            args._replace(traceparent=traceparent),
-        )
+            stream = _start_call(self._parts, args)
         self._calls.put(call.call_id, stream)
         return peer.CallHandle(call.call_id, self._parts.name)
 
@@ -161,3 +150,10 @@
     name = log_of(program_id)
     if not parts.programs.drives(name):
         parts.want_log(name)
+
+
+def _start_call(parts: HandlerParts, args: CallArgs) -> CallStream:
+    """Starts, joins or re-reads a call within the current span."""
+    traceparent = parts.traces.headers().get('traceparent', '')
+    _want_log(parts, args.program_id)
+    return parts.programs.call(args._replace(traceparent=traceparent))
--- /dev/null
+++ b/cactusledge/settings/peer_reports.py
@@ -0,0 +1,46 @@
+"""Where instances listen for each other, from their reports."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cactusledge.models import Address
+from cactusledge.settings.rollout import STATUS_KIND, StatusBody
+from cactusledge.settings.strict import parse_address
+
+if TYPE_CHECKING:
+    from cactusledge.platform.store import ObjectStore
+
+FRESH_S = 120.0
+
+
+def reported_peers(
+    store: 'ObjectStore',
+    instance: str,
+    now_s: float,
+) -> tuple[Address, ...]:
+    """Returns where the other instances listened at their last report.
+
+    Args:
+        store: The platform.
+        instance: Name of this instance, which is left out.
+        now_s: The time; reports much older are left out.
+    """
+    found = store.list(STATUS_KIND).items
+    return tuple(
+        parse_address(address)
+        for one in found
+        if one.name != instance
+        for address in _address(one.body, now_s)
+    )
+
+
+def _address(document: object, now_s: float) -> tuple[str, ...]:
+    """Returns the address in a report, none if it is old or not valid."""
+    try:
+        body = msgspec.convert(document, StatusBody)
+    except msgspec.ValidationError:
+        return ()
+    is_fresh = now_s - body.get('reported_at', 0) <= FRESH_S
+    address = body.get('peers', '')
+    return (address,) if is_fresh and address else ()
--- a/cactusledge/settings/reporter.py
+++ b/cactusledge/settings/reporter.py
@@ -32,8 +32,13 @@
         data_centre: str,
         generation: Callable[[], int],
         now: Callable[[], float],
+        peers: str = '',
     ) -> None:
-        """Keeps whom to report and where the generation is read from."""
+        """Keeps whom to report and where the generation is read from.
+
+        `peers` is where other instances reach this one, as `host:port`.
+        """
+        self._peers = peers
         self._store = store
         self._instance = instance
         self._data_centre = data_centre
@@ -66,6 +71,7 @@
             'data_centre': self._data_centre,
             'generation': generation,
             'reported_at': self._now(),
+            'peers': self._peers,
         }
 
     def _write(self, body: StatusBody) -> None:
--- a/cactusledge/settings/rollout.py
+++ b/cactusledge/settings/rollout.py
@@ -16,6 +16,7 @@
     instance: NotRequired[str]
     data_centre: NotRequired[str]
     reported_at: NotRequired[float]  # seconds since the epoch
+    peers: NotRequired[str]  # where other instances reach it, host:port
 
 
 class Report(NamedTuple):
--- a/tests/test_traces_process.py
+++ b/tests/test_traces_process.py
@@ -32,15 +32,14 @@
             started.start_entry(name, 'bole', seeds, traces=traces)
             seeds = [started.peers_port('entry-1')]
         started.wait_ready(*ENTRIES)
-        wait_until(
-            lambda: all(
-                started.get(one, '/status')['peers'] for one in ENTRIES
-            ),
-            'instances see each other',
-        )
+        wait_until(lambda: see_each_other(started), 'a second instance')
         yield started
 
 
+def see_each_other(started):
+    return all(started.get(one, '/status')['peers'] for one in ENTRIES)
+
+
 def spans_of(path):
     lines = path.read_text().splitlines()
     spans = [json.loads(line) for line in lines]
@@ -72,11 +71,10 @@
     assert answer['outcome'] == 'RAN'
     requests = deployed.get('engine-1', '/records')['requests']
     assert TRACE_ID in requests[0]['traceparent']
-    for name in ENTRIES:
-        assert deployed.stop(name) == 0
+    assert not any([deployed.stop(entry) for entry in ENTRIES])
     hops = {
-        name: {span['name'].split('/')[-1] for span in spans_of(path)}
-        for name, path in (
+        role: {span['name'].split('/')[-1] for span in spans_of(path)}
+        for role, path in (
             ('api', tmp_path / f'{other}.spans'),
             ('driver', tmp_path / f'{driver}.spans'),
         )
