--- a/cactusledge/endpoints/asking.py
+++ b/cactusledge/endpoints/asking.py
@@ -3,7 +3,10 @@
 from contextlib import closing
 from typing import Any, NamedTuple
 
-from cactusledge.endpoints.errors import EndpointRejectedError
+from cactusledge.endpoints.errors import (
+    EndpointFailedError,
+    EndpointRejectedError,
+)
 from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.endpoints.transport import Exchange, Outgoing, Waits, send
 from cactusledge.models import Endpoint
@@ -33,8 +36,12 @@
     ) -> Any:
         """Returns the document of the answer, which must be of status 200."""
         waits = Waits(deadline_s, self.connect_s, self.silence_s)
-        with self.pools.shared(endpoint.address) as pool:
-            reply = _whole(send(pool, endpoint, request, waits))
+        try:
+            with self.pools.shared(endpoint.address) as pool:
+                reply = _whole(send(pool, endpoint, request, waits))
+        except EndpointFailedError:
+            self.pools.evict(endpoint.address)
+            raise
         if reply.status == HTTP_OK:
             return reply.document
         raise EndpointRejectedError(
--- a/cactusledge/endpoints/service.py
+++ b/cactusledge/endpoints/service.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from contextlib import AbstractContextManager, closing
+from math import inf
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
@@ -23,7 +24,7 @@
     """Limits on the waits of a call, in seconds."""
 
     connect_s: float = 1
-    silence_s: float = 30
+    silence_s: float = inf  # services answer when they are done
 
 
 DEFAULT_LIMITS = ServiceLimits()
--- a/cactusledge/endpoints/streams.py
+++ b/cactusledge/endpoints/streams.py
@@ -101,7 +101,7 @@
             {**request.headers, REQUEST_ID_HEADER: request.request_id},
             {**request.body, 'stream': True},
         )
-        with self._pools.shared(self._endpoint.address) as pool:
+        with self._pools.fresh(self._endpoint.address) as pool:
             exchange = send(pool, self._endpoint, outgoing, self._waits())
             with closing(exchange):
                 yield from self._read(exchange)
--- a/cactusledge/endpoints/transport.py
+++ b/cactusledge/endpoints/transport.py
@@ -17,6 +17,7 @@
 )
 
 from cactusledge.endpoints import failures
+from cactusledge.endpoints.connections import EndpointConnection
 from cactusledge.endpoints.errors import EndpointError, EndpointFailedError
 from cactusledge.models import Endpoint
 
@@ -121,9 +122,8 @@
         if left_s <= SHORTEST_WAIT_S:
             raise failures.too_late(self.endpoint)
         conn = self.response.connection
-        sock = getattr(conn, 'sock', None)
-        if sock is not None:
-            sock.settimeout(min(left_s, self.waits.silence_s))
+        if isinstance(conn, EndpointConnection) and conn.last_socket:
+            conn.last_socket.settimeout(min(left_s, self.waits.silence_s))
 
 
 def send(
