--- a/tests/test_endpoints_assembly.py
+++ b/tests/test_endpoints_assembly.py
@@ -3,6 +3,8 @@
 from types import MappingProxyType
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cactusledge.endpoints.assembly import Assembly, ForeignChunkError
 from cactusledge.endpoints.streams import LINE_LIMIT_BYTES, data_lines
@@ -91,3 +93,27 @@
 )
 def test_data_lines(pieces, expected):
     assert list(data_lines(iter(pieces))) == expected
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    order=st.permutations(range(6)),
+    doubled=st.lists(st.integers(0, 5)),
+    dropped=st.sets(st.integers(0, 5), max_size=2),
+)
+def test_answer_is_whole_or_not_at_all(order, doubled, dropped):
+    assembly = Assembly('r')
+    arriving = [*order, *doubled]
+    documents = [
+        *(
+            chunk(str(index), index)
+            for index in arriving
+            if index not in dropped
+        ),
+        chunk(None, 6, 'stop'),
+    ]
+    chunks = [piece for one in documents for piece in assembly.take(one)]
+    expected = '012345'[: min(dropped, default=6)]
+    assert [piece.index for piece in chunks] == list(range(len(expected)))
+    assert assembly.text == expected
+    assert (assembly.finished() is None) == bool(dropped)
