--- a/cactusledge/peers/gossip.py
+++ b/cactusledge/peers/gossip.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from cactusledge.peers import rendezvous
 from cactusledge.peers.liveness import (
     SMALL_MEMBERSHIP,
     LiveMembers,
@@ -94,14 +95,23 @@
 ) -> Heartbeat:
     """Returns the heartbeat for a peer; a new contact also gets our view."""
     near, far = split(state, state.live(now_s).members)
-    first = state.turn * FAR_SLICE % max(1, len(far))
-    far_slice = (far[first:] + far[:first])[:FAR_SLICE]
     members = () if peer in state.table else (state.me,)
-    return Heartbeat(
-        state.me.name,
-        members,
-        tuple(digest_of(view) for view in (state.me, *near, *far_slice)),
+    digest = [Member(state.me, now_s).digest_at(now_s)]
+    digest.extend(
+        state.table[view.name].digest_at(now_s)
+        for view in (*near, *slice_of(state, far))
     )
+    return Heartbeat(state.me.name, members, tuple(digest))
+
+
+def slice_of(
+    state: GossipState,
+    far: tuple[MemberView, ...],
+) -> tuple[MemberView, ...]:
+    """Returns the far members whose turn it is; peers differ in theirs."""
+    offset = rendezvous.weight('slice', state.me.name)
+    first = (offset + state.turn * FAR_SLICE) % max(1, len(far))
+    return (far[first:] + far[:first])[:FAR_SLICE]
 
 
 def receive(
@@ -117,7 +127,7 @@
         live = state.live(now_s).members
         views = tuple(one for one in live if one.name != message.sender)
         return Exchange(state, HeartbeatReply(views, (), wanted))
-    views, progress = newer_than(whole, message.digest)
+    views, progress = newer_than(whole, message.digest, now_s)
     return Exchange(state, HeartbeatReply(views, progress, wanted))
 
 
@@ -228,8 +238,3 @@
     near = tuple(view for view in others if is_near(view, centre, total))
     far = tuple(view for view in others if not is_near(view, centre, total))
     return near, far
-
-
-def digest_of(view: MemberView) -> MemberDigest:
-    """Returns the digest of a view."""
-    return Member(view, 0).digest
--- a/cactusledge/peers/messages.py
+++ b/cactusledge/peers/messages.py
@@ -29,6 +29,7 @@
     incarnation: int
     counter: int
     version: int
+    age_ms: int = 0  # since the counter grew, as far as the sender knows
 
 
 class Heartbeat(NamedTuple):
--- a/cactusledge/peers/peers.thrift
+++ b/cactusledge/peers/peers.thrift
@@ -32,12 +32,16 @@
   9: optional map<string, binary> state,
 }
 
-/** Which view of a member the sender holds; a newer counter counts as seen. */
+/**
+ * Which view of a member the sender holds, and how long ago its counter grew
+ * as far as the sender knows.
+ */
 struct MemberDigest {
   1: required string name,
   2: required i64 incarnation,
   3: required i64 counter,
   4: required i32 version,
+  5: required i32 age_ms,
 }
 
 struct Heartbeat {
--- a/cactusledge/peers/thrift/ttypes.py
+++ b/cactusledge/peers/thrift/ttypes.py
@@ -360,22 +360,25 @@
 
 class MemberDigest(object):
     """
-    Which view of a member the sender holds; a newer counter counts as seen.
+    Which view of a member the sender holds, and how long ago its counter grew
+    as far as the sender knows.
 
     Attributes:
      - name
      - incarnation
      - counter
      - version
+     - age_ms
 
     """
 
 
-    def __init__(self, name=None, incarnation=None, counter=None, version=None,):
+    def __init__(self, name=None, incarnation=None, counter=None, version=None, age_ms=None,):
         self.name = name
         self.incarnation = incarnation
         self.counter = counter
         self.version = version
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -406,6 +409,11 @@
                     self.version = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -432,6 +440,10 @@
             oprot.writeFieldBegin('version', TType.I32, 4)
             oprot.writeI32(self.version)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -444,6 +456,8 @@
             raise TProtocolException(message='Required field counter is unset!')
         if self.version is None:
             raise TProtocolException(message='Required field version is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
         return
 
     def __repr__(self):
@@ -2045,6 +2059,7 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.I64, 'counter', None, None, ),  # 3
     (4, TType.I32, 'version', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/cactusledge/peers/view.py
+++ b/cactusledge/peers/view.py
@@ -11,6 +11,9 @@
 
 from cactusledge.peers.messages import MemberDigest, MemberView
 
+MS_PER_S = 1000
+LONGEST_AGE_MS = 3_600_000
+
 
 class Member(NamedTuple):
     """A member's view, and when it last made progress by our clock."""
@@ -18,15 +21,16 @@
     view: MemberView
     progress_at_s: float
 
-    @property
-    def digest(self) -> MemberDigest:
-        """Which view this is."""
+    def digest_at(self, now_s: float) -> MemberDigest:
+        """Returns which view this is and how old its progress is."""
         view = self.view
+        age_s = max(0, now_s - self.progress_at_s)
         return MemberDigest(
             view.name,
             view.incarnation,
             view.counter,
             view.version,
+            min(LONGEST_AGE_MS, round(age_s * MS_PER_S)),
         )
 
 
@@ -79,21 +83,22 @@
             wanted.append(digest.name)
         elif known is not None:
             counted = with_counter(known.view, digest)
-            merged[digest.name] = progressed(known, counted, now_s)
+            grew_s = now_s - max(0, digest.age_ms) / MS_PER_S
+            merged[digest.name] = progressed(known, counted, grew_s)
     return Absorbed(merged, tuple(wanted))
 
 
 def progressed(
     known: Member | None,
     view: MemberView,
-    now_s: float,
+    grew_s: float,
 ) -> Member:
     """Returns the member after a view; progress is a newer counter."""
     if known is None:
-        return Member(view, now_s)
+        return Member(view, grew_s)
     merged = merge(known.view, view)
     if clock_of(merged) > clock_of(known.view):
-        return Member(merged, now_s)
+        return Member(merged, max(known.progress_at_s, grew_s))
     return known._replace(view=merged)
 
 
@@ -106,8 +111,7 @@
     """Returns whether the digest names a view with news beyond progress."""
     if known is None:
         return True
-    held = (known.view.incarnation, known.view.version)
-    return held < (digest.incarnation, digest.version)
+    return content_clock(known.view) < content_clock(digest)
 
 
 def with_counter(view: MemberView, digest: MemberDigest) -> MemberView:
@@ -120,6 +124,7 @@
 def newer_than(
     table: Table,
     digests: Iterable[MemberDigest],
+    now_s: float,
 ) -> tuple[tuple[MemberView, ...], tuple[MemberDigest, ...]]:
     """Returns the views, or just digests, newer than those of the sender."""
     pairs = [
@@ -130,17 +135,17 @@
     views = tuple(
         known.view
         for known, digest in pairs
-        if content_clock(known.digest) > content_clock(digest)
+        if content_clock(known.view) > content_clock(digest)
     )
     progress = tuple(
-        known.digest
+        known.digest_at(now_s)
         for known, digest in pairs
-        if content_clock(known.digest) == content_clock(digest)
+        if content_clock(known.view) == content_clock(digest)
         and known.view.counter > digest.counter
     )
     return views, progress
 
 
-def content_clock(digest: MemberDigest) -> tuple[int, int]:
+def content_clock(item: MemberView | MemberDigest) -> tuple[int, int]:
     """Returns what grows with each change of a member's contents."""
-    return digest.incarnation, digest.version
+    return item.incarnation, item.version
--- a/tests/test_peers_contract.py
+++ b/tests/test_peers_contract.py
@@ -27,7 +27,7 @@
 CALL = msg.ForwardedCall('c', 'bole-p', 1, 'me', 2.5, b'\xff{}', {'a': 'b'})
 VIEW = msg.MemberView('n', '::1', 1, 'bole', 2**41, 3, 1, leaving=True)
 STATED = VIEW._replace(name='s', state={'g': b'\0\xff'})
-DIGEST = msg.MemberDigest('n', 2**41, 3, 1)
+DIGEST = msg.MemberDigest('n', 2**41, 3, 1, 700)
 GRANT = msg.GrantRequest('j', 'group', 'me', b'{}', 50)
 
 EXCHANGES = (
