Test the watcher, the outage state and the request budget

Cause: the watcher must neither miss a change nor trust a silent stream. Ruled out: expecting a new list while a watch opened before the outage still delivers; the first form of the test did, and failed against an answer of 503 alone, where the open watch rightly went on. It also raced the opening of the watch. Both are replaced: the watch is known to be open, and a start during an outage has a test of its own. Change: tests against the stand-in and a scripted store. Conclusion: a change made during silence or an outage arrives with a new list.

--- /dev/null
+++ b/tests/test_platform_follow.py
@@ -0,0 +1,205 @@
+"""Watcher, outage state and request budget."""
+
+import queue
+
+import pytest
+
+from cactusledge.errors import StoreUnavailableError, StoreVersionGoneError
+from cactusledge.platform import outage
+from cactusledge.platform.budget import Bucket, Rate, take
+from cactusledge.platform.errors import StoreSilentError
+from cactusledge.platform.store import (
+    ADDED,
+    BOOKMARK,
+    ObjectList,
+    StoredObject,
+    WatchEvent,
+)
+from cactusledge.platform.watcher import Watcher, WatchTarget
+from standins.platform import PlatformStandin
+from standins.platform_limits import Limits
+
+KIND = 'configheads'
+WAIT_S = 20
+SILENCE_S = 0.3
+
+
+class Sink:
+    """Queues what a watcher delivers."""
+
+    def __init__(self):
+        self.items = queue.SimpleQueue()
+
+    def on_snapshot(self, listed):
+        """Queues the names of a snapshot."""
+        self.items.put(('snapshot', [found.name for found in listed.items]))
+
+    def on_event(self, event):
+        """Queues the event's type and name."""
+        self.items.put((event.type, event.object.name))
+
+    def on_failure(self, exc):
+        """Queues the kind of failure."""
+        self.items.put(('failure', type(exc)))
+
+    def wait_for(self, item):
+        """Returns what came before the item, and the item."""
+        seen = []
+        while item not in seen:
+            seen.append(self.items.get(timeout=WAIT_S))
+        return seen
+
+
+class ScriptedStore:
+    """Plays lists and watches from a script; then blocks."""
+
+    def __init__(self, *watches):
+        self.watches = list(watches)
+        self.versions = []
+        self.over = queue.SimpleQueue()
+
+    def list(self, kind, prefix=''):
+        """Returns an empty list."""
+        return ObjectList((), '1')
+
+    def watch(self, kind, version, timeout_s, prefix=''):
+        """Plays the next watch."""
+        self.versions.append(version)
+        if not self.watches:
+            self.over.put(None)
+            raise StoreUnavailableError('Over.', remedy='None.')
+        for step in self.watches.pop(0):
+            if isinstance(step, Exception):
+                raise step
+            yield step
+
+
+def event(kind, version):
+    return WatchEvent(kind, StoredObject(KIND, 'a', version, {}))
+
+
+@pytest.fixture
+def sink():
+    return Sink()
+
+
+@pytest.fixture
+def standin():
+    with PlatformStandin(limits=Limits(bookmark_s=0.05)) as platform:
+        yield platform
+
+
+@pytest.fixture
+def watcher(standin, sink):
+    store = standin.store(timeout_s=SILENCE_S, silence_s=SILENCE_S)
+    follower = Watcher(store, WatchTarget(KIND, timeout_s=1), sink)
+    follower.start()
+    yield follower
+    follower.stop(WAIT_S)
+
+
+def test_changes_arrive_without_listing_again(standin, sink, watcher):
+    sink.wait_for(('snapshot', []))
+    made = standin.app.table.create(KIND, 'a', {})
+    standin.app.table.update(KIND, 'a', {}, made.version)
+    standin.app.table.delete(KIND, 'a')
+    seen = sink.wait_for(('DELETED', 'a'))
+    assert seen == [('ADDED', 'a'), ('MODIFIED', 'a'), ('DELETED', 'a')]
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [{'watch_silent': True}, {'down': 'refuse'}],
+    ids=['silent', 'refused'],
+)
+def test_changes_made_meanwhile_come_with_a_new_list(
+    standin,
+    sink,
+    watcher,
+    faults,
+):
+    sink.wait_for(('snapshot', []))
+    standin.app.table.create(KIND, 'a', {})
+    sink.wait_for(('ADDED', 'a'))  # the watch is open
+    standin.set_faults(**faults)
+    standin.app.table.create(KIND, 'b', {})
+    standin.set_faults()
+    sink.wait_for(('snapshot', ['a', 'b']))
+
+
+def test_following_begins_once_the_platform_answers(standin, sink):
+    standin.set_faults(down='answer')
+    follower = Watcher(standin.store(), WatchTarget(KIND), sink)
+    follower.start()
+    sink.wait_for(('failure', StoreUnavailableError))
+    standin.set_faults()
+    sink.wait_for(('snapshot', []))
+    follower.stop(WAIT_S)
+
+
+@pytest.mark.parametrize(
+    ('watches', 'versions'),
+    [
+        ([[event(ADDED, '5')], [event(BOOKMARK, '8')]], ['1', '5', '8']),
+        (
+            [[event(ADDED, '5'), StoreVersionGoneError('', remedy='')]],
+            ['1', '1'],
+        ),
+        ([[event(ADDED, '5'), StoreSilentError('', remedy='')]], ['1', '1']),
+    ],
+    ids=['timeout', 'version gone', 'silent'],
+)
+def test_where_the_next_watch_begins(sink, watches, versions):
+    store = ScriptedStore(*watches)
+    follower = Watcher(store, WatchTarget(KIND), sink)
+    follower.start()
+    store.over.get(timeout=WAIT_S)
+    follower.stop(WAIT_S)
+    assert store.versions[: len(versions)] == versions
+
+
+def test_an_outage_is_assumed_after_failures_in_a_row():
+    state = outage.OutageState()
+    phases = []
+    for now_s in range(outage.SUSPECT_FAILURES + 1):
+        state = outage.after_failure(state, now_s, jitter=0)
+        phases.append(state.phase)
+    assert phases == [
+        outage.Phase.SUSPECT,
+        outage.Phase.SUSPECT,
+        outage.Phase.DOWN,
+        outage.Phase.DOWN,
+    ]
+    assert state.since_s == 2
+    assert not state.is_up
+    assert outage.after_success(state, 9) == outage.OutageState(since_s=9)
+
+
+@pytest.mark.parametrize(
+    ('failures', 'jitter', 'backoff_s'),
+    [
+        (1, 0, 0.05),
+        (2, 0, 0.1),
+        (2, 1, 0.05),
+        (9, 0, 2),
+        (10_000, 0, 2),
+    ],
+)
+def test_backoff(failures, jitter, backoff_s):
+    assert outage.backoff_s(failures, jitter) == backoff_s
+
+
+def test_the_wait_that_the_platform_asks_for_is_kept():
+    state = outage.after_failure(outage.OutageState(), 10, 0, retry_after_s=7)
+    assert outage.wait_s(state, 12) == 5
+    assert outage.wait_s(state, 20) == 0
+
+
+def test_a_budget_refills_at_its_rate_up_to_its_burst():
+    rate = Rate(per_s=10, burst=2)
+    bucket = Bucket(2, 0)
+    waits = []
+    for now_s in (0, 0, 0, 0.05, 0.1, 100, 100, 100):
+        bucket, wait_s = take(rate, bucket, now_s)
+        waits.append(f'{wait_s:g}')
+    assert ' '.join(waits) == '0 0 0.1 0.05 0 0 0 0.1'
