--- a/cactusledge/protocol/held.py
+++ b/cactusledge/protocol/held.py
@@ -22,31 +22,37 @@
     seen: frozenset[bytes],
     held: Iterable[rec.ProgramRecord],
 ) -> HeldPlan:
-    """Returns which held records the log lacks.
+    """Returns which held records the log lacks, in the order of their chains.
 
-    A record that stands in the log is skipped. One that does not follow its
-    program's digest chain is rejected, and so is what follows it.
+    A record that stands in the log is skipped, a copy too. One that does not
+    follow its program's digest chain is rejected.
     """
     states = dict(programs)
     missing: list[rec.ProgramRecord] = []
-    rejected: list[rec.ProgramRecord] = []
-    known = set(seen)
-    for record in held:
-        digest = rec.digest_of(record)
-        if digest in known:
-            continue
-        known.add(digest)
-        try:
-            states[record.program_id] = apply(
-                states.get(record.program_id), record
-            )
-        except HistoryError:
-            rejected.append(record)
-        else:
-            missing.append(record)
+    left = [record for record in held if rec.digest_of(record) not in seen]
+    count = -1
+    while count != len(missing):
+        count = len(missing)
+        left = [item for item in left if not _follows(states, item, missing)]
+    known = {rec.digest_of(record) for record in missing}
+    rejected = (item for item in left if rec.digest_of(item) not in known)
     return HeldPlan(tuple(missing), tuple(rejected))
 
 
+def _follows(
+    states: dict[str, ProgramState],
+    record: rec.ProgramRecord,
+    missing: list[rec.ProgramRecord],
+) -> bool:
+    name = record.program_id
+    try:
+        states[name] = apply(states.get(name), record)
+    except HistoryError:
+        return False
+    missing.append(record)
+    return True
+
+
 def split(
     records: Sequence[rec.ProgramRecord],
     limit_bytes: int = MAX_DATA_BYTES,
--- a/cactusledge/protocol/ring.py
+++ b/cactusledge/protocol/ring.py
@@ -50,7 +50,7 @@
 
     def batches(self) -> tuple[Slot, ...]:
         """Returns the slots that hold an append, oldest first."""
-        written = (slot for slot in self.slots if slot.number != EMPTY)
+        written = (slot for slot in self.slots if slot.number > EMPTY)
         return tuple(sorted(written, key=_number))
 
 
--- a/model/appends.py
+++ b/model/appends.py
@@ -32,7 +32,7 @@
             instance.program,
             instance.base,
             state.number,
-            len(state.versions),
+            world.platform.size,
             records,
         )
         event = msg.Append(batch.data, batch.oldest)
@@ -117,21 +117,23 @@
         written = msg.Written(nonce, write.slot.version)
         yield f'i{index} writes {nonce}', advance(done, index, written)
         if world.left.losses:
-            yield f'i{index} writes {nonce}, answer lost', advance(
-                _lose(done), index, lost
+            yield (
+                f'i{index} writes {nonce}, answer lost',
+                advance(_lose(done), index, lost),
             )
     else:
-        yield f'i{index} write {nonce} conflicts', advance(
-            world, index, msg.Conflicted(nonce)
+        yield (
+            f'i{index} write {nonce} conflicts',
+            advance(world, index, msg.Conflicted(nonce)),
         )
     if world.left.losses:
         late = world._replace(platform=plat.delay(world.platform, write))
-        yield f'i{index} write {nonce} delayed', advance(
-            _lose(late), index, lost
+        yield (
+            f'i{index} write {nonce} delayed',
+            advance(_lose(late), index, lost),
         )
 
 
 def _lose(world: World) -> World:
     left = world.left._replace(losses=world.left.losses - 1)
     return world._replace(left=left)
-
--- a/model/batches.py
+++ b/model/batches.py
@@ -6,11 +6,12 @@
 from cactusledge.protocol import records as rec
 from cactusledge.protocol.errors import CorruptRecordError, HistoryError
 from cactusledge.protocol.ledger import Ledger, Retention, rebuild
-from cactusledge.protocol.ring import Ring, Slot, assemble
+from cactusledge.protocol.ring import Ring
 from cactusledge.protocol.state import ProgramState
+from model.platform import Platform, list_log
 from model.world import NEVER_S, PROGRAM
 
-CACHE_SIZE = 1 << 17
+CACHE_SIZE = 100_000
 
 
 class Batch(NamedTuple):
@@ -45,7 +46,9 @@
         ledger.restore({PROGRAM: program}, {PROGRAM: base})
     carried = ledger.carry(number, 0)
     folded = [
-        record for record in records if not isinstance(record, (rec.Seal, rec.Void))
+        record
+        for record in records
+        if not isinstance(record, (rec.Seal, rec.Void))
     ]
     ledger.fold(number, folded)
     oldest = ledger.oldest(number)
@@ -57,17 +60,23 @@
     )
 
 
-def read_log(slots: tuple[Slot, ...]) -> Listed:
-    """Returns what an heir finds in the slots."""
-    return _read_log(tuple(slots))
+def read_log(platform: Platform) -> Listed:
+    """Returns what an heir finds at the platform."""
+    return _read_log(platform._replace(late=frozenset()))
 
 
 @lru_cache(CACHE_SIZE)
-def _read_log(slots: tuple[Slot, ...]) -> Listed:
+def _read_log(platform: Platform) -> Listed:
     try:
-        ring = assemble(slots)
+        ring = list_log(platform)
         ledger = rebuild(ring, Retention(NEVER_S)).ledger
     except (HistoryError, CorruptRecordError) as exc:
         return Listed(None, error=exc.message)
     base = ledger.oldest(ring.next_n)
     return Listed(ring, ledger.programs.get(PROGRAM), base)
+
+
+def clear_caches() -> None:
+    """Forgets all results, as before the functions are patched."""
+    make_batch.cache_clear()
+    _read_log.cache_clear()
--- a/model/calls_model.py
+++ b/model/calls_model.py
@@ -1,15 +1,15 @@
 """Model of one program's calls through crashes, lost answers, takeovers."""
 
 from collections.abc import Callable, Iterator, Mapping
-from types import MappingProxyType
 from typing import Any, TypeAlias
 
 from minicheck import Protocol
 
 from cactusledge.models import Outcome
 from cactusledge.protocol import journal
+from cactusledge.protocol import journal_types as msg
 from cactusledge.protocol import records as rec
-from cactusledge.protocol.ring import assemble
+from cactusledge.protocol.state import ANY_ENDPOINT
 from model import platform as plat
 from model.appends import Move, crash_moves, journal_moves, landing_moves
 from model.batches import make_batch, read_log
@@ -17,6 +17,7 @@
 from model.world import PROGRAM, Instance, Scenario, World, position_of
 
 Fields: TypeAlias = dict[str, Any]
+TIME_LIMIT_S = 1_000_000
 _SETTLED = frozenset((Outcome.RAN, Outcome.UNKNOWN))
 
 
@@ -34,15 +35,19 @@
 
 def initial_world(scenario: Scenario) -> World:
     """Returns the world in which instance 0 owns a log with one program."""
-    platform = plat.new_platform(scenario.size)
+    platform = plat.new_platform(
+        scenario.size,
+        scenario.form,
+        scenario.max_number,
+    )
     opened = rec.Opened(
-        PROGRAM, 0, b'', 'a', 'd', scenario.budget, '', 0, 1e6, 10
+        PROGRAM, 0, b'', 'a', 'd', scenario.budget, '', 0, TIME_LIMIT_S, 10
     )
     batch = make_batch(None, 0, 0, scenario.size, (rec.Seal('0', ''), opened))
-    state = journal.start('log', '0', assemble(platform.slots))
-    state, _ = journal.step(state, journal.msg.Append(batch.data, 0))
+    state = journal.start('log', '0', plat.list_log(platform))
+    state, _ = journal.step(state, msg.Append(batch.data, 0))
     write = plat.write_of(state)
-    written = journal.msg.Written(write.slot.nonce, write.slot.version)
+    written = msg.Written(write.slot.nonce, write.slot.version)
     state, _ = journal.step(state, written)
     owner = Instance(state, batch.program, batch.base)
     count = len(scenario.calls)
@@ -60,7 +65,7 @@
     if world.broken:
         return
     yield from landing_moves(world)
-    for index in range(len(world.instances)):
+    for index, _ in enumerate(world.instances):
         yield from journal_moves(world, index)
         yield from driving_moves(scenario, world, index)
         yield from crash_moves(world, index)
@@ -109,7 +114,7 @@
 
 def _kept(world: Fields) -> dict[int, Outcome]:
     """Returns the outcomes that the log holds."""
-    program = read_log(world['platform'].slots).program
+    program = read_log(world['platform']).program
     calls = () if program is None else program.calls
     return {
         position_of(call.key): call.outcome for call in calls if call.outcome
@@ -117,7 +122,7 @@
 
 
 def _history_kept(world: Fields) -> bool:
-    program = read_log(world['platform'].slots).program
+    program = read_log(world['platform']).program
     if program is None or (world['end_told'] and not program.ended):
         return False
     kept = _kept(world)
@@ -136,5 +141,6 @@
 def _duty_kept(world: Fields) -> bool:
     if not world['end_told'] or not world['cached']:
         return True
-    program = read_log(world['platform'].slots).program
-    return program is not None and bool(program.releases)
+    program = read_log(world['platform']).program
+    left = () if program is None else program.releases
+    return ANY_ENDPOINT in left or world['cached'] <= set(left)
--- a/model/driving.py
+++ b/model/driving.py
@@ -9,16 +9,18 @@
 from cactusledge.protocol import calls, journal
 from cactusledge.protocol import journal_types as msg
 from cactusledge.protocol import records as rec
-from cactusledge.protocol.state import CallState, ProgramState
+from cactusledge.protocol.ring import EMPTY
+from cactusledge.protocol.state import ANY_ENDPOINT, CallState, ProgramState
+from model import platform as plat
 from model.appends import Move, append
 from model.batches import read_log
 from model.commits import resume_step
 from model.world import (
-    ENGINE,
     Instance,
     Scenario,
     Step,
     World,
+    engine_of,
     position_of,
     replace_instance,
     tell,
@@ -32,23 +34,28 @@
 ]
 
 
-def driving_moves(scenario: Scenario, world: World, index: int) -> Iterator[Move]:
+def driving_moves(
+    scenario: Scenario, world: World, index: int
+) -> Iterator[Move]:
     """Yields what an instance may do with its program."""
     instance = world.instances[index]
     state = instance.journal
     if state is None:
         yield from _takeover_moves(scenario, world, index)
         return
-    if instance.program is not None and instance.program.running:
-        if world.asked != index:
-            joined = world._replace(asked=index, joined=True)
-            yield f'i{index} gets the call again', joined
-    if state.phase is journal.Phase.IDLE and instance.program is not None:
-        if state.number < scenario.max_number:
-            moves = _MOVES[instance.step]
-            yield from moves(scenario, world, index, instance.program)
-    elif instance.step is Step.INTENT:
+    yield from _join_moves(world, index)
+    if state.phase is not journal.Phase.IDLE:
         yield from _early_moves(world, index)
+    elif instance.program and state.number < scenario.max_number:
+        moves = _MOVES[instance.step]
+        yield from moves(scenario, world, index, instance.program)
+
+
+def _join_moves(world: World, index: int) -> Iterator[Move]:
+    program = world.instances[index].program
+    if program and program.running and world.asked != index:
+        joined = world._replace(asked=index, joined=True)
+        yield f'i{index} gets the call again', joined
 
 
 def _takeover_moves(
@@ -58,7 +65,7 @@
 ) -> Iterator[Move]:
     if not world.left.takeovers:
         return
-    listed = read_log(world.platform.slots)
+    listed = read_log(world.platform)
     if listed.ring is None or listed.ring.next_n >= scenario.max_number:
         return
     owner = f'{index}.{world.left.takeovers}'
@@ -66,14 +73,21 @@
     instance = Instance(state, listed.program, listed.base)
     left = world.left._replace(takeovers=world.left.takeovers - 1)
     world = replace_instance(world, index, instance)._replace(left=left)
-    seal = rec.Seal(owner, listed.ring.owner)
-    yield f'i{index} lists and seals', append(world, index, (seal,), Step.SEALING)
+    record = rec.Seal(owner, listed.ring.owner)
+    yield f'i{index} lists and seals', seal(world, index, record)
+
+
+def seal(world: World, index: int, record: rec.Seal) -> World:
+    """Returns the world after an heir started to append its seal."""
+    return append(world, index, (record,), Step.SEALING)
 
 
 def _early_moves(world: World, index: int) -> Iterator[Move]:
     """Yields what may happen while an intent is being appended."""
     instance = world.instances[index]
     program = instance.program
+    if instance.step is not Step.INTENT:
+        return
     if program is None or program.running is None or instance.journal is None:
         return
     if may_send_early(program.running) and not instance.sent:
@@ -83,12 +97,14 @@
         yield f'i{index} sends call {program.running.seq} early', ran
     voided = instance.journal.attempts[-1].void
     if world.left.give_ups and not instance.sent and not voided:
-        state, _ = journal.step(instance.journal, msg.GiveUp(VOID))
-        left = world.left._replace(give_ups=world.left.give_ups - 1)
-        changed = instance._replace(journal=state)
-        yield f'i{index} gives up', replace_instance(
-            world, index, changed
-        )._replace(left=left)
+        yield f'i{index} gives up', _give_up(world, index, instance.journal)
+
+
+def _give_up(world: World, index: int, state: journal.JournalState) -> World:
+    state, _ = journal.step(state, msg.GiveUp(VOID))
+    left = world.left._replace(give_ups=world.left.give_ups - 1)
+    changed = world.instances[index]._replace(journal=state)
+    return replace_instance(world, index, changed)._replace(left=left)
 
 
 def may_send_early(running: CallState) -> bool:
@@ -125,10 +141,26 @@
         records = calls.end_records(program, 'done', 1)
         label = f'i{index} ends the program'
         yield label, append(world, index, records, Step.ENDING)
+    yield from _collect_moves(world, index)
     if program.releases:
         changed = world.instances[index]._replace(step=Step.RELEASED)
         released = replace_instance(world, index, changed)
-        yield f'i{index} releases the cache', drop_cache(released)
+        yield (
+            f'i{index} releases the cache',
+            drop_cache(released, program.releases[0]),
+        )
+
+
+def _collect_moves(world: World, index: int) -> Iterator[Move]:
+    platform = world.platform
+    if platform.form is plat.Form.RING:
+        return
+    written = [slot.number for slot in platform.slots if slot.number > EMPTY]
+    oldest = min(written)
+    if oldest < world.instances[index].base:
+        collected = plat.collect(platform, oldest)
+        label = f'i{index} collects append {oldest}'
+        yield label, world._replace(platform=collected)
 
 
 def _may_ask(scenario: Scenario, world: World, position: int) -> bool:
@@ -196,14 +228,17 @@
     position = position_of(running.key)
     runs = list(world.runs)
     runs[position] = min(runs[position] + 1, MAX_RUNS)
+    return _fill_cache(world._replace(runs=tuple(runs)), index, running)
+
+
+def _fill_cache(world: World, index: int, running: CallState) -> World:
     state = world.instances[index].journal
     owner = max(world.platform.slots).owner
-    holds = running.kind is CallKind.MODEL and state is not None
-    owns = state is not None and state.owner == owner
-    return world._replace(
-        runs=tuple(runs),
-        cached=world.cached or (holds and owns),
-    )
+    if running.kind is not CallKind.MODEL or state is None:
+        return world
+    if state.owner != owner:
+        return world
+    return world._replace(cached=world.cached | {engine_of(index)})
 
 
 def _found(world: World, index: int, outcome: Outcome) -> World:
@@ -219,9 +254,11 @@
     return world
 
 
-def drop_cache(world: World) -> World:
-    """Returns the world after the engine released the cache."""
-    return world._replace(cached=False)
+def drop_cache(world: World, endpoint: str) -> World:
+    """Returns the world after an engine, or each, released the cache."""
+    if endpoint == ANY_ENDPOINT:
+        return world._replace(cached=frozenset())
+    return world._replace(cached=world.cached - {endpoint})
 
 
 def _answered_moves(
@@ -242,7 +279,9 @@
         body={},
         spent=running.reserve,
     )
-    record = calls.outcome_record(program, running.seq, answer, ENGINE)
+    record = calls.outcome_record(
+        program, running.seq, answer, engine_of(index)
+    )
     label = f'i{index} records {found.value}'
     yield label, append(world, index, (record,), Step.OUTCOME)
 
--- a/model/world.py
+++ b/model/world.py
@@ -6,10 +6,9 @@
 from cactusledge.models import CallKind, CallSpec, Outcome
 from cactusledge.protocol.journal import JournalState
 from cactusledge.protocol.state import ProgramState
-from model.platform import Platform
+from model.platform import Form, Platform
 
 PROGRAM = 'p'
-ENGINE = 'e1'
 NEVER_S = 1e9
 
 
@@ -60,7 +59,7 @@
     answers: tuple[str, ...]  # outcome told to the caller, '' for none
     asked: int = 0  # instance that the caller sent its latest request to
     joined: bool = False  # that request found the call running
-    cached: bool = False  # the engine holds the program's cache
+    cached: frozenset[str] = frozenset()  # engines that hold the cache
     end_told: bool = False
     broken: str = ''  # rule that a transition broke
 
@@ -77,6 +76,7 @@
     ends: bool = False  # the program is ended after its calls
     eager: bool = False  # the caller does not wait for answers
     max_number: int = 9  # appends
+    form: Form = Form.RING
 
 
 def call(
@@ -138,3 +138,8 @@
 def position_of(key: str) -> int:
     """Returns the place of a call in the scenario."""
     return int(key[1:]) - 1
+
+
+def engine_of(index: int) -> str:
+    """Returns the engine that an instance sends its model calls to."""
+    return f'e{index}'
