--- a/cactusledge/protocol/budget.py
+++ b/cactusledge/protocol/budget.py
@@ -27,7 +27,8 @@
         return Settlement(0, 0)
     if outcome is Outcome.UNKNOWN:
         return Settlement(reserve, 0)
-    return Settlement(min(reported, reserve), max(0, reported - reserve))
+    spent = min(max(0, reported), reserve)
+    return Settlement(spent, max(0, reported - reserve))
 
 
 def check_reserve(state: ProgramState, amount: int) -> RefusedCallError | None:
--- a/cactusledge/protocol/calls.py
+++ b/cactusledge/protocol/calls.py
@@ -16,6 +16,7 @@
     takeover_records,
 )
 from cactusledge.protocol.errors import RefusedCallError
+from cactusledge.protocol.sizes import check_history
 from cactusledge.protocol.state import ProgramState
 
 __all__ = (
@@ -69,6 +70,10 @@
     if 1 <= spec.seq <= len(state.calls):
         return _decide_repeat(state, spec)
     refusal = _check_order(state, spec) or _check_limits(state, spec, now_s)
+    if refusal is not None:
+        return Refuse(refusal)
+    body = encode_body(spec.body)
+    refusal = check_history(state, len(body))
     if refusal is not None:
         return Refuse(refusal)
     intent = rec.Intent(
@@ -80,7 +85,7 @@
         target=spec.target,
         operation=spec.operation,
         idempotent=spec.idempotent,
-        body=encode_body(spec.body),
+        body=body,
         reserve=spec.reserve,
         max_output_tokens=spec.max_output_tokens,
     )
--- a/cactusledge/protocol/ledger.py
+++ b/cactusledge/protocol/ledger.py
@@ -15,6 +15,7 @@
 from cactusledge.protocol.errors import HistoryError, RefusedCallError
 from cactusledge.protocol.program import apply, replay_log
 from cactusledge.protocol.ring import MAX_DATA_BYTES, Ring
+from cactusledge.protocol.sizes import snapshot_of
 from cactusledge.protocol.state import ProgramState
 
 # Slots kept free of bases so that seals need not carry anything.
@@ -119,10 +120,9 @@
 
     def _moved(self, name: str, now_s: float) -> rec.ProgramRecord:
         state = self.programs[name]
-        seq = len(state.calls)
         if self._is_over(state, now_s):
-            return rec.Dropped(name, seq, state.digest)
-        return rec.ProgramSnapshot(name, seq, state.digest, state)
+            return rec.Dropped(name, len(state.calls), state.digest)
+        return snapshot_of(state)
 
     def _is_over(self, state: ProgramState, now_s: float) -> bool:
         if not state.ended or state.releases or state.shares:
--- a/cactusledge/protocol/ring.py
+++ b/cactusledge/protocol/ring.py
@@ -18,6 +18,13 @@
 # Base64 makes four characters of three bytes.
 MAX_DATA_BYTES = (MAX_OBJECT_BYTES - _FRAME_BYTES) * 3 // 4
 
+# A program's snapshot has to fit into one object, whatever its next call adds.
+MAX_REQUEST_BYTES = 262_144
+MAX_ANSWER_BYTES = 131_072
+MAX_SNAPSHOT_BYTES = (
+    MAX_DATA_BYTES - MAX_REQUEST_BYTES - MAX_ANSWER_BYTES - _FRAME_BYTES
+)
+
 
 class SlotBody(TypedDict):
     """Body of a slot's object at the platform."""
--- a/model/__main__.py
+++ b/model/__main__.py
@@ -20,6 +20,7 @@
     with ProcessPoolExecutor(WORKERS) as pool:
         models = pool.map(run_model, range(len(MODELS)))
         guards = pool.map(run_guard, range(len(GUARDS)))
+        unsealed = pool.submit(run_without, NO_SEAL)
         held = list(starmap(_print_model, enumerate(models)))
         _say('')
         caught = [_print_guard(found) for found in guards]
--- a/model/driving.py
+++ b/model/driving.py
@@ -5,16 +5,17 @@
 from typing import TypeAlias
 
 from cactusledge.errors import ErrorCode
-from cactusledge.models import Answer, CallKind, CallSpec, Outcome
+from cactusledge.models import Answer, CallSpec, Outcome
 from cactusledge.protocol import calls, journal
 from cactusledge.protocol import journal_types as msg
 from cactusledge.protocol import records as rec
 from cactusledge.protocol.ring import EMPTY
-from cactusledge.protocol.state import ANY_ENDPOINT, CallState, ProgramState
+from cactusledge.protocol.state import CallState, ProgramState
 from model import platform as plat
 from model.appends import Move, append
 from model.batches import read_log
 from model.commits import resume_step
+from model.sending import drop_cache, run_call, send_moves
 from model.world import (
     Instance,
     Scenario,
@@ -26,7 +27,6 @@
     tell,
 )
 
-MAX_RUNS = 2  # counted; more are as wrong
 VOID = rec.encode_batch((rec.Void('model'),))
 _Moves: TypeAlias = Callable[
     [Scenario, World, int, ProgramState],
@@ -93,7 +93,7 @@
     if may_send_early(program.running) and not instance.sent:
         changed = instance._replace(sent=True, found=Outcome.RAN)
         sent = replace_instance(world, index, changed)
-        ran = _run(sent, index, program.running)
+        ran = run_call(sent, index, program.running)
         yield f'i{index} sends call {program.running.seq} early', ran
     voided = instance.journal.attempts[-1].void
     if world.left.give_ups and not instance.sent and not voided:
@@ -201,66 +201,6 @@
     return tell(world, index, spec.key, Outcome.NOT_RUN)
 
 
-def _send_moves(
-    scenario: Scenario,
-    world: World,
-    index: int,
-    program: ProgramState,
-) -> Iterator[Move]:
-    running = program.running
-    if running is None:
-        return
-    label = f'i{index} sends call {running.seq}'
-    ran = _run(world, index, running)
-    yield f'{label}: RAN', _found(ran, index, Outcome.RAN)
-    if not running.idempotent:
-        yield f'{label}: runs, lost', _found(ran, index, Outcome.UNKNOWN)
-        yield f'{label}: lost', _found(world, index, Outcome.UNKNOWN)
-        yield f'{label}: refused', _found(world, index, Outcome.NOT_RUN)
-
-
-def _run(world: World, index: int, running: CallState) -> World:
-    """Returns the world after the endpoint ran the call.
-
-    A former owner that sends after its log was sealed has to release that
-    cache itself when it is fenced; the model leaves that cache out.
-    """
-    position = position_of(running.key)
-    runs = list(world.runs)
-    runs[position] = min(runs[position] + 1, MAX_RUNS)
-    return _fill_cache(world._replace(runs=tuple(runs)), index, running)
-
-
-def _fill_cache(world: World, index: int, running: CallState) -> World:
-    state = world.instances[index].journal
-    owner = max(world.platform.slots).owner
-    if running.kind is not CallKind.MODEL or state is None:
-        return world
-    if state.owner != owner:
-        return world
-    return world._replace(cached=world.cached | {engine_of(index)})
-
-
-def _found(world: World, index: int, outcome: Outcome) -> World:
-    changed = world.instances[index]._replace(
-        found=outcome,
-        step=Step.ANSWERED,
-    )
-    return answer_early(replace_instance(world, index, changed), index)
-
-
-def answer_early(world: World, index: int) -> World:
-    """Returns the world unchanged: the outcome has to be durable first."""
-    return world
-
-
-def drop_cache(world: World, endpoint: str) -> World:
-    """Returns the world after an engine, or each, released the cache."""
-    if endpoint == ANY_ENDPOINT:
-        return world._replace(cached=frozenset())
-    return world._replace(cached=world.cached - {endpoint})
-
-
 def _answered_moves(
     scenario: Scenario,
     world: World,
@@ -300,7 +240,7 @@
 _MOVES: Mapping[Step, _Moves] = MappingProxyType({
     Step.SEALED: _sealed_moves,
     Step.READY: _ready_moves,
-    Step.MAY_SEND: _send_moves,
+    Step.MAY_SEND: send_moves,
     Step.ANSWERED: _answered_moves,
     Step.RELEASED: _released_moves,
 })
--- a/model/guards.py
+++ b/model/guards.py
@@ -15,7 +15,7 @@
 )
 from cactusledge.protocol import ledger as ledgers
 from cactusledge.protocol import state as states
-from model import driving, head_model, patches, scenarios
+from model import driving, head_model, patches, scenarios, sending
 from model import platform as plat
 from model import world as wd
 
@@ -103,7 +103,7 @@
     Guard(
         'an outcome is durable before it is answered',
         scenarios.SMALL,
-        (Patch(driving, 'answer_early', patches.answer_at_once),),
+        (Patch(sending, 'answer_early', patches.answer_at_once),),
     ),
     Guard(
         'a repeat gets the stored answer',
--- /dev/null
+++ b/tests/test_journal_steps.py
@@ -0,0 +1,264 @@
+"""State machine of the journal writer, ring, ledger, configuration head."""
+
+import pytest
+
+from cactusledge.models import Outcome
+from cactusledge.protocol import calls, journal, ring
+from cactusledge.protocol import journal_types as msg
+from cactusledge.protocol import records as rec
+from cactusledge.protocol.config_head import (
+    Head,
+    PublishConflictError,
+    Settlement,
+    decide_apply,
+    decide_publish,
+    settle_lost_answer,
+)
+from cactusledge.protocol.errors import (
+    CorruptRecordError,
+    HistoryError,
+    JournalFullError,
+    RefusedCallError,
+)
+from cactusledge.protocol.ledger import Ledger, Retention, check_size, rebuild
+from cactusledge.protocol.program import apply, apply_all
+
+SIZE = 3
+SLOTS = tuple(
+    ring.Slot(number, f'old#{number}', 'old', b'', f'v{number}', SIZE)
+    for number in (3, 4, 2)
+)
+Phase = journal.Phase
+
+
+@pytest.fixture
+def idle():
+    return journal.start('log', 'me', ring.assemble(SLOTS))
+
+
+@pytest.fixture
+def writing(idle):
+    return journal.step(idle, msg.Append(b'data', 3))[0]
+
+
+def run(state, *events):
+    effects = ()
+    for event in events:
+        state, effects = journal.step(state, event)
+    return state, effects
+
+
+def slot(number, nonce, owner='me', version='v9'):
+    return ring.Slot(number, nonce, owner, b'', version, SIZE)
+
+
+LOST = msg.AnswerLost('me#0')
+UNCHANGED = msg.ReadBack(5, slot(2, 'x', 'old'))
+TAKEN = msg.ReadBack(5, slot(5, 'you#0', 'you'))
+MINE_FOUND = msg.ReadBack(5, slot(5, 'me#0'))
+GIVE_UP = msg.GiveUp(b'void')
+
+
+def test_append_names_the_version_of_the_lap_before(idle):
+    assert idle.number == 5
+    _, effects = journal.step(idle, msg.Append(b'data', 3))
+    assert effects == (msg.WriteSlot(2, 5, 'me#0', b'data', 'v2'),)
+
+
+STEPS = (
+    ([msg.Written('me#0', 'v9')], Phase.IDLE, msg.Committed(5, False)),
+    ([LOST], Phase.READING, msg.ReadSlot(2, 5)),
+    ([msg.Conflicted('me#0')], Phase.READING, msg.ReadSlot(2, 5)),
+    ([msg.Unavailable('me#0')], Phase.WAIT_TO_WRITE, msg.BackOff()),
+    (
+        [LOST, MINE_FOUND],
+        Phase.IDLE,
+        msg.Committed(5, False),
+    ),
+    (
+        [LOST, UNCHANGED],
+        Phase.WAIT_TO_WRITE,
+        msg.BackOff(),
+    ),
+    (
+        [LOST, UNCHANGED, msg.RetryDue()],
+        Phase.WRITING,
+        msg.WriteSlot(2, 5, 'me#0', b'data', 'v9'),
+    ),
+    (
+        [LOST, TAKEN],
+        Phase.FENCED,
+        msg.Fenced('you'),
+    ),
+    (
+        [LOST, msg.ReadBack(5, slot(8, 'you#3', 'you'))],
+        Phase.FENCED,
+        msg.Fenced('you'),
+    ),
+    ([LOST, msg.ReadFailed(5)], Phase.WAIT_TO_READ, msg.BackOff()),
+    (
+        [LOST, msg.ReadFailed(5), msg.RetryDue()],
+        Phase.READING,
+        msg.ReadSlot(2, 5),
+    ),
+    (
+        [
+            LOST,
+            GIVE_UP,
+            UNCHANGED,
+            msg.RetryDue(),
+        ],
+        Phase.WRITING,
+        msg.WriteSlot(2, 5, 'me#1', b'void', 'v9'),
+    ),
+    (
+        [LOST, GIVE_UP, MINE_FOUND],
+        Phase.IDLE,
+        msg.Committed(5, False),
+    ),
+    (
+        [LOST, GIVE_UP, msg.ReadBack(5, slot(5, 'me#1'))],
+        Phase.IDLE,
+        msg.Committed(5, True),
+    ),
+)
+
+
+@pytest.mark.parametrize(('events', 'phase', 'effect'), STEPS)
+def test_steps(writing, events, phase, effect):
+    state, effects = run(writing, *events)
+    assert (state.phase, effects) == (phase, (effect,))
+
+
+@pytest.mark.parametrize(
+    'event',
+    [
+        msg.Written('me#7', 'v9'),
+        msg.AnswerLost('me#7'),
+        msg.Unavailable('me#7'),
+        msg.ReadBack(5, slot(5, 'me#0')),
+        msg.RetryDue(),
+        msg.Append(b'more', 5),
+    ],
+)
+def test_stale_events_change_nothing(writing, event):
+    assert journal.step(writing, event) == (writing, ())
+
+
+def test_stale_read_back_changes_nothing(writing):
+    reading, _ = run(writing, LOST)
+    stale = msg.ReadBack(2, slot(2, 'me#0'))
+    assert journal.step(reading, stale) == (reading, ())
+
+
+def test_fenced_writer_never_writes_again(writing):
+    fenced, _ = run(writing, LOST, msg.ReadBack(5, slot(8, 'x')))
+    for event in (msg.Append(b'', 9), msg.RetryDue(), msg.GiveUp(b'')):
+        assert journal.step(fenced, event) == (fenced, ())
+
+
+def test_needed_slot_is_not_overwritten(idle):
+    with pytest.raises(JournalFullError) as full:
+        journal.step(idle, msg.Append(b'data', 2))
+    assert full.value.retry_after_s
+
+
+HOLES = ((3, 4, 1), (3, -1, 2), (4, 3, 2))
+
+
+@pytest.mark.parametrize('numbers', HOLES)
+def test_listing_with_a_hole_is_refused(numbers):
+    slots = [slot(number, 'x') for number in numbers]
+    with pytest.raises(HistoryError):
+        ring.assemble(slots)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [{}, {'number': 'x'}, {**ring.empty_body('log', 3), 'data': '*'}],
+)
+def test_body_that_is_no_slot_is_refused(body):
+    with pytest.raises(CorruptRecordError):
+        ring.parse_slot(body, 'v')
+
+
+def opened(name):
+    return rec.Opened(name, 0, b'', 'a', 'd', 9, '', 0, 9, 9)
+
+
+def test_ledger_carries_the_oldest_first_and_drops_what_is_over():
+    ledger = Ledger(8, Retention(10))
+    ledger.fold(0, [opened('live')])
+    state = apply(None, opened('over'))
+    ended = calls.end_records(state, 'done', 5)
+    ledger.fold(1, [opened('over'), *ended])
+    over = apply_all(state, ended)
+    assert ledger.carry(3, 100) == ()
+    assert [type(item) for item in ledger.carry(4, 100)] == [
+        rec.ProgramSnapshot
+    ]
+    assert ledger.carry(5, 14)[0] == rec.ProgramSnapshot(
+        'over', 0, over.digest, over
+    )
+    assert ledger.carry(9, 100)[1] == rec.Dropped('over', 0, over.digest)
+    assert ledger.oldest(10) == 9
+
+
+def test_ledger_is_rebuilt_from_a_listing():
+    ledger = Ledger(SIZE, Retention())
+    ledger.fold(0, [opened('a')])
+    ledger.fold(1, [opened('b')])
+    batches = [[opened('a')], [opened('b')], ledger.carry(2, 0)]
+    slots = [
+        slot(number, 'x')._replace(data=rec.encode_batch(batch))
+        for number, batch in enumerate(batches)
+    ]
+    found = rebuild(ring.assemble(slots), Retention()).ledger
+    assert found.programs == ledger.programs
+    assert found.oldest(3) == ledger.oldest(3)
+
+
+def test_ledger_folds_all_records_of_a_batch_or_none():
+    ledger = Ledger(SIZE, Retention())
+    with pytest.raises(HistoryError):
+        ledger.fold(0, [opened('a'), rec.Touched('b', 0, b'', 'e')])
+    assert ledger.programs == {}
+
+
+def test_records_beyond_one_object_are_refused():
+    with pytest.raises(RefusedCallError) as refused:
+        check_size([opened('x' * ring.MAX_DATA_BYTES)])
+    assert refused.value.outcome is Outcome.NOT_RUN
+
+
+CURRENT = Head(2, 'n2', 'd2', ('', 'n1'))
+MINE = decide_publish(CURRENT, 2, 'd3', 'n3')
+NEXT = decide_publish(MINE, 3, 'd4', 'n4')
+OTHER = decide_publish(CURRENT, 2, 'dx', 'nx')
+
+
+@pytest.mark.parametrize(
+    ('found', 'settled'),
+    [
+        (CURRENT, Settlement.PENDING),
+        (MINE, Settlement.PUBLISHED),
+        (OTHER, Settlement.LOST),
+        (NEXT, Settlement.SUPERSEDED),
+        (decide_publish(OTHER, 3, 'd', 'n'), Settlement.LOST),
+        (Head(900, 'n900', 'd'), Settlement.UNKNOWN),
+    ],
+)
+def test_lost_publication_is_settled(found, settled):
+    assert settle_lost_answer(found, MINE) is settled
+
+
+def test_losing_publisher_learns_the_generation_in_force():
+    with pytest.raises(PublishConflictError, match='Generation 3'):
+        decide_publish(MINE, 2, 'd', 'n')
+
+
+@pytest.mark.parametrize(
+    ('current', 'applies'), [(1, True), (2, False), (3, False)]
+)
+def test_only_a_higher_generation_is_applied(current, applies):
+    assert decide_apply(current, CURRENT) is applies
--- /dev/null
+++ b/tests/test_protocol_calls.py
@@ -0,0 +1,191 @@
+"""Decisions on calls, settling, sub-agents and takeover."""
+
+import random
+
+import pytest
+
+from cactusledge.errors import ErrorCode
+from cactusledge.models import Answer, CallKind, CallSpec, Outcome
+from cactusledge.protocol import budget, calls
+from cactusledge.protocol import records as rec
+from cactusledge.protocol.errors import RefusedCallError
+from cactusledge.protocol.program import apply, apply_all
+from cactusledge.protocol.ring import MAX_REQUEST_BYTES, MAX_SNAPSHOT_BYTES
+from cactusledge.protocol.state import ANY_ENDPOINT
+
+OPENED = rec.Opened('p', 0, b'', 'acct', 'def', 10, '', 100, 50, 3)
+SPEC = CallSpec('p', 1, 'k1', CallKind.MODEL, 'm', 'chat', True, {'a': 1}, 4)
+ANSWER = Answer('p', 1, Outcome.RAN, 200, {'b': 2}, 3)
+NOW_S = 120
+
+
+@pytest.fixture
+def fresh():
+    return apply(None, OPENED)
+
+
+@pytest.fixture
+def running(fresh):
+    return begin(fresh, SPEC)
+
+
+@pytest.fixture
+def done(running):
+    return settle(running, ANSWER)
+
+
+def begin(state, spec):
+    decision = calls.decide_call(state, spec, NOW_S)
+    return apply_all(state, decision.records)
+
+
+def settle(state, answer, endpoint='e1'):
+    record = calls.outcome_record(state, answer.seq, answer, endpoint)
+    return apply(state, record)
+
+
+def refusal(state, spec, now_s=NOW_S):
+    decision = calls.decide_call(state, spec, now_s)
+    assert isinstance(decision, calls.Refuse)
+    assert decision.error.outcome is Outcome.NOT_RUN
+    return decision.error
+
+
+def test_first_call_reserves_its_upper_bound(running):
+    assert running.running.seq == 1
+    assert (running.reserved, running.available) == (4, 6)
+
+
+def test_repeat_joins_and_then_gets_the_stored_answer(running, done):
+    assert calls.decide_call(running, SPEC, NOW_S) == calls.Join(1)
+    stored = calls.decide_call(done, SPEC, NOW_S)
+    assert stored == calls.Stored(ANSWER)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'now_s', 'code'),
+    [
+        ({'key': 'other'}, NOW_S, ErrorCode.SEQUENCE_CONFLICT),
+        ({'body': {'a': 2}}, NOW_S, ErrorCode.SEQUENCE_CONFLICT),
+        ({'seq': 3, 'key': 'k3'}, NOW_S, ErrorCode.SEQUENCE_GAP),
+        ({'seq': 0}, NOW_S, ErrorCode.SEQUENCE_GAP),
+        ({'seq': 2, 'reserve': 8}, NOW_S, ErrorCode.BUDGET_EXCEEDED),
+        ({'seq': 2, 'reserve': -1}, NOW_S, ErrorCode.BUDGET_EXCEEDED),
+        ({'seq': 2}, 150, ErrorCode.TIME_LIMIT),
+    ],
+)
+def test_refusals_after_one_call(done, changes, now_s, code):
+    error = refusal(done, SPEC._replace(**changes), now_s)
+    assert error.code is code
+    assert error.remedy
+
+
+def test_gap_names_the_expected_number(done):
+    assert '2' in refusal(done, SPEC._replace(seq=5)).remedy
+
+
+def test_next_call_is_refused_while_one_runs(running):
+    error = refusal(running, SPEC._replace(seq=2, key='k2'))
+    assert error.code is ErrorCode.SEQUENCE_GAP
+    assert error.retry_after_s
+
+
+def test_turn_limit(fresh):
+    state = fresh
+    for seq in range(1, 4):
+        spec = SPEC._replace(seq=seq, key=f'k{seq}', reserve=1)
+        state = settle(begin(state, spec), ANSWER._replace(seq=seq, spent=1))
+    error = refusal(state, SPEC._replace(seq=4, reserve=1))
+    assert error.code is ErrorCode.TURN_LIMIT
+
+
+def test_ended_program_answers_repeats_only(done):
+    ended = apply_all(done, calls.end_records(done, 'done', NOW_S))
+    assert isinstance(calls.decide_call(ended, SPEC, NOW_S), calls.Stored)
+    error = refusal(ended, SPEC._replace(seq=2))
+    assert error.code is ErrorCode.PROGRAM_ENDED
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'reported', 'spent', 'overrun'),
+    [
+        (Outcome.RAN, 3, 3, 0),
+        (Outcome.RAN, 4, 4, 0),
+        (Outcome.RAN, 9, 4, 5),
+        (Outcome.RAN, -2, 0, 0),
+        (Outcome.UNKNOWN, 0, 4, 0),
+        (Outcome.NOT_RUN, 3, 0, 0),
+    ],
+)
+def test_settling(running, outcome, reported, spent, overrun):
+    answer = ANSWER._replace(outcome=outcome, spent=reported)
+    record = calls.outcome_record(running, 1, answer, 'e1')
+    assert (record.spent, record.overrun) == (spent, overrun)
+    state = apply(running, record)
+    assert (state.spent, state.reserved) == (spent, 0)
+
+
+def test_not_run_frees_the_sequence_number(running):
+    state = settle(running, ANSWER._replace(outcome=Outcome.NOT_RUN))
+    assert state.calls == ()
+    assert begin(state, SPEC._replace(key='again')).running.key == 'again'
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'outcome'),
+    [(True, None), (False, Outcome.UNKNOWN)],
+)
+def test_takeover_settles_only_what_may_not_repeat(fresh, idempotent, outcome):
+    state = begin(fresh, SPEC._replace(idempotent=idempotent))
+    heir = apply_all(state, calls.takeover_records(state))
+    assert heir.calls[0].outcome is outcome
+    assert heir.touched == (ANY_ENDPOINT,)
+    assert calls.takeover_records(heir) == ()
+
+
+def test_end_leaves_a_release_duty_for_each_engine(done):
+    ended = apply_all(done, calls.end_records(done, 'done', NOW_S))
+    assert ended.releases == ('e1',)
+    release = calls.release_record(ended, 'e1', done=True)
+    assert apply(ended, release).releases == ()
+    assert calls.end_records(ended, 'again', NOW_S) == ()
+
+
+def test_end_settles_a_running_call_as_unknown(running):
+    ended = apply_all(running, calls.end_records(running, 'idle', NOW_S))
+    assert ended.calls[0].outcome is Outcome.UNKNOWN
+    assert ended.spent == 4
+
+
+def test_sub_agent_spends_from_its_share(fresh):
+    child_opened = OPENED._replace(program_id='c', budget=6)
+    share, opened = budget.open_child(fresh, child_opened)
+    parent, child = apply(fresh, share), apply(None, opened)
+    assert (parent.available, child.parent) == (4, 'p')
+    child = begin(child, SPEC._replace(program_id='c'))
+    child = settle(child, ANSWER)
+    parent = apply(parent, budget.return_share(parent, child))
+    assert (parent.spent, parent.available, parent.shares) == (3, 7, ())
+
+
+def test_sub_agent_is_refused_beyond_the_parents_budget(running):
+    with pytest.raises(RefusedCallError) as refused:
+        budget.open_child(running, OPENED._replace(program_id='c', budget=7))
+    assert refused.value.code is ErrorCode.BUDGET_EXCEEDED
+
+
+def test_history_stays_within_one_object(fresh):
+    noise = random.Random(7).randbytes(MAX_SNAPSHOT_BYTES)
+    call = begin(fresh, SPEC).calls[0]
+    state = fresh._replace(calls=(call._replace(body=noise),))
+    settled = settle(state, ANSWER)
+    spec = SPEC._replace(seq=2, key='k2', reserve=1)
+    assert refusal(settled, spec).code is ErrorCode.TOO_LARGE
+    text = settled.calls[0]._replace(body=bytes(MAX_SNAPSHOT_BYTES))
+    smaller = settled._replace(calls=(text,))
+    assert isinstance(calls.decide_call(smaller, spec, NOW_S), calls.Start)
+
+
+def test_large_request_is_refused(fresh):
+    spec = SPEC._replace(body={'a': 'x' * MAX_REQUEST_BYTES})
+    assert refusal(fresh, spec).code is ErrorCode.TOO_LARGE
