Warm hot common prefixes; test the scheduler's decisions

Cause: the decisions had no tests, and a cold engine computed the hot prefix only when its first program came. Change: decayed starts per common prefix, warmed on engines without backlog at each tick; one test a decision, fault cases in tables.

--- a/benchmarks/policy_run.py
+++ b/benchmarks/policy_run.py
@@ -14,6 +14,7 @@
 from benchmarks.workloads import Program, User
 from cactusledge.models import Usage
 from cactusledge.routing import types
+from cactusledge.routing.prefix import CHUNK_TOKENS
 
 TICK_S = 1.0
 BACKOFF_S = 0.5
@@ -39,6 +40,7 @@
             types.Grant: self._grant,
             types.Refusal: self._refuse,
             types.CacheRelease: self._release,
+            types.Warm: self._warm,
         }
         self._tell_members()
         self._clock.after(TICK_S, self._tick)
@@ -101,6 +103,12 @@
         engine.advance(self._clock.now)
         engine.cache.release(int(release.program_id[1:]))
 
+    def _warm(self, warm: types.Warm) -> None:
+        name = f'{warm.engine}/{warm.prefix[-1]}/{self._clock.now}'
+        tokens = len(warm.prefix) * CHUNK_TOKENS
+        call = FakeCall(name, warm.prefix, warm.prefix, tokens, 1)
+        self._world.send(self._world.engines[warm.engine], call)
+
     def _failed(self, job_id: str) -> None:
         walk = self._walks.pop(job_id, None)
         if walk is None:
--- a/cactusledge/routing/policy.py
+++ b/cactusledge/routing/policy.py
@@ -35,7 +35,6 @@
     max_ejection_s: float = 120.0
     grant_bound_s: float = 600.0  # longest life of an unfinished grant
     grant_grace_s: float = 10.0  # age from which an idle report ends a grant
-    warm_load: float = 0.5  # queued jobs per slot that start one more copy
     long_prefill_s: float = 0.5  # from which a prefill waits for its turn
     hold_prefills: bool = True
     bound_resident: bool = True
--- a/cactusledge/routing/scheduler.py
+++ b/cactusledge/routing/scheduler.py
@@ -100,7 +100,7 @@
         state.shares.decay(now)
         for engine in list(state.engines.values()):
             upkeep.expire(state, engine, silent_s)
-        effects: list[types.Effect] = []
+        effects = upkeep.warm(state, now)
         for program in state.programs.idle_since(silent_s):
             effects.extend(upkeep.end_program(state, program.program_id))
         for job in state.queue.expired(now):
--- a/cactusledge/routing/upkeep.py
+++ b/cactusledge/routing/upkeep.py
@@ -30,15 +30,27 @@
         return Refusal(job.job_id, 0, RefusalReason.DEADLINE)
     if not state.usable(now):
         return Refusal(job.job_id, retry_s, RefusalReason.NO_ENGINE)
-    if not job.retry:
-        state.retries.deposit()
-    elif state.settings.retry_budget and not state.retries.withdraw():
+    if not _may_retry(state, job):
         return Refusal(job.job_id, retry_s, RefusalReason.RETRY_BUDGET)
-    if job.turn > 1 or not state.settings.refuse:
+    if job.turn > 1:
+        return None
+    state.hot.started(job)
+    if not state.settings.refuse:
         return None
     return admission.refuse_new(job, wait_s, now, state.settings)
 
 
+def warm(state: GroupState, now: float) -> list[Effect]:
+    """Returns the hot common prefixes to compute ahead of demand."""
+    state.hot.decay(now)
+    if not state.settings.warm:
+        return []
+    warms = state.hot.missing_on(state.usable(now), state.cache, now)
+    for item in warms:
+        state.cache.used(item.engine, item.prefix, now)
+    return list(warms)
+
+
 def stop(state: GroupState, job_id: str) -> Running | None:
     """Returns a granted job after taking it from its engine, or None."""
     name = state.granted.pop(job_id, None)
@@ -98,6 +110,13 @@
     return release(state, program) if program.kept else []
 
 
+def _may_retry(state: GroupState, job: Job) -> bool:
+    if not job.retry:
+        state.retries.deposit()
+        return True
+    return not state.settings.retry_budget or state.retries.withdraw()
+
+
 def _slowness(engine: EngineState, finish: Finish) -> float:
     usage = finish.usage
     missing = usage.prompt_tokens - usage.cached_tokens
--- /dev/null
+++ b/tests/test_routing_scheduler.py
@@ -0,0 +1,252 @@
+"""Decisions of the group scheduler, one case a row or a function."""
+
+import pytest
+
+from cactusledge.models import Usage
+from cactusledge.routing import types
+from cactusledge.routing.policy import PolicySettings
+from cactusledge.routing.scheduler import GroupScheduler
+
+KEY = types.GroupKey('tw-1', 'booking')
+SMALL = types.EngineLimits(max_batch=2, kv_tokens=50_000)
+JOB = types.Job(
+    job_id='j',
+    program_id='p',
+    account='buyers',
+    model='booking',
+    prefix=(1, 2, 3, 4),
+    prompt_tokens=1024,
+    max_output_tokens=100,
+    turn=1,
+    submitted_s=0,
+    deadline_s=100,
+    program_started_s=0,
+    common_chunks=1,
+)
+
+
+def views(*names, **changes):
+    return [types.EngineView(name, SMALL, **changes) for name in names]
+
+
+def job(name, program='', **changes):
+    return JOB._replace(job_id=name, program_id=program or name, **changes)
+
+
+def done(name, ok=True, latency_s=2.0, cached=0):
+    return types.Finish(name, Usage(1024, cached, 100), ok, latency_s)
+
+
+def granted(effects):
+    return [
+        (effect.job_id, effect.engine)
+        for effect in effects
+        if isinstance(effect, types.Grant)
+    ]
+
+
+def refused(effects):
+    return [
+        effect.reason for effect in effects if isinstance(effect, types.Refusal)
+    ]
+
+
+@pytest.fixture
+def make():
+    def build(*names, **settings):
+        cfg = PolicySettings(**settings)
+        group = GroupScheduler(KEY, cfg)
+        group.set_engines(views(*names), 0)
+        return group
+
+    return build
+
+
+def fill(group, count, now=0.0, **changes):
+    for number in range(count):
+        group.submit(job(f'fill{number}', **changes), now)
+
+
+def test_sends_only_what_the_engines_can_batch(make):
+    group = make('e1', 'e2')
+    sent = [granted(group.submit(job(f'j{n}'), 0)) for n in range(6)]
+    assert sum(map(len, sent)) == 4
+    assert group.summary('', 0).waiting == 2
+    assert len(granted(group.finish(done('j0'), 2))) == 1
+
+
+@pytest.mark.parametrize(
+    ('first', 'second'),
+    [
+        pytest.param({'turn': 1}, {'turn': 2}, id='later turn'),
+        pytest.param(
+            {'remaining_estimate_s': 50.0, 'turn': 2},
+            {'remaining_estimate_s': 5.0, 'turn': 2},
+            id='expected end of the program',
+        ),
+        pytest.param(
+            {'account': 'heavy', 'turn': 2},
+            {'account': 'light', 'turn': 2},
+            id='share',
+        ),
+        pytest.param(
+            {'turn': 2, 'submitted_s': 2.0},
+            {'turn': 1, 'submitted_s': -30.0},
+            id='starvation bound',
+        ),
+    ],
+)
+def test_second_job_is_served_first(make, first, second):
+    group = make('e1')
+    group.submit(job('warm', account='light'), 0)
+    group.finish(done('warm'), 1)
+    fill(group, 2, account='heavy')
+    group.submit(job('a', **first), 1)
+    group.submit(job('b', **second), 1)
+    assert granted(group.finish(done('fill0'), 2)) == [('b', 'e1')]
+
+
+def test_later_turn_waits_for_its_warm_engine(make):
+    group = make('e1', 'e2')
+    prefix = tuple(range(100))
+    first = job('a', 'p', prefix=prefix, prompt_tokens=25_600)
+    home = granted(group.submit(first, 0))[0][1]
+    group.finish(done('a'), 4)
+    fill(group, 1, 4, prefix=())
+    again = first._replace(job_id='b', turn=2)
+    assert granted(group.submit(again, 4)) == [('b', home)]
+
+
+def test_moved_program_leaves_no_cache_behind(make):
+    group = make('e1')
+    group.submit(job('a', 'p'), 0)
+    group.finish(done('a'), 1)
+    group.set_engines([*views('e1', leaving=True), *views('e2')], 1)
+    effects = group.submit(job('b', 'p', turn=2), 2)
+    assert granted(effects) == [('b', 'e2')]
+
+
+def test_ended_program_is_released_once(make):
+    group = make('e1')
+    group.submit(job('a', 'p'), 0)
+    group.finish(done('a'), 1)
+    release = types.CacheRelease('e1', 'p')
+    assert release in group.program_ended('p', 1)
+    assert group.program_ended('p', 1) == []
+
+
+@pytest.mark.parametrize(
+    ('change', 'now', 'reason'),
+    [
+        ({'deadline_s': 5.0}, 6, 'deadline_exceeded'),
+        ({'deadline_s': 40.0}, 30, 'deadline_exceeded'),
+        ({}, 20, None),
+        ({'deadline_s': 40.0, 'turn': 2}, 30, None),
+    ],
+)
+def test_deadlines(make, change, now, reason):
+    effects = make('e1').submit(job('a', **change), now)
+    assert refused(effects) == ([reason] if reason else [])
+
+
+def test_overload_refuses_new_programs_and_spreads_their_return(make):
+    group = make('e1', starvation_s=1000.0)
+    fill(group, 2)
+    for number in range(40):
+        late = job(f'n{number}', submitted_s=float(number), deadline_s=1e6)
+        group.submit(late, number)
+    group.finish(done('fill0'), 40)
+    group.finish(done('fill1'), 50)
+    effects = [
+        group.submit(job(f'x{n}', deadline_s=1e6), 51) for n in range(20)
+    ]
+    waits = {one.retry_after_s for found in effects for one in found}
+    assert all(refused(found) == ['overloaded'] for found in effects)
+    assert len(waits) == 20
+    assert max(waits) <= 2 * min(waits) + 2
+    assert refused(group.submit(job('y', turn=2, deadline_s=1e6), 51)) == []
+
+
+def test_no_engine_is_refused_at_once(make):
+    group = make('e1')
+    group.set_engines(views('e1', leaving=True), 1)
+    assert refused(group.submit(job('a'), 1)) == ['no_endpoint']
+
+
+@pytest.mark.parametrize(
+    ('incarnation', 'usable'), [('', False), ('second', True)]
+)
+def test_leaving_ends_by_a_new_incarnation_only(make, incarnation, usable):
+    group = make('e1')
+    group.submit(job('a'), 0)
+    group.set_engines(views('e1', leaving=True), 1)
+    group.finish(done('a'), 2)
+    group.set_engines(views('e1', incarnation=incarnation), 3)
+    assert bool(granted(group.submit(job('b'), 3))) is usable
+
+
+def test_unlisted_engine_finishes_and_may_return(make):
+    group = make('e1')
+    group.submit(job('a'), 0)
+    group.set_engines([], 1)
+    assert refused(group.submit(job('b'), 1)) == ['no_endpoint']
+    group.set_engines(views('e1'), 2)
+    assert granted(group.submit(job('c'), 2)) == [('c', 'e1')]
+    assert group.summary('', 2).running == 2
+
+
+def test_failing_engine_is_only_probed(make):
+    group = make('e1')
+    for number in range(3):
+        group.submit(job(f'f{number}', turn=2), 0)
+        group.finish(done(f'f{number}', ok=False), 0)
+    probes = [granted(group.submit(job(f'p{n}', turn=2), 1)) for n in range(3)]
+    assert [len(found) for found in probes] == [1, 0, 0]
+    assert len(granted(group.finish(done('p0'), 2))) == 2
+
+
+def test_retries_end_with_the_budget(make):
+    group = make('e1', retry_burst=1.0, retry_ratio=0.0)
+    reasons = [
+        refused(group.submit(job(f'r{n}', turn=2, retry=True), 0))
+        for n in range(3)
+    ]
+    assert reasons == [[], [], ['retry_budget']]
+
+
+@pytest.mark.parametrize(
+    ('taken_s', 'running', 'left'),
+    [(5.0, 0, 1), (60.0, 1, 1), (60.0, 0, 0)],
+)
+def test_lost_grants_end_by_an_idle_report(make, taken_s, running, left):
+    group = make('e1')
+    group.submit(job('a'), 0)
+    group.report(types.EngineReport('e1', taken_s, running, 0, 0), taken_s)
+    assert group.summary('', taken_s).running == left
+
+
+def test_lost_grant_ends_by_the_long_bound(make):
+    group = make('e1', grant_bound_s=100.0)
+    group.submit(job('a'), 0)
+    assert types.CacheRelease('e1', 'a') in group.tick(101)
+    assert group.summary('', 101).running == 0
+
+
+def test_long_pause_is_released_under_pressure(make):
+    group = make('e1', pressure_share=0.8)
+    for name in ('long', 'short'):
+        group.submit(job(name, prompt_tokens=22_000), 0)
+        group.finish(done(name), 1)
+    assert group.program_paused('short', 2, 1) == []
+    effects = group.program_paused('long', 60, 1)
+    assert effects == [types.CacheRelease('e1', 'long')]
+
+
+def test_hot_prefix_is_warmed_where_it_is_missing(make):
+    group = make('e1', 'e2')
+    fill(group, 6)
+    for number in range(2):
+        group.finish(done(f'fill{number}'), 1)
+    group.set_engines(views('e1', 'e2', 'e3'), 1)
+    assert group.tick(1) == [types.Warm('e3', (1,))]
+    assert group.tick(2) == []
