Price recomputed prefixes by what they cost the batch; admit by share

Cause: a second of prefill takes 0.7 of the engine from up to 15 other sequences, but was priced as at most two seconds; new programs were refused on one common wait, so a hot account's queue shut the others out. Change: the price of a prefill grows to five times on a full batch; a slow group costs its longer calls; slowness fades without samples; a new program's wait counts only those ahead of it, and accounts that wait count as active in the shares; later turns go before shares.

--- a/cactusledge/routing/dispatch.py
+++ b/cactusledge/routing/dispatch.py
@@ -16,7 +16,8 @@
     effects: list[Effect] = []
     claims: Counter[str] = Counter()
     usable = state.usable(now)
-    ordered = state.queue.ordered(now, state.shares.over_share())
+    over_share = state.shares.over_share(state.queue.accounts())
+    ordered = state.queue.ordered(now, over_share)
     for job in ordered[:SCAN_LIMIT]:
         if not any(_free(state, engine) for engine in usable):
             break
@@ -47,7 +48,7 @@
         usable = [engine for engine in usable if _has_room(state, job, engine)]
     if not usable:
         return None
-    fastest = min(state.ejector.slowness(eng.view.name) for eng in usable)
+    fastest = min(state.ejector.slowness(eng.view.name, now) for eng in usable)
     candidates = [
         _candidate(state, job, engine, claims[engine.view.name], fastest, now)
         for engine in usable
@@ -77,7 +78,7 @@
     cfg = state.settings
     cached = state.cache.cached_tokens(name, job.prefix)
     expected_s = state.meter.expected_s(job, cached, limits)
-    slowness = state.ejector.slowness(name) / fastest
+    slowness = state.ejector.slowness(name, now) / fastest
     missing_s = max(0, job.prompt_tokens - cached) / limits.prefill_tokens_s
     free = engine.fits(job, cfg.batch_share, cfg.memory_share)
     if cfg.breaker and engine.failures >= cfg.breaker_failures:
--- a/cactusledge/routing/ejection.py
+++ b/cactusledge/routing/ejection.py
@@ -7,6 +7,7 @@
 from cactusledge.routing.policy import PolicySettings
 
 SMOOTHING = 0.2  # weight of the newest sample
+HALF_LIFE_S = 60.0  # of a slowness without new samples
 FAILURE_SLOWNESS = 10.0  # a failed call counts as one this much too slow
 
 
@@ -17,6 +18,7 @@
     samples: int = 0
     ejections: int = 0
     ejected_until_s: float = 0
+    seen_s: float = 0
 
 
 class Ejector:
@@ -40,14 +42,22 @@
         health = health._replace(
             slowness=health.slowness + weight * (slowness - health.slowness),
             samples=health.samples + 1,
+            seen_s=now,
         )
         self._health[endpoint] = health
         if health.ejected_until_s <= now and self._stands_out(endpoint):
             self._eject(endpoint, now)
 
-    def slowness(self, endpoint: str) -> float:
-        """Returns the smoothed slowness; 1 for an unknown endpoint."""
-        return self._health.get(endpoint, Health()).slowness
+    def slowness(self, endpoint: str, now: float) -> float:
+        """Returns the smoothed slowness; 1 for an unknown endpoint.
+
+        What was seen loses half of its weight in each half-life without
+        samples, so that an endpoint that was avoided is tried again.
+        """
+        health = self._health.get(endpoint, Health())
+        idle_s = max(0, now - health.seen_s)
+        weight: float = 0.5 ** (idle_s / HALF_LIFE_S)
+        return 1 + weight * (health.slowness - 1)
 
     def usable(self, endpoints: Iterable[str], now: float) -> list[str]:
         """Returns the endpoints that are not ejected, never none of them."""
@@ -86,4 +96,5 @@
             samples=0,
             ejections=health.ejections + 1,
             ejected_until_s=now + min(duration_s, cfg.max_ejection_s),
+            seen_s=now,
         )
--- a/cactusledge/routing/groups.py
+++ b/cactusledge/routing/groups.py
@@ -1,6 +1,5 @@
 """Which engine group a program's next call should ask first."""
 
-import math
 import zlib
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -11,6 +10,8 @@
 DISTANCE_S = 0.3  # price of another data centre
 LOAD_S = 1.0  # price of a full batch against an empty one
 QUEUE_S = 3.0  # price of one queued job per slot
+CALL_S = 4.0  # of a usual call, which a slow group makes longer
+USUAL_SLOWNESS = 1.5  # between groups that are not at fault
 
 
 class Asker(NamedTuple):
@@ -43,7 +44,8 @@
         reverse=True,
     )
     candidates = near + others[:SPILL_CHOICES]
-    candidates.sort(key=lambda summary: _cost_s(asker, summary))
+    fastest = min((summary.slowness for summary in candidates), default=1)
+    candidates.sort(key=lambda summary: _cost_s(asker, summary, fastest))
     return [summary.key for summary in candidates]
 
 
@@ -51,14 +53,16 @@
     return key == asker.home or key.data_centre == asker.data_centre
 
 
-def _cost_s(asker: Asker, summary: GroupSummary) -> float:
+def _cost_s(asker: Asker, summary: GroupSummary, fastest: float) -> float:
     load = (summary.running + summary.waiting) / summary.slots
     cost_s = LOAD_S * min(1, load) + QUEUE_S * max(0, load - 1)
-    cost_s *= max(1, summary.slowness)
+    slowness = summary.slowness / fastest
+    cost_s *= slowness
+    cost_s += CALL_S * max(0, slowness - USUAL_SLOWNESS)
     if asker.home is None:
         cost_s += summary.wait_s
     elif asker.home != summary.key:
         cost_s += asker.recompute_s + LOAD_S
     if asker.data_centre != summary.key.data_centre:
         cost_s += DISTANCE_S
-    return cost_s if math.isfinite(cost_s) else math.inf
+    return cost_s
--- a/cactusledge/routing/orders.py
+++ b/cactusledge/routing/orders.py
@@ -51,7 +51,7 @@
         gained = (now - self._at_s) * self._bytes_s
         self._left = min(self._burst, self._left + gained)
         self._at_s = now
-        if self._left < min(size_bytes, self._burst):
+        if self._left <= 0 or self._left < min(size_bytes, self._burst):
             return False
         self._left -= size_bytes
         return True
--- a/cactusledge/routing/placement.py
+++ b/cactusledge/routing/placement.py
@@ -5,6 +5,7 @@
 from cactusledge.routing.policy import PolicySettings
 
 LOAD_COST_S = 0.5  # extra time of a call on a full batch
+PREFILL_SLOWDOWN = 4.0  # what a full batch loses for each second of prefill
 RESIDENT_COST_S = 0.5  # price of the caches a new program may push out
 
 
@@ -33,10 +34,10 @@
 ) -> float:
     """Returns the price of a candidate in seconds.
 
-    A prefill also slows the rest of the batch, so its price grows with the
-    load of the engine.
+    A prefill also delays all other sequences of the batch, so its price grows
+    with the load of the engine.
     """
-    recompute_s = candidate.missing_s * (1 + candidate.load)
+    recompute_s = candidate.missing_s * (1 + PREFILL_SLOWDOWN * candidate.load)
     balance_s = LOAD_COST_S * candidate.load
     if new_program:
         balance_s += RESIDENT_COST_S * candidate.resident
--- a/cactusledge/routing/queue.py
+++ b/cactusledge/routing/queue.py
@@ -11,8 +11,8 @@
     """Sorts jobs; the smallest key is served first."""
 
     fresh: bool  # False for a job that waited beyond the starvation bound
-    over_share: bool
     new_program: bool
+    over_share: bool
     expected_end_s: float
     submitted_s: float
 
@@ -37,10 +37,25 @@
         """Takes a job out; returns None when it does not wait."""
         return self._jobs.pop(job_id, None)
 
+    def accounts(self) -> frozenset[str]:
+        """Returns the accounts of the waiting jobs."""
+        return frozenset(job.account for job in self._jobs.values())
+
     def new_programs(self) -> int:
         """Returns how many waiting jobs are first turns."""
         return sum(job.turn == 1 for job in self._jobs.values())
 
+    def new_programs_ahead(
+        self, account: str, over_share: AbstractSet[str]
+    ) -> int:
+        """Returns how many first turns go before one of an account."""
+        if account in over_share or not self._settings.shares:
+            return self.new_programs()
+        return sum(
+            job.turn == 1 and job.account not in over_share
+            for job in self._jobs.values()
+        )
+
     def expired(self, now: float) -> list[Job]:
         """Returns the jobs whose deadline has passed."""
         return [job for job in self._jobs.values() if job.deadline_s <= now]
@@ -60,8 +75,8 @@
             ends_s += job.remaining_estimate_s
         return OrderKey(
             fresh=now - job.submitted_s < cfg.starvation_s,
-            over_share=cfg.shares and job.account in over_share,
             new_program=cfg.later_turns_first and job.turn == 1,
+            over_share=cfg.shares and job.account in over_share,
             expected_end_s=ends_s,
             submitted_s=job.submitted_s,
         )
--- a/cactusledge/routing/scheduler.py
+++ b/cactusledge/routing/scheduler.py
@@ -118,7 +118,9 @@
         """Returns the group's load for other instances."""
         state = self._state
         usable = state.usable(now)
-        slowness = [state.ejector.slowness(eng.view.name) for eng in usable]
+        slowness = [
+            state.ejector.slowness(eng.view.name, now) for eng in usable
+        ]
         return types.GroupSummary(
             key=self.key,
             owner=owner,
--- a/cactusledge/routing/shares.py
+++ b/cactusledge/routing/shares.py
@@ -1,6 +1,7 @@
 """Shares of the engines among the accounts."""
 
 from collections.abc import Mapping
+from collections.abc import Set as AbstractSet
 
 from cactusledge.routing.policy import PolicySettings
 
@@ -36,10 +37,15 @@
             if used_s * factor > FORGOTTEN_S
         }
 
-    def over_share(self) -> frozenset[str]:
-        """Returns the accounts that used more than their fair share."""
+    def over_share(self, waiting: AbstractSet[str]) -> frozenset[str]:
+        """Returns the accounts that used more than their fair share.
+
+        Args:
+            waiting: Accounts that want engines, beside those that used them.
+        """
         used_total = sum(self._used_s.values())
-        weight_total = sum(self._weight(account) for account in self._used_s)
+        active = waiting | self._used_s.keys()
+        weight_total = sum(self._weight(account) for account in active)
         return frozenset(
             account
             for account, used_s in self._used_s.items()
--- a/cactusledge/routing/upkeep.py
+++ b/cactusledge/routing/upkeep.py
@@ -24,7 +24,9 @@
 
 def refusal(state: GroupState, job: Job, now: float) -> Refusal | None:
     """Returns the refusal of a job, or None when it may wait."""
-    wait_s = new_program_wait_s(state, now)
+    over_share = state.shares.over_share(state.queue.accounts() | {job.account})
+    ahead = state.queue.new_programs_ahead(job.account, over_share)
+    wait_s = state.starts.wait_s(ahead, now)
     retry_s = admission.retry_after_s(job, wait_s, state.settings)
     if job.deadline_s <= now:
         return Refusal(job.job_id, 0, RefusalReason.DEADLINE)
--- /dev/null
+++ b/tests/test_routing_parts.py
@@ -0,0 +1,243 @@
+"""Cache map, ejection, shares, groups, services and orders."""
+
+import random
+
+import pytest
+
+from cactusledge.models import Address, CallKind, Endpoint
+from cactusledge.routing import orders, types
+from cactusledge.routing.cache_map import CacheMap
+from cactusledge.routing.ejection import Ejector
+from cactusledge.routing.errors import NoEngineError
+from cactusledge.routing.groups import Asker, ranked
+from cactusledge.routing.policy import PolicySettings
+from cactusledge.routing.prefix import CHUNK_TOKENS, prefix_chain
+from cactusledge.routing.services import ServiceBalancer
+from cactusledge.routing.shares import Shares
+
+CFG = PolicySettings()
+CHAIN = (1, 2, 3, 4)
+LONGER = (*CHAIN, 5)
+SUMMARY = types.GroupSummary(
+    key=types.GroupKey('bole', 'ledger'),
+    owner='i1',
+    slots=16,
+    running=8,
+    waiting=0,
+    wait_s=0,
+    slowness=1,
+    taken_s=0,
+)
+
+
+def group(place, **changes):
+    return SUMMARY._replace(key=types.GroupKey(place, 'ledger'), **changes)
+
+
+@pytest.fixture
+def cache():
+    built = CacheMap()
+    built.add_engine('e', 6 * CHUNK_TOKENS)
+    built.used('e', CHAIN, 1)
+    return built
+
+
+def event(sequence, taken_s, **changes):
+    return types.CacheEvent('e', sequence, taken_s)._replace(**changes)
+
+
+@pytest.mark.parametrize(
+    ('prefix', 'chunks'),
+    [(CHAIN, 4), ((1, 2, 9, 10), 2), ((9,), 0), ((), 0), (LONGER, 4)],
+)
+def test_cache_matches_leading_chunks(cache, prefix, chunks):
+    assert cache.cached_tokens('e', prefix) == chunks * CHUNK_TOKENS
+
+
+def test_cache_evicts_the_end_of_the_oldest_chain(cache):
+    cache.used('e', (11, 12, 13), 2)
+    assert cache.cached_tokens('e', CHAIN) == 3 * CHUNK_TOKENS
+
+
+@pytest.mark.parametrize(
+    ('events', 'chunks', 'whole'),
+    [
+        pytest.param([event(1, 2, removed=(3, 4))], 2, True, id='removed'),
+        pytest.param([event(1, 0.5, removed=(4,))], 4, True, id='older'),
+        pytest.param([event(3, 2, removed=(4,))], 3, False, id='gap'),
+        pytest.param(
+            [event(2, 2, removed=(4,)), event(1, 2, removed=(1,))],
+            3,
+            True,
+            id='late repeat',
+        ),
+        pytest.param([event(1, 2, stored=(5,))], 4, True, id='stored'),
+    ],
+)
+def test_cache_events(cache, events, chunks, whole):
+    seen = [cache.apply(item) for item in events]
+    assert seen[-1] is whole
+    assert cache.cached_tokens('e', CHAIN) == chunks * CHUNK_TOKENS
+
+
+def test_answer_with_less_cached_lowers_the_belief(cache):
+    cache.correct('e', believed=4 * CHUNK_TOKENS, actual=CHUNK_TOKENS)
+    assert cache.cached_tokens('e', CHAIN) == CHUNK_TOKENS
+
+
+def test_prefix_chain_covers_all_text_before():
+    text = 'abcd' * CHUNK_TOKENS
+    one, two = prefix_chain(text * 2)
+    assert prefix_chain(text) == (one,)
+    assert prefix_chain(f'x{text}{text}')[1] != two
+
+
+@pytest.mark.parametrize(
+    ('slowness', 'left'),
+    [
+        pytest.param({'a': 1, 'b': 1, 'c': 9}, {'a', 'b'}, id='one slow'),
+        pytest.param({'a': 9, 'b': 9, 'c': 9}, {'a', 'b', 'c'}, id='all slow'),
+        pytest.param({'a': 9}, {'a'}, id='alone'),
+        pytest.param({'a': 1, 'b': 9}, {'a'}, id='one of two'),
+    ],
+)
+def test_ejection_needs_an_outlier(slowness, left):
+    ejector = Ejector(CFG)
+    for _ in range(10):
+        for name, value in slowness.items():
+            ejector.observe(name, value, 1)
+    assert set(ejector.usable(slowness, 1)) == left
+    assert set(ejector.usable(slowness, 1000)) == set(slowness)
+
+
+def test_shares_are_weighted_and_decay():
+    shares = Shares(CFG, {'big': 3})
+    shares.charge('big', 30)
+    shares.charge('small', 20)
+    assert shares.over_share(frozenset()) == {'small'}
+    shares.decay(10_000)
+    assert shares.over_share(frozenset()) == set()
+
+
+@pytest.mark.parametrize(
+    ('asker', 'groups', 'first'),
+    [
+        pytest.param(
+            Asker('p', 'bole'), [group('bole'), group('yeka')], 'bole',
+            id='local',
+        ),
+        pytest.param(
+            Asker('p', 'bole'),
+            [group('bole', running=16, waiting=9), group('yeka')],
+            'yeka',
+            id='spill',
+        ),
+        pytest.param(
+            Asker('p', 'bole', types.GroupKey('yeka', 'ledger'), 1),
+            [group('bole'), group('yeka', running=16, waiting=2)],
+            'yeka',
+            id='home',
+        ),
+        pytest.param(
+            Asker('p', 'bole'), [group('bole', slots=0), group('yeka')],
+            'yeka',
+            id='no engine left',
+        ),
+        pytest.param(
+            Asker('p', 'bole'), [group('bole', slowness=5), group('yeka')],
+            'yeka',
+            id='slow',
+        ),
+    ],
+)  # fmt: skip
+def test_group_choice(asker, groups, first):
+    assert ranked(asker, groups)[0].data_centre == first
+
+
+def replica(name, place='bole', **changes):
+    address = Address('127.0.0.1', 1)
+    one = Endpoint(name, 'tool', CallKind.SERVICE, address, place)
+    return one._replace(**changes)
+
+
+@pytest.fixture
+def balancer():
+    return ServiceBalancer('bole', CFG, random.Random(1))
+
+
+def test_service_prefers_idle_local_replicas(balancer):
+    balancer.set_replicas([replica('a'), replica('b'), replica('c', 'yeka')])
+    chosen = [balancer.start(0).name for _ in range(5)]
+    assert chosen.count('a') == chosen.count('b') == 2
+    assert chosen.count('c') == 1
+
+
+@pytest.mark.parametrize(
+    ('listed', 'usable'),
+    [
+        ([replica('a')], False),
+        ([replica('a', incarnation='2')], True),
+        ([], False),
+    ],
+)
+def test_service_leaving_is_sticky(balancer, listed, usable):
+    balancer.set_replicas([replica('a')])
+    balancer.refused('a')
+    balancer.set_replicas(listed)
+    if usable:
+        assert balancer.start(0).name == 'a'
+        return
+    with pytest.raises(NoEngineError):
+        balancer.start(0)
+
+
+def test_failing_service_replica_is_ejected(balancer):
+    balancer.set_replicas([replica('a'), replica('b')])
+    for _ in range(10):
+        balancer.finish('a', 1, ok=True)
+        balancer.finish('b', 1, ok=False)
+    assert {balancer.start(2).name for _ in range(5)} == {'a'}
+
+
+ENGINES = (
+    orders.LoadedEngine('a', 'x'),
+    orders.LoadedEngine('b', 'x'),
+    orders.LoadedEngine('c', 'x'),
+    orders.LoadedEngine('d', 'y'),
+)
+
+
+@pytest.mark.parametrize(
+    ('busy', 'engines', 'bytes_s', 'moved'),
+    [
+        pytest.param((0.5, 0.9), ENGINES, 1.0, 1, id='moves'),
+        pytest.param((0.5, 0.8), ENGINES, 1.0, 0, id='below the bound'),
+        pytest.param((1.2, 0.9), ENGINES, 1.0, 0, id='none to spare'),
+        pytest.param((0.5, 0.9), ENGINES, 0, 0, id='no rate left'),
+        pytest.param(
+            (0.5, 0.9),
+            [one._replace(ordered_s=80) for one in ENGINES],
+            1.0,
+            0,
+            id='ordered just now',
+        ),
+        pytest.param((0.5, 0), ENGINES[:3], 1.0, 1, id='fewest engines'),
+    ],
+)
+def test_orders(busy, engines, bytes_s, moved):
+    demand = {
+        'x': orders.ModelDemand(busy[0], 10),
+        'y': orders.ModelDemand(busy[1], 10),
+    }
+    pace = orders.WeightStorePace(bytes_s)
+    planned = orders.plan_orders(engines, demand, pace, 7, 100)
+    expected = [orders.DesiredState('a', 'y', 7)]
+    assert planned == expected[:moved]
+
+
+@pytest.mark.parametrize(
+    ('fenced', 'now', 'allowed'),
+    [(True, 0, True), (False, 50, False), (False, 100, True)],
+)
+def test_new_orderer_waits_where_fencing_is_ignored(fenced, now, allowed):
+    assert orders.may_order(10, 90, now, fenced=fenced) is allowed
--- a/tests/test_routing_scheduler.py
+++ b/tests/test_routing_scheduler.py
@@ -51,25 +51,25 @@
     ]
 
 
+def build(*names, **settings):
+    group = GroupScheduler(KEY, PolicySettings(**settings))
+    group.set_engines(views(*names), 0)
+    return group
+
+
 @pytest.fixture
 def make():
-    def build(*names, **settings):
-        cfg = PolicySettings(**settings)
-        group = GroupScheduler(KEY, cfg)
-        group.set_engines(views(*names), 0)
-        return group
-
     return build
 
 
-def fill(group, count, now=0.0, **changes):
+def fill(group, count, now=0, **changes):
     for number in range(count):
         group.submit(job(f'fill{number}', **changes), now)
 
 
 def test_sends_only_what_the_engines_can_batch(make):
     group = make('e1', 'e2')
-    sent = [granted(group.submit(job(f'j{n}'), 0)) for n in range(6)]
+    sent = [granted(group.submit(job(f'j{num}'), 0)) for num in range(6)]
     assert sum(map(len, sent)) == 4
     assert group.summary('', 0).waiting == 2
     assert len(granted(group.finish(done('j0'), 2))) == 1
@@ -138,15 +138,15 @@
 @pytest.mark.parametrize(
     ('change', 'now', 'reason'),
     [
-        ({'deadline_s': 5.0}, 6, 'deadline_exceeded'),
-        ({'deadline_s': 40.0}, 30, 'deadline_exceeded'),
-        ({}, 20, None),
-        ({'deadline_s': 40.0, 'turn': 2}, 30, None),
+        ({'deadline_s': 5.0}, 6, ['deadline_exceeded']),
+        ({'deadline_s': 40.0}, 30, ['deadline_exceeded']),
+        ({}, 20, []),
+        ({'deadline_s': 40.0, 'turn': 2}, 30, []),
     ],
 )
 def test_deadlines(make, change, now, reason):
     effects = make('e1').submit(job('a', **change), now)
-    assert refused(effects) == ([reason] if reason else [])
+    assert refused(effects) == reason
 
 
 def test_overload_refuses_new_programs_and_spreads_their_return(make):
@@ -158,7 +158,7 @@
     group.finish(done('fill0'), 40)
     group.finish(done('fill1'), 50)
     effects = [
-        group.submit(job(f'x{n}', deadline_s=1e6), 51) for n in range(20)
+        group.submit(job(f'x{num}', deadline_s=1e6), 51) for num in range(20)
     ]
     waits = {one.retry_after_s for found in effects for one in found}
     assert all(refused(found) == ['overloaded'] for found in effects)
@@ -167,6 +167,19 @@
     assert refused(group.submit(job('y', turn=2, deadline_s=1e6), 51)) == []
 
 
+def test_account_below_its_share_is_not_refused_for_the_others(make):
+    group = make('e1', starvation_s=1000.0)
+    fill(group, 2, account='hot')
+    for number in range(20):
+        waiting = job(f'n{number}', account='hot', deadline_s=1e6)
+        group.submit(waiting, number)
+    group.finish(done('fill0'), 40)
+    group.finish(done('fill1'), 50)
+    late = job('x', program_started_s=51, deadline_s=1e6)
+    assert refused(group.submit(late._replace(account='hot'), 51))
+    assert refused(group.submit(late._replace(account='calm'), 51)) == []
+
+
 def test_no_engine_is_refused_at_once(make):
     group = make('e1')
     group.set_engines(views('e1', leaving=True), 1)
@@ -200,16 +213,18 @@
     for number in range(3):
         group.submit(job(f'f{number}', turn=2), 0)
         group.finish(done(f'f{number}', ok=False), 0)
-    probes = [granted(group.submit(job(f'p{n}', turn=2), 1)) for n in range(3)]
-    assert [len(found) for found in probes] == [1, 0, 0]
+    probes = []
+    for probe in range(3):
+        probes.extend(granted(group.submit(job(f'p{probe}', turn=2), 1)))
+    assert len(probes) == 1
     assert len(granted(group.finish(done('p0'), 2))) == 2
 
 
 def test_retries_end_with_the_budget(make):
-    group = make('e1', retry_burst=1.0, retry_ratio=0.0)
+    group = make('e1', retry_burst=1.0, retry_ratio=0)
     reasons = [
-        refused(group.submit(job(f'r{n}', turn=2, retry=True), 0))
-        for n in range(3)
+        refused(group.submit(job(f'r{num}', turn=2, retry=True), 0))
+        for num in range(3)
     ]
     assert reasons == [[], [], ['retry_budget']]
 
