--- a/cactusledge/routing/scheduler.py
+++ b/cactusledge/routing/scheduler.py
@@ -100,7 +100,7 @@
         state.shares.decay(now)
         for engine in list(state.engines.values()):
             upkeep.expire(state, engine, silent_s)
-        effects: list[types.Effect] = []
+        effects = upkeep.warm(state, now)
         for program in state.programs.idle_since(silent_s):
             effects.extend(upkeep.end_program(state, program.program_id))
         for job in state.queue.expired(now):
@@ -118,7 +118,9 @@
         """Returns the group's load for other instances."""
         state = self._state
         usable = state.usable(now)
-        slowness = [state.ejector.slowness(eng.view.name) for eng in usable]
+        slowness = [
+            state.ejector.slowness(eng.view.name, now) for eng in usable
+        ]
         return types.GroupSummary(
             key=self.key,
             owner=owner,
