Settle every append once, whatever ends the writer; commit at once when idle

Cause: an unexpected error ended the actor and left futures open for ever; records in its mailbox were dropped; each append waited for the whole commit interval even after a pause. Ruled out: draining the mailbox on failure (a message may still arrive between the check and the put), all open entries are kept in one thread-safe place. Conclusion: waiting_records() needs no message to the actor any more.

--- a/cactusledge/programs/journal_actor.py
+++ b/cactusledge/programs/journal_actor.py
@@ -15,13 +15,14 @@
 from cactusledge.programs.journal_queue import (
     CommitQueue,
     Entry,
-    WaitingBytes,
+    PendingEntries,
 )
 from cactusledge.protocol import journal
 from cactusledge.protocol import journal_types as msg
 from cactusledge.protocol.errors import (
     FencedError,
     HistoryError,
+    JournalFailedError,
     JournalStoppedError,
 )
 from cactusledge.protocol.ledger import Ledger
@@ -60,10 +61,6 @@
     future: 'pykka.ThreadingFuture[None]'
 
 
-class Peek(NamedTuple):
-    """Message: answer with the records that are not durable."""
-
-
 class FlushDue(NamedTuple):
     """Message: the commit interval is over."""
 
@@ -88,7 +85,7 @@
         executor: Executor,
         options: 'WriterOptions',
         status: WriterStatus,
-        waiting: WaitingBytes,
+        pending: PendingEntries,
     ) -> None:
         """Starts idle behind the append that took the log over."""
         super().__init__()
@@ -103,9 +100,10 @@
         self._slots = slots
         self._options = options
         self._status = status
-        self._queue = CommitQueue(waiting)
+        self._queue = CommitQueue(pending)
         self._retries = 0
         self._flush_set = False
+        self._next_flush_s = options.monotonic_s()
 
     def on_receive(self, message: Any) -> Any:
         """Handles a message or an event of the state machine."""
@@ -121,31 +119,40 @@
         )
         self._queue.settle_all(error)
 
+    def on_failure(self, *failure: Any) -> None:
+        """Fails everything after an unexpected error, for good."""
+        error = JournalFailedError(
+            f'The writer of log {self._state.log!r} failed: {failure[1]}',
+            remedy='Take the log over again.',
+        )
+        self._status.error = error
+        self._queue.settle_all(error)
+
     def submit(self, message: Submit) -> None:
         """Queues an entry."""
         if self._status.error is not None:
-            self._queue.settle(message.entry, self._status.error)
+            self._queue.pending.settle(message.entry, self._status.error)
             return
         self._queue.push(message.entry)
-        self._pump(self._options.commit_interval_s)
+        self._pump()
 
     def close(self, message: Close) -> None:
         """Resolves the future now or when all is durable."""
         self._queue.when_idle(message.future)
 
-    def peek(self, message: Peek) -> tuple[ProgramRecord, ...]:
-        """Returns the records that are not durable."""
-        return self._queue.records()
-
     def flush(self, message: FlushDue) -> None:
         """Starts an append of what waits and what is carried forward."""
         self._flush_set = False
+        interval_s = self._options.commit_interval_s
         batch = self._batch(self._state.number)
+        if not batch:
+            interval_s = self._options.retry_cap_s
+        self._next_flush_s = self._options.monotonic_s() + interval_s
         if batch:
             oldest = self._ledger.oldest(self._state.number)
             self.advance(msg.Append(encode_batch(batch), oldest))
         else:
-            self._pump(self._options.retry_cap_s)
+            self._pump()
 
     def advance(self, event: Any) -> None:
         """Steps the state machine and carries its effects out."""
@@ -170,7 +177,7 @@
         """Reports the append as durable and goes on."""
         self._retries = 0
         self._queue.settle_sent()
-        self._pump(self._options.commit_interval_s)
+        self._pump()
 
     def fenced(self, effect: msg.Fenced) -> None:
         """Fails everything, for good."""
@@ -182,8 +189,8 @@
         self._queue.settle_all(error)
 
     def _batch(self, number: int) -> tuple[ProgramRecord, ...]:
-        room = self._ledger.has_room(number)
-        limit = CARRY_BYTES if room else MAX_DATA_BYTES
+        crowded = self._ledger.is_crowded(number)
+        limit = MAX_DATA_BYTES if crowded else CARRY_BYTES
         carried = self._ledger.carry(number, self._options.now_s(), limit)
         self._status.full = self._ledger.is_crowded(number)
         if not self._ledger.has_room(number):
@@ -192,11 +199,12 @@
         fresh = _fold(self._ledger, number, self._queue, left)
         return (*carried, *fresh)
 
-    def _pump(self, delay_s: float) -> None:
+    def _pump(self) -> None:
         idle = self._state.phase is journal.Phase.IDLE
         if idle and len(self._queue) and not self._flush_set:
             self._flush_set = True
-            self._jobs.later(delay_s, FlushDue())
+            left_s = self._next_flush_s - self._options.monotonic_s()
+            self._jobs.later(max(left_s, 0), FlushDue())
 
 
 def _fold(
@@ -209,7 +217,7 @@
         try:
             ledger.fold(number, entry.records)
         except HistoryError as exc:
-            queue.settle(entry, exc)
+            queue.pending.settle(entry, exc)
         else:
             queue.send(entry)
             yield from entry.records
@@ -219,7 +227,6 @@
 _MESSAGES: Mapping[type[Any], _Handler] = MappingProxyType({
     Submit: JournalActor.submit,
     Close: JournalActor.close,
-    Peek: JournalActor.peek,
     FlushDue: JournalActor.flush,
 })
 _EFFECTS: Mapping[type[Any], _Handler] = MappingProxyType({
--- a/cactusledge/programs/journal_jobs.py
+++ b/cactusledge/programs/journal_jobs.py
@@ -45,7 +45,10 @@
             self._executor.submit(self._report, job)
 
     def later(self, delay_s: float, message: Any) -> None:
-        """Tells the actor the message after the delay."""
+        """Tells the actor the message after the delay, if there is one."""
+        if delay_s <= 0:
+            self._ref.tell(message)
+            return
         with contextlib.suppress(RuntimeError):
             self._executor.submit(self._delay, delay_s, message)
 
--- a/cactusledge/programs/journal_queue.py
+++ b/cactusledge/programs/journal_queue.py
@@ -1,5 +1,6 @@
 """Records that wait until they are durable, bounded in bytes."""
 
+import itertools
 import threading
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -19,57 +20,92 @@
 class Entry(NamedTuple):
     """Records that become durable together."""
 
+    ticket: int
     records: tuple[ProgramRecord, ...]
     size_bytes: int
     future: 'pykka.ThreadingFuture[None]'
     on_done: OnDone | None = None
 
-    def settle(self, error: CactusledgeError | None = None) -> None:
-        """Resolves the future, then calls the callback."""
-        if error is None:
-            self.future.set(None)
-        else:
-            self.future.set_exception((type(error), error, None))
-        if self.on_done is not None:
-            self.on_done(error)
 
+class PendingEntries:
+    """All entries that are not settled, bounded in bytes; thread-safe."""
 
-class WaitingBytes:
-    """Thread-safe count of the bytes that wait."""
-
-    def __init__(self, limit: int) -> None:
-        """Starts at zero."""
-        self.limit = limit
-        self.count = 0
+    def __init__(self, limit_bytes: int) -> None:
+        """Starts empty."""
+        self.size_bytes = 0
+        self._limit_bytes = limit_bytes
+        self._entries: dict[int, Entry] = {}
+        self._tickets = itertools.count()
         self._lock = threading.Lock()
 
-    def add(self, size: int) -> None:
-        """Counts the bytes.
+    def add(
+        self,
+        records: tuple[ProgramRecord, ...],
+        size_bytes: int,
+        on_done: OnDone | None,
+    ) -> Entry:
+        """Returns a new entry.
 
         Raises:
-            JournalBusyError: If they exceed the limit; nothing is counted.
+            JournalBusyError: If its bytes exceed the limit.
         """
         with self._lock:
-            if self.count + size > self.limit:
+            if self.size_bytes + size_bytes > self._limit_bytes:
                 raise JournalBusyError(
-                    f'{self.count} bytes of records wait for the platform.',
+                    f'{self.size_bytes} bytes of records wait.',
                     remedy='Come back when the platform answers again.',
                     retry_after_s=BUSY_RETRY_S,
                 )
-            self.count += size
+            entry = Entry(
+                next(self._tickets),
+                records,
+                size_bytes,
+                pykka.ThreadingFuture(),
+                on_done,
+            )
+            self._entries[entry.ticket] = entry
+            self.size_bytes += size_bytes
+        return entry
+
+    def settle(
+        self,
+        entry: Entry,
+        error: CactusledgeError | None = None,
+    ) -> None:
+        """Resolves the entry's future and calls its callback, once."""
+        with self._lock:
+            if self._entries.pop(entry.ticket, None) is None:
+                return
+            self.size_bytes -= entry.size_bytes
+        if error is None:
+            entry.future.set(None)
+        else:
+            entry.future.set_exception((type(error), error, None))
+        if entry.on_done is not None:
+            entry.on_done(error)
+
+    def settle_all(self, error: CactusledgeError) -> None:
+        """Fails all entries."""
+        for entry in self._snapshot():
+            self.settle(entry, error)
+
+    def records(self) -> tuple[ProgramRecord, ...]:
+        """Returns the records of all entries in their order."""
+        return tuple(
+            record for entry in self._snapshot() for record in entry.records
+        )
 
-    def remove(self, size: int) -> None:
-        """Counts the bytes as no longer waiting."""
+    def _snapshot(self) -> tuple[Entry, ...]:
         with self._lock:
-            self.count -= size
+            return tuple(self._entries.values())
 
 
 class CommitQueue:
     """Entries in the order of their arrival and those in flight."""
 
-    def __init__(self, waiting: WaitingBytes) -> None:
+    def __init__(self, pending: PendingEntries) -> None:
         """Starts empty."""
-        self._waiting = waiting
+        self.pending = pending
         self._entries: deque[Entry] = deque()
         self._in_flight: list[Entry] = []
         self._idle_futures: list[pykka.ThreadingFuture[None]] = []
@@ -84,7 +120,7 @@
         self._report_idle()
 
     def push(self, entry: Entry) -> None:
-        """Adds an entry whose bytes are counted already."""
+        """Adds an entry."""
         self._entries.append(entry)
 
     def take(self, limit_bytes: int) -> Iterable[Entry]:
@@ -99,31 +135,21 @@
         """Keeps an entry as part of the append in flight."""
         self._in_flight.append(entry)
 
-    def settle_sent(self, error: CactusledgeError | None = None) -> None:
-        """Settles what was in flight."""
+    def settle_sent(self) -> None:
+        """Reports what was in flight as durable."""
         sent = self._in_flight
         self._in_flight = []
         for entry in sent:
-            self.settle(entry, error)
+            self.pending.settle(entry)
         self._report_idle()
 
     def settle_all(self, error: CactusledgeError) -> None:
         """Fails everything that is not durable."""
-        self.settle_sent(error)
-        while self._entries:
-            self.settle(self._entries.popleft(), error)
+        self._in_flight.clear()
+        self._entries.clear()
+        self.pending.settle_all(error)
         self._report_idle()
 
-    def settle(self, entry: Entry, error: CactusledgeError | None) -> None:
-        """Settles one entry and frees its bytes."""
-        self._waiting.remove(entry.size_bytes)
-        entry.settle(error)
-
-    def records(self) -> tuple[ProgramRecord, ...]:
-        """Returns all records that are not known to be durable."""
-        entries = (*self._in_flight, *self._entries)
-        return tuple(record for entry in entries for record in entry.records)
-
     def _report_idle(self) -> None:
         if self._entries or self._in_flight:
             return
--- a/cactusledge/programs/journal_writer.py
+++ b/cactusledge/programs/journal_writer.py
@@ -21,12 +21,11 @@
 from cactusledge.programs.journal_actor import (
     Close,
     JournalActor,
-    Peek,
     Submit,
     WriterStatus,
 )
 from cactusledge.programs.journal_io import SlotAccess
-from cactusledge.programs.journal_queue import Entry, OnDone, WaitingBytes
+from cactusledge.programs.journal_queue import OnDone, PendingEntries
 from cactusledge.protocol.errors import JournalFullError, JournalStoppedError
 from cactusledge.protocol.journal import FULL_RETRY_S
 from cactusledge.protocol.ledger import check_size
@@ -46,6 +45,7 @@
     max_waiting_bytes: int = 8_000_000
     jitter: Callable[[], float] = random.random  # in [0, 1)
     now_s: Callable[[], float] = time.time
+    monotonic_s: Callable[[], float] = time.monotonic
 
 
 class JournalWriter:
@@ -60,7 +60,7 @@
     ) -> None:
         """Starts the actor behind the append that took the log over."""
         options = options or WriterOptions()
-        self._waiting = WaitingBytes(options.max_waiting_bytes)
+        self._pending = PendingEntries(options.max_waiting_bytes)
         self._status = WriterStatus(threading.Event())
         self._ref = JournalActor.start(
             taken,
@@ -68,7 +68,7 @@
             executor,
             options,
             self._status,
-            self._waiting,
+            self._pending,
         )
 
     def append(
@@ -91,14 +91,12 @@
         """
         batch = tuple(records)
         self._check(batch)
-        size = check_size(batch)
-        self._waiting.add(size)
-        future: pykka.ThreadingFuture[None] = pykka.ThreadingFuture()
-        try:
-            self._ref.tell(Submit(Entry(batch, size, future, on_done)))
-        except pykka.ActorDeadError as exc:
-            raise _stopped() from exc
-        return future
+        entry = self._pending.add(batch, check_size(batch), on_done)
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._ref.tell(Submit(entry))
+        if not self._ref.is_alive():
+            self._pending.settle(entry, self._status.error or _stopped())
+        return entry.future
 
     def platform_up(self) -> bool:
         """Returns whether the platform answered the latest request."""
@@ -110,11 +108,11 @@
 
     def waiting_bytes(self) -> int:
         """Returns the size of the records that are not yet durable."""
-        return self._waiting.count
+        return self._pending.size_bytes
 
-    def waiting_records(self) -> 'pykka.Future[tuple[ProgramRecord, ...]]':
+    def waiting_records(self) -> tuple[ProgramRecord, ...]:
         """Returns the records that are not known to be durable."""
-        return self._ref.ask(Peek(), block=False)
+        return self._pending.records()
 
     def stop(self, grace_s: float) -> tuple[ProgramRecord, ...]:
         """Waits until all is durable, then stops; returns what is not."""
@@ -123,17 +121,11 @@
         with contextlib.suppress(pykka.Timeout, pykka.ActorDeadError):
             self._ref.tell(Close(future))
             future.get(timeout=grace_s)
-        left = self._left()
+        left = self.waiting_records()
         self._status.stopping.set()
         self._ref.stop()
         return left
 
-    def _left(self) -> tuple[ProgramRecord, ...]:
-        try:
-            return self.waiting_records().get()
-        except pykka.ActorDeadError:
-            return ()
-
     def _check(self, batch: tuple[ProgramRecord, ...]) -> None:
         if self._status.error is not None:
             raise self._status.error
--- a/cactusledge/protocol/errors.py
+++ b/cactusledge/protocol/errors.py
@@ -56,3 +56,9 @@
 
     code = ErrorCode.STOPPING
     outcome = Outcome.UNKNOWN
+
+
+class JournalFailedError(CactusledgeError):
+    """The writer met an unexpected error and stopped for good."""
+
+    outcome = Outcome.UNKNOWN
--- a/cactusledge/protocol/ledger.py
+++ b/cactusledge/protocol/ledger.py
@@ -18,8 +18,8 @@
 from cactusledge.protocol.sizes import snapshot_of
 from cactusledge.protocol.state import ProgramState
 
-# Slots kept free of bases so that seals need not carry anything.
-RESERVE_SLOTS = 4
+# One slot in so many is kept free of bases, for seals and late cleaning.
+RESERVE_DIVISOR = 8
 # Part of the ring behind the oldest base at which no program is opened.
 OPEN_LIMIT = 0.75
 
@@ -68,7 +68,8 @@
 
     def has_room(self, next_n: int) -> bool:
         """Returns whether append `next_n` may take new records."""
-        return self.oldest(next_n) > next_n - self._size + RESERVE_SLOTS
+        reserve = self._size // RESERVE_DIVISOR
+        return self.oldest(next_n) > next_n - self._size + reserve
 
     def is_crowded(self, next_n: int) -> bool:
         """Returns whether the ring is too full to open programs."""
--- a/cactusledge/protocol/program.py
+++ b/cactusledge/protocol/program.py
@@ -63,8 +63,8 @@
     for record in records:
         if isinstance(record, (rec.Seal, rec.Void)):
             continue
-        seen.add(rec.digest_of(record))
         _replay_one(programs, orphans, record)
+        seen.add(_digest_after(programs, orphans, record))
     if orphans:
         raise HistoryError(
             f'The log lacks the beginning of {sorted(orphans)}.',
@@ -94,6 +94,18 @@
         programs[name] = apply(state, record)
 
 
+def _digest_after(
+    programs: dict[str, ProgramState],
+    orphans: dict[str, bytes],
+    record: rec.ProgramRecord,
+) -> bytes:
+    """Returns the record's digest, or the chain's if it is not part of it."""
+    state = programs.get(record.program_id)
+    if state is not None:
+        return state.digest
+    return orphans.get(record.program_id, record.prev)
+
+
 def _check_chain(record: rec.ProgramRecord, digest: bytes | None) -> None:
     known = digest is not None
     require(
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -1,17 +1,22 @@
 """Journal writer and takeover against a store with faults."""
 
 import functools
+import queue
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from cactusledge.errors import StoreUnavailableError
-from cactusledge.models import CallKind, CallSpec
+from cactusledge.models import Answer, CallKind, CallSpec, Outcome
 from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
 from cactusledge.programs.takeover import TakeoverOptions, take_over
 from cactusledge.protocol import calls
 from cactusledge.protocol import records as rec
-from cactusledge.protocol.errors import FencedError, JournalBusyError
+from cactusledge.protocol.errors import (
+    FencedError,
+    JournalBusyError,
+    JournalFailedError,
+)
 from cactusledge.protocol.ledger import Retention
 from cactusledge.protocol.program import apply, apply_all
 from tests.fakes_store import FakeStore
@@ -159,7 +164,7 @@
         writer.append(batch)
     assert refusal.value.retry_after_s
     assert 200 < writer.waiting_bytes() <= 300
-    assert writer.waiting_records().get(timeout=WAIT_S) == tuple(batch)
+    assert writer.waiting_records() == tuple(batch)
     store.down = False
     future.get(timeout=WAIT_S)
     assert writer.waiting_bytes() == 0
@@ -201,3 +206,39 @@
     assert writer.stop(0.01) == (opened(),)
     with pytest.raises(Exception, match='stopped'):
         future.get(timeout=WAIT_S)
+
+
+def test_unexpected_error_fails_all_for_good(start):
+    clock = iter([0])
+    writer = start('a', QUICK._replace(monotonic_s=lambda: next(clock)))
+    with pytest.raises(JournalFailedError) as failed:
+        writer.append([opened()]).get(timeout=WAIT_S)
+    assert failed.value.remedy
+    assert writer.fenced()
+
+
+def test_program_appends_ahead_of_its_commits(store, start):
+    writer = start('a', QUICK._replace(commit_interval_s=0.001))
+    state = apply(None, opened(turn_limit=50))
+    futures = [writer.append([opened(turn_limit=50)])]
+    for seq in range(1, 31):
+        call = intent(state, seq)
+        state = apply(state, call)
+        answer = Answer('p', seq, Outcome.RAN, 200, {}, 1)
+        outcome = calls.outcome_record(state, seq, answer)
+        state = apply(state, outcome)
+        futures.extend((writer.append([call]), writer.append([outcome])))
+    for future in futures:
+        future.get(timeout=WAIT_S)
+    assert stored(store)['p'] == state
+    assert store.writes < len(futures)
+
+
+def test_callback_gets_the_outcome(store, start):
+    writer = start('a')
+    told = queue.SimpleQueue()
+    writer.append([opened()], told.put)
+    assert told.get(timeout=WAIT_S) is None
+    start('b')
+    writer.append([opened('q')], told.put)
+    assert isinstance(told.get(timeout=WAIT_S), FencedError)
