Tend engines between calls, and have peers drop durable copies

Cause: schedulers asked for cache releases and warm prefixes that nobody carried out, knew no engine's load report, and peers kept copies of records for ever once the platform was back. Change: the owner of an engine group reads load reports and carries out the effects; copies are dropped once the writer is empty, and by the heir after a takeover; a newer generation seen in gossip is fetched in a worker. Conclusion: cache events stay unused, since the engines' chunk hashes are their own; the cache map learns from the answers.

--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -127,7 +127,6 @@
     def _stop_parts(self) -> None:
         self._peers.stop()
         self._routing.stop()
-        self._programs.pools.close()
         pykka.ActorRegistry.stop_all(timeout=STOP_WAIT_S)
         self._base.stop()
 
@@ -143,4 +142,5 @@
         self._routing.tick()
         if self._base.config.current().generation and self._may_claim():
             self._programs.logs.tick()
+            self._base.workers.submit(self._programs.opener.drop_held)
             self._ready.set()
--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -53,7 +53,8 @@
         self.base.workers.submit(self.reporter.tick)
         newest = max(map(generation_of, self.membership.alive()), default=0)
         if newest > generation:
-            self._fetch_config(generation)
+            self.base.config.hint(newest)
+            self.base.workers.submit(self._fetch_config, generation)
 
     def leave(self) -> None:
         """Tells the peers that this instance takes no new work."""
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -7,7 +7,6 @@
 from cactusledge.assembly.base import Base
 from cactusledge.assembly.routing import RoutingPart
 from cactusledge.assembly.sending import build_work
-from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.programs.call_stream import CallStream
 from cactusledge.programs.claims import Choose, Fence, InstanceView, wanted_logs
 from cactusledge.programs.durability import CommitWait
@@ -33,7 +32,6 @@
     logs: LogManager
     local: LocalPrograms
     router: ProgramRouter
-    pools: ConnectionPools
     neighbours: Neighbours
     home: Home
     opener: StoreLogOpener
@@ -89,8 +87,7 @@
     table = LogTable()
     opener = _build_opener(base, neighbours)
     durability = CommitWait(opener.is_up, opener.hold_waiting)
-    pools = ConnectionPools()
-    opener.work = build_work(base, routing, pools, durability)
+    opener.work = build_work(base, routing, durability)
     logs = LogManager(
         table,
         opener,
@@ -107,7 +104,6 @@
         logs,
         local,
         router,
-        pools,
         neighbours,
         home,
         opener,
--- a/cactusledge/assembly/routing.py
+++ b/cactusledge/assembly/routing.py
@@ -6,8 +6,11 @@
 
 from cactusledge.assembly.base import Base
 from cactusledge.endpoints.directory import EndpointDirectory
+from cactusledge.endpoints.engine import EngineClient
+from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.models import CallKind, Endpoint
 from cactusledge.platform.watcher import Watcher, WatchTarget
+from cactusledge.programs.engine_care import CareParts, EngineCare
 from cactusledge.programs.grants import GrantDesk, GrantRouter
 from cactusledge.programs.leases import LeaseDesk
 from cactusledge.programs.neighbours import Neighbours
@@ -15,13 +18,10 @@
 from cactusledge.routing.client import DispatcherClient, Ticker
 from cactusledge.routing.dispatcher import Dispatcher
 from cactusledge.routing.policy import LATENCY_FIRST
-from cactusledge.routing.types import CacheRelease, EngineLimits, GroupKey, Warm
-from cactusledge.telemetry.logs import get_logger
+from cactusledge.routing.types import EngineLimits, GroupKey
 
 INSTANCES_KIND = 'instances'
 
-log = get_logger('routing')
-
 
 class RoutingPart(NamedTuple):
     """The endpoints and who decides about them."""
@@ -32,6 +32,8 @@
     grant_desk: GrantDesk
     leases: LeaseDesk
     ticker: Ticker
+    care: EngineCare
+    pools: ConnectionPools
 
     def start(self) -> None:
         """Follows the live list and lets the queues tick."""
@@ -39,14 +41,16 @@
         self.ticker.start()
 
     def tick(self) -> None:
-        """Takes back what dead instances asked for."""
+        """Takes back what dead instances asked for, and asks the engines."""
         self.grant_desk.tick()
+        self.care.tick()
 
     def stop(self) -> None:
         """Stops following and answers what waits."""
         self.watcher.stop()
         self.ticker.stop()
         self.dispatcher.stop(block=False)
+        self.pools.close()
 
 
 def build_routing(base: Base, neighbours: Neighbours) -> RoutingPart:
@@ -54,15 +58,26 @@
     dispatcher = Dispatcher.start(
         owner=base.name,
         settings=LATENCY_FIRST,
-        emit=_log_effect,
+        emit=lambda effect: care.carry_out(effect),
     )
     client = DispatcherClient(dispatcher)
-    directory = EndpointDirectory(
+    directory: EndpointDirectory = EndpointDirectory(
         base.data_centre,
         lambda: _fixed_endpoints(base),
         lambda: _set_engines(client, directory),
     )
     grants = GrantRouter(client, neighbours.owner_of_group, base.name)
+    pools = ConnectionPools()
+    care: EngineCare = EngineCare(
+        CareParts(
+            workers=base.workers,
+            engines=EngineClient(pools),
+            directory=directory,
+            queues=client,
+            is_owner=lambda key: neighbours.owner_of_group(key) is None,
+            config=base.config.current,
+        ),
+    )
     base.config.on_change(lambda _: directory.refresh())
     return RoutingPart(
         directory=directory,
@@ -75,6 +90,8 @@
             Replicas(base.data_centre, LATENCY_FIRST),
         ),
         ticker=Ticker(client),
+        care=care,
+        pools=pools,
     )
 
 
@@ -97,7 +114,3 @@
         groups.setdefault(key, []).append(engine)
     for key, members in groups.items():
         client.set_engines(key, members, EngineLimits())
-
-
-def _log_effect(effect: CacheRelease | Warm) -> None:
-    log.debug('Effect.', engine=effect.engine)
--- a/cactusledge/assembly/sending.py
+++ b/cactusledge/assembly/sending.py
@@ -5,7 +5,6 @@
 from cactusledge.assembly.base import Base
 from cactusledge.assembly.routing import RoutingPart, engines_of
 from cactusledge.endpoints.engine import EngineClient
-from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.endpoints.service import ServiceClient
 from cactusledge.models import CallKind, CallSpec
 from cactusledge.programs.durability import CommitWait
@@ -34,12 +33,11 @@
 def build_work(
     base: Base,
     routing: RoutingPart,
-    pools: ConnectionPools,
     durability: CommitWait,
 ) -> WorkPool:
     """Returns the worker pool of the drivers."""
-    engines = EngineClient(pools)
-    services = ServiceClient(pools)
+    engines = EngineClient(routing.pools)
+    services = ServiceClient(routing.pools)
     definitions = _Definitions(base)
     senders: Mapping[CallKind, Sender] = {
         CallKind.MODEL: ModelSender(
--- /dev/null
+++ b/cactusledge/programs/engine_care.py
@@ -0,0 +1,131 @@
+"""Engine work between calls: load reports, cache releases, warm prefixes."""
+
+import time
+import uuid
+from collections.abc import Callable, Mapping
+from concurrent.futures import Executor
+from typing import NamedTuple
+
+from cactusledge.endpoints.directory import EndpointDirectory
+from cactusledge.endpoints.engine import EngineClient
+from cactusledge.errors import CactusledgeError
+from cactusledge.models import CallKind, Endpoint
+from cactusledge.programs.prompt import prefix_message, prompt_text
+from cactusledge.routing.client import DispatcherClient
+from cactusledge.routing.prefix import prefix_chain
+from cactusledge.routing.types import CacheRelease, EngineReport, GroupKey, Warm
+from cactusledge.settings.configuration import Configuration
+from cactusledge.telemetry.logs import get_logger
+
+REPORT_TIMEOUT_S = 1.0
+RELEASE_TIMEOUT_S = 5.0
+WARM_TIMEOUT_S = 30.0
+
+log = get_logger('engines')
+
+
+class CareParts(NamedTuple):
+    """What the care of engines works with."""
+
+    workers: Executor
+    engines: EngineClient
+    directory: EndpointDirectory
+    queues: DispatcherClient
+    is_owner: Callable[[GroupKey], bool]
+    config: Callable[[], Configuration]
+
+
+class EngineCare:
+    """Carries out what the schedulers of this instance ask of engines."""
+
+    def __init__(self, parts: CareParts) -> None:
+        """Keeps the parts."""
+        self._parts = parts
+        self._asking: set[str] = set()
+
+    def tick(self) -> None:
+        """Asks the engines of the groups that this instance owns."""
+        for endpoint in self._parts.directory.all():
+            if endpoint.kind is not CallKind.MODEL:
+                continue
+            key = GroupKey(endpoint.data_centre, endpoint.service)
+            is_new = endpoint.name not in self._asking
+            if is_new and self._parts.is_owner(key):
+                self._asking.add(endpoint.name)
+                self._parts.workers.submit(self._report, key, endpoint)
+
+    def carry_out(self, effect: CacheRelease | Warm) -> None:
+        """Does what a scheduler asked for, in a worker."""
+        endpoint = self._parts.directory.find(effect.engine)
+        if endpoint is None:
+            return
+        if isinstance(effect, Warm):
+            self._parts.workers.submit(self._warm, endpoint, effect.prefix)
+        else:
+            program_id = effect.program_id
+            self._parts.workers.submit(self._release, endpoint, program_id)
+
+    def _report(self, key: GroupKey, endpoint: Endpoint) -> None:
+        deadline_s = time.monotonic() + REPORT_TIMEOUT_S
+        try:
+            load = self._parts.engines.load_report(
+                endpoint,
+                deadline_s=deadline_s,
+            )
+        except CactusledgeError as exc:
+            log.info('No load report.', reason=exc.message)
+        else:
+            report = EngineReport(
+                engine=endpoint.name,
+                taken_s=time.time() - load.lag_s,
+                running=load.running,
+                waiting=load.waiting,
+                kv_used_tokens=load.memory_tokens,
+            )
+            self._parts.queues.report(key, report)
+        finally:
+            self._asking.discard(endpoint.name)
+
+    def _release(self, endpoint: Endpoint, program_id: str) -> None:
+        deadline_s = time.monotonic() + RELEASE_TIMEOUT_S
+        try:
+            self._parts.engines.release_cache(
+                endpoint,
+                program_id,
+                deadline_s=deadline_s,
+            )
+        except CactusledgeError as exc:
+            log.info('Cache not released.', reason=exc.message)
+
+    def _warm(self, endpoint: Endpoint, prefix: tuple[int, ...]) -> None:
+        """Has an engine compute a common prefix before its callers come."""
+        text = self._common_prefixes().get(prefix)
+        if text is None:
+            return
+        body = {
+            'model': endpoint.service,
+            'messages': [prefix_message(text)],
+            'max_tokens': 1,
+        }
+        deadline_s = time.monotonic() + WARM_TIMEOUT_S
+        try:
+            events = self._parts.engines.stream(
+                endpoint,
+                body,
+                request_id=f'warm:{uuid.uuid4().hex}',
+                deadline_s=deadline_s,
+                headers={},
+            )
+            log.info('Warmed.', engine=endpoint.name, events=len(list(events)))
+        except CactusledgeError as exc:
+            log.info('Not warmed.', engine=endpoint.name, reason=exc.message)
+
+    def _common_prefixes(self) -> Mapping[tuple[int, ...], str]:
+        programs = self._parts.config().programs.values()
+        return {
+            prefix_chain(prompt_text([prefix_message(one.common_prefix)])): (
+                one.common_prefix
+            )
+            for one in programs
+            if one.common_prefix
+        }
--- a/cactusledge/programs/held.py
+++ b/cactusledge/programs/held.py
@@ -125,12 +125,14 @@
             return True
         return False
 
+    def is_holding(self, log_name: str) -> bool:
+        """Returns whether a peer may hold records of a log."""
+        return log_name in self._holding
+
     def drop(self, log_name: str) -> None:
         """Tells the peers that the log's records are durable."""
-        if log_name not in self._holding:
-            return
         self._holding.discard(log_name)
-        for client in self._peers()[:FIRST_PEERS]:
+        for client in self._peers():
             try:
                 client.drop_held(log_name, time.time_ns())
             except CactusledgeError as exc:
--- a/cactusledge/programs/leases.py
+++ b/cactusledge/programs/leases.py
@@ -9,7 +9,7 @@
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.models import CallKind, Endpoint, Usage
 from cactusledge.programs.grants import Granted, GrantSource
-from cactusledge.programs.prompt import prompt_text
+from cactusledge.programs.prompt import common_chunks, prompt_text
 from cactusledge.programs.sending import Lease, LeaseReport, ModelRequest
 from cactusledge.routing.errors import OverloadedError
 from cactusledge.routing.prefix import estimate_tokens, prefix_chain
@@ -170,7 +170,7 @@
         deadline_s=now_s + _seconds_left(req),
         program_started_s=req.task.state.opened_at_s,
         retry=req.attempt > 0,
-        common_chunks=len(prefix_chain(req.task.program.common_prefix)),
+        common_chunks=common_chunks(req.task.program.common_prefix),
     )
 
 
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -31,6 +31,9 @@
     def hold(self, log: str, records: Sequence[ProgramRecord]) -> bool:
         """Copies records to a peer; returns whether one has them."""
 
+    def is_holding(self, log: str) -> bool:
+        """Returns whether a peer may hold records of a log."""
+
     def drop(self, log: str) -> None:
         """Tells the peers that the log's records are durable."""
 
@@ -108,6 +111,7 @@
                 now_s=parts.now_s,
             ),
         )
+        parts.held.drop(name)
         writer = JournalWriter(
             parts.store,
             taken,
@@ -147,6 +151,12 @@
         writers = tuple(self._writers.items())
         return all(itertools.starmap(self._hold, writers))
 
+    def drop_held(self) -> None:
+        """Has the peers drop copies of records that are durable by now."""
+        for name, writer in tuple(self._writers.items()):
+            if self._parts.held.is_holding(name) and not writer.waiting_bytes():
+                self._parts.held.drop(name)
+
     def _lost(self, name: str, on_lost: Callable[[], None]) -> None:
         """Forgets a writer that another instance fenced."""
         self._writers.pop(name, None)
--- a/cactusledge/programs/prompt.py
+++ b/cactusledge/programs/prompt.py
@@ -7,6 +7,7 @@
 from cactusledge.models import CallKind, Outcome, Usage
 from cactusledge.protocol.calls import decode_body
 from cactusledge.protocol.state import CallState, ProgramState
+from cactusledge.routing.prefix import prefix_chain
 
 Message = Mapping[str, Any]
 
@@ -20,12 +21,24 @@
     """Returns the messages that every further prompt begins with."""
     messages: list[Message] = []
     if common_prefix:
-        messages.append({'role': 'system', 'content': common_prefix})
+        messages.append(prefix_message(common_prefix))
     for call in state.calls:
         messages.extend(_call_messages(call))
     return messages
 
 
+def prefix_message(common_prefix: str) -> Message:
+    """Returns the message that a definition's prompts begin with."""
+    return {'role': 'system', 'content': common_prefix}
+
+
+def common_chunks(common_prefix: str) -> int:
+    """Returns the leading chunks that a definition's prompts share."""
+    if not common_prefix:
+        return 0
+    return len(prefix_chain(prompt_text([prefix_message(common_prefix)])))
+
+
 def prompt_text(messages: Sequence[Message]) -> str:
     """Returns the text whose leading chunks name the cached prefix."""
     return '\n'.join(
@@ -47,7 +60,7 @@
     known, later = _since_last_usage(state)
     texts = [*later, *messages]
     if not known and common_prefix:
-        texts.append({'role': 'system', 'content': common_prefix})
+        texts.append(prefix_message(common_prefix))
     return known + sum(_bound_tokens(message) for message in texts)
 
 
