Run the takeover without a seal by name

Cause: a guard holds modules, which a worker process cannot be sent. Change: run_unsealed in the runner.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -8,8 +8,8 @@
 from concurrent.futures import ProcessPoolExecutor
 from itertools import starmap
 
-from model.guards import GUARDS, NO_SEAL
-from model.runner import MODELS, Result, run_guard, run_model, run_without
+from model.guards import GUARDS
+from model.runner import MODELS, Result, run_guard, run_model, run_unsealed
 from model.world import Scenario
 
 WORKERS = 4
@@ -20,7 +20,7 @@
     with ProcessPoolExecutor(WORKERS) as pool:
         models = pool.map(run_model, range(len(MODELS)))
         guards = pool.map(run_guard, range(len(GUARDS)))
-        unsealed = pool.submit(run_without, NO_SEAL)
+        unsealed = pool.submit(run_unsealed)
         held = list(starmap(_print_model, enumerate(models)))
         _say('')
         caught = [_print_guard(found) for found in guards]
--- a/model/runner.py
+++ b/model/runner.py
@@ -7,7 +7,7 @@
 
 from model.batches import clear_caches
 from model.calls_model import calls_model
-from model.guards import GUARDS, HEAD, HELD, Guard
+from model.guards import GUARDS, HEAD, HELD, NO_SEAL, Guard
 from model.head_model import head_model
 from model.held_model import held_model
 from model.scenarios import HOLDING
@@ -56,6 +56,11 @@
     return run_without(GUARDS[position])
 
 
+def run_unsealed() -> Result:
+    """Explores takeovers that act without a seal."""
+    return run_without(NO_SEAL)
+
+
 def run_without(guard: Guard) -> Result:
     """Explores a model with the guard off, up to a violation."""
     clear_caches()
