--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -30,6 +30,7 @@
     name: str
     process: subprocess.Popen[bytes]
     port: int
+    control_port: int = 0  # of the platform: reachable while it is down
 
 
 class Deployment:
@@ -151,6 +152,12 @@
         url = f'http://{LOOPBACK}:{self.port(name)}{path}'
         return self._http.request('POST', url, json=document).json()
 
+    def platform_faults(self, **switches: Any) -> None:
+        """Sets the platform's given fault switches and resets the others."""
+        port = self._started['platform'].control_port
+        url = f'http://{LOOPBACK}:{port}/faults'
+        self._http.request('PUT', url, json=switches)
+
     def wait_ready(self, *names: str) -> None:
         """Waits until entry instances are ready and own all their logs."""
         for name in names:
@@ -232,8 +239,8 @@
             lambda: port_file.exists() and port_file.read_text('utf-8'),
             f'{name} listening',
         )
-        port = json.loads(port_file.read_text('utf-8'))['port']
-        started = Started(name, process, port)
+        ports = json.loads(port_file.read_text('utf-8'))
+        started = Started(name, process, **ports)
         self._started[name] = started
         return started
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -57,6 +57,7 @@
         self.incarnation = new_incarnation()
         self.leaving = False
         self.executions: deque[dict[str, Any]] = deque(maxlen=RECORDS_KEPT)
+        self.received = 0
         self._ran: dict[tuple[str, str], dict[str, Any]] = {}
         self._server = FaultyServer(self._router(), cfg.listen, cfg.threads)
         self._registrar = Registrar(cfg.register) if cfg.register else None
@@ -88,10 +89,11 @@
         self._server.set_faults(faults)
 
     def records(self) -> dict[str, Any]:
-        """Returns every execution."""
+        """Returns every execution, and how many calls have arrived."""
         return {
             'incarnation': self.incarnation,
             'executions': list(self.executions),
+            'received': self.received,
         }
 
     def _router(self) -> Router:
@@ -139,6 +141,8 @@
         key: str,
         operation: Operation,
     ) -> dict[str, Any]:
+        with self._lock:
+            self.received += 1
         time.sleep(operation.delay_s)
         with self._lock:
             first = self._ran.get((name, key))
