--- a/model/driving.py
+++ b/model/driving.py
@@ -5,26 +5,28 @@
 from typing import TypeAlias
 
 from cactusledge.errors import ErrorCode
-from cactusledge.models import Answer, CallKind, CallSpec, Outcome
+from cactusledge.models import Answer, CallSpec, Outcome
 from cactusledge.protocol import calls, journal
 from cactusledge.protocol import journal_types as msg
 from cactusledge.protocol import records as rec
+from cactusledge.protocol.ring import EMPTY
 from cactusledge.protocol.state import CallState, ProgramState
+from model import platform as plat
 from model.appends import Move, append
 from model.batches import read_log
 from model.commits import resume_step
+from model.sending import drop_cache, run_call, send_moves
 from model.world import (
-    ENGINE,
     Instance,
     Scenario,
     Step,
     World,
+    engine_of,
     position_of,
     replace_instance,
     tell,
 )
 
-MAX_RUNS = 2  # counted; more are as wrong
 VOID = rec.encode_batch((rec.Void('model'),))
 _Moves: TypeAlias = Callable[
     [Scenario, World, int, ProgramState],
@@ -41,16 +43,19 @@
     if state is None:
         yield from _takeover_moves(scenario, world, index)
         return
-    if instance.program is not None and instance.program.running:
-        if world.asked != index:
-            joined = world._replace(asked=index, joined=True)
-            yield f'i{index} gets the call again', joined
-    if state.phase is journal.Phase.IDLE and instance.program is not None:
-        if state.number < scenario.max_number:
-            moves = _MOVES[instance.step]
-            yield from moves(scenario, world, index, instance.program)
-    elif instance.step is Step.INTENT:
+    yield from _join_moves(world, index)
+    if state.phase is not journal.Phase.IDLE:
         yield from _early_moves(world, index)
+    elif instance.program and state.number < scenario.max_number:
+        moves = _MOVES[instance.step]
+        yield from moves(scenario, world, index, instance.program)
+
+
+def _join_moves(world: World, index: int) -> Iterator[Move]:
+    program = world.instances[index].program
+    if program and program.running and world.asked != index:
+        joined = world._replace(asked=index, joined=True)
+        yield f'i{index} gets the call again', joined
 
 
 def _takeover_moves(
@@ -60,7 +65,7 @@
 ) -> Iterator[Move]:
     if not world.left.takeovers:
         return
-    listed = read_log(world.platform.slots)
+    listed = read_log(world.platform)
     if listed.ring is None or listed.ring.next_n >= scenario.max_number:
         return
     owner = f'{index}.{world.left.takeovers}'
@@ -68,33 +73,38 @@
     instance = Instance(state, listed.program, listed.base)
     left = world.left._replace(takeovers=world.left.takeovers - 1)
     world = replace_instance(world, index, instance)._replace(left=left)
-    seal = rec.Seal(owner, listed.ring.owner)
-    yield (
-        f'i{index} lists and seals',
-        append(world, index, (seal,), Step.SEALING),
-    )
+    record = rec.Seal(owner, listed.ring.owner)
+    yield f'i{index} lists and seals', seal(world, index, record)
+
+
+def seal(world: World, index: int, record: rec.Seal) -> World:
+    """Returns the world after an heir started to append its seal."""
+    return append(world, index, (record,), Step.SEALING)
 
 
 def _early_moves(world: World, index: int) -> Iterator[Move]:
     """Yields what may happen while an intent is being appended."""
     instance = world.instances[index]
     program = instance.program
+    if instance.step is not Step.INTENT:
+        return
     if program is None or program.running is None or instance.journal is None:
         return
     if may_send_early(program.running) and not instance.sent:
         changed = instance._replace(sent=True, found=Outcome.RAN)
         sent = replace_instance(world, index, changed)
-        ran = _run(sent, index, program.running)
+        ran = run_call(sent, index, program.running)
         yield f'i{index} sends call {program.running.seq} early', ran
     voided = instance.journal.attempts[-1].void
     if world.left.give_ups and not instance.sent and not voided:
-        state, _ = journal.step(instance.journal, msg.GiveUp(VOID))
-        left = world.left._replace(give_ups=world.left.give_ups - 1)
-        changed = instance._replace(journal=state)
-        yield (
-            f'i{index} gives up',
-            replace_instance(world, index, changed)._replace(left=left),
-        )
+        yield f'i{index} gives up', _give_up(world, index, instance.journal)
+
+
+def _give_up(world: World, index: int, state: journal.JournalState) -> World:
+    state, _ = journal.step(state, msg.GiveUp(VOID))
+    left = world.left._replace(give_ups=world.left.give_ups - 1)
+    changed = world.instances[index]._replace(journal=state)
+    return replace_instance(world, index, changed)._replace(left=left)
 
 
 def may_send_early(running: CallState) -> bool:
@@ -131,10 +141,26 @@
         records = calls.end_records(program, 'done', 1)
         label = f'i{index} ends the program'
         yield label, append(world, index, records, Step.ENDING)
+    yield from _collect_moves(world, index)
     if program.releases:
         changed = world.instances[index]._replace(step=Step.RELEASED)
         released = replace_instance(world, index, changed)
-        yield f'i{index} releases the cache', drop_cache(released)
+        yield (
+            f'i{index} releases the cache',
+            drop_cache(released, program.releases[0]),
+        )
+
+
+def _collect_moves(world: World, index: int) -> Iterator[Move]:
+    platform = world.platform
+    if platform.form is plat.Form.RING:
+        return
+    written = [slot.number for slot in platform.slots if slot.number > EMPTY]
+    oldest = min(written)
+    if oldest < world.instances[index].base:
+        collected = plat.collect(platform, oldest)
+        label = f'i{index} collects append {oldest}'
+        yield label, world._replace(platform=collected)
 
 
 def _may_ask(scenario: Scenario, world: World, position: int) -> bool:
@@ -175,61 +201,6 @@
     return tell(world, index, spec.key, Outcome.NOT_RUN)
 
 
-def _send_moves(
-    scenario: Scenario,
-    world: World,
-    index: int,
-    program: ProgramState,
-) -> Iterator[Move]:
-    running = program.running
-    if running is None:
-        return
-    label = f'i{index} sends call {running.seq}'
-    ran = _run(world, index, running)
-    yield f'{label}: RAN', _found(ran, index, Outcome.RAN)
-    if not running.idempotent:
-        yield f'{label}: runs, lost', _found(ran, index, Outcome.UNKNOWN)
-        yield f'{label}: lost', _found(world, index, Outcome.UNKNOWN)
-        yield f'{label}: refused', _found(world, index, Outcome.NOT_RUN)
-
-
-def _run(world: World, index: int, running: CallState) -> World:
-    """Returns the world after the endpoint ran the call.
-
-    A former owner that sends after its log was sealed has to release that
-    cache itself when it is fenced; the model leaves that cache out.
-    """
-    position = position_of(running.key)
-    runs = list(world.runs)
-    runs[position] = min(runs[position] + 1, MAX_RUNS)
-    state = world.instances[index].journal
-    owner = max(world.platform.slots).owner
-    holds = running.kind is CallKind.MODEL and state is not None
-    owns = state is not None and state.owner == owner
-    return world._replace(
-        runs=tuple(runs),
-        cached=world.cached or (holds and owns),
-    )
-
-
-def _found(world: World, index: int, outcome: Outcome) -> World:
-    changed = world.instances[index]._replace(
-        found=outcome,
-        step=Step.ANSWERED,
-    )
-    return answer_early(replace_instance(world, index, changed), index)
-
-
-def answer_early(world: World, index: int) -> World:
-    """Returns the world unchanged: the outcome has to be durable first."""
-    return world
-
-
-def drop_cache(world: World) -> World:
-    """Returns the world after the engine released the cache."""
-    return world._replace(cached=False)
-
-
 def _answered_moves(
     scenario: Scenario,
     world: World,
@@ -248,7 +219,9 @@
         body={},
         spent=running.reserve,
     )
-    record = calls.outcome_record(program, running.seq, answer, ENGINE)
+    record = calls.outcome_record(
+        program, running.seq, answer, engine_of(index)
+    )
     label = f'i{index} records {found.value}'
     yield label, append(world, index, (record,), Step.OUTCOME)
 
@@ -267,7 +240,7 @@
 _MOVES: Mapping[Step, _Moves] = MappingProxyType({
     Step.SEALED: _sealed_moves,
     Step.READY: _ready_moves,
-    Step.MAY_SEND: _send_moves,
+    Step.MAY_SEND: send_moves,
     Step.ANSWERED: _answered_moves,
     Step.RELEASED: _released_moves,
 })
