--- a/cactusledge/cli/call.py
+++ b/cactusledge/cli/call.py
@@ -16,6 +16,7 @@
 )
 from cactusledge.cli.output import write_json, write_lines
 from cactusledge.environment import Environment
+from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.models import Outcome
 from cactusledge.status import ExitStatus
 
@@ -46,6 +47,12 @@
 })
 
 
+class InvalidArgumentsError(CactusledgeError):
+    """The arguments of a service call are not a JSON object."""
+
+    code = ErrorCode.BAD_REQUEST
+
+
 def command(
     ctx: typer.Context,
     program: Target,
@@ -103,10 +110,23 @@
         'kind': 'service',
         'target': target,
         'operation': operation,
-        'arguments': json.loads(arguments),
+        'arguments': _parse_arguments(arguments),
     }
 
 
+def _parse_arguments(text: str) -> dict[str, Any]:
+    try:
+        parsed = json.loads(text)
+    except ValueError:
+        parsed = None
+    if not isinstance(parsed, dict):
+        raise InvalidArgumentsError(
+            '--arguments is not a JSON object.',
+            remedy='Write one, such as {"slot": 3}.',
+        )
+    return parsed
+
+
 def _make_call(
     env: Environment | None,
     client: ApiClient,
--- a/cactusledge/core.py
+++ b/cactusledge/core.py
@@ -12,6 +12,7 @@
 from cactusledge.status import ExitStatus
 
 EXIT_STATUSES: Mapping[ErrorCode, ExitStatus] = MappingProxyType({
+    ErrorCode.BAD_REQUEST: ExitStatus.USAGE,
     ErrorCode.INVALID_SETTINGS: ExitStatus.INVALID,
     ErrorCode.INVALID_DEFINITION: ExitStatus.INVALID,
     ErrorCode.PUBLISH_CONFLICT: ExitStatus.CONFLICT,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -19,6 +19,8 @@
 )
 from cactusledge.status import ExitStatus
 
+pytest_plugins = ('tests.api_support',)
+
 NOW = 1_800_000_000.0
 REMEDY = 'Try again.'
 
--- a/tests/test_held_records.py
+++ b/tests/test_held_records.py
@@ -53,10 +53,10 @@
     assert list(heir.fetch('bole-1')) == []
 
 
-@pytest.mark.parametrize(
-    ('cut', 'is_held'),
-    [((), True), ((0,), True), ((0, 1), False), ((0, 1, 2), False)],
-)
+CUTS = (((), True), ((0,), True), ((0, 1), False), ((0, 1, 2), False))
+
+
+@pytest.mark.parametrize(('cut', 'is_held'), CUTS)
 def test_copy_goes_to_a_second_peer_if_the_first_is_cut_off(
     held, peers, cut, is_held
 ):
