Read held records back from this instance's own memory too

Cause: a driver copies records that wait for the platform to a peer. An heir asked its peers for them, but not itself: when the heir held the copy, every turn that was answered during the outage was missing from the history. The copies were also never dropped, and of two copies made at once the one with fewer records could take the other's place. Ruled out: copies at all peers (the heir still has to look at its own). Change: fetch reads the instance's own store; copies are numbered together with reading what waits, and dropped once durable; tests of an outage, of a driver killed in it, of a slow and a faulty platform. The platform stand-in sends bookmarks also while objects of other kinds change: watches ran into their 5 s limit before. The numbering has no test that fails without it. Conclusion: an answered turn survives its driver's death in an outage.

--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -11,7 +11,6 @@
 from cactusledge.peers.messages import MemberView
 from cactusledge.peers.rendezvous import owner
 from cactusledge.peers.server import PeerServer
-from cactusledge.programs.held import HeldStore
 from cactusledge.programs.neighbours import (
     Me,
     Neighbours,
@@ -51,6 +50,7 @@
         for key, data in member_state(names, generation).items():
             self.membership.set_state(key, data)
         self.base.workers.submit(self.reporter.tick)
+        self.base.workers.submit(self.programs.opener.drop_held)
         newest = max(map(generation_of, self.membership.alive()), default=0)
         if newest > generation:
             self._fetch_config(generation)
@@ -128,7 +128,7 @@
             heartbeats=membership,
             programs=programs.local,
             grants=routing.grant_desk,
-            held=HeldStore(),
+            held=programs.held,
             config=base.config,
             traces=base.traces,
             want_log=programs.logs.want,
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -11,7 +11,7 @@
 from cactusledge.programs.call_stream import CallStream
 from cactusledge.programs.claims import Choose, Fence, InstanceView, wanted_logs
 from cactusledge.programs.durability import CommitWait
-from cactusledge.programs.held import PeerHeldRecords
+from cactusledge.programs.held import HeldStore, PeerHeldRecords
 from cactusledge.programs.ids import log_names
 from cactusledge.programs.log_opener import OpenerParts, StoreLogOpener
 from cactusledge.programs.logs import LogManager, LogTable
@@ -37,6 +37,7 @@
     neighbours: Neighbours
     home: Home
     opener: StoreLogOpener
+    held: HeldStore
 
     def platform_up(self) -> bool:
         """Returns whether the platform answers the journal's writers."""
@@ -87,7 +88,8 @@
 ) -> ProgramsPart:
     """Returns the programs part of an instance."""
     table = LogTable()
-    opener = _build_opener(base, neighbours)
+    held = HeldStore()
+    opener = _build_opener(base, neighbours, held)
     durability = CommitWait(opener.is_up, opener.hold_waiting)
     pools = ConnectionPools()
     opener.work = build_work(base, routing, pools, durability)
@@ -111,11 +113,16 @@
         neighbours,
         home,
         opener,
+        held,
     )
 
 
-def _build_opener(base: Base, neighbours: Neighbours) -> StoreLogOpener:
-    held = PeerHeldRecords(base.name, neighbours.nearby)
+def _build_opener(
+    base: Base,
+    neighbours: Neighbours,
+    store: HeldStore,
+) -> StoreLogOpener:
+    held = PeerHeldRecords(base.name, neighbours.nearby, store)
     return StoreLogOpener(
         OpenerParts(
             store=base.store,
--- a/cactusledge/programs/held.py
+++ b/cactusledge/programs/held.py
@@ -1,7 +1,6 @@
 """Copies of journal records that wait for the platform."""
 
 import threading
-import time
 from collections.abc import Callable, Sequence
 
 from cactusledge.errors import CactusledgeError
@@ -79,20 +78,26 @@
         self,
         owner: str,
         peers: Callable[[], Sequence[PeerClient]],
+        own: HeldStore,
     ) -> None:
         """Prepares to copy.
 
         Args:
-            owner: Unique name of this start of this instance.
+            owner: Name of this instance.
             peers: Live instances of this data centre, the nearest first.
+            own: What this instance holds for the others.
         """
         self._owner = owner
         self._peers = peers
+        self._own = own
         self._holding: set[str] = set()
 
     def fetch(self, log_name: str) -> Sequence[ProgramRecord]:
-        """Returns what the live peers hold of a log."""
-        batches: dict[tuple[str, int], HeldBatch] = {}
+        """Returns what this instance and the live peers hold of a log."""
+        batches = {
+            (batch.owner, batch.number): batch
+            for batch in self._own.find(log_name)
+        }
         for client in self._peers():
             try:
                 held = client.held_records(log_name)
@@ -107,11 +112,19 @@
             for record in _program_records(decode_batch(batches[key].records))
         ]
 
-    def hold(self, log_name: str, records: Sequence[ProgramRecord]) -> bool:
-        """Copies records to a peer; returns whether one has them."""
+    def hold(
+        self,
+        log_name: str,
+        records: Sequence[ProgramRecord],
+        number: int,
+    ) -> bool:
+        """Copies records to a peer; returns whether one has them.
+
+        A batch takes the place of those with lower numbers.
+        """
         batch = HeldBatch(
             log=log_name,
-            number=time.time_ns(),
+            number=number,
             owner=self._owner,
             records=encode_batch(records),
         )
@@ -125,14 +138,17 @@
             return True
         return False
 
-    def drop(self, log_name: str) -> None:
-        """Tells the peers that the log's records are durable."""
-        if log_name not in self._holding:
-            return
+    def held_logs(self) -> tuple[str, ...]:
+        """Returns the logs of which peers have copies."""
+        return tuple(self._holding)
+
+    def drop(self, log_name: str, up_to: int) -> None:
+        """Drops all copies that are durable, here and at the peers."""
         self._holding.discard(log_name)
-        for client in self._peers()[:FIRST_PEERS]:
+        self._own.drop(log_name, up_to)
+        for client in self._peers():
             try:
-                client.drop_held(log_name, time.time_ns())
+                client.drop_held(log_name, up_to)
             except CactusledgeError as exc:
                 log.info('Held records not dropped.', reason=exc.message)
 
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -2,6 +2,7 @@
 
 import itertools
 import threading
+import time
 from collections.abc import Callable, Sequence
 from concurrent.futures import Executor
 from functools import partial
@@ -26,13 +27,21 @@
     """Copies of waiting records in other instances' memory."""
 
     def fetch(self, log: str) -> Sequence[ProgramRecord]:
-        """Returns what the live peers hold of a log."""
+        """Returns what this instance and the live peers hold of a log."""
 
-    def hold(self, log: str, records: Sequence[ProgramRecord]) -> bool:
+    def hold(
+        self,
+        log: str,
+        records: Sequence[ProgramRecord],
+        number: int,
+    ) -> bool:
         """Copies records to a peer; returns whether one has them."""
 
-    def drop(self, log: str) -> None:
-        """Tells the peers that the log's records are durable."""
+    def held_logs(self) -> tuple[str, ...]:
+        """Returns the logs of which peers have copies."""
+
+    def drop(self, log: str, up_to: int) -> None:
+        """Drops all copies of records that are durable."""
 
 
 class WriterSink:
@@ -92,12 +101,15 @@
         self._parts = parts
         self._writers: dict[str, JournalWriter] = {}
         self.work: DriverWork | None = None
+        self._number = 0  # of the latest copy of waiting records
+        self._numbering = threading.RLock()
 
     def __call__(self, name: str, on_lost: Callable[[], None]) -> OwnedLog:
         """Seals the log and starts its writer and its driver."""
         parts = self._parts
         if self.work is None:
             raise RuntimeError('Set `work` before a log is opened.')
+        number = self._next_number()
         taken = take_over(
             parts.store,
             name,
@@ -108,6 +120,7 @@
                 now_s=parts.now_s,
             ),
         )
+        parts.held.drop(name, number)
         writer = JournalWriter(
             parts.store,
             taken,
@@ -147,14 +160,33 @@
         writers = tuple(self._writers.items())
         return all(itertools.starmap(self._hold, writers))
 
+    def drop_held(self) -> None:
+        """Drops the peers' copies of records that have become durable."""
+        for name in self._parts.held.held_logs():
+            writer = self._writers.get(name)
+            if writer is not None and not writer.waiting_bytes():
+                self._hold(name, writer)
+
     def _lost(self, name: str, on_lost: Callable[[], None]) -> None:
         """Forgets a writer that another instance fenced."""
         self._writers.pop(name, None)
         on_lost()
 
     def _hold(self, name: str, writer: JournalWriter) -> bool:
-        waiting = writer.waiting_records().get(timeout=CLOSE_WAIT_S)
-        return not waiting or self._parts.held.hold(name, waiting)
+        held = self._parts.held
+        with self._numbering:  # a later number has the later records
+            number = self._next_number()
+            waiting = writer.waiting_records()
+        if waiting:
+            return held.hold(name, waiting, number)
+        if name in held.held_logs():
+            held.drop(name, number)
+        return True
+
+    def _next_number(self) -> int:
+        with self._numbering:
+            self._number = max(self._number + 1, time.time_ns())
+            return self._number
 
     def _close(self, name: str) -> None:
         """Writes what waits; what cannot be written goes to a peer."""
@@ -163,4 +195,4 @@
             return
         left = writer.stop(CLOSE_WAIT_S)
         if left:
-            self._parts.held.hold(name, left)
+            self._parts.held.hold(name, left, self._next_number())
--- a/standins/platform_watch.py
+++ b/standins/platform_watch.py
@@ -48,6 +48,7 @@
         deadline_s = time.monotonic() + query.timeout_s
         version = query.version
         yield wire.encode_event(bookmark_at(query.kind, version))
+        sent_s = time.monotonic()
         while time.monotonic() < deadline_s and not self._stopping.is_set():
             left_s = min(deadline_s - time.monotonic(), query.bookmark_s)
             try:
@@ -57,11 +58,12 @@
             version = events[-1].object.version
             if self._is_silent():
                 return
-            yield b''.join(
-                wire.encode_event(event)
-                for event in events
-                if query.wants(event)
-            )
+            wanted = [event for event in events if query.wants(event)]
+            is_due = time.monotonic() >= sent_s + query.bookmark_s
+            if wanted or is_due:
+                sent_s = time.monotonic()
+                bookmark = bookmark_at(query.kind, version)
+                yield b''.join(map(wire.encode_event, wanted or [bookmark]))
 
     def _next_events(
         self,
--- a/tests/failure_support.py
+++ b/tests/failure_support.py
@@ -19,6 +19,7 @@
 THREE = {'entry-1': BOLE, 'entry-2': BOLE, 'entry-3': BOLE}
 NOT_IDEMPOTENT = '--operation=confirm={"idempotent": false, "delay_s": %s}'
 LONG_S = 60.0
+RING_SLOTS = 16  # soon created, and lapped within a test
 
 Document = dict[str, Any]
 
@@ -34,7 +35,7 @@
 
     @property
     def log(self) -> str:
-        """Returns the log that holds the program."""
+        """The log that holds the program."""
         return self.program_id.rpartition('.')[0]
 
     def open(self, entry: str) -> Document:
@@ -103,10 +104,10 @@
         return Client(self.deployed, key)
 
     def begin(
-        self, call: Callable[..., Document], *args: Any
+        self, call: Callable[..., Document], *args: Any, **changes: Any
     ) -> 'Future[Document]':
         """Makes a call in the background."""
-        return self.pool.submit(call, *args)
+        return self.pool.submit(call, *args, **changes)
 
     def driver_of(self, client: Client) -> str:
         """Returns the instance that says it drives the program."""
@@ -238,10 +239,11 @@
         platform = Address(LOOPBACK, deployed.port('platform'))
         site.links[name] = TcpProxy(platform).__enter__()  # type: ignore[index]
     address = str(site.links[name].address)
-    platform_section = {'platform': {'addresses': [address]}}
-    deployed.start_entry(
-        name, centre, seeds, **{**platform_section, **sections}
-    )
+    defaults = {
+        'platform': {'addresses': [address]},
+        'journal': {'ring_slots': RING_SLOTS},
+    }
+    deployed.start_entry(name, centre, seeds, **{**defaults, **sections})
 
 
 def sees_all(site: Site) -> bool:
--- a/tests/test_failure_kill.py
+++ b/tests/test_failure_kill.py
@@ -8,10 +8,9 @@
 
 from standins.deployment import wait_until
 from standins.tcp_proxy import LinkState
-from tests import failure_support
-from tests.failure_support import Client, Site, seqs_of
+from tests import failure_support as support
 
-start_site = failure_support.start_site
+start_site = support.start_site
 pytestmark = pytest.mark.process
 
 
@@ -20,7 +19,7 @@
 
     delay_s: float  # of the service
     before: LinkState  # of the driver's link to the platform
-    reach: Callable[[Site, str], None]
+    reach: Callable[[support.Site, str], None]
     ran: int  # executions that a repeat leaves behind
     outcomes: frozenset[str]
 
@@ -77,7 +76,7 @@
     client.open('entry-1')
     assert client.model('entry-1', 1)['outcome'] == 'RAN'
     driver = site.driver_of(client)
-    caller, *_ = site.others(driver)
+    caller = site.others(driver)[0]
     site.wait_durable(driver)
     site.links[driver].set_state(step.before)
     answer = site.begin(client.confirm, caller, 2)
@@ -94,11 +93,11 @@
     check_history(client, site)
 
 
-def check_history(client: Client, site: Site) -> None:
+def check_history(client: support.Client, site: support.Site) -> None:
     """Checks that every instance tells the same whole history."""
     histories = [client.history(entry) for entry in site.others()]
     assert all(one == histories[0] for one in histories)
-    assert seqs_of(histories[0]) == [1, 2, 3]
+    assert support.seqs_of(histories[0]) == [1, 2, 3]
     assert [call['request'] for call in histories[0]][1] == {'slot': 2}
 
 
@@ -110,7 +109,7 @@
     client.open('entry-1')
     client.model('entry-1', 1)
     driver = site.driver_of(client)
-    caller, *_ = site.others(driver)
+    caller = site.others(driver)[0]
     answer = site.begin(client.confirm, caller, 2)
     step.reach(site, driver)
     site.deployed.signal(driver, signal.SIGSTOP)
--- a/tests/test_failure_platform.py
+++ b/tests/test_failure_platform.py
@@ -4,13 +4,12 @@
 
 from standins.deployment import wait_until
 from standins.tcp_proxy import LinkState
-from tests import failure_support
-from tests.failure_support import BOLE, LONG_S, THREE, seqs_of
+from tests import failure_support as support
 
-start_site = failure_support.start_site
+start_site = support.start_site
 pytestmark = pytest.mark.process
 
-TWO = {'entry-1': BOLE, 'entry-2': BOLE}
+TWO = {'entry-1': support.BOLE, 'entry-2': support.BOLE}
 ENOUGH = 5  # turns
 
 
@@ -46,11 +45,11 @@
     site.deployed.kill(driver)
     heir = site.wait_driver(client)
     history = client.history(heir)
-    assert seqs_of(history) == list(range(1, ENOUGH + 1))
+    assert support.seqs_of(history) == list(range(1, ENOUGH + 1))
     assert texts_of(history)[:-1] == [one['body']['text'] for one in answers]
 
 
-@pytest.mark.parametrize('entries', [TWO, THREE], ids=['two', 'three'])
+@pytest.mark.parametrize('entries', [TWO, support.THREE], ids=['two', 'three'])
 def test_driver_killed_during_an_outage(start_site, entries):
     site = start_site(entries)
     clients = [site.client(f'program-{index}') for index in range(4)]
@@ -59,17 +58,14 @@
         client.model('entry-1', 1)
     driver = site.driver_of(clients[0])
     set_links(site, LinkState.CUT)
-    calls = [
-        site.begin(client.model, driver, 2, messages=[{'content': 'Go on.'}])
-        for client in clients
-    ]
+    calls = [site.begin(one.model, driver, 2) for one in clients]
     answers = [call.result()['body']['text'] for call in calls]
     site.deployed.kill(driver)
     set_links(site, LinkState.OPEN)
-    for client, text in zip(clients, answers, strict=True):
-        heir = site.wait_driver(client)
-        assert texts_of(client.history(heir))[1:] == [text]
-        assert client.model(heir, 3)['outcome'] == 'RAN'
+    for caller, text in zip(clients, answers, strict=True):
+        heir = site.wait_driver(caller)
+        assert texts_of(caller.history(heir))[1:] == [text]
+        assert caller.model(heir, 3)['outcome'] == 'RAN'
 
 
 FAULTS = {
@@ -99,10 +95,10 @@
     wait_until(
         lambda: client.confirm('entry-2', ENOUGH)['outcome'] == 'RAN',
         'the platform answers',
-        timeout_s=LONG_S,
+        timeout_s=support.LONG_S,
     )
     assert len(site.executions()) == 1
     site.deployed.kill(site.driver_of(client))
     history = client.history(site.wait_driver(client))
-    assert seqs_of(history) == list(range(1, ENOUGH + 1))
+    assert support.seqs_of(history) == list(range(1, ENOUGH + 1))
     assert texts_of(history)[:-1] == told
