--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	touch $(STAMP)
 
 test: $(STAMP)
-	$(PY) -m pytest
+	$(PY) -m pytest -n 4
 
 demo: $(STAMP)
 	$(PY) -m examples.demo
--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -142,5 +142,4 @@
         self._routing.tick()
         if self._base.config.current().generation and self._may_claim():
             self._programs.logs.tick()
-            self._base.workers.submit(self._programs.opener.drop_held)
             self._ready.set()
--- a/tests/test_held_records.py
+++ b/tests/test_held_records.py
@@ -42,37 +42,43 @@
 
 @pytest.fixture
 def held(peers):
-    return PeerHeldRecords('entry-1', lambda: peers)
+    return PeerHeldRecords('entry-1', lambda: peers, HeldStore())
 
 
 def test_heir_finds_what_a_peer_holds(held, peers):
-    assert held.hold('bole-0', [OPENED])
-    assert held.hold('bole-0', [OPENED, ENDED])
-    heir = PeerHeldRecords('entry-2', lambda: peers)
+    assert held.hold('bole-0', [OPENED], 1)
+    assert held.hold('bole-0', [OPENED, ENDED], 2)
+    heir = PeerHeldRecords('entry-2', lambda: peers, HeldStore())
     assert list(heir.fetch('bole-0')) == [OPENED, ENDED]
     assert list(heir.fetch('bole-1')) == []
 
 
-CUTS = (((), True), ((0,), True), ((0, 1), False), ((0, 1, 2), False))
+def test_heir_finds_what_it_holds_itself(held, peers):
+    held.hold('bole-0', [OPENED], 1)
+    heir = PeerHeldRecords('entry-2', lambda: peers[1:], peers[0].store)
+    assert list(heir.fetch('bole-0')) == [OPENED]
 
 
-@pytest.mark.parametrize(('cut', 'is_held'), CUTS)
+@pytest.mark.parametrize(
+    ('cut_off', 'is_held'),
+    [(0, True), (1, True), (2, False), (3, False)],
+)
 def test_copy_goes_to_a_second_peer_if_the_first_is_cut_off(
-    held, peers, cut, is_held
+    held, peers, cut_off, is_held
 ):
-    for index in cut:
-        peers[index].reachable = False
-    assert held.hold('bole-0', [OPENED]) is is_held
-    assert held.is_holding('bole-0') is is_held
+    for peer in peers[:cut_off]:
+        peer.reachable = False
+    assert held.hold('bole-0', [OPENED], 1) is is_held
+    assert held.held_logs() == (('bole-0',) if is_held else ())
 
 
 def test_durable_records_are_dropped(held, peers):
-    held.hold('bole-0', [OPENED])
-    held.hold('bole-1', [OPENED])
-    held.drop('bole-0')
+    held.hold('bole-0', [OPENED], 1)
+    held.hold('bole-1', [OPENED], 2)
+    held.drop('bole-0', 2)
     assert list(held.fetch('bole-0')) == []
     assert list(held.fetch('bole-1')) == [OPENED]
-    assert not held.is_holding('bole-0')
+    assert held.held_logs() == ('bole-1',)
 
 
 def test_store_is_bounded_and_keeps_the_latest_batch():
