Send messages that may not be repeated on new connections; name a stopped membership

Cause: an idle connection that had gone silent cost a forwarded call its whole timeout and left its outcome unknown. A heartbeat to an instance that was stopping was answered as an internal error. The bounds of liveness did not follow the interval in the settings: at 5 s every member would have been dead. Ruled out: probing an idle connection before each use, which costs a round trip as a new connection does. Change: messages that are not idempotent take no idle connection; a typed error for a membership that does not run; bounds grow with long intervals; the object API's status table in a module of its own; clients can be closed.

--- a/cactusledge/peers/channel.py
+++ b/cactusledge/peers/channel.py
@@ -118,8 +118,10 @@
 
         A peer acts on whole frames only, so that a connection which failed
         before it took the last byte has certainly not delivered the message.
+        A message not idempotent gets a new connection, since an idle one may
+        have gone silent.
         """
-        conn = self._take_idle()
+        conn = self._take_idle() if IDEMPOTENT[method] else None
         while conn is not None:
             if self._write(conn, method, args, timeout_s):
                 return conn
--- a/cactusledge/peers/errors.py
+++ b/cactusledge/peers/errors.py
@@ -17,6 +17,12 @@
     outcome = Outcome.UNKNOWN
 
 
+class NotRunningError(CactusledgeError):
+    """The membership has not started or has stopped."""
+
+    code = ErrorCode.STOPPING
+
+
 class PeerMessageTooLargeError(CactusledgeError):
     """The message is larger than peers take; nothing was sent."""
 
--- a/cactusledge/peers/gossip.py
+++ b/cactusledge/peers/gossip.py
@@ -11,6 +11,7 @@
 
 from cactusledge.peers import rendezvous
 from cactusledge.peers.liveness import (
+    INTERVAL_S,
     SMALL_MEMBERSHIP,
     LiveMembers,
     is_near,
@@ -42,6 +43,7 @@
     unreachable: Mapping[str, float] = NOBODY  # last progress by name
     rotation: tuple[str, ...] = ()  # near members still due in this cycle
     turn: int = 0
+    interval_s: float = INTERVAL_S
 
     def live(self, now_s: float) -> LiveMembers:
         """Returns the members believed alive."""
@@ -50,7 +52,13 @@
             for name, progress_at_s in self.unreachable.items()
             if self.table[name].progress_at_s <= progress_at_s
         ]
-        return live_members(self.me, self.table, excluded, now_s)
+        return live_members(
+            self.me,
+            self.table,
+            excluded,
+            now_s,
+            self.interval_s,
+        )
 
 
 class Round(NamedTuple):
--- a/cactusledge/peers/liveness.py
+++ b/cactusledge/peers/liveness.py
@@ -38,16 +38,29 @@
     return members <= SMALL_MEMBERSHIP or view.data_centre == data_centre
 
 
-def near_bounds(members: int) -> Bounds:
-    """Returns the bounds for so many near members."""
+def near_bounds(members: int, interval_s: float = INTERVAL_S) -> Bounds:
+    """Returns the bounds for so many near members.
+
+    A longer interval than the usual one lengthens them in proportion.
+    """
     doublings = max(0, math.log2(max(members, 1) / SPREAD_BASE))
+    spread_s = SPREAD_S * doublings
+    scale = scale_of(interval_s)
     return Bounds(
-        SUSPECT_AFTER_S + SPREAD_S * doublings,
-        DEAD_AFTER_S + SPREAD_S * doublings,
+        (SUSPECT_AFTER_S + spread_s) * scale,
+        (DEAD_AFTER_S + spread_s) * scale,
     )
 
 
-FAR_BOUNDS = Bounds(FAR_DEAD_AFTER_S / 2, FAR_DEAD_AFTER_S)
+def far_bounds(interval_s: float = INTERVAL_S) -> Bounds:
+    """Returns the bounds for far members."""
+    dead_s = FAR_DEAD_AFTER_S * scale_of(interval_s)
+    return Bounds(dead_s / 2, dead_s)
+
+
+def scale_of(interval_s: float) -> float:
+    """Returns the factor by which an interval lengthens the bounds."""
+    return max(1, interval_s / INTERVAL_S)
 
 
 def liveness(member: Member, bounds: Bounds, now_s: float) -> Liveness:
@@ -102,6 +115,7 @@
     table: Table,
     unreachable: Iterable[str],
     now_s: float,
+    interval_s: float = INTERVAL_S,
 ) -> LiveMembers:
     """Returns the members not believed dead.
 
@@ -110,23 +124,36 @@
         table: The other members.
         unreachable: Names that did not take a message since their progress.
         now_s: The time.
+        interval_s: The time between heartbeats.
     """
-    total = len(table) + 1
-    near = [
-        member
-        for member in table.values()
-        if is_near(member.view, me.data_centre, total)
-    ]
-    bounds = near_bounds(len(near) + 1)
     excluded = frozenset(unreachable)
-    views = [me]
+    near, far = by_distance(me, table)
+    limits = (
+        (near, near_bounds(len(near) + 1, interval_s)),
+        (far, far_bounds(interval_s)),
+    )
+    views = [
+        member.view
+        for members, bounds in limits
+        for member in members
+        if liveness(member, bounds, now_s) is not Liveness.DEAD
+        and member.view.name not in excluded
+    ]
+    return LiveMembers(me.name, tuple(sorted([me, *views], key=by_name)))
+
+
+def by_distance(
+    me: MemberView,
+    table: Table,
+) -> tuple[tuple[Member, ...], tuple[Member, ...]]:
+    """Returns the near and the far members."""
+    total = len(table) + 1
+    near: list[Member] = []
+    far: list[Member] = []
     for member in table.values():
-        view = member.view
-        limit = bounds if is_near(view, me.data_centre, total) else FAR_BOUNDS
-        dead = liveness(member, limit, now_s) is Liveness.DEAD
-        if not dead and view.name not in excluded:
-            views.append(view)
-    return LiveMembers(me.name, tuple(sorted(views, key=by_name)))
+        is_in_scope = is_near(member.view, me.data_centre, total)
+        (near if is_in_scope else far).append(member)
+    return tuple(near), tuple(far)
 
 
 def by_name(view: MemberView) -> str:
--- a/cactusledge/peers/membership.py
+++ b/cactusledge/peers/membership.py
@@ -2,19 +2,15 @@
 
 import threading
 from collections.abc import Callable, Iterable
-from contextlib import suppress
-from typing import Any, cast
-
-import pykka
+from typing import cast
 
 from cactusledge.models import Address
+from cactusledge.peers.actor_link import ActorLink
 from cactusledge.peers.heartbeats import HeartbeatSender
 from cactusledge.peers.liveness import INTERVAL_S, LiveMembers
 from cactusledge.peers.membership_actor import MembershipActor, Outbox
 from cactusledge.peers.messages import Heartbeat, HeartbeatReply, MemberView
 
-ASK_TIMEOUT_S = 1.0
-
 OnChange = Callable[[LiveMembers], None]
 
 
@@ -38,7 +34,7 @@
         self._listeners: list[OnChange] = []
         self._stopping = threading.Event()
         self._sender = HeartbeatSender()
-        self._actor: Any = None
+        self._actor = ActorLink()
 
     @property
     def live(self) -> LiveMembers:
@@ -49,7 +45,9 @@
         """Starts the actor and the thread that counts intervals."""
         me, seeds = self._start
         outbox = Outbox(self._sender.send, self._publish)
-        self._actor = MembershipActor.start(me, seeds, outbox).proxy()
+        self._actor.start(
+            MembershipActor.start(me, seeds, outbox, self._interval_s),
+        )
         threading.Thread(
             target=self._tick,
             name='membership',
@@ -80,24 +78,23 @@
 
     def handle_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Merges a peer's heartbeat and returns the reply to it."""
-        reply = self._actor.receive(message).get(timeout=ASK_TIMEOUT_S)
-        return cast(HeartbeatReply, reply)
+        return cast(HeartbeatReply, self._actor.ask('receive', message))
 
     def report_unreachable(self, name: str) -> None:
         """Sets a member aside until it makes progress again."""
-        self._actor.mark_unreachable.defer(name)
+        self._actor.tell('mark_unreachable', name)
 
     def add_seeds(self, seeds: Iterable[Address]) -> None:
         """Adds addresses at which instances may be found."""
-        self._actor.add_seeds.defer(tuple(seeds))
+        self._actor.tell('add_seeds', tuple(seeds))
 
     def set_state(self, key: str, data: bytes) -> None:
         """Changes an entry of the state that the peers see."""
-        self._actor.set_state.defer(key, data)
+        self._actor.tell('set_state', key, data)
 
     def leave(self) -> None:
         """Marks this incarnation as leaving, for good."""
-        self._actor.leave().get(timeout=ASK_TIMEOUT_S)
+        self._actor.ask('leave')
 
     def _publish(self, live: LiveMembers) -> None:
         """Takes a change from the actor and tells the listeners."""
@@ -107,6 +104,5 @@
 
     def _tick(self) -> None:
         while not self._stopping.is_set():
-            with suppress(pykka.ActorDeadError):
-                self._actor.tick.defer()
+            self._actor.tell('tick')
             self._stopping.wait(self._interval_s)
--- a/cactusledge/peers/membership_actor.py
+++ b/cactusledge/peers/membership_actor.py
@@ -38,11 +38,12 @@
         me: MemberView,
         seeds: Iterable[Address],
         outbox: Outbox,
+        interval_s: float,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Starts alone."""
         super().__init__()
-        self._state = gossip.GossipState(me)
+        self._state = gossip.GossipState(me, interval_s=interval_s)
         self._seeds = frozenset(seeds)
         self._outbox = outbox
         self._clock = clock
--- a/cactusledge/platform/client.py
+++ b/cactusledge/platform/client.py
@@ -2,96 +2,37 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import closing
-from types import MappingProxyType
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 from urllib3.exceptions import HTTPError
 
 from cactusledge.errors import (
     StoreAnswerLostError,
-    StoreConflictError,
     StoreError,
-    StoreNotFoundError,
     StoreUnavailableError,
-    StoreVersionGoneError,
 )
 from cactusledge.models import Address
 from cactusledge.platform import wire
-from cactusledge.platform.errors import (
-    StoreRefusedError,
-    StoreSilentError,
-    StoreTooLargeError,
-)
+from cactusledge.platform.errors import StoreRefusedError, StoreSilentError
 from cactusledge.platform.exchange import (
     Exchange,
     Reply,
     new_pool,
     request_timeout,
 )
+from cactusledge.platform.statuses import (
+    UNCERTAIN,
+    check_status,
+    store_error,
+)
 from cactusledge.platform.store import ObjectList, StoredObject, WatchEvent
 
 REQUEST_TIMEOUT_S = 2.0
 WATCH_SILENCE_S = 5.0  # longest wait for an event or a bookmark
-FIRST_SUCCESS = 200
-FIRST_ERROR = 300
-FIRST_CLIENT_ERROR = 400
-FIRST_SERVER_ERROR = 500
 READ_ATTEMPTS = 2
 
 
-class StatusError(NamedTuple):
-    """The error for one HTTP status."""
-
-    error: type[StoreError]
-    message: str
-    remedy: str
-
-
-STATUS_ERRORS: Mapping[int, StatusError] = MappingProxyType({
-    404: StatusError(
-        StoreNotFoundError,
-        'does not exist',
-        'Create it first or check its name.',
-    ),
-    409: StatusError(
-        StoreConflictError,
-        'was changed by another writer',
-        'Read it again and decide anew.',
-    ),
-    410: StatusError(
-        StoreVersionGoneError,
-        'no longer has that version in its history',
-        'List again and watch from there.',
-    ),
-    413: StatusError(
-        StoreTooLargeError,
-        'is larger than the platform takes',
-        'Split the object.',
-    ),
-    429: StatusError(
-        StoreUnavailableError,
-        'was refused because too many requests came',
-        'Wait for the time given and try again.',
-    ),
-    503: StatusError(
-        StoreUnavailableError,
-        'was refused because the platform is down',
-        'Try again later; nothing was written.',
-    ),
-})
-REFUSED = StatusError(
-    StoreRefusedError,
-    'was refused by the platform',
-    'Check the object and the permissions of this instance.',
-)
-UNCERTAIN = StatusError(
-    StoreAnswerLostError,
-    'got an answer that leaves its effect open',
-    'Read the object back before writing it again.',
-)
-
-
 class HttpObjectStore:
     """Speaks to the platform's object API; safe for use by many threads.
 
@@ -110,6 +51,10 @@
         self._timeout_s = timeout_s
         self._silence_s = silence_s
 
+    def close(self) -> None:
+        """Closes the idle connections; the client is not used afterwards."""
+        self._exchange.close()
+
     def read(self, kind: str, name: str) -> StoredObject:
         """Returns the object; raises StoreNotFoundError if there is none."""
         path = wire.object_path(kind, name)
@@ -220,30 +165,6 @@
         yield from (wire.decode_event(line) for line in lines if line)
 
 
-def check_status(subject: str, reply: Reply) -> None:
-    """Raises the error that the status stands for; returns on success."""
-    if FIRST_SUCCESS <= reply.status < FIRST_ERROR:
-        return
-    known = STATUS_ERRORS.get(reply.status)
-    if known is None:
-        refused = FIRST_CLIENT_ERROR <= reply.status < FIRST_SERVER_ERROR
-        known = REFUSED if refused else UNCERTAIN
-    raise store_error(known, subject, reply.retry_after_s)
-
-
-def store_error(
-    known: StatusError,
-    subject: str,
-    retry_after: float | None,
-) -> StoreError:
-    """Returns the error with the object's path in its message."""
-    return known.error(
-        f'{subject} {known.message}.',
-        remedy=known.remedy,
-        retry_after_s=retry_after,
-    )
-
-
 def as_unavailable(exc: StoreError) -> StoreUnavailableError:
     """Returns the error of a read, which has no effect to be unsure of."""
     return StoreUnavailableError(
--- a/cactusledge/platform/exchange.py
+++ b/cactusledge/platform/exchange.py
@@ -67,6 +67,11 @@
             remedy='Try again later; nothing was written.',
         )
 
+    def close(self) -> None:
+        """Closes the idle connections; none may be sent afterwards."""
+        for pool in self._pools.values():
+            pool.close()
+
     def _send_to(
         self,
         address: Address,
--- /dev/null
+++ b/cactusledge/platform/statuses.py
@@ -0,0 +1,97 @@
+"""What the HTTP statuses of the object API mean."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import NamedTuple
+
+from cactusledge.errors import (
+    StoreAnswerLostError,
+    StoreConflictError,
+    StoreError,
+    StoreNotFoundError,
+    StoreUnavailableError,
+    StoreVersionGoneError,
+)
+from cactusledge.platform.errors import StoreRefusedError, StoreTooLargeError
+from cactusledge.platform.exchange import Reply
+
+FIRST_SUCCESS = 200
+FIRST_ERROR = 300
+FIRST_CLIENT_ERROR = 400
+FIRST_SERVER_ERROR = 500
+
+
+class StatusError(NamedTuple):
+    """The error for one HTTP status."""
+
+    error: type[StoreError]
+    message: str
+    remedy: str
+
+
+STATUS_ERRORS: Mapping[int, StatusError] = MappingProxyType({
+    404: StatusError(
+        StoreNotFoundError,
+        'does not exist',
+        'Create it first or check its name.',
+    ),
+    409: StatusError(
+        StoreConflictError,
+        'was changed by another writer',
+        'Read it again and decide anew.',
+    ),
+    410: StatusError(
+        StoreVersionGoneError,
+        'no longer has that version in its history',
+        'List again and watch from there.',
+    ),
+    413: StatusError(
+        StoreTooLargeError,
+        'is larger than the platform takes',
+        'Split the object.',
+    ),
+    429: StatusError(
+        StoreUnavailableError,
+        'was refused because too many requests came',
+        'Wait for the time given and try again.',
+    ),
+    503: StatusError(
+        StoreUnavailableError,
+        'was refused because the platform is down',
+        'Try again later; nothing was written.',
+    ),
+})
+REFUSED = StatusError(
+    StoreRefusedError,
+    'was refused by the platform',
+    'Check the object and the permissions of this instance.',
+)
+UNCERTAIN = StatusError(
+    StoreAnswerLostError,
+    'got an answer that leaves its effect open',
+    'Read the object back before writing it again.',
+)
+
+
+def check_status(subject: str, reply: Reply) -> None:
+    """Raises the error that the status stands for; returns on success."""
+    if FIRST_SUCCESS <= reply.status < FIRST_ERROR:
+        return
+    known = STATUS_ERRORS.get(reply.status)
+    if known is None:
+        refused = FIRST_CLIENT_ERROR <= reply.status < FIRST_SERVER_ERROR
+        known = REFUSED if refused else UNCERTAIN
+    raise store_error(known, subject, reply.retry_after_s)
+
+
+def store_error(
+    known: StatusError,
+    subject: str,
+    retry_after: float | None,
+) -> StoreError:
+    """Returns the error with the object's path in its message."""
+    return known.error(
+        f'{subject} {known.message}.',
+        remedy=known.remedy,
+        retry_after_s=retry_after,
+    )
--- a/tests/test_membership_service.py
+++ b/tests/test_membership_service.py
@@ -5,8 +5,9 @@
 import pytest
 
 from cactusledge.models import Address
+from cactusledge.peers.errors import NotRunningError
 from cactusledge.peers.membership import Membership
-from cactusledge.peers.messages import MemberView
+from cactusledge.peers.messages import Heartbeat, MemberView
 from cactusledge.peers.server import PeerServer
 from standins.platform import free_port
 
@@ -90,6 +91,17 @@
     assert all(live.find('e2').leaving for live in lives)
 
 
+def test_a_membership_that_does_not_run_says_so():
+    stopped = Instance('e9', ())
+    with pytest.raises(NotRunningError):
+        stopped.heartbeat(Heartbeat('e0', ()))
+    stopped.start()
+    stopped.stop()
+    with pytest.raises(NotRunningError):
+        stopped.heartbeat(Heartbeat('e0', ()))
+    stopped.membership.set_state('late', b'')
+
+
 def test_a_report_sets_a_member_aside_until_its_next_heartbeat(instances):
     first = instances[0]
     first.membership.report_unreachable('e1')
--- a/tests/test_membership_view.py
+++ b/tests/test_membership_view.py
@@ -104,6 +104,11 @@
     ]
 
 
+def test_bounds_grow_with_a_long_interval_only():
+    assert near_bounds(8, 0.05) == near_bounds(8)
+    assert near_bounds(8, 4).dead_s == 10
+
+
 def test_a_leaving_member_gets_no_work_but_is_known():
     leaving = view_of('a')._replace(leaving=True)
     live = live_members(view_of('me'), {'a': Member(leaving, 0)}, (), 0)
