Keep room for new records while a crowded ring is cleaned

Ruled out: a larger reserve, which only puts the same state off. Change: the ledger decides how much an append carries; an eighth of an object, or the first entry that waits, stays free; the mark is taken before. Conclusion: a full ring refuses openings and goes on with its programs.

--- a/cactusledge/programs/journal_actor.py
+++ b/cactusledge/programs/journal_actor.py
@@ -33,9 +33,6 @@
     from cactusledge.programs.journal_writer import WriterOptions
     from cactusledge.programs.takeover import TakenLog
 
-# Part of an object that snapshots may take while the ring has room.
-CARRY_BYTES = MAX_DATA_BYTES // 4
-
 
 class WriterStatus:
     """What other threads may read of the writer."""
@@ -189,15 +186,14 @@
         self._queue.settle_all(error)
 
     def _batch(self, number: int) -> tuple[ProgramRecord, ...]:
-        crowded = self._ledger.is_crowded(number)
-        limit = MAX_DATA_BYTES if crowded else CARRY_BYTES
-        carried = self._ledger.carry(number, self._options.now_s(), limit)
         self._status.full = self._ledger.is_crowded(number)
+        limit = self._ledger.carry_limit(number, self._queue.head_bytes)
+        carried = self._ledger.carry(number, self._options.now_s(), limit)
         if not self._ledger.has_room(number):
-            return carried
-        left = MAX_DATA_BYTES - limit if carried else MAX_DATA_BYTES
+            return carried.records
+        left = MAX_DATA_BYTES - carried.size_bytes
         fresh = _fold(self._ledger, number, self._queue, left)
-        return (*carried, *fresh)
+        return (*carried.records, *fresh)
 
     def _pump(self) -> None:
         idle = self._state.phase is journal.Phase.IDLE
--- a/cactusledge/programs/journal_queue.py
+++ b/cactusledge/programs/journal_queue.py
@@ -114,6 +114,11 @@
         """Returns how many entries wait to be sent."""
         return len(self._entries)
 
+    @property
+    def head_bytes(self) -> int:
+        """Size of the entry that is sent next, 0 if there is none."""
+        return self._entries[0].size_bytes if self._entries else 0
+
     def when_idle(self, future: 'pykka.ThreadingFuture[None]') -> None:
         """Resolves the future once nothing waits or is in flight."""
         self._idle_futures.append(future)
--- a/cactusledge/programs/takeover.py
+++ b/cactusledge/programs/takeover.py
@@ -124,7 +124,7 @@
             self._options.now_s(),
             MAX_SEAL_CARRY_BYTES,
         )
-        batch = (rec.Seal(self._owner, previous), *carried)
+        batch = (rec.Seal(self._owner, previous), *carried.records)
         return self._append(state, ledger, batch)
 
     def _append_held(
--- a/cactusledge/protocol/call_records.py
+++ b/cactusledge/protocol/call_records.py
@@ -9,6 +9,7 @@
 from cactusledge.models import Answer, Outcome
 from cactusledge.protocol import budget
 from cactusledge.protocol import records as rec
+from cactusledge.protocol.ring import MAX_ANSWER_BYTES
 from cactusledge.protocol.state import ANY_ENDPOINT, CallState, ProgramState
 from cactusledge.protocol.steps import apply
 
@@ -27,6 +28,8 @@
 ) -> rec.OutcomeRecorded:
     """Returns the record that settles the running call.
 
+    A body above `MAX_ANSWER_BYTES` is replaced by a note of its size.
+
     Args:
         state: The program with the call running.
         seq: The call's sequence number.
@@ -42,7 +45,7 @@
         prev=state.digest,
         outcome=answer.outcome,
         status=answer.status,
-        body=encode_body(answer.body),
+        body=_kept_body(answer),
         spent=settled.spent,
         overrun=settled.overrun,
         usage=answer.usage,
@@ -143,6 +146,14 @@
     return document
 
 
+def _kept_body(answer: Answer) -> bytes:
+    """Returns the answer's JSON, or a note if the journal cannot keep it."""
+    body = encode_body(answer.body)
+    if len(body) <= MAX_ANSWER_BYTES:
+        return body
+    return encode_body({'too_large_to_keep': True, 'bytes': len(body)})
+
+
 def _unknown(state: ProgramState, call: CallState) -> rec.OutcomeRecorded:
     answer = Answer(
         program_id=state.program_id,
--- a/cactusledge/protocol/ledger.py
+++ b/cactusledge/protocol/ledger.py
@@ -23,6 +23,10 @@
 # Part of the ring behind the oldest base at which no program is opened.
 OPEN_LIMIT = 0.75
 
+# Part of an object that snapshots may take while the ring has room.
+CARRY_BYTES = MAX_DATA_BYTES // 4
+# Part of an object for new records while the ring is crowded.
+MIN_FRESH_BYTES = MAX_DATA_BYTES // 8
 _BASES = (rec.Opened, rec.ProgramSnapshot)
 
 
@@ -32,6 +36,13 @@
     ended_s: float = 86_400
 
 
+class Carried(NamedTuple):
+    """Records that an append carries forward."""
+
+    records: tuple[rec.ProgramRecord, ...]
+    size_bytes: int  # at most, compressed
+
+
 class Rebuilt(NamedTuple):
     """A log's ledger and the digests of the records that stand in it."""
 
@@ -95,12 +106,25 @@
             self._bases.pop(name, None)
             self._bases[name] = number
 
+    def carry_limit(self, next_n: int, waiting_bytes: int) -> int:
+        """Returns the bytes that append `next_n` may carry forward.
+
+        Args:
+            next_n: Number of the append.
+            waiting_bytes: Size of the new records that come first.
+        """
+        if not self.has_room(next_n):
+            return MAX_DATA_BYTES
+        if not self.is_crowded(next_n):
+            return CARRY_BYTES
+        return max(MAX_DATA_BYTES - max(waiting_bytes, MIN_FRESH_BYTES), 0)
+
     def carry(
         self,
         next_n: int,
         now_s: float,
         limit_bytes: int = MAX_DATA_BYTES,
-    ) -> tuple[rec.ProgramRecord, ...]:
+    ) -> Carried:
         """Returns and folds what append `next_n` carries forward.
 
         Cleaning starts when half of the ring lies behind the oldest base.
@@ -109,12 +133,13 @@
         left = limit_bytes
         for name in self._behind(next_n - self._size // 2):
             record = self._moved(name, now_s)
-            left -= len(rec.encode_batch((record,)))
-            if left < 0:
+            size = len(rec.encode_batch((record,)))
+            if size > left:
                 break
+            left -= size
             carried.append(record)
         self.fold(next_n, carried)
-        return tuple(carried)
+        return Carried(tuple(carried), limit_bytes - left)
 
     def _behind(self, limit: int) -> tuple[str, ...]:
         return tuple(name for name, at in self._bases.items() if at <= limit)
--- a/model/batches.py
+++ b/model/batches.py
@@ -44,7 +44,7 @@
     ledger = Ledger(size, Retention(NEVER_S))
     if program is not None:
         ledger.restore({PROGRAM: program}, {PROGRAM: base})
-    carried = ledger.carry(number, 0)
+    carried = ledger.carry(number, 0).records
     folded = [
         record
         for record in records
--- a/model/guards.py
+++ b/model/guards.py
@@ -80,7 +80,7 @@
         'needed records are carried forward before they are overwritten',
         scenarios.SMALL,
         (
-            Patch(ledgers.Ledger, 'carry', patches.no_records),
+            Patch(ledgers.Ledger, 'carry', patches.carry_nothing),
             Patch(ledgers.Ledger, 'oldest', patches.newest),
         ),
     ),
--- a/model/patches.py
+++ b/model/patches.py
@@ -5,7 +5,7 @@
 from cactusledge.models import CallSpec, Outcome
 from cactusledge.protocol import budget, calls, config_head, held, journal
 from cactusledge.protocol import records as rec
-from cactusledge.protocol.ledger import Ledger
+from cactusledge.protocol.ledger import Carried, Ledger
 from cactusledge.protocol.ring import Slot
 from cactusledge.protocol.state import ProgramState
 from cactusledge.protocol.steps import apply
@@ -181,9 +181,9 @@
     """Checks nothing."""
 
 
-def no_records(*_: Any) -> tuple[rec.ProgramRecord, ...]:
+def carry_nothing(*_: Any) -> Carried:
     """Carries nothing forward."""
-    return ()
+    return Carried((), 0)
 
 
 def newest(ledger: Ledger, next_n: int) -> int:
--- a/tests/test_journal_steps.py
+++ b/tests/test_journal_steps.py
@@ -193,14 +193,16 @@
     ended = calls.end_records(state, 'done', 5)
     ledger.fold(1, [opened('over'), *ended])
     over = apply_all(state, ended)
-    assert ledger.carry(3, 100) == ()
-    assert [type(item) for item in ledger.carry(4, 100)] == [
+    assert ledger.carry(3, 100).records == ()
+    assert [type(item) for item in ledger.carry(4, 100).records] == [
         rec.ProgramSnapshot
     ]
-    assert ledger.carry(5, 14)[0] == rec.ProgramSnapshot(
+    assert ledger.carry(5, 14).records[0] == rec.ProgramSnapshot(
         'over', 0, over.digest, over
     )
-    assert ledger.carry(9, 100)[1] == rec.Dropped('over', 0, over.digest)
+    assert ledger.carry(9, 100).records[1] == rec.Dropped(
+        'over', 0, over.digest
+    )
     assert ledger.oldest(10) == 9
 
 
@@ -208,7 +210,7 @@
     ledger = Ledger(SIZE, Retention())
     ledger.fold(0, [opened('a')])
     ledger.fold(1, [opened('b')])
-    batches = [[opened('a')], [opened('b')], ledger.carry(2, 0)]
+    batches = [[opened('a')], [opened('b')], ledger.carry(2, 0).records]
     slots = [
         slot(number, 'x')._replace(data=rec.encode_batch(batch))
         for number, batch in enumerate(batches)
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -1,7 +1,9 @@
 """Journal writer and takeover against a store with faults."""
 
 import functools
+import itertools
 import queue
+import random
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -16,6 +18,7 @@
     FencedError,
     JournalBusyError,
     JournalFailedError,
+    JournalFullError,
 )
 from cactusledge.protocol.ledger import Retention
 from cactusledge.protocol.program import apply, apply_all
@@ -242,3 +245,25 @@
     start('b')
     writer.append([opened('q')], told.put)
     assert isinstance(told.get(timeout=WAIT_S), FencedError)
+
+
+def open_until_full(writer):
+    noise = random.Random(3)
+    for number in itertools.count():
+        record = opened(f'p{number}', account=noise.randbytes(30_000).hex())
+        writer.append([record]).get(timeout=WAIT_S)
+
+
+def test_full_ring_refuses_openings_and_keeps_all_programs(store, start):
+    writer = start('a')
+    with pytest.raises(JournalFullError) as full:
+        open_until_full(writer)
+    assert full.value.retry_after_s
+    programs = stored(store)
+    count = len(programs)
+    assert count > 30
+    heir = start('b')
+    for name in sorted(programs)[:40]:
+        ended = calls.end_records(programs[name], 'done', 1000)
+        heir.append(ended).get(timeout=WAIT_S)
+    assert len(stored(store)) == count
--- a/tests/test_protocol_calls.py
+++ b/tests/test_protocol_calls.py
@@ -1,8 +1,11 @@
 """Decisions on calls, settling, sub-agents and takeover."""
 
+import contextlib
 import random
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cactusledge.errors import ErrorCode
 from cactusledge.models import Answer, CallKind, CallSpec, Outcome
@@ -10,7 +13,11 @@
 from cactusledge.protocol import records as rec
 from cactusledge.protocol.errors import RefusedCallError
 from cactusledge.protocol.program import apply, apply_all
-from cactusledge.protocol.ring import MAX_REQUEST_BYTES, MAX_SNAPSHOT_BYTES
+from cactusledge.protocol.ring import (
+    MAX_ANSWER_BYTES,
+    MAX_REQUEST_BYTES,
+    MAX_SNAPSHOT_BYTES,
+)
 from cactusledge.protocol.state import ANY_ENDPOINT
 
 OPENED = rec.Opened('p', 0, b'', 'acct', 'def', 10, '', 100, 50, 3)
@@ -127,7 +134,7 @@
 
 def test_not_run_frees_the_sequence_number(running):
     state = settle(running, ANSWER._replace(outcome=Outcome.NOT_RUN))
-    assert state.calls == ()
+    assert not state.calls
     assert begin(state, SPEC._replace(key='again')).running.key == 'again'
 
 
@@ -140,15 +147,15 @@
     heir = apply_all(state, calls.takeover_records(state))
     assert heir.calls[0].outcome is outcome
     assert heir.touched == (ANY_ENDPOINT,)
-    assert calls.takeover_records(heir) == ()
+    assert not calls.takeover_records(heir)
 
 
 def test_end_leaves_a_release_duty_for_each_engine(done):
     ended = apply_all(done, calls.end_records(done, 'done', NOW_S))
     assert ended.releases == ('e1',)
     release = calls.release_record(ended, 'e1', done=True)
-    assert apply(ended, release).releases == ()
-    assert calls.end_records(ended, 'again', NOW_S) == ()
+    assert not apply(ended, release).releases
+    assert not calls.end_records(ended, 'again', NOW_S)
 
 
 def test_end_settles_a_running_call_as_unknown(running):
@@ -189,3 +196,80 @@
 def test_large_request_is_refused(fresh):
     spec = SPEC._replace(body={'a': 'x' * MAX_REQUEST_BYTES})
     assert refusal(fresh, spec).code is ErrorCode.TOO_LARGE
+
+
+def test_large_answer_is_kept_as_a_note(running):
+    body = {'a': 'x' * MAX_ANSWER_BYTES}
+    state = settle(running, ANSWER._replace(body=body))
+    kept = calls.answer_of(state, state.calls[0])
+    assert kept.outcome is Outcome.RAN
+    assert kept.body['bytes'] > MAX_ANSWER_BYTES
+
+
+SPENDING = st.lists(
+    st.tuples(
+        st.sampled_from(['parent', 'child', 'end']),
+        st.integers(0, 8),
+        st.integers(0, 12),
+        st.sampled_from([Outcome.RAN, Outcome.UNKNOWN, Outcome.NOT_RUN]),
+    ),
+    max_size=12,
+)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(SPENDING)
+def test_parent_and_sub_agents_stay_within_the_budget(steps):
+    family = Family()
+    for action, reserve, reported, outcome in steps:
+        family.act(action, reserve, reported, outcome)
+        assert family.parent.available >= 0
+        assert family.cost <= family.parent.budget
+        assert family.child is None or family.child.available >= 0
+
+
+class Family:
+    """A parent and at most one living sub-agent at a time."""
+
+    def __init__(self):
+        self.parent = apply(None, OPENED._replace(turn_limit=99))
+        self.child = None
+        self.cost = 0  # what endpoints may have spent
+
+    def act(self, action, reserve, reported, outcome):
+        """Carries one step out if the protocol allows it."""
+        if action == 'parent':
+            self.parent = self.call(self.parent, reserve, reported, outcome)
+        elif self.child is None:
+            self.open_child(reserve)
+        elif action == 'child':
+            self.child = self.call(self.child, reserve, reported, outcome)
+        else:
+            self.end_child()
+
+    def call(self, state, reserve, reported, outcome):
+        """Returns the program after a call, if it was let through."""
+        seq = len(state.calls) + 1
+        spec = SPEC._replace(seq=seq, key=f'k{seq}', reserve=reserve)
+        decision = calls.decide_call(state, spec, NOW_S)
+        if isinstance(decision, calls.Refuse):
+            return state
+        self.cost += 0 if outcome is Outcome.NOT_RUN else min(reserve, reported)
+        begun = apply_all(state, decision.records)
+        answer = ANSWER._replace(seq=seq, outcome=outcome, spent=reported)
+        return settle(begun, answer)
+
+    def open_child(self, share):
+        """Opens the sub-agent if the budget allows it."""
+        name = f'c{len(self.parent.shares)}'
+        opened = OPENED._replace(program_id=name, budget=share, turn_limit=99)
+        with contextlib.suppress(RefusedCallError):
+            records = budget.open_child(self.parent, opened)
+            self.parent = apply(self.parent, records[0])
+            self.child = apply(None, records[1])
+
+    def end_child(self):
+        """Ends the sub-agent and returns its share."""
+        record = budget.return_share(self.parent, self.child)
+        self.parent = apply(self.parent, record)
+        self.child = None
