--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -105,16 +105,17 @@
         yield opened
     for turn in range(TURNS):
         for name in tuple(states):
-            for record in _turn(states[name], turn + 1, rng):
+            for record in turn_records(states[name], turn + 1, rng):
                 states[name] = apply(states[name], record)
                 yield record
 
 
-def _turn(
+def turn_records(
     state: ProgramState,
     seq: int,
     rng: random.Random,
 ) -> tuple[rec.ProgramRecord, ...]:
+    """Returns the records of a program's next call."""
     name = state.program_id
     spec = CallSpec(
         program_id=name,
--- a/cactusledge/protocol/ledger.py
+++ b/cactusledge/protocol/ledger.py
@@ -33,7 +33,7 @@
 class Retention(NamedTuple):
     """How long ended programs are kept."""
 
-    ended_s: float = 86_400
+    ended_s: float = 3600
 
 
 class Carried(NamedTuple):
