Compare repeats by content; test acknowledged appends under random faults

Cause: a repeat whose JSON members came in another order was a conflict. Change: bodies are compared as documents; 12 seeded runs of three owners whose writes are refused, lost or delayed.

--- a/cactusledge/protocol/calls.py
+++ b/cactusledge/protocol/calls.py
@@ -94,7 +94,8 @@
 
 def _decide_repeat(state: ProgramState, spec: CallSpec) -> Decision:
     call = state.calls[spec.seq - 1]
-    if call.key != spec.key or call.body != encode_body(spec.body):
+    asked = decode_body(encode_body(spec.body))  # members in any order
+    if call.key != spec.key or decode_body(call.body) != asked:
         return Refuse(
             _refusal(
                 ErrorCode.SEQUENCE_CONFLICT,
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -267,3 +267,37 @@
         ended = calls.end_records(programs[name], 'done', 1000)
         heir.append(ended).get(timeout=WAIT_S)
     assert len(stored(store)) == count
+
+
+FAULTS = ('', '', '', 'unavailable', 'lost_after', 'lost_before', 'delayed')
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_acknowledged_appends_survive_faults_and_takeovers(store, start, seed):
+    rng = random.Random(seed)
+    acknowledged = queue.SimpleQueue()
+    for instance in ('a', 'b', 'c'):
+        store.faults.clear()
+        writer = start(instance)
+        store.faults.extend(rng.choices(FAULTS, k=60))
+        futures = [
+            writer.append(
+                [opened(f'{instance}{number}')],
+                functools.partial(keep, acknowledged, f'{instance}{number}'),
+            )
+            for number in range(20)
+        ]
+        for future in futures[: rng.randrange(20)]:
+            future.get(timeout=WAIT_S)
+        store.land()
+    store.faults.clear()
+    programs = stored(store)
+    store.land()
+    known = {acknowledged.get() for _ in range(acknowledged.qsize())}
+    assert known <= set(programs)
+    assert set(stored(store)) == set(programs)
+
+
+def keep(acknowledged, name, error):
+    if error is None:
+        acknowledged.put(name)
--- a/tests/test_protocol_calls.py
+++ b/tests/test_protocol_calls.py
@@ -69,6 +69,12 @@
     assert stored == calls.Stored(ANSWER)
 
 
+def test_repeat_may_order_the_members_of_its_body_otherwise(fresh):
+    state = begin(fresh, SPEC._replace(body={'a': 1, 'b': [2]}))
+    again = SPEC._replace(body={'b': [2], 'a': 1})
+    assert calls.decide_call(state, again, NOW_S) == calls.Join(1)
+
+
 @pytest.mark.parametrize(
     ('changes', 'now_s', 'code'),
     [
