Tell engine groups' owners of tool pauses and of programs' ends

Cause: the scheduler weighs keeping a paused program's cache, but nobody told it of pauses in the running processes, and it never forgot ended programs. Change: pauses are told with the length to expect, smoothed per tool; ends are told with the cache release.

--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -129,6 +129,7 @@
             heartbeats=membership,
             programs=programs.local,
             grants=routing.grant_desk,
+            queues=routing.queues,
             held=programs.held,
             config=base.config,
             traces=base.traces,
--- a/cactusledge/assembly/routing.py
+++ b/cactusledge/assembly/routing.py
@@ -14,6 +14,7 @@
 from cactusledge.programs.grants import GrantDesk, GrantRouter
 from cactusledge.programs.leases import LeaseDesk
 from cactusledge.programs.neighbours import Neighbours
+from cactusledge.programs.program_events import ProgramEvents
 from cactusledge.programs.replicas import Replicas
 from cactusledge.routing.client import DispatcherClient, Ticker
 from cactusledge.routing.dispatcher import Dispatcher
@@ -33,6 +34,8 @@
     leases: LeaseDesk
     ticker: Ticker
     care: EngineCare
+    events: ProgramEvents
+    queues: DispatcherClient
     pools: ConnectionPools
 
     def start(self) -> None:
@@ -91,6 +94,12 @@
         ),
         ticker=Ticker(client),
         care=care,
+        events=ProgramEvents(
+            client,
+            neighbours.owner_of_group,
+            directory.find,
+        ),
+        queues=client,
         pools=pools,
     )
 
--- a/cactusledge/assembly/sending.py
+++ b/cactusledge/assembly/sending.py
@@ -51,6 +51,7 @@
             services,
             definitions.operation_of,
             base.traces,
+            routing.events,
         ),
     }
     return WorkPool(
@@ -60,4 +61,5 @@
         services,
         routing.directory,
         lambda: engines_of(routing.directory),
+        routing.events.ended,
     )
--- a/cactusledge/programs/peer_handler.py
+++ b/cactusledge/programs/peer_handler.py
@@ -13,8 +13,10 @@
 from cactusledge.programs.grants import GrantDesk
 from cactusledge.programs.held import HeldStore
 from cactusledge.programs.ids import log_of
+from cactusledge.programs.program_events import take_event
 from cactusledge.programs.router import LocalPrograms
 from cactusledge.programs.views import CallArgs, HistoryEntry, OpenArgs
+from cactusledge.routing.client import DispatcherClient
 from cactusledge.settings.follower import ConfigFollower
 from cactusledge.telemetry.traces import Traces
 
@@ -39,6 +41,7 @@
     heartbeats: Heartbeats
     programs: LocalPrograms
     grants: GrantDesk
+    queues: DispatcherClient
     held: HeldStore
     config: ConfigFollower
     traces: Traces
@@ -119,6 +122,7 @@
 
     def program_event(self, message: peer.ProgramEvent) -> None:
         """Takes note of a program's pause or end."""
+        take_event(self._parts.queues, message)
 
     def hold_records(self, batch: peer.HeldBatch) -> None:
         """Keeps a copy of records that wait for the platform."""
--- /dev/null
+++ b/cactusledge/programs/program_events.py
@@ -0,0 +1,116 @@
+"""Tells the owners of engine groups what programs do between model calls."""
+
+import time
+from collections.abc import Callable, Hashable
+
+import msgspec
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.models import Endpoint
+from cactusledge.peers.client import PeerClient
+from cactusledge.peers.messages import ProgramEvent, ProgramEventKind
+from cactusledge.programs.tasks import CallTask
+from cactusledge.routing.client import DispatcherClient
+from cactusledge.routing.pauses import PauseEstimates
+from cactusledge.routing.types import GroupKey
+from cactusledge.telemetry.logs import get_logger
+
+UNKNOWN_PAUSE_S = 1.0
+
+log = get_logger('pauses')
+
+
+class Pause:
+    """Measures a tool pause, however it ends."""
+
+    def __init__(self, pauses: PauseEstimates, tool: Hashable) -> None:
+        """Keeps where to put the pause."""
+        self._pauses = pauses
+        self._tool = tool
+        self._began_s = time.monotonic()
+
+    def __enter__(self) -> None:
+        """Begins the pause."""
+
+    def __exit__(self, *error: object) -> None:
+        """Takes in how long the tool took."""
+        self._pauses.observe(self._tool, time.monotonic() - self._began_s)
+
+
+class ProgramEvents:
+    """Pauses and ends of programs, told to whoever queues for their engines.
+
+    A lost message costs cache or speed, nothing else.
+    """
+
+    def __init__(
+        self,
+        local: DispatcherClient,
+        owner_of: Callable[[GroupKey], PeerClient | None],
+        find: Callable[[str], Endpoint | None],
+    ) -> None:
+        """Prepares to tell.
+
+        Args:
+            local: This instance's schedulers.
+            owner_of: Returns a group's owner, None for this instance.
+            find: Returns an endpoint by its name.
+        """
+        self._local = local
+        self._owner_of = owner_of
+        self._find = find
+        self._pauses = PauseEstimates()
+
+    def pause(self, task: CallTask) -> 'Pause':
+        """Tells that a program waits for a tool within a `with` block."""
+        tool = (task.spec.target, task.spec.operation)
+        calls = task.state.calls
+        engines = [one.endpoint for one in calls if one.usage.prompt_tokens]
+        if engines:
+            pause_s = self._pauses.expected_s(tool, UNKNOWN_PAUSE_S)
+            program_id = task.spec.program_id
+            self._tell(
+                engines[-1],
+                program_id,
+                ProgramEventKind.PAUSED,
+                pause_s,
+            )
+        return Pause(self._pauses, tool)
+
+    def ended(self, program_id: str, engine: str) -> None:
+        """Tells that a program which used an engine has ended."""
+        self._tell(engine, program_id, ProgramEventKind.ENDED, 0)
+
+    def _tell(
+        self,
+        engine: str,
+        program_id: str,
+        kind: ProgramEventKind,
+        pause_s: float,
+    ) -> None:
+        endpoint = self._find(engine)
+        if endpoint is None:
+            return
+        key = GroupKey(endpoint.data_centre, endpoint.service)
+        document = msgspec.json.encode((key, pause_s))
+        event = ProgramEvent(program_id, kind, document)
+        owner = self._owner_of(key)
+        if owner is None:
+            take_event(self._local, event)
+            return
+        try:
+            owner.program_event(event)
+        except CactusledgeError as exc:
+            log.info('Event not told.', reason=exc.message)
+
+
+def take_event(queues: DispatcherClient, event: ProgramEvent) -> None:
+    """Hands an event to the schedulers of this instance."""
+    key, pause_s = msgspec.json.decode(
+        event.document,
+        type=tuple[GroupKey, float],
+    )
+    if event.kind is ProgramEventKind.ENDED:
+        queues.program_ended(key, event.program_id)
+    else:
+        queues.program_paused(key, event.program_id, pause_s)
--- a/cactusledge/programs/sending.py
+++ b/cactusledge/programs/sending.py
@@ -3,7 +3,7 @@
 import time
 import uuid
 from collections.abc import Callable, Mapping
-from contextlib import suppress
+from contextlib import AbstractContextManager, suppress
 from http import HTTPStatus
 from typing import Any, NamedTuple, Protocol, Self
 
@@ -219,8 +219,10 @@
         services: ServiceClient,
         operations: 'OperationLookup',
         traces: Traces,
+        events: 'PauseEvents',
     ) -> None:
         """Keeps the routing, the client and the definitions."""
+        self._events = events
         self._traces = traces
         self._routing = routing
         self._services = services
@@ -228,6 +230,10 @@
 
     def send(self, task: CallTask, headers: Headers) -> Sent:
         """Calls the service; only an idempotent call is tried again."""
+        with self._events.pause(task):
+            return self._send(task, headers)
+
+    def _send(self, task: CallTask, headers: Headers) -> Sent:
         attempts = Attempts()
         limit = MAX_ATTEMPTS if task.spec.idempotent else 1
         avoid: list[str] = []
@@ -306,6 +312,13 @@
         return _service_sent(spec, answer, lease.endpoint.name)
 
 
+class PauseEvents(Protocol):
+    """Learns of the pauses that programs make for their tools."""
+
+    def pause(self, task: CallTask) -> AbstractContextManager[None]:
+        """Takes note that a program waits for a tool within the block."""
+
+
 class OperationLookup(Protocol):
     """Finds the definition of a call's operation."""
 
--- a/cactusledge/programs/work.py
+++ b/cactusledge/programs/work.py
@@ -36,8 +36,13 @@
         services: ServiceClient,
         endpoints: EndpointSource,
         all_engines: Callable[[], tuple[Endpoint, ...]],
+        ended: Callable[[str, str], None],
     ) -> None:
-        """Keeps the clients and the threads."""
+        """Keeps the clients and the threads.
+
+        `ended` is told of a program's end for each engine that it used.
+        """
+        self._ended = ended
         self._workers = workers
         self._runner = runner
         self._engines = engines
@@ -65,6 +70,7 @@
             self._release_at(endpoint, task.program_id)
             for endpoint in self._engines_of(task.endpoint)
         )
+        self._ended(task.program_id, task.endpoint)
         _tell(task.driver, msg.Released(task.program_id, task.endpoint, done))
 
     def _engines_of(self, name: str) -> tuple[Endpoint, ...]:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -22,6 +22,7 @@
 POLL_S = 0.02
 HTTP_OK = 200
 LOOPBACK = '127.0.0.1'
+RING_SLOTS = 48
 
 
 class Started(NamedTuple):
@@ -98,6 +99,7 @@
             'platform': {'addresses': [self._platform_address()]},
             'peers': {'seeds': [f'{LOOPBACK}:{port}' for port in seeds]},
             'shutdown': {'balancer_grace_s': 0.2, 'drain_timeout_s': 20.0},
+            'journal': {'ring_slots': RING_SLOTS},
             **sections,
         }
         path = self._folder / f'{name}.yaml'
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -1,6 +1,7 @@
 """Senders: what is said of a call that was tried more than once."""
 
 import time
+from contextlib import nullcontext
 
 import pytest
 
@@ -33,6 +34,13 @@
 )
 
 
+class Pauses:
+    """Takes no note of pauses."""
+
+    def pause(self, task):
+        return nullcontext()
+
+
 class OneEndpoint:
     """Leases the same endpoint again and again."""
 
@@ -126,6 +134,7 @@
         ServiceClient(ConnectionPools()),
         lambda spec: Operation(spec.operation, operation == 'op', 1, 5),
         traces,
+        Pauses(),
     )
     service.set_faults(*[Fault(kind, 1) for kind in faults])
     task = task_of(CallKind.SERVICE, operation, operation == 'op')
