--- a/tests/test_routing_pauses.py
+++ b/tests/test_routing_pauses.py
@@ -5,10 +5,16 @@
 from cactusledge.routing.pauses import MAX_KEYS, PauseEstimates
 
 
-@pytest.mark.parametrize(
-    ('seen', 'expected_s'),
-    [([], 1), ([4], 4), ([4, 4], 4), ([10, 0], 8), ([0, 10], 2)],
+CASES = (
+    ((), 1),
+    ((4,), 4),
+    ((4, 4), 4),
+    ((10, 0), 8),
+    ((0, 10), 2),
 )
+
+
+@pytest.mark.parametrize(('seen', 'expected_s'), CASES)
 def test_estimate_follows_the_pauses(seen, expected_s):
     pauses = PauseEstimates()
     for pause_s in seen:
