Refuse fault switches that the stand-in does not know

Cause: a misspelt switch was accepted and set nothing, so that a test of a fault could pass without one. Ruled out: nothing else. Change: unknown switches are an error, by HTTP a 400. Conclusion: a test's fault is the fault that it names.

--- a/standins/platform_app.py
+++ b/standins/platform_app.py
@@ -92,20 +92,24 @@
 
     def set_faults(self, data: bytes) -> None:
         """Sets the switches given as JSON; all others are reset."""
+        settings = decode_faults(data)
         self._stale = self.table.snapshot()
-        self.faults.replace(decode_faults(data))
+        self.faults.replace(settings)
 
     def _route(self, environ: Environ) -> Response:
         req = parse_request(environ)
+        try:
+            return self._dispatch(req)
+        except API_ERRORS as exc:
+            return failure(status_of(exc))
+
+    def _dispatch(self, req: Request) -> Response:
         if req.path == ('faults',):
             self.set_faults(req.body)
             return answer(self.faults.settings)
         if req.path == ('records',):
             return answer(self.counters.records())
-        try:
-            return self._handle(req)
-        except API_ERRORS as exc:
-            return failure(status_of(exc))
+        return self._handle(req)
 
     def _handle(self, req: Request) -> Response:
         budget = self._reads if req.method == 'GET' else self._writes
--- a/standins/platform_faults.py
+++ b/standins/platform_faults.py
@@ -1,7 +1,7 @@
 """Fault switches of the platform stand-in."""
 
 import threading
-from typing import NamedTuple, TypedDict, cast
+from typing import Any, NamedTuple, TypedDict, cast
 
 import msgspec
 
@@ -74,5 +74,9 @@
 
 
 def decode_faults(data: bytes) -> FaultSettings:
-    """Returns the switches in the JSON bytes."""
-    return msgspec.json.decode(data, type=FaultSettings)
+    """Returns the switches in the JSON bytes; an unknown one is an error."""
+    given = msgspec.json.decode(data, type=dict[str, Any])
+    unknown = given.keys() - FaultSettings.__annotations__.keys()
+    if unknown:
+        raise msgspec.ValidationError(f'unknown switches: {sorted(unknown)}')
+    return msgspec.convert(given, FaultSettings)
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 
 import pytest
+from msgspec import ValidationError
 
 from cactusledge.errors import (
     StoreAnswerLostError,
@@ -235,3 +236,8 @@
     newest = store.update(KIND, 'head', {'n': 2}, first.version)
     assert store.list(KIND).items == (first,)
     assert store.read(KIND, 'head') == newest
+
+
+def test_an_unknown_fault_is_refused(standin):
+    with pytest.raises(ValidationError):
+        standin.set_faults(watch_silnt=True)
