--- a/cactusledge/peers/gossip.py
+++ b/cactusledge/peers/gossip.py
@@ -27,8 +27,8 @@
 
 FANOUT = 3  # peers that a heartbeat goes to in each interval
 LARGE_FANOUT = 2  # the same with more than SMALL_MEMBERSHIP members
-FAR_INTERVALS = 10  # a far member gets a heartbeat every so many intervals
-FAR_SLICE = 8  # digests of far members in one heartbeat
+FAR_INTERVALS = 5  # a far member gets a heartbeat every so many intervals
+FAR_SLICE = 16  # digests of far members in one heartbeat
 FORGET_AFTER_S = 3600.0
 
 Shuffle = Callable[[list[str]], None]
--- a/tests/test_membership_gossip.py
+++ b/tests/test_membership_gossip.py
@@ -120,6 +120,15 @@
     assert sent_and_received < BYTES_PER_S
 
 
+def test_far_members_stay_alive_though_heartbeats_carry_a_slice():
+    large = Rounds(seed=1, instances=36)
+    large.introduce()
+    everyone = set(large.states)
+    large.run(66)
+    for _ in large.steps(1):
+        assert all(seen == everyone for seen in large.views().values())
+
+
 @pytest.mark.parametrize('refusing', [True, False], ids=['process', 'machine'])
 def test_a_dead_instance_is_seen_in_time(rounds, refusing):
     rounds.refusing = refusing
