--- /dev/null
+++ b/cactusledge/application.py
@@ -0,0 +1,145 @@
+"""The application object: starts an instance's parts and stops them."""
+
+import threading
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import pykka
+
+from cactusledge.assembly.api import build_api
+from cactusledge.assembly.base import build_base
+from cactusledge.assembly.peers import build_membership, build_peers
+from cactusledge.assembly.programs import build_programs
+from cactusledge.assembly.routing import build_routing
+from cactusledge.environment import Environment
+from cactusledge.peers.rendezvous import owner
+from cactusledge.settings.sections import InstanceSettings
+from cactusledge.telemetry.logs import get_logger
+
+TICK_S = 0.5
+STOP_WAIT_S = 5.0
+SETTLE_S = 3.0  # for the first answers of the seeds
+
+log = get_logger('entry')
+
+
+class Application:
+    """Owns every part of an entry instance."""
+
+    def __init__(self, settings: InstanceSettings, env: Environment) -> None:
+        """Builds the parts; `start` sets them going."""
+        self._settings = settings
+        self._base = build_base(settings, env)
+        membership, neighbours = build_membership(self._base)
+        self._routing = build_routing(self._base, neighbours)
+        self._programs = build_programs(
+            self._base,
+            self._routing,
+            neighbours,
+            owner,
+        )
+        self._peers = build_peers(
+            self._base,
+            self._routing,
+            self._programs,
+            neighbours,
+            membership,
+        )
+        self._api = build_api(self._base, self._programs.router, self)
+        self._ready = threading.Event()
+        self._stopping = threading.Event()
+        self._started_s = time.monotonic()
+        self._timer = threading.Thread(target=self._run_timer, daemon=True)
+
+    def start(self) -> None:
+        """Starts every part; `is_ready` tells when calls are taken."""
+        self._base.config.start()
+        self._peers.start()
+        self._routing.start()
+        self._api.start()
+        self._started_s = time.monotonic()
+        self._timer.start()
+        log.info('Started.', api=str(self._settings.listen.api))
+
+    def stop(self) -> int:
+        """Stops gracefully; returns the number of calls that were cut.
+
+        The API serves on while the balancer learns that this instance is not
+        ready; calls of its programs are then forwarded to their next driver.
+        """
+        log.info('Stopping.')
+        self._ready.clear()
+        shutdown = self._settings.shutdown
+        time.sleep(shutdown.balancer_grace_s)
+        self._peers.leave()
+        deadline_s = time.monotonic() + shutdown.drain_timeout_s
+        left = self._programs.logs.drain(deadline_s)
+        self._peers.tick()
+        self._api.stop()
+        self._stopping.set()
+        self._timer.join(STOP_WAIT_S)
+        self._stop_parts()
+        log.info('Stopped.', calls_cut=left)
+        return left
+
+    def is_ready(self) -> bool:
+        """Returns whether the balancer should send requests here."""
+        return self._ready.is_set() and not self._programs.unowned_logs()
+
+    def status(self) -> Mapping[str, Any]:
+        """Returns the document of `GET /status`."""
+        return {
+            'instance': self._base.name,
+            'data_centre': self._base.data_centre,
+            'ready': self.is_ready(),
+            'generation': self._base.config.current().generation,
+            'logs': list(self._programs.table.names()),
+            'peers': [one.name for one in self._peers.neighbours.others()],
+            'endpoints': [
+                {
+                    'name': one.name,
+                    'service': one.service,
+                    'data_centre': one.data_centre,
+                    'leaving': one.leaving,
+                }
+                for one in self._routing.directory.all()
+            ],
+        }
+
+    def metrics_text(self) -> bytes:
+        """Returns the metrics in Prometheus's text format."""
+        metrics = self._base.metrics
+        generation = self._base.config.current().generation
+        metrics.put('config_generation', generation)
+        metrics.put('peers_alive', len(self._peers.neighbours.others()))
+        metrics.put('platform_up', self._programs.platform_up())
+        metrics.put('journal_waiting_bytes', self._programs.waiting_bytes())
+        return metrics.render()
+
+    def _may_claim(self) -> bool:
+        """Returns whether the peers had time to say which logs they own."""
+        is_alone = not self._peers.neighbours.others()
+        waited_s = time.monotonic() - self._started_s
+        has_seeds = bool(self._settings.peers.seeds)
+        return not (has_seeds and is_alone) or waited_s > SETTLE_S
+
+    def _stop_parts(self) -> None:
+        self._peers.stop()
+        self._routing.stop()
+        pykka.ActorRegistry.stop_all(timeout=STOP_WAIT_S)
+        self._base.stop()
+
+    def _run_timer(self) -> None:
+        while not self._stopping.wait(TICK_S):
+            try:
+                self._tick()
+            except Exception:
+                log.exception('Tick failed.')
+
+    def _tick(self) -> None:
+        self._peers.tick()
+        self._routing.tick()
+        if self._base.config.current().generation and self._may_claim():
+            self._programs.logs.tick()
+            self._ready.set()
--- /dev/null
+++ b/cactusledge/assembly/peers.py
@@ -0,0 +1,158 @@
+"""Builds the peer service and membership."""
+
+import time
+from typing import NamedTuple
+
+from cactusledge.assembly.base import Base
+from cactusledge.assembly.programs import ProgramsPart
+from cactusledge.assembly.routing import RoutingPart
+from cactusledge.errors import CactusledgeError
+from cactusledge.peers.membership import Membership
+from cactusledge.peers.messages import MemberView
+from cactusledge.peers.rendezvous import owner
+from cactusledge.peers.server import PeerServer
+from cactusledge.programs.neighbours import (
+    Me,
+    Neighbours,
+    generation_of,
+    member_state,
+)
+from cactusledge.programs.peer_handler import EntryPeerHandler, HandlerParts
+from cactusledge.settings.peer_reports import reported_peers
+from cactusledge.settings.reporter import StatusReporter
+from cactusledge.telemetry.logs import get_logger
+
+PEER_TIMEOUT_S = 5.0
+
+log = get_logger('peers')
+
+
+class PeersPart(NamedTuple):
+    """The peer service and what it serves from."""
+
+    server: PeerServer
+    membership: Membership
+    neighbours: Neighbours
+    base: Base
+    programs: ProgramsPart
+    reporter: StatusReporter
+
+    def start(self) -> None:
+        """Listens, then tells the peers of this instance."""
+        self.server.start()
+        self.membership.start()
+        self.base.workers.submit(self._find_peers)
+
+    def tick(self) -> None:
+        """Tells the peers what changed, and learns newer configurations."""
+        generation = self.base.config.current().generation
+        names = self.programs.table.names()
+        for key, data in member_state(names, generation).items():
+            self.membership.set_state(key, data)
+        self.base.workers.submit(self.reporter.tick)
+        self.base.workers.submit(self.programs.opener.drop_held)
+        newest = max(map(generation_of, self.membership.alive()), default=0)
+        if newest > generation:
+            self.base.config.hint(newest)
+            self.base.workers.submit(self._fetch_config, generation)
+
+    def leave(self) -> None:
+        """Tells the peers that this instance takes no new work."""
+        self.neighbours.leaving = True
+        self.membership.leave()
+
+    def stop(self) -> None:
+        """Closes the connections from and to peers."""
+        self.membership.stop()
+        self.server.stop()
+        self.neighbours.close()
+
+    def _find_peers(self) -> None:
+        """Adds the instances that reported to the platform as seeds."""
+        try:
+            found = reported_peers(
+                self.base.store,
+                self.base.name,
+                time.time(),
+            )
+            self.membership.add_seeds(found)
+        except CactusledgeError as exc:
+            log.info('Peers not listed.', reason=exc.message)
+
+    def _fetch_config(self, known: int) -> None:
+        for client in self.neighbours.nearby():
+            try:
+                reply = client.get_config(known)
+            except CactusledgeError as exc:
+                log.info('Configuration not read.', reason=exc.message)
+                continue
+            if reply.document is not None:
+                self.base.config.offer(reply.generation, reply.document)
+                return
+
+
+def build_membership(base: Base) -> tuple[Membership, Neighbours]:
+    """Returns membership, and the neighbours that it knows of."""
+    peers = base.settings.peers
+    address = base.settings.listen.peers
+    membership = Membership(
+        MemberView(
+            name=base.name,
+            host=address.host,
+            port=address.port,
+            data_centre=base.data_centre,
+            incarnation=time.time_ns(),
+        ),
+        peers.seeds,
+        peers.heartbeat_interval_s,
+    )
+    neighbours = Neighbours(
+        Me(base.name, base.data_centre),
+        lambda: membership.live.members,
+        owner,
+        PEER_TIMEOUT_S,
+    )
+    return membership, neighbours
+
+
+def build_peers(
+    base: Base,
+    routing: RoutingPart,
+    programs: ProgramsPart,
+    neighbours: Neighbours,
+    membership: Membership,
+) -> PeersPart:
+    """Returns the peer service of an instance."""
+    handler = EntryPeerHandler(
+        HandlerParts(
+            name=base.name,
+            heartbeats=membership,
+            programs=programs.local,
+            grants=routing.grant_desk,
+            held=programs.held,
+            config=base.config,
+            traces=base.traces,
+            want_log=programs.logs.want,
+        ),
+    )
+    server = PeerServer(
+        base.settings.listen.peers,
+        handler,
+        base.settings.limits.max_connections,
+    )
+    reporter = StatusReporter(
+        base.store,
+        instance=base.name,
+        data_centre=base.data_centre,
+        generation=lambda: base.config.current().generation,
+        now=time.time,
+        peers=str(base.settings.listen.peers),
+    )
+    return PeersPart(
+        server,
+        membership,
+        neighbours,
+        base,
+        programs,
+        reporter,
+    )
--- /dev/null
+++ b/cactusledge/assembly/programs.py
@@ -0,0 +1,156 @@
+"""Builds the programs part: logs, drivers, senders and the router."""
+
+import time
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from cactusledge.assembly.base import Base
+from cactusledge.assembly.routing import RoutingPart
+from cactusledge.assembly.sending import build_work
+from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.claims import Choose, Fence, InstanceView, wanted_logs
+from cactusledge.programs.durability import CommitWait
+from cactusledge.programs.held import HeldStore, PeerHeldRecords
+from cactusledge.programs.ids import log_names
+from cactusledge.programs.log_opener import OpenerParts, StoreLogOpener
+from cactusledge.programs.logs import LogManager, LogTable
+from cactusledge.programs.neighbours import Neighbours
+from cactusledge.programs.remote import PeerPrograms
+from cactusledge.programs.router import (
+    Home,
+    LocalPrograms,
+    ProgramRouter,
+    RemotePrograms,
+)
+from cactusledge.programs.views import CallArgs
+
+
+class ProgramsPart(NamedTuple):
+    """The programs that this instance drives, and the way to all others."""
+
+    table: LogTable
+    logs: LogManager
+    local: LocalPrograms
+    router: ProgramRouter
+    neighbours: Neighbours
+    home: Home
+    opener: StoreLogOpener
+    held: HeldStore
+
+    def platform_up(self) -> bool:
+        """Returns whether the platform answers the journal's writers."""
+        return self.opener.is_up()
+
+    def waiting_bytes(self) -> int:
+        """Returns the size of the records that are not yet durable."""
+        return self.opener.waiting_bytes()
+
+    def unowned_logs(self) -> tuple[str, ...]:
+        """Returns the logs of this data centre that nobody drives."""
+        views = self.neighbours.others()
+        owned = {name for view in views for name in view.logs}
+        names = log_names(self.home.data_centre, self.home.logs)
+        return tuple(
+            name
+            for name in names
+            if name not in owned and self.table.find(name) is None
+        )
+
+
+class _Remotes:
+    """Finds the owners of logs among the peers."""
+
+    def __init__(self, base: Base, neighbours: Neighbours) -> None:
+        self._base = base
+        self._neighbours = neighbours
+        self.again: Callable[[CallArgs], CallStream] | None = None
+
+    def find(self, log: str) -> RemotePrograms | None:
+        """Returns the programs of the log's owner."""
+        client = self._neighbours.owner_of_log(log)
+        if client is None or self.again is None:
+            return None
+        return PeerPrograms(
+            client,
+            self._base.name,
+            self._base.followers,
+            self.again,
+        )
+
+
+def build_programs(
+    base: Base,
+    routing: RoutingPart,
+    neighbours: Neighbours,
+    choose: Choose,
+) -> ProgramsPart:
+    """Returns the programs part of an instance."""
+    table = LogTable()
+    held = HeldStore()
+    opener = _build_opener(base, neighbours, held)
+    durability = CommitWait(opener.is_up, opener.hold_waiting)
+    opener.work = build_work(base, routing, durability)
+    logs = LogManager(
+        table,
+        opener,
+        base.workers,
+        lambda fences: _wanted(base, table, neighbours, choose, fences),
+    )
+    local = LocalPrograms(table, durability)
+    home = Home(base.data_centre, base.settings.journal.logs_per_data_centre)
+    remotes = _Remotes(base, neighbours)
+    router = ProgramRouter(home, local, remotes.find)
+    remotes.again = router.call
+    return ProgramsPart(
+        table,
+        logs,
+        local,
+        router,
+        neighbours,
+        home,
+        opener,
+        held,
+    )
+
+
+def _build_opener(
+    base: Base,
+    neighbours: Neighbours,
+    store: HeldStore,
+) -> StoreLogOpener:
+    held = PeerHeldRecords(base.name, neighbours.nearby, store)
+    return StoreLogOpener(
+        OpenerParts(
+            store=base.store,
+            instance=base.name,
+            journal=base.settings.journal,
+            workers=base.workers,
+            config=base.config.current,
+            held=held,
+            now_s=time.time,
+        ),
+    )
+
+
+def _wanted(
+    base: Base,
+    table: LogTable,
+    neighbours: Neighbours,
+    choose: Choose,
+    fences: Mapping[str, Fence],
+) -> tuple[str, ...]:
+    me = InstanceView(
+        base.name,
+        base.data_centre,
+        leaving=False,
+        logs=table.names(),
+    )
+    count = base.settings.journal.logs_per_data_centre
+    return wanted_logs(
+        me,
+        neighbours.others(),
+        log_names(base.data_centre, count),
+        fences,
+        time.monotonic(),
+        choose,
+    )
--- /dev/null
+++ b/cactusledge/assembly/routing.py
@@ -0,0 +1,116 @@
+"""Builds the routing: endpoints, engine queues and leases."""
+
+from typing import NamedTuple
+
+import pykka
+
+from cactusledge.assembly.base import Base
+from cactusledge.endpoints.directory import EndpointDirectory
+from cactusledge.endpoints.engine import EngineClient
+from cactusledge.endpoints.pools import ConnectionPools
+from cactusledge.models import CallKind, Endpoint
+from cactusledge.platform.watcher import Watcher, WatchTarget
+from cactusledge.programs.engine_care import CareParts, EngineCare
+from cactusledge.programs.grants import GrantDesk, GrantRouter
+from cactusledge.programs.leases import LeaseDesk
+from cactusledge.programs.neighbours import Neighbours
+from cactusledge.programs.replicas import Replicas
+from cactusledge.routing.client import DispatcherClient, Ticker
+from cactusledge.routing.dispatcher import Dispatcher
+from cactusledge.routing.policy import LATENCY_FIRST
+from cactusledge.routing.types import EngineLimits, GroupKey
+
+INSTANCES_KIND = 'instances'
+
+
+class RoutingPart(NamedTuple):
+    """The endpoints and who decides about them."""
+
+    directory: EndpointDirectory
+    watcher: Watcher
+    dispatcher: pykka.ActorRef[Dispatcher]
+    grant_desk: GrantDesk
+    leases: LeaseDesk
+    ticker: Ticker
+    care: EngineCare
+    pools: ConnectionPools
+
+    def start(self) -> None:
+        """Follows the live list and lets the queues tick."""
+        self.watcher.start()
+        self.ticker.start()
+
+    def tick(self) -> None:
+        """Takes back what dead instances asked for, and asks the engines."""
+        self.grant_desk.tick()
+        self.care.tick()
+
+    def stop(self) -> None:
+        """Stops following and answers what waits."""
+        self.watcher.stop()
+        self.ticker.stop()
+        self.dispatcher.stop(block=False)
+        self.pools.close()
+
+
+def build_routing(base: Base, neighbours: Neighbours) -> RoutingPart:
+    """Returns the routing of an instance."""
+    dispatcher = Dispatcher.start(
+        owner=base.name,
+        settings=LATENCY_FIRST,
+        emit=lambda effect: care.carry_out(effect),
+    )
+    client = DispatcherClient(dispatcher)
+    directory: EndpointDirectory = EndpointDirectory(
+        base.data_centre,
+        lambda: _fixed_endpoints(base),
+        lambda: _set_engines(client, directory),
+    )
+    grants = GrantRouter(client, neighbours.owner_of_group, base.name)
+    pools = ConnectionPools()
+    care: EngineCare = EngineCare(
+        CareParts(
+            workers=base.workers,
+            engines=EngineClient(pools),
+            directory=directory,
+            queues=client,
+            is_owner=lambda key: neighbours.owner_of_group(key) is None,
+            config=base.config.current,
+        ),
+    )
+    base.config.on_change(lambda _: directory.refresh())
+    return RoutingPart(
+        directory=directory,
+        watcher=Watcher(base.store, WatchTarget(INSTANCES_KIND), directory),
+        dispatcher=dispatcher,
+        grant_desk=GrantDesk(client),
+        leases=LeaseDesk(
+            directory,
+            grants,
+            Replicas(base.data_centre, LATENCY_FIRST),
+        ),
+        ticker=Ticker(client),
+        care=care,
+        pools=pools,
+    )
+
+
+def engines_of(directory: EndpointDirectory) -> tuple[Endpoint, ...]:
+    """Returns all known model engines."""
+    return tuple(one for one in directory.all() if one.kind is CallKind.MODEL)
+
+
+def _fixed_endpoints(base: Base) -> tuple[Endpoint, ...]:
+    return base.config.current().fixed_endpoints()
+
+
+def _set_engines(
+    client: DispatcherClient,
+    directory: EndpointDirectory,
+) -> None:
+    groups: dict[GroupKey, list[Endpoint]] = {}
+    for engine in engines_of(directory):
+        key = GroupKey(engine.data_centre, engine.service)
+        groups.setdefault(key, []).append(engine)
+    for key, members in groups.items():
+        client.set_engines(key, members, EngineLimits())
--- /dev/null
+++ b/cactusledge/cli/reports.py
@@ -0,0 +1,108 @@
+"""Collects what instances report of themselves."""
+
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Protocol
+
+from cactusledge.environment import Environment
+from cactusledge.errors import CactusledgeError
+from cactusledge.models import Address
+from cactusledge.settings.published import read_head
+from cactusledge.settings.rollout import (
+    STATUS_KIND,
+    Report,
+    Rollout,
+    judge,
+    missing_report,
+    parse_report,
+    stale_report,
+)
+
+if TYPE_CHECKING:
+    from cactusledge.platform.store import ObjectStore
+
+LIVE_KIND = 'instances'
+ENTRY_ROLE = 'entry'  # marks instances of ours in the live list
+STATUS_PATH = '/status'
+QUERY_TIMEOUT_S = 3.0
+
+
+class ReportSource(Protocol):
+    """Where reports come from."""
+
+    def rollout(self, generation: int | None) -> Rollout:
+        """Returns who runs the generation, or the newest one if None."""
+
+
+class StoredReports:
+    """The reports that instances wrote to the platform."""
+
+    def __init__(
+        self,
+        store: 'ObjectStore',
+        now: Callable[[], float],
+        max_age_s: float,
+    ) -> None:
+        """Keeps the platform; an older report counts as none.
+
+        The instance of an old report may have been replaced since.
+        """
+        self._store = store
+        self._now = now
+        self._max_age_s = max_age_s
+
+    def rollout(self, generation: int | None) -> Rollout:
+        """Returns who runs the generation, or the published one if None."""
+        if generation is None:
+            head = read_head(self._store).head
+            generation = head.generation if head else 0
+        return judge(generation, self._reports())
+
+    def _reports(self) -> list[Report]:
+        reports = {
+            found.name: self._parse(found.name, found.body)
+            for found in self._store.list(STATUS_KIND).items
+        }
+        live = self._live_instances()
+        if not live:
+            return list(reports.values())
+        return [
+            reports.get(name) or missing_report(name, 'it has not reported')
+            for name in live
+        ]
+
+    def _parse(self, name: str, body: object) -> Report:
+        report = parse_report(name, body)
+        return stale_report(report, self._now(), self._max_age_s)
+
+    def _live_instances(self) -> frozenset[str]:
+        return frozenset(
+            found.name
+            for found in self._store.list(LIVE_KIND).items
+            if found.body.get('role') == ENTRY_ROLE
+            and not found.body.get('leaving')
+        )
+
+
+class Queries:
+    """The status API of the instances themselves."""
+
+    def __init__(self, env: Environment, addresses: Sequence[Address]) -> None:
+        """Keeps whom to ask."""
+        self._env = env
+        self._addresses = addresses
+
+    def rollout(self, generation: int | None) -> Rollout:
+        """Returns who runs the generation, or the highest seen if None."""
+        reports = [self._query(address) for address in self._addresses]
+        if generation is None:
+            generation = max((0, *(report.generation for report in reports)))
+        return judge(generation, reports)
+
+    def _query(self, address: Address) -> Report:
+        try:
+            document = self._env.fetch_json(
+                address, STATUS_PATH, QUERY_TIMEOUT_S
+            )
+        except CactusledgeError as exc:
+            return missing_report(str(address), exc.message)
+        return parse_report(str(address), document)
--- /dev/null
+++ b/cactusledge/endpoints/directory.py
@@ -0,0 +1,120 @@
+"""The endpoints of the platform's live list and of the configuration."""
+
+import threading
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from cactusledge.endpoints.registry import EndpointRegistry, Leaving
+from cactusledge.errors import StoreError
+from cactusledge.models import Address, CallKind, Endpoint
+from cactusledge.platform.store import (
+    DELETED,
+    ObjectList,
+    StoredObject,
+    WatchEvent,
+)
+
+ENDPOINT_ROLE = 'endpoint'
+
+
+class EndpointDirectory:
+    """An `EndpointRegistry` that follows the live list, for any thread."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        fixed: Callable[[], Iterable[Endpoint]],
+        changed: Callable[[], None],
+    ) -> None:
+        """Starts without endpoints of the live list.
+
+        Args:
+            data_centre: Where this instance is.
+            fixed: Endpoints that the configuration names.
+            changed: Called after the known endpoints have changed.
+        """
+        self._data_centre = data_centre
+        self._fixed = fixed
+        self._changed = changed
+        self._listed: dict[str, Endpoint] = {}
+        self._registry = EndpointRegistry()
+        self._lock = threading.Lock()
+
+    def on_snapshot(self, listed: ObjectList) -> None:
+        """Takes in the whole live list."""
+        parsed = [parse_endpoint(one) for one in listed.items]
+        self._listed = {one.name: one for one in parsed if one}
+        self.refresh()
+
+    def on_event(self, event: WatchEvent) -> None:
+        """Takes in a change of one object of the live list."""
+        endpoint = None
+        if event.type != DELETED:
+            endpoint = parse_endpoint(event.object)
+        self._listed.pop(event.object.name, None)
+        if endpoint is not None:
+            self._listed[endpoint.name] = endpoint
+        self.refresh()
+
+    def on_failure(self, exc: StoreError) -> None:
+        """Keeps what is known while the platform cannot be followed."""
+
+    def refresh(self) -> None:
+        """Merges the live list with what the configuration names."""
+        known = {one.name: one for one in self._fixed()}
+        known.update(self._listed)
+        with self._lock:
+            self._registry.replace_all(known.values())
+        self._changed()
+
+    def mark_leaving(self, endpoint: Endpoint) -> None:
+        """Notes that an endpoint refused a call because it is leaving."""
+        word = Leaving(endpoint.name, endpoint.incarnation)
+        with self._lock:
+            is_news = self._registry.note_leaving(word)
+        if is_news:
+            self._changed()
+
+    def all(self) -> tuple[Endpoint, ...]:
+        """Returns every endpoint, with what is known of its leaving."""
+        with self._lock:
+            return self._registry.all()
+
+    def available(self, service: str) -> Sequence[Endpoint]:
+        """Returns who takes new calls, this data centre's endpoints first."""
+        with self._lock:
+            centres = sorted(
+                {
+                    group.data_centre
+                    for group in self._registry.groups()
+                    if group.service == service
+                },
+                key=lambda one: (one != self._data_centre, one),
+            )
+            return [
+                endpoint
+                for centre in centres
+                for endpoint in self._registry.available(service, centre)
+            ]
+
+    def find(self, name: str) -> Endpoint | None:
+        """Returns an endpoint by its name, also while it is leaving."""
+        with self._lock:
+            return self._registry.find(name)
+
+
+def parse_endpoint(stored: StoredObject) -> Endpoint | None:
+    """Returns the endpoint that an object of the live list describes."""
+    body: Any = stored.body
+    if body.get('role') != ENDPOINT_ROLE:
+        return None
+    host, _, port = str(body['address']).rpartition(':')
+    return Endpoint(
+        name=stored.name,
+        service=str(body['service']),
+        kind=CallKind(body['kind']),
+        address=Address(host, int(port)),
+        data_centre=str(body['data_centre']),
+        incarnation=str(body.get('incarnation', '')),
+        leaving=bool(body.get('leaving')),
+    )
--- /dev/null
+++ b/cactusledge/endpoints/engine.py
@@ -0,0 +1,199 @@
+"""Client of model engines: streams, cache, load, state and orders."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+from urllib.parse import quote
+
+from cactusledge.endpoints.asking import Asker
+from cactusledge.endpoints.assembly import Chunk, Finished, StreamEvent
+from cactusledge.endpoints.errors import EndpointError
+from cactusledge.endpoints.ordering import (
+    Accepted,
+    Mismatch,
+    Order,
+    OrderResult,
+    StaleFencing,
+    give_order,
+    read_state,
+)
+from cactusledge.endpoints.pools import ConnectionPools
+from cactusledge.endpoints.reports import (
+    CacheEvents,
+    CacheExport,
+    EngineState,
+    LoadReport,
+    parse_events,
+    parse_load,
+)
+from cactusledge.endpoints.streams import (
+    EngineLimits,
+    ModelStream,
+    StreamRequest,
+)
+from cactusledge.endpoints.transport import Outgoing
+from cactusledge.models import Endpoint
+
+__all__ = (
+    'Accepted',
+    'Chunk',
+    'EngineClient',
+    'EngineLimits',
+    'Finished',
+    'Mismatch',
+    'Order',
+    'OrderResult',
+    'StaleFencing',
+    'StreamEvent',
+)
+
+DEFAULT_LIMITS = EngineLimits()
+
+
+class EngineClient:
+    """Talks to model engines."""
+
+    def __init__(
+        self,
+        pools: ConnectionPools,
+        limits: EngineLimits = DEFAULT_LIMITS,
+    ) -> None:
+        """Keeps the connections to use and the limits."""
+        self._pools = pools
+        self._limits = limits
+        self._asker = Asker(pools, limits.connect_s, limits.inter_token_s)
+        self._orders = self._asker._replace(silence_s=limits.order_s)
+
+    def stream(
+        self,
+        endpoint: Endpoint,
+        body: Mapping[str, Any],
+        *,
+        request_id: str,
+        deadline_s: float,
+        headers: Mapping[str, str],
+    ) -> Iterator[StreamEvent]:
+        """Yields the chunks of an answer in order, then the whole.
+
+        A stream that breaks or goes silent is resumed at the same engine on a
+        fresh connection, a bounded number of times. Closing the iterator
+        drops the connection; the engine goes on until `cancel`.
+
+        Args:
+            endpoint: Engine to ask.
+            body: Completion request; it is always asked to stream.
+            request_id: Names the stream; unique for each request.
+            deadline_s: Point in time of `time.monotonic` to give up at.
+            headers: Further headers, such as `traceparent`.
+
+        Raises:
+            EndpointRefusedError: Nothing was sent, or the engine did not run.
+            EndpointFailedError: Whether it ran is not known; `text` holds the
+                output that had arrived.
+        """
+        request = StreamRequest(
+            endpoint,
+            request_id,
+            body,
+            headers,
+            deadline_s,
+        )
+        stream = ModelStream(request, self._pools, self._limits)
+        try:
+            yield from stream.events()
+        except EndpointError as exc:
+            exc.text = stream.text
+            raise
+
+    def cancel(
+        self,
+        endpoint: Endpoint,
+        request_id: str,
+        *,
+        deadline_s: float,
+    ) -> bool:
+        """Ends a stream; returns whether it was still running."""
+        request = Outgoing('DELETE', f'/v1/streams/{quote(request_id, "")}')
+        return bool(self._asker.ask(endpoint, request, deadline_s)['cancelled'])
+
+    def release_cache(
+        self,
+        endpoint: Endpoint,
+        program_id: str,
+        *,
+        deadline_s: float,
+    ) -> int:
+        """Frees a program's cache; returns the freed tokens. Idempotent."""
+        request = Outgoing('DELETE', _cache_path(program_id))
+        return int(
+            self._asker.ask(endpoint, request, deadline_s)['freed_tokens']
+        )
+
+    def export_cache(
+        self,
+        endpoint: Endpoint,
+        program_id: str,
+        *,
+        deadline_s: float,
+    ) -> CacheExport:
+        """Returns a program's cache for `import_cache`."""
+        request = Outgoing('GET', _cache_path(program_id))
+        document = self._asker.ask(endpoint, request, deadline_s)
+        return CacheExport(document['model'], tuple(document['chunks']))
+
+    def import_cache(
+        self,
+        endpoint: Endpoint,
+        program_id: str,
+        export: CacheExport,
+        *,
+        deadline_s: float,
+    ) -> None:
+        """Gives an engine the cache that another exported. Idempotent."""
+        body = export._asdict()
+        request = Outgoing('PUT', _cache_path(program_id), body=body)
+        self._asker.ask(endpoint, request, deadline_s)
+
+    def load_report(
+        self,
+        endpoint: Endpoint,
+        *,
+        deadline_s: float,
+    ) -> LoadReport:
+        """Returns the engine's load, with the age of the report."""
+        request = Outgoing('GET', '/v1/load')
+        return parse_load(self._asker.ask(endpoint, request, deadline_s))
+
+    def cache_events(
+        self,
+        endpoint: Endpoint,
+        after: int,
+        *,
+        deadline_s: float,
+    ) -> CacheEvents:
+        """Returns the cache events that follow a sequence number."""
+        request = Outgoing('GET', f'/v1/cache/events?after={after}')
+        document = self._asker.ask(endpoint, request, deadline_s)
+        return parse_events(after, document['events'])
+
+    def read_state(
+        self,
+        endpoint: Endpoint,
+        *,
+        deadline_s: float,
+    ) -> EngineState:
+        """Returns what the engine serves."""
+        return read_state(self._asker, endpoint, deadline_s)
+
+    def order(
+        self,
+        endpoint: Endpoint,
+        order: Order,
+        *,
+        deadline_s: float,
+    ) -> OrderResult:
+        """Sends an order once and reads the engine's state back."""
+        return give_order(self._orders, endpoint, order, deadline_s)
+
+
+def _cache_path(program_id: str) -> str:
+    return f'/v1/cache/{quote(program_id, safe="")}'
--- /dev/null
+++ b/cactusledge/programs/held.py
@@ -0,0 +1,157 @@
+"""Copies of journal records that wait for the platform."""
+
+import threading
+from collections.abc import Callable, Sequence
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.peers.client import PeerClient
+from cactusledge.peers.messages import HeldBatch
+from cactusledge.protocol.records import (
+    ProgramRecord,
+    Record,
+    Seal,
+    Void,
+    decode_batch,
+    encode_batch,
+)
+from cactusledge.telemetry.logs import get_logger
+
+MAX_HELD_BYTES = 16_777_216
+FIRST_PEERS = 2  # copies are tried at this many peers
+
+log = get_logger('held')
+
+
+class HeldStore:
+    """What this instance holds for others, bounded in bytes.
+
+    The latest batch of an owner contains all that waits, so it takes the
+    place of the one before.
+    """
+
+    def __init__(self, max_bytes: int = MAX_HELD_BYTES) -> None:
+        """Starts empty."""
+        self._max_bytes = max_bytes
+        self._batches: dict[tuple[str, str], HeldBatch] = {}
+        self._lock = threading.Lock()
+
+    def put(self, batch: HeldBatch) -> bool:
+        """Keeps a batch; returns whether there was room."""
+        key = (batch.log, batch.owner)
+        with self._lock:
+            held = self._batches.get(key)
+            if held is not None and held.number >= batch.number:
+                return True
+            others = sum(
+                len(one.records)
+                for name, one in self._batches.items()
+                if name != key
+            )
+            if others + len(batch.records) > self._max_bytes:
+                return False
+            self._batches[key] = batch
+            return True
+
+    def find(self, log_name: str) -> tuple[HeldBatch, ...]:
+        """Returns the batches held for a log."""
+        with self._lock:
+            return tuple(
+                batch
+                for (name, _), batch in sorted(self._batches.items())
+                if name == log_name
+            )
+
+    def drop(self, log_name: str, up_to: int) -> None:
+        """Drops the batches of a log up to and including a number."""
+        with self._lock:
+            self._batches = {
+                key: batch
+                for key, batch in self._batches.items()
+                if key[0] != log_name or batch.number > up_to
+            }
+
+
+class PeerHeldRecords:
+    """Copies this instance's waiting records to its peers' memory."""
+
+    def __init__(
+        self,
+        owner: str,
+        peers: Callable[[], Sequence[PeerClient]],
+        own: HeldStore,
+    ) -> None:
+        """Prepares to copy.
+
+        Args:
+            owner: Name of this instance.
+            peers: Live instances of this data centre, the nearest first.
+            own: What this instance holds for the others.
+        """
+        self._owner = owner
+        self._peers = peers
+        self._own = own
+        self._holding: set[str] = set()
+
+    def fetch(self, log_name: str) -> Sequence[ProgramRecord]:
+        """Returns what this instance and the live peers hold of a log."""
+        batches = {
+            (batch.owner, batch.number): batch
+            for batch in self._own.find(log_name)
+        }
+        for client in self._peers():
+            try:
+                held = client.held_records(log_name)
+            except CactusledgeError as exc:
+                log.info('Held records not read.', reason=exc.message)
+                continue
+            for batch in held:
+                batches[batch.owner, batch.number] = batch
+        return [
+            record
+            for key in sorted(batches)
+            for record in _program_records(decode_batch(batches[key].records))
+        ]
+
+    def hold(
+        self,
+        log_name: str,
+        records: Sequence[ProgramRecord],
+        number: int,
+    ) -> bool:
+        """Copies records to a peer; returns whether one has them.
+
+        A batch takes the place of those with lower numbers.
+        """
+        batch = HeldBatch(
+            log=log_name,
+            number=number,
+            owner=self._owner,
+            records=encode_batch(records),
+        )
+        for client in self._peers()[:FIRST_PEERS]:
+            try:
+                client.hold_records(batch)
+            except CactusledgeError as exc:
+                log.info('Records not held.', reason=exc.message)
+                continue
+            self._holding.add(log_name)
+            return True
+        return False
+
+    def held_logs(self) -> tuple[str, ...]:
+        """Returns the logs of which peers have copies."""
+        return tuple(self._holding)
+
+    def drop(self, log_name: str, up_to: int) -> None:
+        """Drops all copies that are durable, here and at the peers."""
+        self._holding.discard(log_name)
+        self._own.drop(log_name, up_to)
+        for client in self._peers():
+            try:
+                client.drop_held(log_name, up_to)
+            except CactusledgeError as exc:
+                log.info('Held records not dropped.', reason=exc.message)
+
+
+def _program_records(records: Sequence[Record]) -> list[ProgramRecord]:
+    return [one for one in records if not isinstance(one, Seal | Void)]
--- /dev/null
+++ b/cactusledge/programs/journal_queue.py
@@ -0,0 +1,163 @@
+"""Records that wait until they are durable, bounded in bytes."""
+
+import itertools
+import threading
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, TypeAlias
+
+import pykka
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.protocol.errors import JournalBusyError
+from cactusledge.protocol.records import ProgramRecord
+
+BUSY_RETRY_S = 2.0
+
+OnDone: TypeAlias = Callable[[CactusledgeError | None], None]
+
+
+class Entry(NamedTuple):
+    """Records that become durable together."""
+
+    ticket: int
+    records: tuple[ProgramRecord, ...]
+    size_bytes: int
+    future: 'pykka.ThreadingFuture[None]'
+    on_done: OnDone | None = None
+
+
+class PendingEntries:
+    """All entries that are not settled, bounded in bytes; thread-safe."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        """Starts empty."""
+        self.size_bytes = 0
+        self._limit_bytes = limit_bytes
+        self._entries: dict[int, Entry] = {}
+        self._tickets = itertools.count()
+        self._lock = threading.Lock()
+
+    def add(
+        self,
+        records: tuple[ProgramRecord, ...],
+        size_bytes: int,
+        on_done: OnDone | None,
+    ) -> Entry:
+        """Returns a new entry.
+
+        Raises:
+            JournalBusyError: If its bytes exceed the limit.
+        """
+        with self._lock:
+            if self.size_bytes + size_bytes > self._limit_bytes:
+                raise JournalBusyError(
+                    f'{self.size_bytes} bytes of records wait.',
+                    remedy='Come back when the platform answers again.',
+                    retry_after_s=BUSY_RETRY_S,
+                )
+            entry = Entry(
+                next(self._tickets),
+                records,
+                size_bytes,
+                pykka.ThreadingFuture(),
+                on_done,
+            )
+            self._entries[entry.ticket] = entry
+            self.size_bytes += size_bytes
+        return entry
+
+    def settle(
+        self,
+        entry: Entry,
+        error: CactusledgeError | None = None,
+    ) -> None:
+        """Resolves the entry's future and calls its callback, once."""
+        with self._lock:
+            if self._entries.pop(entry.ticket, None) is None:
+                return
+            self.size_bytes -= entry.size_bytes
+        if error is None:
+            entry.future.set(None)
+        else:
+            entry.future.set_exception((type(error), error, None))
+        if entry.on_done is not None:
+            entry.on_done(error)
+
+    def settle_all(self, error: CactusledgeError) -> None:
+        """Fails all entries."""
+        for entry in self._snapshot():
+            self.settle(entry, error)
+
+    def records(self) -> tuple[ProgramRecord, ...]:
+        """Returns the records of all entries in their order."""
+        return tuple(
+            record for entry in self._snapshot() for record in entry.records
+        )
+
+    def _snapshot(self) -> tuple[Entry, ...]:
+        with self._lock:
+            return tuple(self._entries.values())
+
+
+class CommitQueue:
+    """Entries in the order of their arrival and those in flight."""
+
+    def __init__(self, pending: PendingEntries) -> None:
+        """Starts empty."""
+        self.pending = pending
+        self._entries: deque[Entry] = deque()
+        self._in_flight: list[Entry] = []
+        self._idle_futures: list[pykka.ThreadingFuture[None]] = []
+
+    def __len__(self) -> int:
+        """Returns how many entries wait to be sent."""
+        return len(self._entries)
+
+    @property
+    def head_bytes(self) -> int:
+        """Size of the entry that is sent next, 0 if there is none."""
+        return self._entries[0].size_bytes if self._entries else 0
+
+    def when_idle(self, future: 'pykka.ThreadingFuture[None]') -> None:
+        """Resolves the future once nothing waits or is in flight."""
+        self._idle_futures.append(future)
+        self._report_idle()
+
+    def push(self, entry: Entry) -> None:
+        """Adds an entry."""
+        self._entries.append(entry)
+
+    def take(self, limit_bytes: int) -> Iterable[Entry]:
+        """Yields entries up to the limit."""
+        left = limit_bytes
+        while self._entries and self._entries[0].size_bytes <= left:
+            entry = self._entries.popleft()
+            left -= entry.size_bytes
+            yield entry
+
+    def send(self, entry: Entry) -> None:
+        """Keeps an entry as part of the append in flight."""
+        self._in_flight.append(entry)
+
+    def settle_sent(self) -> None:
+        """Reports what was in flight as durable."""
+        sent = self._in_flight
+        self._in_flight = []
+        for entry in sent:
+            self.pending.settle(entry)
+        self._report_idle()
+
+    def settle_all(self, error: CactusledgeError) -> None:
+        """Fails everything that is not durable."""
+        self._in_flight.clear()
+        self._entries.clear()
+        self.pending.settle_all(error)
+        self._report_idle()
+
+    def _report_idle(self) -> None:
+        if self._entries or self._in_flight:
+            return
+        for future in self._idle_futures:
+            future.set(None)
+        self._idle_futures.clear()
--- /dev/null
+++ b/cactusledge/programs/leases.py
@@ -0,0 +1,194 @@
+"""Leases of endpoints for calls, from this instance's own queues."""
+
+import time
+from collections.abc import Sequence
+from contextlib import suppress
+from typing import Protocol
+
+from cactusledge.endpoints.errors import EndpointNotRunError
+from cactusledge.errors import CactusledgeError, ErrorCode
+from cactusledge.models import CallKind, Endpoint, Usage
+from cactusledge.programs.grants import Granted, GrantSource
+from cactusledge.programs.prompt import common_chunks, prompt_text
+from cactusledge.programs.sending import Lease, LeaseReport, ModelRequest
+from cactusledge.routing.errors import OverloadedError
+from cactusledge.routing.prefix import estimate_tokens, prefix_chain
+from cactusledge.routing.types import Finish, GroupKey, Job
+
+NO_ENDPOINT_RETRY_S = 2.0
+GROUPS_ASKED = 2
+
+
+class NoEndpointError(CactusledgeError):
+    """No endpoint takes calls for this model or service."""
+
+    code = ErrorCode.NO_ENDPOINT
+
+
+class QueueTimeoutError(CactusledgeError):
+    """The call's deadline passed while it waited for an engine."""
+
+    code = ErrorCode.DEADLINE_EXCEEDED
+
+
+class EndpointSource(Protocol):
+    """The endpoints that take new calls."""
+
+    def available(self, service: str) -> Sequence[Endpoint]:
+        """Returns the endpoints of a model or service, the nearest first."""
+
+    def find(self, name: str) -> Endpoint | None:
+        """Returns an endpoint by its name, also while it is leaving."""
+
+    def mark_leaving(self, endpoint: Endpoint) -> None:
+        """Notes that an endpoint refused a call because it is leaving."""
+
+
+class ReplicaChoice(Protocol):
+    """Chooses among the replicas of plain services."""
+
+    def start(self, service: str, replicas: Sequence[Endpoint]) -> Endpoint:
+        """Returns the replica for one call, and counts the call."""
+
+    def finish(self, endpoint: Endpoint, *, ok: bool) -> None:
+        """Takes in how the call ended."""
+
+
+class LeaseDesk:
+    """Chooses endpoints for the senders."""
+
+    def __init__(
+        self,
+        endpoints: EndpointSource,
+        grants: GrantSource,
+        replicas: ReplicaChoice,
+    ) -> None:
+        """Prepares the desk.
+
+        Args:
+            endpoints: Who takes new calls.
+            grants: Owners of the engine groups.
+            replicas: Chooses among the replicas of plain services.
+        """
+        self._endpoints = endpoints
+        self._grants = grants
+        self._replicas = replicas
+
+    def lease_engine(self, req: ModelRequest) -> Lease:
+        """Waits for a grant of an engine group, the best one first.
+
+        Raises:
+            OverloadedError: The call was refused; nothing was run.
+            QueueTimeoutError: The deadline passed first.
+            NoEndpointError: No engine serves the model.
+        """
+        keys = self._groups(req)
+        for key in keys[:-1]:
+            with suppress(OverloadedError):
+                return self._lease_of(key, req)
+        return self._lease_of(keys[-1], req)
+
+    def lease_service(self, service: str, avoid: tuple[str, ...]) -> Lease:
+        """Returns a replica, one that has not failed the call if possible."""
+        replicas = self._endpoints.available(service)
+        if not replicas:
+            raise _no_endpoint(CallKind.SERVICE, service)
+        untried = [one for one in replicas if one.name not in avoid]
+        return Lease(self._replicas.start(service, untried or replicas))
+
+    def finish(self, lease: Lease, report: LeaseReport) -> None:
+        """Gives a lease back, and notes that an endpoint is leaving."""
+        error = report.error
+        if isinstance(error, EndpointNotRunError) and error.leaving:
+            self._endpoints.mark_leaving(lease.endpoint)
+        granted = lease.ticket
+        if isinstance(granted, Granted):
+            finish = Finish(
+                granted.job_id,
+                report.usage,
+                error is None,
+                report.latency_s,
+            )
+            self._grants.finish(granted, finish)
+        else:
+            self._replicas.finish(lease.endpoint, ok=error is None)
+
+    def _groups(self, req: ModelRequest) -> list[GroupKey]:
+        """Returns the group that has the program's cache, then the nearest.
+
+        One more group is asked when the first one is overloaded.
+        """
+        model = req.task.spec.target
+        engines = self._endpoints.available(model)
+        if not engines:
+            raise _no_endpoint(CallKind.MODEL, model)
+        served = [
+            one for one in engines if one.name == _last_engine(req, model)
+        ]
+        centres = [one.data_centre for one in (*served, *engines)]
+        ordered = list(dict.fromkeys(centres))
+        return [GroupKey(one, model) for one in ordered[:GROUPS_ASKED]]
+
+    def _lease_of(self, key: GroupKey, req: ModelRequest) -> Lease:
+        granted = self._grants.acquire(key, _job_of(req), _seconds_left(req))
+        if granted is None:
+            raise _too_late(key.model)
+        endpoint = self._endpoints.find(granted.engine)
+        if endpoint is None:
+            finish = Finish(granted.job_id, Usage(), ok=False, latency_s=0)
+            self._grants.finish(granted, finish)
+            raise _no_endpoint(CallKind.MODEL, key.model)
+        return Lease(endpoint, granted)
+
+
+def _last_engine(req: ModelRequest, model: str) -> str:
+    """Returns the engine of the program's latest call to the model."""
+    if req.attempt:
+        return ''
+    calls = req.task.state.calls
+    names = [one.endpoint for one in calls if one.target == model]
+    return names[-1] if names else ''
+
+
+def _job_of(req: ModelRequest) -> Job:
+    spec = req.task.spec
+    text = prompt_text(req.messages)
+    now_s = time.time()
+    turns = [
+        call for call in req.task.state.calls if call.kind is CallKind.MODEL
+    ]
+    return Job(
+        job_id=f'{spec.program_id}:{spec.seq}:{req.attempt}:{now_s}',
+        program_id=spec.program_id,
+        account=req.task.state.account,
+        model=spec.target,
+        prefix=prefix_chain(text),
+        prompt_tokens=estimate_tokens(text),
+        max_output_tokens=spec.max_output_tokens,
+        turn=len(turns) + 1,
+        submitted_s=now_s,
+        deadline_s=now_s + _seconds_left(req),
+        program_started_s=req.task.state.opened_at_s,
+        retry=req.attempt > 0,
+        common_chunks=common_chunks(req.task.program.common_prefix),
+    )
+
+
+def _seconds_left(req: ModelRequest) -> float:
+    return max(0, req.task.deadline_s - time.monotonic())
+
+
+def _no_endpoint(kind: CallKind, name: str) -> NoEndpointError:
+    return NoEndpointError(
+        f'No endpoint takes calls for the {kind} {name!r}.',
+        remedy='Repeat the call later; operators: see cactusledge status.',
+        retry_after_s=NO_ENDPOINT_RETRY_S,
+    )
+
+
+def _too_late(model: str) -> QueueTimeoutError:
+    return QueueTimeoutError(
+        f'No engine of {model!r} was free before the deadline.',
+        remedy='Repeat the call with the same seq and key.',
+        retry_after_s=NO_ENDPOINT_RETRY_S,
+    )
--- /dev/null
+++ b/cactusledge/settings/follower.py
@@ -0,0 +1,169 @@
+"""Learns of published configurations by watch, by polling and from peers."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.settings.configuration import Configuration
+from cactusledge.settings.head import decide_apply
+from cactusledge.settings.in_force import ConfigInForce, OnChange, Snapshot
+from cactusledge.settings.published import (
+    HEAD_KIND,
+    HEAD_NAME,
+    parse_head,
+    read_head,
+)
+from cactusledge.telemetry.logs import get_logger
+
+if TYPE_CHECKING:
+    from cactusledge.platform.store import ObjectStore, StoredObject
+
+STOP_WAIT_S = 0.5
+NEVER_S = float('-inf')
+FROM_PLATFORM = 'platform'
+FROM_WATCH = 'watch'
+
+log = get_logger('config')
+
+
+class Pace(NamedTuple):
+    """How often the follower asks the platform."""
+
+    watch_timeout_s: float = 30.0
+    silence_limit_s: float = 5.0  # without news, the head is read
+    retry_pause_s: float = 1.0
+
+
+DEFAULT_PACE = Pace()
+
+
+def always() -> bool:
+    """Returns True: the instance watches in any case."""
+    return True
+
+
+class ConfigFollower:
+    """Keeps the newest published configuration in force; never goes back."""
+
+    def __init__(
+        self,
+        store: 'ObjectStore',
+        *,
+        pace: Pace = DEFAULT_PACE,
+        watches: Callable[[], bool] = always,
+    ) -> None:
+        """Prepares to follow.
+
+        Args:
+            store: The platform's object API.
+            pace: How often to ask it.
+            watches: Tells whether this instance is the one of its data
+                centre that watches; the others hear of changes from peers
+                and read the head when they hear nothing.
+        """
+        self._store = store
+        self._pace = pace
+        self._watches = watches
+        self._in_force = ConfigInForce(store)
+        self._stopping = threading.Event()
+        self._hinted = threading.Event()
+        self._heard_at = NEVER_S
+        self._threads: tuple[threading.Thread, ...] = ()
+
+    def current(self) -> Configuration:
+        """Returns the configuration in force, generation 0 for none yet."""
+        return self._in_force.snapshot().configuration
+
+    def snapshot(self) -> Snapshot:
+        """Returns the configuration in force and the bytes for peers."""
+        return self._in_force.snapshot()
+
+    def on_change(self, callback: OnChange) -> None:
+        """Has `callback` called after each change, in their order."""
+        self._in_force.on_change(callback)
+
+    def offer(self, generation: int, encoded: bytes) -> bool:
+        """Takes a configuration from a peer; returns whether it applies."""
+        return self._in_force.offer(generation, encoded)
+
+    def refresh(self) -> bool:
+        """Reads the head; returns whether a newer configuration applies."""
+        head = read_head(self._store).head
+        self._hear()
+        return head is not None and self._in_force.learn(head, FROM_PLATFORM)
+
+    def hint(self, generation: int) -> None:
+        """Has the head read soon, if a peer runs a newer generation."""
+        if decide_apply(self.current().generation, generation):
+            self._hinted.set()
+
+    def start(self) -> None:
+        """Starts to follow in the background."""
+        self._threads = tuple(
+            threading.Thread(target=loop, name=name, daemon=True)
+            for name, loop in (
+                ('config-watch', self._watch_loop),
+                ('config-poll', self._poll_loop),
+            )
+        )
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stops to follow; a silent watch is not waited for."""
+        self._stopping.set()
+        self._hinted.set()
+        for thread in self._threads:
+            thread.join(STOP_WAIT_S)
+
+    def _watch_loop(self) -> None:
+        while not self._stopping.is_set():
+            if self._watches():
+                try_step(self._watch)
+            self._stopping.wait(self._pace.retry_pause_s)
+
+    def _watch(self) -> None:
+        """Takes the head as it is, then its changes until the watch ends."""
+        heads = self._store.list(HEAD_KIND, HEAD_NAME)
+        for found in heads.items:
+            self._take(found)
+        events = self._store.watch(
+            HEAD_KIND, heads.version, self._pace.watch_timeout_s, HEAD_NAME
+        )
+        for event in events:
+            if self._stopping.is_set():
+                return
+            self._take(event.object)
+
+    def _take(self, found: 'StoredObject') -> None:
+        """Applies what was heard; a bookmark carries no head."""
+        self._hear()
+        if found.name == HEAD_NAME and found.body:
+            self._in_force.learn(parse_head(found.body), FROM_WATCH)
+
+    def _poll_loop(self) -> None:
+        """Reads the head at start, after a hint, and after a long silence."""
+        limit_s = self._pace.silence_limit_s
+        while not self._stopping.is_set():
+            quiet_s = time.monotonic() - self._heard_at
+            if self._hinted.wait(max(0, limit_s - quiet_s)):
+                self._hinted.clear()
+            elif time.monotonic() - self._heard_at < limit_s:
+                continue
+            self._hear()
+            try_step(self.refresh)
+
+    def _hear(self) -> None:
+        self._heard_at = time.monotonic()
+
+
+def try_step(step: Callable[[], object]) -> None:
+    """Runs one step; a failure is logged and tried again later."""
+    try:
+        step()
+    except CactusledgeError as exc:
+        log.warning('Not refreshed.', code=exc.code, reason=exc.message)
+    except Exception:
+        log.exception('Not refreshed.')
--- /dev/null
+++ b/cactusledge/settings/strict.py
@@ -0,0 +1,160 @@
+"""Strict validation of plain data, with errors that name line and remedy."""
+
+from typing import Annotated, Any, Protocol, TypeVar, get_args
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    PlainSerializer,
+    PlainValidator,
+    ValidationError,
+)
+
+from cactusledge.models import Address
+from cactusledge.settings.document import Location
+from cactusledge.settings.errors import (
+    InvalidFileError,
+    Problem,
+    nearest_name,
+)
+
+MAX_PORT = 65535
+MAX_INTEGER = 9_007_199_254_740_991  # exact in every JSON reader
+YEAR_S = 31_536_000.0
+UNKNOWN_FIELD = 'extra_forbidden'
+MAX_SHOWN_CHARACTERS = 40
+
+ModelT = TypeVar('ModelT', bound='StrictModel')
+
+
+class StrictModel(BaseModel):
+    """Base of the types of settings and definition files."""
+
+    model_config = ConfigDict(
+        strict=True,
+        extra='forbid',
+        frozen=True,
+        allow_inf_nan=False,
+    )
+
+
+class Places(Protocol):
+    """Tells where a field was written."""
+
+    def place(self, loc: Location) -> str:
+        """Returns the file and line, or the environment variable."""
+
+
+def parse_address(raw: object) -> Address:
+    """Returns the address written as `host:port`."""
+    if isinstance(raw, Address):
+        return raw
+    if not isinstance(raw, str):
+        raise ValueError('expected host:port as text')  # ruff: ignore[type-check-without-type-error]
+    host, _, port = raw.rpartition(':')
+    if not host or not port.isdecimal() or int(port) > MAX_PORT:
+        raise ValueError(f"'{raw}' is not of the form host:port")
+    return Address(host.strip('[]'), int(port))
+
+
+AddressField = Annotated[
+    Address,
+    PlainValidator(parse_address),
+    PlainSerializer(str),
+]
+Addresses = Annotated[tuple[AddressField, ...], Field(strict=False)]
+Names = Annotated[tuple[str, ...], Field(strict=False)]
+Seconds = Annotated[float, Field(gt=0, le=YEAR_S)]
+Count = Annotated[int, Field(gt=0, le=MAX_INTEGER)]
+Amount = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
+
+
+def validate(
+    model: type[ModelT],
+    plain: Any,
+    places: Places,
+    error: type[InvalidFileError],
+) -> ModelT:
+    """Returns the validated model; raises `error` with every problem."""
+    try:
+        return model.model_validate(plain)
+    except ValidationError as exc:
+        details = sorted(exc.errors(include_url=False), key=_is_known_field)
+        problems = tuple(
+            _problem(model, places, detail['loc'], detail['type'], detail)
+            for detail in details
+        )
+        raise error(problems) from exc
+
+
+def fields_at(model: type[BaseModel], loc: Location) -> frozenset[str]:
+    """Returns the names of the fields valid at a location."""
+    known = model_at(model, loc)
+    return frozenset(known.model_fields) if known else frozenset()
+
+
+def model_at(model: type[BaseModel], loc: Location) -> type[BaseModel] | None:
+    """Returns the type of the mapping at a location, or None."""
+    found: type[BaseModel] | None = model
+    for step in loc:
+        if isinstance(step, int):
+            continue
+        field = found.model_fields.get(step) if found else None
+        found = model_in(field.annotation) if field else None
+    return found
+
+
+def model_in(annotation: Any) -> type[BaseModel] | None:
+    """Returns the model that an annotation holds, or None."""
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    inner = (model_in(arg) for arg in get_args(annotation))
+    return next((found for found in inner if found), None)
+
+
+def _is_known_field(detail: Any) -> bool:
+    """Puts unknown fields first: a typing slip makes a field missing too."""
+    return bool(detail['type'] != UNKNOWN_FIELD)
+
+
+def _problem(
+    model: type[BaseModel],
+    places: Places,
+    loc: Location,
+    kind: str,
+    detail: Any,
+) -> Problem:
+    place = places.place(loc)
+    dotted = '.'.join(str(step) for step in loc) or 'the file'
+    if kind == UNKNOWN_FIELD:
+        return Problem(
+            place,
+            f"Unknown field '{dotted}'.",
+            nearest_name(str(loc[-1]), fields_at(model, loc[:-1])),
+        )
+    if kind == 'missing':
+        return Problem(
+            place,
+            f"The field '{dotted}' is missing.",
+            'Add it; the reference page describes it.',
+        )
+    return Problem(
+        place,
+        f"The field '{dotted}' is not valid: {_reason(detail)}.",
+        f'Correct the value; it is {_shown(detail["input"])} now.',
+    )
+
+
+def _reason(detail: Any) -> str:
+    message = str(detail['msg']).removeprefix('Value error, ')
+    return message[:1].lower() + message[1:]
+
+
+def _shown(raw: object) -> str:
+    """Returns a value short enough for a message, and never a container."""
+    if isinstance(raw, dict | list | tuple):
+        return 'a list' if isinstance(raw, list | tuple) else 'a mapping'
+    if isinstance(raw, str):
+        return 'a text'
+    return repr(raw)[:MAX_SHOWN_CHARACTERS]
