Model the shares of sub-agents

Cause: budgets across a parent and its sub-agents were only in property tests. Conclusion: a share goes with its sub-agent through a crash at any point.

--- a/model/guards.py
+++ b/model/guards.py
@@ -15,12 +15,21 @@
 )
 from cactusledge.protocol import ledger as ledgers
 from cactusledge.protocol import state as states
-from model import driving, head_model, patches, scenarios, sending
+from model import (
+    driving,
+    head_model,
+    patches,
+    scenarios,
+    sending,
+    share_patches,
+    shares_model,
+)
 from model import platform as plat
 from model import world as wd
 
 HEAD = 'head'
 HELD = 'held'
+SHARES = 'shares'
 
 
 class Patch(NamedTuple):
@@ -113,7 +122,7 @@
     Guard(
         'a NOT_RUN is not given to a request that joined later',
         scenarios.GIVE_UP,
-        (Patch(wd, 'not_run_is_stale', patches.never),),
+        (Patch(wd, 'not_run_is_stale', patches.nothing),),
     ),
     Guard(
         'a call is refused until the one before has its outcome',
@@ -139,6 +148,21 @@
         scenarios.BUDGET,
         (Patch(budget, 'settle', patches.free_unknown),),
     ),
+    Guard(
+        'a share and its sub-agent are one batch',
+        SHARES,
+        (Patch(shares_model, 'batches_of', share_patches.split),),
+    ),
+    Guard(
+        'a share is reserved from the parent',
+        SHARES,
+        (Patch(budget, 'open_child', share_patches.open_freely),),
+    ),
+    Guard(
+        'a returned share is less what the sub-agent spent',
+        SHARES,
+        (Patch(budget, 'return_share', share_patches.return_all),),
+    ),
     Guard(
         'the end records which engines hold the cache',
         scenarios.MODEL_CALL,
--- a/model/patches.py
+++ b/model/patches.py
@@ -172,11 +172,6 @@
     return True
 
 
-def never(*_: Any) -> bool:
-    """Agrees to nothing."""
-    return False
-
-
 def nothing(*_: Any) -> None:
     """Checks nothing."""
 
--- a/model/runner.py
+++ b/model/runner.py
@@ -1,20 +1,25 @@
 """Runs models and guard removals and judges the results."""
 
 import time
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from minicheck import Protocol, check_safety
 
 from model.batches import clear_caches
 from model.calls_model import calls_model
-from model.guards import GUARDS, HEAD, HELD, NO_SEAL, Guard
+from model.guards import GUARDS, HEAD, HELD, NO_SEAL, SHARES, Guard
 from model.head_model import head_model
 from model.held_model import held_model
 from model.scenarios import HOLDING
+from model.shares_model import shares_model
 from model.world import Scenario
 
 MAX_STATES = 1_000_000
-MODELS = (*HOLDING, HELD, HEAD)
+MODELS = (*HOLDING, SHARES, HELD, HEAD)
+_BUILDERS = MappingProxyType(
+    {HEAD: head_model, HELD: held_model, SHARES: shares_model},
+)
 
 
 class Result(NamedTuple):
@@ -37,7 +42,7 @@
     """Returns the model of a scenario or of a name."""
     if isinstance(model, Scenario):
         return calls_model(model)
-    return head_model() if model == HEAD else held_model()
+    return _BUILDERS[model]()
 
 
 def run_model(position: int) -> Result:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -10,6 +10,7 @@
 SLOW_GUARDS = frozenset((
     'names of collected objects never come back',
     'a NOT_RUN is not given to a request that joined later',
+    'a returned share is less what the sub-agent spent',
 ))
 
 
