Take the warming of common prefixes out; test what holds under load

Cause: warm-up calls took slots that the scheduler did not count, so an engine got a 17th sequence (seen by the new test), and they earned nothing. Ruled out: counting them as jobs; the first program on an engine computes the prefix anyway, and later ones find it. Change: Warm and its module are gone; tests run four cases at 110 % and hold that engines get only what they batch, ended programs hold nothing, refusals are immediate and a listed leaving engine gets no work; the benchmark has a bound in which no prefix is ever recomputed.

--- a/benchmarks/fake_engines.py
+++ b/benchmarks/fake_engines.py
@@ -31,6 +31,7 @@
         """Starts empty; `ever` collects the chunks that any engine had."""
         self.capacity = capacity
         self.ever = ever
+        self.perfect = False  # holds what any engine ever had
         self.chunks: OrderedDict[int, None] = OrderedDict()
         self.owned: dict[int, set[int]] = {}
         self.ended: set[int] = set()
@@ -40,8 +41,9 @@
 
     def matched(self, prefix: tuple[int, ...]) -> int:
         """Returns how many leading chunks are held."""
+        held = self.ever if self.perfect else self.chunks
         for index, chunk in enumerate(prefix):
-            if chunk not in self.chunks:
+            if chunk not in held:
                 return index
         return len(prefix)
 
--- a/benchmarks/policy_world.py
+++ b/benchmarks/policy_world.py
@@ -51,6 +51,11 @@
             for name, engine in self.engines.items()
         }
 
+    def make_caches_perfect(self) -> None:
+        """Lets every engine hold what any engine ever had."""
+        for engine in self.engines.values():
+            engine.cache.perfect = True
+
     def reaches(self, data_centre: str, engine: FakeEngine) -> bool:
         """Returns whether callers of a data centre can use an engine."""
         inside = engine.data_centre == self.cut
--- a/cactusledge/routing/dispatcher.py
+++ b/cactusledge/routing/dispatcher.py
@@ -12,15 +12,15 @@
 from cactusledge.routing.scheduler import GroupScheduler
 
 GrantFuture: TypeAlias = pykka.Future[types.Grant]
-Emit: TypeAlias = Callable[[types.CacheRelease | types.Warm], None]
+Emit: TypeAlias = Callable[[types.CacheRelease], None]
 Clock: TypeAlias = Callable[[], float]
 
 
 class Dispatcher(pykka.ThreadingActor):
     """Queues jobs and resolves their futures; never blocks.
 
-    Messages are sent by `DispatcherClient`. `emit` gets the cache releases
-    and the prefixes to warm; it must hand them to a worker and return.
+    Messages are sent by `DispatcherClient`. `emit` gets the cache releases;
+    it must hand them to a worker and return.
     """
 
     def __init__(
@@ -137,7 +137,7 @@
         self, key: types.GroupKey, effects: Iterable[types.Effect]
     ) -> None:
         for effect in effects:
-            if isinstance(effect, types.CacheRelease | types.Warm):
+            if isinstance(effect, types.CacheRelease):
                 self._emit(effect)
                 continue
             future = self._futures[key].pop(effect.job_id, None)
--- a/cactusledge/routing/group_state.py
+++ b/cactusledge/routing/group_state.py
@@ -13,7 +13,6 @@
 from cactusledge.routing.retry_budget import RetryBudget
 from cactusledge.routing.shares import Shares
 from cactusledge.routing.types import EngineView
-from cactusledge.routing.warming import HotPrefixes
 
 
 class GroupState:
@@ -36,7 +35,6 @@
         self.retries = RetryBudget(settings)
         self.starts = StartRate()
         self.meter = Meter()
-        self.hot = HotPrefixes()
 
     def set_engines(self, views: Sequence[EngineView]) -> None:
         """Takes the group's engines in.
--- a/cactusledge/routing/policy.py
+++ b/cactusledge/routing/policy.py
@@ -45,7 +45,6 @@
     refuse: bool = True
     retain: bool = True
     release: bool = True
-    warm: bool = True
     eject: bool = True
     breaker: bool = True
     retry_budget: bool = True
--- a/cactusledge/routing/scheduler.py
+++ b/cactusledge/routing/scheduler.py
@@ -12,7 +12,7 @@
     """Decides for the engines of one data centre and one model.
 
     Every input carries the current time and returns the effects to carry
-    out: grants, refusals, cache releases and prefixes to warm.
+    out: grants, refusals and cache releases.
     """
 
     def __init__(
@@ -103,7 +103,7 @@
         state.shares.decay(now)
         for engine in list(state.engines.values()):
             upkeep.expire(state, engine, silent_s)
-        effects = upkeep.warm(state, now)
+        effects: list[types.Effect] = []
         for program in state.programs.idle_since(silent_s):
             effects.extend(upkeep.end_program(state, program.program_id))
         for job in state.queue.expired(now):
--- a/cactusledge/routing/types.py
+++ b/cactusledge/routing/types.py
@@ -87,14 +87,7 @@
     program_id: str
 
 
-class Warm(NamedTuple):
-    """Asks for a common prefix to be computed on one more engine."""
-
-    engine: str
-    prefix: tuple[int, ...]
-
-
-Effect: TypeAlias = Grant | Refusal | CacheRelease | Warm
+Effect: TypeAlias = Grant | Refusal | CacheRelease
 
 
 class Finish(NamedTuple):
--- a/cactusledge/routing/upkeep.py
+++ b/cactusledge/routing/upkeep.py
@@ -34,25 +34,11 @@
         return Refusal(job.job_id, retry_s, RefusalReason.NO_ENGINE)
     if not _may_retry(state, job):
         return Refusal(job.job_id, retry_s, RefusalReason.RETRY_BUDGET)
-    if job.turn > 1:
-        return None
-    state.hot.started(job)
-    if not state.settings.refuse:
+    if job.turn > 1 or not state.settings.refuse:
         return None
     return admission.refuse_new(job, wait_s, now, state.settings)
 
 
-def warm(state: GroupState, now: float) -> list[Effect]:
-    """Returns the hot common prefixes to compute ahead of demand."""
-    state.hot.decay(now)
-    if not state.settings.warm:
-        return []
-    warms = state.hot.missing_on(state.usable(now), state.cache, now)
-    for item in warms:
-        state.cache.used(item.engine, item.prefix, now)
-    return list(warms)
-
-
 def stop(state: GroupState, job_id: str) -> Running | None:
     """Returns a granted job after taking it from its engine, or None."""
     name = state.granted.pop(job_id, None)
