--- a/cactusledge/programs/held.py
+++ b/cactusledge/programs/held.py
@@ -138,9 +138,9 @@
             return True
         return False
 
-    def held_logs(self) -> tuple[str, ...]:
-        """Returns the logs of which peers have copies."""
-        return tuple(self._holding)
+    def is_holding(self, log_name: str) -> bool:
+        """Returns whether a peer may hold records of a log."""
+        return log_name in self._holding
 
     def drop(self, log_name: str, up_to: int) -> None:
         """Drops all copies that are durable, here and at the peers."""
--- a/cactusledge/programs/remote.py
+++ b/cactusledge/programs/remote.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from cactusledge.errors import CactusledgeError, ErrorCode
-from cactusledge.models import Answer
+from cactusledge.models import Answer, Outcome
 from cactusledge.peers import messages as peer
 from cactusledge.peers.client import PeerClient
 from cactusledge.peers.errors import PeerAnswerLostError, PeerUnreachableError
@@ -203,11 +203,12 @@
 
 
 def _refused(args: CallArgs, exc: CactusledgeError) -> Answer:
+    """Returns the end of a call that its first driver may have sent."""
     body: Mapping[str, Any] = {'message': exc.message}
     return Answer(
         program_id=args.program_id,
         seq=args.seq,
-        outcome=exc.outcome,
+        outcome=Outcome.UNKNOWN,
         status=0,
         body=body,
         spent=0,
--- a/standins/tcp_proxy.py
+++ b/standins/tcp_proxy.py
@@ -37,7 +37,7 @@
 
     def __init__(self, target: Address, port: int = 0) -> None:
         """Keeps the server's address; forwards after `start`."""
-        self._target = target
+        self.target = target
         self._state = LinkState.OPEN
         self._lock = threading.Lock()
         self._pairs: list[Pair] = []
@@ -87,7 +87,7 @@
 
     def _connect(self, client: socket.socket) -> None:
         try:
-            server = socket.create_connection(self._target, CONNECT_TIMEOUT_S)
+            server = socket.create_connection(self.target, CONNECT_TIMEOUT_S)
         except OSError:
             client.close()
             return
--- a/tests/failure_support.py
+++ b/tests/failure_support.py
@@ -1,6 +1,5 @@
 """Fixtures and helpers of the tests that make processes fail."""
 
-import signal
 from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import Future, ThreadPoolExecutor
 from functools import partial
@@ -10,7 +9,13 @@
 from urllib3 import PoolManager
 
 from cactusledge.models import Address
-from standins.deployment import LOOPBACK, ROOT, Deployment, wait_until
+from standins.deployment import (
+    LOOPBACK,
+    ROOT,
+    Deployment,
+    free_port,
+    wait_until,
+)
 from standins.tcp_proxy import TcpProxy
 
 HEADERS = {'Authorization': 'Bearer demo-showroom-token'}
@@ -96,7 +101,8 @@
     """A deployment with entry instances that may be cut off."""
 
     deployed: Deployment
-    links: Mapping[str, TcpProxy]  # from an instance to the platform
+    links: dict[str, TcpProxy]  # from an instance to the platform
+    peer_links: dict[str, TcpProxy]  # from the peers to an instance
     pool: ThreadPoolExecutor
 
     def client(self, key: str = 'program') -> Client:
@@ -190,13 +196,10 @@
         ThreadPoolExecutor() as pool,
         Deployment(tmp_path) as deployed,
     ):
-        links: dict[str, TcpProxy] = {}
-        yield partial(_start, Site(deployed, links, pool))
-        for entry in links:
-            if deployed.is_running(entry):
-                deployed.signal(entry, signal.SIGCONT)
+        site = Site(deployed, {}, {}, pool)
+        yield partial(_start, site)
         deployed.stop_all()
-        for link in links.values():
+        for link in (*site.links.values(), *site.peer_links.values()):
             link.__exit__()
 
 
@@ -237,13 +240,18 @@
     deployed = site.deployed
     if name not in site.links:
         platform = Address(LOOPBACK, deployed.port('platform'))
-        site.links[name] = TcpProxy(platform).__enter__()  # type: ignore[index]
+        site.links[name] = TcpProxy(platform).__enter__()
+        listen = Address(LOOPBACK, free_port())
+        site.peer_links[name] = TcpProxy(listen).__enter__()
+    peer_link = site.peer_links[name]
+    proxy = (peer_link.address.port, peer_link.target.port)
     address = str(site.links[name].address)
     defaults = {
         'platform': {'addresses': [address]},
         'journal': {'ring_slots': RING_SLOTS},
     }
-    deployed.start_entry(name, centre, seeds, **{**defaults, **sections})
+    sections = {**defaults, **sections}
+    deployed.start_entry(name, centre, seeds, proxy, **sections)
 
 
 def sees_all(site: Site) -> bool:
