--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -95,6 +95,7 @@
         opener,
         base.workers,
         lambda fences: _wanted(base, table, neighbours, choose, fences),
+        lambda: {name for one in neighbours.others() for name in one.logs},
     )
     local = LocalPrograms(table, durability)
     home = Home(base.data_centre, base.settings.journal.logs_per_data_centre)
--- a/cactusledge/programs/errors.py
+++ b/cactusledge/programs/errors.py
@@ -1,6 +1,7 @@
 """Errors of the program drivers."""
 
 from cactusledge.errors import CactusledgeError, ErrorCode
+from cactusledge.models import Outcome
 
 PLATFORM_RETRY_S = 5.0
 
--- a/cactusledge/programs/journal_actor.py
+++ b/cactusledge/programs/journal_actor.py
@@ -64,6 +64,8 @@
 class FlushDue(NamedTuple):
     """Message: the commit interval is over."""
 
+    force: bool = False  # appends an empty batch too, to learn of a seal
+
 
 # What an event says of the platform; other events say nothing.
 _REACHABLE: Mapping[type[Any], bool] = MappingProxyType({
@@ -143,12 +145,14 @@
     def flush(self, message: FlushDue) -> None:
         """Starts an append of what waits and what is carried forward."""
         self._flush_set = False
+        if self._state.phase is not journal.Phase.IDLE:
+            return
         interval_s = self._options.commit_interval_s
         batch = self._batch(self._state.number)
         if not batch:
             interval_s = self._options.retry_cap_s
         self._next_flush_s = self._options.monotonic_s() + interval_s
-        if batch:
+        if batch or message.force:
             oldest = self._ledger.oldest(self._state.number)
             self.advance(msg.Append(encode_batch(batch), oldest))
         else:
--- a/cactusledge/programs/journal_writer.py
+++ b/cactusledge/programs/journal_writer.py
@@ -20,6 +20,7 @@
 
 from cactusledge.programs.journal_actor import (
     Close,
+    FlushDue,
     JournalActor,
     Submit,
     WriterStatus,
@@ -102,6 +103,11 @@
         """Returns whether the platform answered the latest request."""
         return self._status.platform_up
 
+    def probe(self) -> None:
+        """Starts to find out whether another owner has sealed the log."""
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._ref.tell(FlushDue(force=True))
+
     def fenced(self) -> bool:
         """Returns whether the writer has stopped for good."""
         return self._status.error is not None
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -145,6 +145,7 @@
             driver,
             partial(self._close, name),
             writer.fenced,
+            writer.probe,
         )
 
     def is_up(self) -> bool:
--- a/cactusledge/programs/logs.py
+++ b/cactusledge/programs/logs.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from concurrent.futures import Executor
 from typing import Any, NamedTuple, Protocol
 
@@ -15,6 +15,7 @@
 
 DRIVER_WAIT_S = 10.0
 DRAIN_POLL_S = 0.05
+LONGEST_PAUSE_S = 1.5  # peers suspect an instance that is silent for longer
 
 log = get_logger('logs')
 
@@ -26,6 +27,7 @@
     driver: pykka.ActorRef[Any]
     close: Callable[[], None]  # writes what waits, then stops the writer
     is_lost: Callable[[], bool]  # whether another instance has sealed it
+    probe: Callable[[], None]  # starts to find that out
 
 
 class LogOpener(Protocol):
@@ -83,6 +85,7 @@
         opener: LogOpener,
         workers: Executor,
         wanted: Callable[[Mapping[str, Fence]], tuple[str, ...]],
+        claimed: Callable[[], Collection[str]],
     ) -> None:
         """Prepares the manager.
 
@@ -91,11 +94,14 @@
             opener: Seals logs.
             workers: Where sealing runs.
             wanted: Names the logs to take over, given the fences.
+            claimed: Names the logs that other instances say they own.
         """
         self._table = table
         self._opener = opener
         self._workers = workers
         self._wanted = wanted
+        self._claimed = claimed
+        self._ticked_s = time.monotonic()
         self._lock = threading.Lock()
         self._opening: set[str] = set()
         self._fences: dict[str, Fence] = {}
@@ -105,7 +111,14 @@
         """Starts to take over what is wanted, and ticks the drivers."""
         for name in self._wanted(self._fences):
             self._start_opening(name)
+        claimed = self._claimed()
+        was_paused = self._was_paused()
         for owned in self._table.all():
+            if owned.is_lost():
+                self._lost(owned.name)
+                continue
+            if was_paused or owned.name in claimed:
+                owned.probe()
             owned.driver.tell(msg.Tick())
 
     def want(self, name: str) -> None:
@@ -133,6 +146,13 @@
             owned.driver.stop(block=False)
         return left
 
+    def _was_paused(self) -> bool:
+        """Returns whether others may have believed this instance dead."""
+        now_s = time.monotonic()
+        paused_s = now_s - self._ticked_s
+        self._ticked_s = now_s
+        return paused_s > LONGEST_PAUSE_S
+
     def _running(self) -> int:
         counts: list[Any] = [
             owned.driver.ask(msg.Drain(), timeout=DRIVER_WAIT_S)
@@ -166,7 +186,9 @@
     def _lost(self, name: str) -> None:
         """Lets go of a log that another instance sealed."""
         owned = self._table.pop(name)
+        if owned is None:
+            return
         self._fences[name] = fenced(self._fences, name, time.monotonic())
         log.warning('Lost to another instance.', log=name)
-        if owned is not None:
-            owned.driver.stop(block=False)
+        owned.close()
+        owned.driver.stop(block=False)
--- a/standins/entry.py
+++ b/standins/entry.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+from functools import partial
 from typing import Any
 
 from cactusledge.assembly import peers as assembly
@@ -18,12 +19,14 @@
     """Runs the command line behind the first argument."""
     host, _, port = sys.argv[1].rpartition(':')
     listen = Address(host, int(port))
+    server = partial(behind_proxy, listen)
+    assembly.PeerServer = server  # type: ignore[attr-defined, assignment]
+    sys.exit(run(sys.argv[2:], process_environment()))
 
-    def behind_proxy(_told: Address, *args: Any) -> PeerServer:
-        return PeerServer(listen, *args)
 
-    assembly.PeerServer = behind_proxy  # type: ignore[attr-defined]
-    sys.exit(run(sys.argv[2:], process_environment()))
+def behind_proxy(listen: Address, _told: Address, *args: Any) -> PeerServer:
+    """Returns a server on another address than the peers are told."""
+    return PeerServer(listen, *args)
 
 
 if __name__ == '__main__':
--- a/tests/failure_support.py
+++ b/tests/failure_support.py
@@ -1,8 +1,10 @@
 """Fixtures and helpers of the tests that make processes fail."""
 
+import re
 from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import Future, ThreadPoolExecutor
 from functools import partial
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import pytest
@@ -189,6 +191,22 @@
     return error
 
 
+@pytest.fixture
+def define(tmp_path) -> Callable[..., Path]:
+    """Writes the example's definitions with other limits."""
+    return partial(_define, tmp_path / 'definitions')
+
+
+def _define(folder: Path, **limits: int) -> Path:
+    folder.mkdir(exist_ok=True)
+    for path in SHOWROOM.iterdir():
+        text = path.read_text('utf-8')
+        for name, limit in limits.items():
+            text = re.sub(f'{name}: [0-9]+', f'{name}: {limit}', text)
+        (folder / path.name).write_text(text, 'utf-8')
+    return folder
+
+
 @pytest.fixture
 def start_site(tmp_path) -> Iterator[Callable[..., Site]]:
     """Starts deployments; ends their processes after the test."""
--- a/tests/test_failure_cuts.py
+++ b/tests/test_failure_cuts.py
@@ -54,16 +54,20 @@
         check_truth(site, client, client.confirm(entry, 3), 3)
     set_links(site, CUTS[cut], LinkState.OPEN)
     for client, entry in ((near, FAR), (far, NEAR)):
-        wait_until(
-            lambda: client.confirm(entry, 3)['outcome'] == 'RAN',  # noqa: B023
-            'the call ran',
-            timeout_s=support.LONG_S,
-        )
+        wait_ran(client.confirm, entry, 3)
         assert client.model(entry, 4)['outcome'] == 'RAN'
         assert support.seqs_of(client.history(entry)) == [1, 2, 3, 4]
     assert len(site.executions()) == 2
 
 
+def wait_ran(call, entry, seq):
+    wait_until(
+        lambda: call(entry, seq)['outcome'] == 'RAN',
+        f'call {seq} ran',
+        timeout_s=support.LONG_S,
+    )
+
+
 LOST = {
     'while-it-runs': (LinkState.OPEN, LinkState.CUT),
     'from-the-start': (LinkState.NO_ANSWERS, LinkState.NO_ANSWERS),
@@ -84,11 +88,7 @@
     assert told['outcome'] == 'UNKNOWN'
     wait_until(site.executions, 'the service ran it')
     set_links(site, ('peer_links',), LinkState.OPEN)
-    wait_until(
-        lambda: client.confirm(FAR, 1)['outcome'] == 'RAN',
-        'the call is known',
-        timeout_s=support.LONG_S,
-    )
+    wait_ran(client.confirm, FAR, 1)
     assert len(site.executions()) == 1
 
 
@@ -107,10 +107,6 @@
     assert 'RAN' in {one['outcome'] for one in told}
     assert len(site.executions()) == 1
     set_links(site, ('peer_links',), LinkState.OPEN)
-    wait_until(
-        lambda: client.model(driver, 3)['outcome'] == 'RAN',
-        'the instances see each other',
-        timeout_s=support.LONG_S,
-    )
+    wait_ran(client.model, driver, 3)
     assert support.seqs_of(client.history(driver)) == [1, 2, 3]
     assert client.history(driver) == client.history(heir)
--- a/tests/test_held_records.py
+++ b/tests/test_held_records.py
@@ -55,7 +55,7 @@
 
 def test_heir_finds_what_it_holds_itself(held, peers):
     held.hold('bole-0', [OPENED], 1)
-    heir = PeerHeldRecords('entry-2', lambda: peers[1:], peers[0].store)
+    heir = PeerHeldRecords('entry-2', list, peers[0].store)
     assert list(heir.fetch('bole-0')) == [OPENED]
     heir.drop('bole-0', 1)
     assert list(heir.fetch('bole-0')) == []
@@ -81,8 +81,8 @@
 
 
 def test_durable_records_are_dropped(held, peers):
-    held.hold('bole-0', [OPENED], 1)
-    held.hold('bole-1', [OPENED], 2)
+    for number, log in enumerate(('bole-0', 'bole-1')):
+        held.hold(log, [OPENED], number)
     held.drop('bole-0', 2)
     assert list(held.fetch('bole-0')) == []
     assert list(held.fetch('bole-1')) == [OPENED]
