--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -50,7 +50,6 @@
         for key, data in member_state(names, generation).items():
             self.membership.set_state(key, data)
         self.base.workers.submit(self.reporter.tick)
-        self.base.workers.submit(self.programs.opener.drop_held)
         newest = max(map(generation_of, self.membership.alive()), default=0)
         if newest > generation:
             self.base.config.hint(newest)
--- a/cactusledge/programs/errors.py
+++ b/cactusledge/programs/errors.py
@@ -1,6 +1,7 @@
 """Errors of the program drivers."""
 
 from cactusledge.errors import CactusledgeError, ErrorCode
+from cactusledge.models import Outcome
 
 PLATFORM_RETRY_S = 5.0
 
@@ -41,6 +42,12 @@
     code = ErrorCode.PEER_UNREACHABLE
 
 
+class DriverUnreachableError(NoDriverError):
+    """No driver could be asked what became of the call."""
+
+    outcome = Outcome.UNKNOWN
+
+
 class MovingError(NoDriverError):
     """The program's driver is stopping; another instance takes it over."""
 
@@ -68,3 +75,12 @@
         remedy='Repeat it later with the same seq and key.',
         retry_after_s=PLATFORM_RETRY_S,
     )
+
+
+def unreachable_driver(exc: NoDriverError) -> DriverUnreachableError:
+    """Returns the answer to a call whose driver could not be asked."""
+    return DriverUnreachableError(
+        exc.message,
+        remedy='Repeat the call with the same seq and key to learn of it.',
+        retry_after_s=exc.retry_after_s,
+    )
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -37,8 +37,8 @@
     ) -> bool:
         """Copies records to a peer; returns whether one has them."""
 
-    def held_logs(self) -> tuple[str, ...]:
-        """Returns the logs of which peers have copies."""
+    def is_holding(self, log: str) -> bool:
+        """Returns whether a peer may hold records of a log."""
 
     def drop(self, log: str, up_to: int) -> None:
         """Drops all copies of records that are durable."""
@@ -145,6 +145,7 @@
             driver,
             partial(self._close, name),
             writer.fenced,
+            writer.probe,
         )
 
     def is_up(self) -> bool:
@@ -162,9 +163,8 @@
 
     def drop_held(self) -> None:
         """Drops the peers' copies of records that have become durable."""
-        for name in self._parts.held.held_logs():
-            writer = self._writers.get(name)
-            if writer is not None and not writer.waiting_bytes():
+        for name, writer in tuple(self._writers.items()):
+            if self._parts.held.is_holding(name) and not writer.waiting_bytes():
                 self._hold(name, writer)
 
     def _lost(self, name: str, on_lost: Callable[[], None]) -> None:
@@ -179,7 +179,7 @@
             waiting = writer.waiting_records()
         if waiting:
             return held.hold(name, waiting, number)
-        if name in held.held_logs():
+        if held.is_holding(name):
             held.drop(name, number)
         return True
 
--- a/cactusledge/programs/router.py
+++ b/cactusledge/programs/router.py
@@ -8,7 +8,7 @@
 
 from cactusledge.programs import messages as msg
 from cactusledge.programs.call_stream import CallStream
-from cactusledge.programs.errors import NoDriverError
+from cactusledge.programs.errors import NoDriverError, unreachable_driver
 from cactusledge.programs.ids import (
     child_program_id,
     data_centre_of,
@@ -170,11 +170,19 @@
         )
 
     def call(self, args: CallArgs) -> CallStream:
-        """Makes a call wherever its program is driven."""
-        return self._at_owner(
-            args.program_id,
-            lambda programs: programs.call(args),
-        )
+        """Makes a call wherever its program is driven.
+
+        Raises:
+            NoDriverError: No driver answered. Its outcome is UNKNOWN, as an
+                earlier request may have made the call.
+        """
+        try:
+            return self._at_owner(
+                args.program_id,
+                lambda programs: programs.call(args),
+            )
+        except NoDriverError as exc:
+            raise unreachable_driver(exc) from exc
 
     def view(self, account: str, program_id: str) -> ProgramView:
         """Returns a program's state."""
@@ -243,7 +251,7 @@
         if remote is None:
             raise NoDriverError(
                 f'No instance in {data_centre_of(log)} drives log {log}.',
-                remedy='Repeat the request; nothing of it was run.',
+                remedy='Repeat the request with the same key.',
                 retry_after_s=NO_DRIVER_RETRY_S,
             )
         return remote
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -86,10 +86,21 @@
         name: str,
         data_centre: str,
         seeds: Sequence[int] = (),
+        proxy: tuple[int, int] | None = None,
         **sections: Any,
     ) -> Started:
-        """Starts an entry instance; further settings go by section."""
-        api_port, peers_port = free_port(), free_port()
+        """Starts an entry instance; further settings go by section.
+
+        Args:
+            name: Name of the instance.
+            data_centre: Where it is.
+            seeds: Peer ports of instances that it asks first.
+            proxy: Port that the peers are told, and the one that the
+                instance listens on, if a proxy stands between them.
+            sections: Settings.
+        """
+        api_port = free_port()
+        peers_port, listen_port = proxy or (free_port(), 0)
         settings = {
             'instance': {'name': name, 'data_centre': data_centre},
             'listen': {
@@ -104,7 +115,15 @@
         }
         path = self._folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings), encoding='utf-8')
-        command = ('cactusledge', 'entry', '--settings', str(path))
+        command: tuple[str, ...] = (
+            'cactusledge',
+            'entry',
+            '--settings',
+            str(path),
+        )
+        if listen_port:
+            listen = f'{LOOPBACK}:{listen_port}'
+            command = ('standins.entry', listen, *command[1:])
         process = self._spawn(name, command)
         started = Started(name, process, api_port)
         self._started[name] = started
--- a/tests/failure_support.py
+++ b/tests/failure_support.py
@@ -1,16 +1,23 @@
 """Fixtures and helpers of the tests that make processes fail."""
 
-import signal
+import re
 from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import Future, ThreadPoolExecutor
 from functools import partial
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import pytest
 from urllib3 import PoolManager
 
 from cactusledge.models import Address
-from standins.deployment import LOOPBACK, ROOT, Deployment, wait_until
+from standins.deployment import (
+    LOOPBACK,
+    ROOT,
+    Deployment,
+    free_port,
+    wait_until,
+)
 from standins.tcp_proxy import TcpProxy
 
 HEADERS = {'Authorization': 'Bearer demo-showroom-token'}
@@ -96,7 +103,8 @@
     """A deployment with entry instances that may be cut off."""
 
     deployed: Deployment
-    links: Mapping[str, TcpProxy]  # from an instance to the platform
+    links: dict[str, TcpProxy]  # from an instance to the platform
+    peer_links: dict[str, TcpProxy]  # from the peers to an instance
     pool: ThreadPoolExecutor
 
     def client(self, key: str = 'program') -> Client:
@@ -183,6 +191,22 @@
     return error
 
 
+@pytest.fixture
+def define(tmp_path) -> Callable[..., Path]:
+    """Writes the example's definitions with other limits."""
+    return partial(_define, tmp_path / 'definitions')
+
+
+def _define(folder: Path, **limits: int) -> Path:
+    folder.mkdir(exist_ok=True)
+    for path in SHOWROOM.iterdir():
+        text = path.read_text('utf-8')
+        for name, limit in limits.items():
+            text = re.sub(f'{name}: [0-9]+', f'{name}: {limit}', text)
+        (folder / path.name).write_text(text, 'utf-8')
+    return folder
+
+
 @pytest.fixture
 def start_site(tmp_path) -> Iterator[Callable[..., Site]]:
     """Starts deployments; ends their processes after the test."""
@@ -190,13 +214,10 @@
         ThreadPoolExecutor() as pool,
         Deployment(tmp_path) as deployed,
     ):
-        links: dict[str, TcpProxy] = {}
-        yield partial(_start, Site(deployed, links, pool))
-        for entry in links:
-            if deployed.is_running(entry):
-                deployed.signal(entry, signal.SIGCONT)
+        site = Site(deployed, {}, {}, pool)
+        yield partial(_start, site)
         deployed.stop_all()
-        for link in links.values():
+        for link in (*site.links.values(), *site.peer_links.values()):
             link.__exit__()
 
 
@@ -237,13 +258,18 @@
     deployed = site.deployed
     if name not in site.links:
         platform = Address(LOOPBACK, deployed.port('platform'))
-        site.links[name] = TcpProxy(platform).__enter__()  # type: ignore[index]
+        site.links[name] = TcpProxy(platform).__enter__()
+        listen = Address(LOOPBACK, free_port())
+        site.peer_links[name] = TcpProxy(listen).__enter__()
+    peer_link = site.peer_links[name]
+    proxy = (peer_link.address.port, peer_link.target.port)
     address = str(site.links[name].address)
     defaults = {
         'platform': {'addresses': [address]},
         'journal': {'ring_slots': RING_SLOTS},
     }
-    deployed.start_entry(name, centre, seeds, **{**defaults, **sections})
+    sections = {**defaults, **sections}
+    deployed.start_entry(name, centre, seeds, proxy, **sections)
 
 
 def sees_all(site: Site) -> bool:
