--- a/benchmarks/load_client.py
+++ b/benchmarks/load_client.py
@@ -1,6 +1,7 @@
 """A caller that measures its calls, through an entry or at an endpoint."""
 
 import json
+import os
 import time
 import uuid
 from collections.abc import Iterator, Mapping
@@ -101,13 +102,16 @@
         answer = self._call(body)
         return self._taken(read_stream(answer, 'model', began_s))
 
-    def use_tool(self, operation: str) -> Timing:
-        """Calls a service's operation."""
+    def use_tool(self, operation: str, argument_bytes: int = 0) -> Timing:
+        """Calls a service's operation, with arguments of this size."""
         body = {
             'kind': 'service',
             'target': SERVICE,
             'operation': operation,
-            'arguments': {'step': self._seq},
+            'arguments': {
+                'step': self._seq,
+                'text': _text_of(argument_bytes),
+            },
         }
         began_s = time.monotonic()
         answer = self._call(body)
@@ -215,5 +219,10 @@
     return str(document.get('code') or document.get('outcome') or RAN)
 
 
+def _text_of(size_bytes: int) -> str:
+    """Returns text that hardly compresses."""
+    return os.urandom(size_bytes // 2).hex()
+
+
 def _since(began_s: float) -> float:
     return time.monotonic() - began_s
