--- a/benchmarks/capacity_instances.py
+++ b/benchmarks/capacity_instances.py
@@ -25,7 +25,6 @@
 CHANGES = 3
 ACCOUNTS = (100, 1000, 3250)
 POLL_S = 0.005
-GROUPS = ('reads', 'writes', 'watches')
 Row = tuple[float, ...]
 
 
@@ -56,7 +55,9 @@
         after = world.platform_records()
         return Idle(
             count,
-            *((after[one] - before[one]) / spent.wall_s for one in GROUPS),
+            (after['reads'] - before['reads']) / spent.wall_s,
+            (after['writes'] - before['writes']) / spent.wall_s,
+            (after['watches'] - before['watches']) / spent.wall_s,
             spent.cpu_ms / spent.wall_s / count,
             spent.rss_bytes / MIB / count,
             moved * 2 / spent.wall_s / count,
