--- a/cactusledge/assembly/routing.py
+++ b/cactusledge/assembly/routing.py
@@ -78,7 +78,6 @@
             directory=directory,
             queues=client,
             is_owner=lambda key: neighbours.owner_of_group(key) is None,
-            config=base.config.current,
         ),
     )
     base.config.on_change(lambda _: directory.refresh())
--- a/cactusledge/programs/engine_care.py
+++ b/cactusledge/programs/engine_care.py
@@ -1,8 +1,7 @@
-"""Engine work between calls: load reports, cache releases, warm prefixes."""
+"""Engine work between calls: load reports and cache releases."""
 
 import time
-import uuid
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from concurrent.futures import Executor
 from typing import NamedTuple
 
@@ -10,16 +9,12 @@
 from cactusledge.endpoints.engine import EngineClient
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import CallKind, Endpoint
-from cactusledge.programs.prompt import prefix_message, prompt_text
 from cactusledge.routing.client import DispatcherClient
-from cactusledge.routing.prefix import prefix_chain
-from cactusledge.routing.types import CacheRelease, EngineReport, GroupKey, Warm
-from cactusledge.settings.configuration import Configuration
+from cactusledge.routing.types import CacheRelease, EngineReport, GroupKey
 from cactusledge.telemetry.logs import get_logger
 
 REPORT_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 5.0
-WARM_TIMEOUT_S = 30.0
 
 log = get_logger('engines')
 
@@ -32,7 +27,6 @@
     directory: EndpointDirectory
     queues: DispatcherClient
     is_owner: Callable[[GroupKey], bool]
-    config: Callable[[], Configuration]
 
 
 class EngineCare:
@@ -54,16 +48,12 @@
                 self._asking.add(endpoint.name)
                 self._parts.workers.submit(self._report, key, endpoint)
 
-    def carry_out(self, effect: CacheRelease | Warm) -> None:
+    def carry_out(self, effect: CacheRelease) -> None:
         """Does what a scheduler asked for, in a worker."""
         endpoint = self._parts.directory.find(effect.engine)
         if endpoint is None:
             return
-        if isinstance(effect, Warm):
-            self._parts.workers.submit(self._warm, endpoint, effect.prefix)
-        else:
-            program_id = effect.program_id
-            self._parts.workers.submit(self._release, endpoint, program_id)
+        self._parts.workers.submit(self._release, endpoint, effect.program_id)
 
     def _report(self, key: GroupKey, endpoint: Endpoint) -> None:
         deadline_s = time.monotonic() + REPORT_TIMEOUT_S
@@ -96,36 +86,3 @@
             )
         except CactusledgeError as exc:
             log.info('Cache not released.', reason=exc.message)
-
-    def _warm(self, endpoint: Endpoint, prefix: tuple[int, ...]) -> None:
-        """Has an engine compute a common prefix before its callers come."""
-        text = self._common_prefixes().get(prefix)
-        if text is None:
-            return
-        body = {
-            'model': endpoint.service,
-            'messages': [prefix_message(text)],
-            'max_tokens': 1,
-        }
-        deadline_s = time.monotonic() + WARM_TIMEOUT_S
-        try:
-            events = self._parts.engines.stream(
-                endpoint,
-                body,
-                request_id=f'warm:{uuid.uuid4().hex}',
-                deadline_s=deadline_s,
-                headers={},
-            )
-            log.info('Warmed.', engine=endpoint.name, events=len(list(events)))
-        except CactusledgeError as exc:
-            log.info('Not warmed.', engine=endpoint.name, reason=exc.message)
-
-    def _common_prefixes(self) -> Mapping[tuple[int, ...], str]:
-        programs = self._parts.config().programs.values()
-        return {
-            prefix_chain(prompt_text([prefix_message(one.common_prefix)])): (
-                one.common_prefix
-            )
-            for one in programs
-            if one.common_prefix
-        }
--- a/tests/test_routing_pauses.py
+++ b/tests/test_routing_pauses.py
@@ -4,7 +4,6 @@
 
 from cactusledge.routing.pauses import MAX_KEYS, PauseEstimates
 
-
 CASES = (
     ((), 1),
     ((4,), 4),
