Have fenced calls followed at the log's new owner

Caches of engines that a fenced owner had tried stayed until the engine evicted them. Ruled out: UNKNOWN for all of them, since the new owner knows the outcome. Change: a joined request is told UNKNOWN in place of NOT_RUN; a fenced call's request is made again at the new owner and its stream goes on; the former owner releases the caches it touched; held records that do not fit are logged. Membership starts before the peer server and stops after it. Conclusion: NOT_RUN is told only by the request that was given up.

--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -23,6 +23,7 @@
 from cactusledge.telemetry.logs import get_logger
 
 PEER_TIMEOUT_S = 5.0
+NS_PER_MS = 1_000_000
 
 log = get_logger('peers')
 
@@ -39,8 +40,8 @@
 
     def start(self) -> None:
         """Listens, then tells the peers of this instance."""
-        self.server.start()
         self.membership.start()
+        self.server.start()
         self.base.workers.submit(self._find_peers)
 
     def tick(self) -> None:
@@ -62,8 +63,8 @@
 
     def stop(self) -> None:
         """Closes the connections from and to peers."""
-        self.membership.stop()
         self.server.stop()
+        self.membership.stop()
         self.neighbours.close()
 
     def _find_peers(self) -> None:
@@ -100,7 +101,7 @@
             host=address.host,
             port=address.port,
             data_centre=base.data_centre,
-            incarnation=time.time_ns(),
+            incarnation=time.time_ns() // NS_PER_MS,
         ),
         peers.seeds,
         peers.heartbeat_interval_s,
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -15,6 +15,7 @@
 from cactusledge.programs.log_opener import OpenerParts, StoreLogOpener
 from cactusledge.programs.logs import LogManager, LogTable
 from cactusledge.programs.neighbours import Neighbours
+from cactusledge.programs.relay import Relay
 from cactusledge.programs.remote import PeerPrograms
 from cactusledge.programs.router import (
     Home,
@@ -89,7 +90,8 @@
     held = HeldStore()
     opener = _build_opener(base, neighbours, held)
     durability = CommitWait(opener.is_up, opener.hold_waiting)
-    opener.work = build_work(base, routing, durability)
+    relay = Relay()
+    opener.work = build_work(base, routing, durability, relay)
     logs = LogManager(
         table,
         opener,
@@ -102,6 +104,7 @@
     remotes = _Remotes(base, neighbours)
     router = ProgramRouter(home, local, remotes.find)
     remotes.again = router.call
+    relay.again = router.call
     return ProgramsPart(
         table,
         logs,
--- a/cactusledge/assembly/sending.py
+++ b/cactusledge/assembly/sending.py
@@ -8,6 +8,7 @@
 from cactusledge.endpoints.service import ServiceClient
 from cactusledge.models import CallKind, CallSpec
 from cactusledge.programs.durability import CommitWait
+from cactusledge.programs.relay import Relay
 from cactusledge.programs.runner import CallRunner
 from cactusledge.programs.sending import ModelSender, Sender, ServiceSender
 from cactusledge.programs.work import WorkPool
@@ -34,6 +35,7 @@
     base: Base,
     routing: RoutingPart,
     durability: CommitWait,
+    relay: Relay,
 ) -> WorkPool:
     """Returns the worker pool of the drivers."""
     engines = EngineClient(routing.pools)
@@ -56,7 +58,14 @@
     }
     return WorkPool(
         base.workers,
-        CallRunner(senders, durability, base.traces, base.metrics),
+        CallRunner(
+            senders,
+            durability,
+            base.traces,
+            base.metrics,
+            relay,
+            routing.care.release,
+        ),
         engines,
         services,
         routing.directory,
--- a/cactusledge/programs/call_stream.py
+++ b/cactusledge/programs/call_stream.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from cactusledge.models import Answer
+from cactusledge.models import Answer, Outcome
 
 QUIET_INTERVAL_S = 1.0
 
@@ -73,7 +73,8 @@
         """
         offset = 0
         while time.monotonic() < deadline_s:
-            events = self.read(offset, QUIET_INTERVAL_S)
+            left_s = max(0, deadline_s - time.monotonic())
+            events = self.read(offset, min(left_s, QUIET_INTERVAL_S))
             offset += len(events)
             yield events
             if events and isinstance(events[-1], Answer):
@@ -81,10 +82,11 @@
 
     def wait(self, timeout_s: float) -> Answer | None:
         """Returns the final answer, or None if it is not there in time."""
-        with self._changed:
-            self._changed.wait_for(lambda: self._finished, timeout=timeout_s)
-            last = self._events[-1] if self._finished else None
-        return last if isinstance(last, Answer) else None
+        give_up_s = time.monotonic() + timeout_s
+        for events in self.follow(give_up_s):
+            if events and isinstance(events[-1], Answer):
+                return events[-1]
+        return None
 
     def _put(self, event: CallEvent, *, is_last: bool) -> None:
         with self._changed:
@@ -93,3 +95,35 @@
             self._events.append(event)
             self._finished = is_last
             self._changed.notify_all()
+
+
+class JoinedStream(CallStream):
+    """A running call as a later request for it sees it.
+
+    That the call was given up tells the request that gave it up that nothing
+    ran. A request that joined later cannot know whether the call has run
+    through another instance meanwhile.
+    """
+
+    def __init__(self, joined: CallStream) -> None:
+        """Follows another stream."""
+        super().__init__()
+        self._joined = joined
+
+    @property
+    def finished(self) -> bool:
+        """Whether the final answer is there."""
+        return self._joined.finished
+
+    def read(self, offset: int, wait_s: float) -> list[CallEvent]:
+        """Returns the events from `offset`, waiting for one if need be."""
+        return [_joined(one) for one in self._joined.read(offset, wait_s)]
+
+
+def _joined(event: CallEvent) -> CallEvent:
+    if not isinstance(event, Answer) or event.outcome is not Outcome.NOT_RUN:
+        return event
+    return event._replace(
+        outcome=Outcome.UNKNOWN,
+        remedy='Repeat the call with the same seq and key to learn of it.',
+    )
--- a/cactusledge/programs/engine_care.py
+++ b/cactusledge/programs/engine_care.py
@@ -50,10 +50,13 @@
 
     def carry_out(self, effect: CacheRelease) -> None:
         """Does what a scheduler asked for, in a worker."""
-        endpoint = self._parts.directory.find(effect.engine)
-        if endpoint is None:
-            return
-        self._parts.workers.submit(self._release, endpoint, effect.program_id)
+        self.release(effect.engine, effect.program_id)
+
+    def release(self, engine: str, program_id: str) -> None:
+        """Frees a program's cache at an engine, in a worker."""
+        endpoint = self._parts.directory.find(engine)
+        if endpoint is not None:
+            self._parts.workers.submit(self._release, endpoint, program_id)
 
     def _report(self, key: GroupKey, endpoint: Endpoint) -> None:
         deadline_s = time.monotonic() + REPORT_TIMEOUT_S
--- a/cactusledge/programs/errors.py
+++ b/cactusledge/programs/errors.py
@@ -84,3 +84,12 @@
         remedy='Repeat the call with the same seq and key to learn of it.',
         retry_after_s=exc.retry_after_s,
     )
+
+
+def unknown_here(program_id: str) -> DriverUnreachableError:
+    """Returns the answer to a call that moved and was not heard of again."""
+    return DriverUnreachableError(
+        f'The program {program_id!r} moved to another instance.',
+        remedy='Repeat the call with the same seq and key to learn of it.',
+        retry_after_s=PLATFORM_RETRY_S,
+    )
--- a/cactusledge/programs/launch.py
+++ b/cactusledge/programs/launch.py
@@ -7,7 +7,7 @@
 
 from cactusledge.models import CallSpec
 from cactusledge.programs.call_spec import spec_of
-from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.call_stream import CallStream, JoinedStream
 from cactusledge.programs.errors import (
     PLATFORM_RETRY_S,
     MovingError,
@@ -62,7 +62,7 @@
         if isinstance(decision, protocol.Refuse):
             raise decision.error
         if isinstance(decision, protocol.Join):
-            return self._running[state.program_id]
+            return JoinedStream(self._running[state.program_id])
         if isinstance(decision, protocol.Stored):
             stored = CallStream()
             stored.finish(decision.answer)
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -18,6 +18,9 @@
 from cactusledge.protocol.records import ProgramRecord
 from cactusledge.settings.configuration import Configuration
 from cactusledge.settings.sections import JournalSection
+from cactusledge.telemetry.logs import get_logger
+
+log = get_logger('logs')
 
 CLOSE_WAIT_S = 10.0
 ROOM_SHARE = 0.75  # of the waiting bytes; the rest is for outcomes
@@ -120,6 +123,13 @@
                 now_s=parts.now_s,
             ),
         )
+        for record in taken.rejected:
+            log.error(
+                'Held record does not fit the log.',
+                log=name,
+                program_id=record.program_id,
+                seq=record.seq,
+            )
         parts.held.drop(name, number)
         writer = JournalWriter(
             parts.store,
--- /dev/null
+++ b/cactusledge/programs/relay.py
@@ -0,0 +1,60 @@
+"""Follows calls whose log another instance has sealed."""
+
+import time
+from collections.abc import Callable
+from itertools import chain
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.models import Answer
+from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.errors import unknown_here
+from cactusledge.programs.sending import failed
+from cactusledge.programs.tasks import CallTask
+from cactusledge.programs.views import CallArgs
+
+SHORTEST_FOLLOW_S = 5.0
+
+
+class Relay:
+    """Makes a fenced call's request again at the log's new owner.
+
+    The owner joins the call, reads its stored answer, knows it as UNKNOWN, or
+    runs it if it never was in the log.
+    """
+
+    def __init__(self) -> None:
+        """Set `again` before the first call."""
+        self.again: Callable[[CallArgs], CallStream] | None = None
+
+    def follow(self, task: CallTask) -> Answer:
+        """Returns the answer that the new owner gives; copies its text."""
+        if self.again is None:
+            raise RuntimeError('Set `again` before the first call.')
+        task.stream.restart()
+        try:
+            stream = self.again(_args_of(task))
+        except CactusledgeError as exc:
+            return failed(task.spec, exc)
+        shortest_s = time.monotonic() + SHORTEST_FOLLOW_S
+        deadline_s = max(task.deadline_s, shortest_s)
+        for event in chain.from_iterable(stream.follow(deadline_s)):
+            if isinstance(event, Answer):
+                return event
+            task.stream.put_text(event.text)
+        return failed(task.spec, unknown_here(task.spec.program_id))
+
+
+def _args_of(task: CallTask) -> CallArgs:
+    spec = task.spec
+    return CallArgs(
+        account=task.state.account,
+        program_id=spec.program_id,
+        seq=spec.seq,
+        key=spec.key,
+        kind=spec.kind,
+        target=spec.target,
+        operation=spec.operation,
+        body=spec.body,
+        max_output_tokens=spec.max_output_tokens,
+        traceparent=task.traceparent,
+    )
--- a/cactusledge/programs/runner.py
+++ b/cactusledge/programs/runner.py
@@ -1,7 +1,7 @@
 """Runs one call in a worker thread, from its intent to its answer."""
 
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 import pykka
@@ -10,6 +10,7 @@
 from cactusledge.models import Answer, CallKind, Outcome
 from cactusledge.programs import messages as msg
 from cactusledge.programs.errors import platform_down
+from cactusledge.programs.relay import Relay
 from cactusledge.programs.sending import Sender, Sent, failed
 from cactusledge.programs.tasks import CallTask
 from cactusledge.protocol.errors import FencedError
@@ -41,6 +42,12 @@
     outcome = Outcome.UNKNOWN
 
 
+class NotSentError(CactusledgeError):
+    """The call's intent did not get into the log; it was not sent here."""
+
+    code = ErrorCode.FENCED
+
+
 class CallRunner:
     """Carries a call through: intent, send, outcome, answer."""
 
@@ -50,8 +57,21 @@
         durability: Durability,
         traces: Traces,
         metrics: Metrics,
+        relay: Relay,
+        release: Callable[[str, str], None],
     ) -> None:
-        """Keeps the senders and what waits for the journal."""
+        """Prepares to run calls.
+
+        Args:
+            senders: Senders by kind of call.
+            durability: What waits for the journal.
+            traces: Where spans go.
+            metrics: Where calls are counted.
+            relay: Asks the new owner of a log that was lost.
+            release: Frees a program's cache at an engine.
+        """
+        self._relay = relay
+        self._release = release
         self._senders = senders
         self._durability = durability
         self._traces = traces
@@ -102,13 +122,27 @@
                 return sent.answer
             durable = self._durability.wait(recorded.durable)
         except (pykka.ActorDeadError, FencedError):
-            return _fenced_answer(task, sent)
+            return self._fenced(task, sent)
         except Exception:
             log.exception('Not recorded.', program_id=task.spec.program_id)
             return sent.answer._replace(durable=False)
         answer: Answer = recorded.reply
         return answer._replace(durable=durable)
 
+    def _fenced(self, task: CallTask, sent: Sent) -> Answer:
+        """Returns the answer of a call whose log has another owner now.
+
+        What ran and may not be repeated is told as it is. For everything
+        else the new owner is asked. It does not know the engines that were
+        tried here, so their cache is released from here.
+        """
+        for engine in sent.touched:
+            self._release(engine, task.spec.program_id)
+        has_run = sent.answer.outcome is not Outcome.NOT_RUN
+        if has_run and not task.spec.idempotent:
+            return sent.answer._replace(durable=False)
+        return self._relay.follow(task)
+
     def _measure(self, task: CallTask, answer: Answer, spent_s: float) -> None:
         metrics = self._metrics
         kind = str(task.spec.kind)
@@ -139,25 +173,10 @@
     except pykka.Timeout:
         raise platform_down() from None
     except FencedError as exc:
-        exc.outcome = Outcome.NOT_RUN
-        raise
-
-
-def _fenced_answer(task: CallTask, sent: Sent) -> Answer:
-    """Returns the answer of a call whose log has another owner now.
-
-    What ran and may not be repeated is told as it is. Everything else is to
-    be asked of the new owner, who sends it again or knows its outcome.
-    """
-    if sent.answer.outcome is not Outcome.NOT_RUN and not task.spec.idempotent:
-        return sent.answer._replace(durable=False)
-    return sent.answer._replace(
-        outcome=Outcome.NOT_RUN,
-        code=str(ErrorCode.FENCED),
-        remedy='Repeat the call with the same seq and key.',
-        retry_after_s=1,
-        body={},
-    )
+        raise NotSentError(
+            'Another instance drives the program now.',
+            remedy='Repeat the call with the same seq and key.',
+        ) from exc
 
 
 def _internal(exc: Exception) -> InternalCallError:
