--- a/standins/engine.py
+++ b/standins/engine.py
@@ -39,6 +39,7 @@
         self.cfg = cfg
         self.incarnation = new_incarnation()
         self.leaving = False
+        self.refused = 0  # requests that came while it was leaving
         self.batch = Batch(cfg.batch, cfg.cache)
         self.orders = OrderDesk(
             EngineState(model=cfg.model),
@@ -87,6 +88,7 @@
             'requests': [_record(stream) for stream in tuple(self.requests)],
             'orders': list(self.orders.records),
             'cache': held,
+            'refused': self.refused,
         }
 
     def _router(self) -> Router:
@@ -122,6 +124,7 @@
 
     def _complete(self, request: Request) -> Reply:
         if self.leaving:
+            self.refused += 1
             return json_reply(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 {'error': 'leaving'},
