--- a/tests/test_failure_endpoints.py
+++ b/tests/test_failure_endpoints.py
@@ -13,6 +13,7 @@
 TWO = {'entry-1': support.BOLE, 'entry-2': support.BOLE}
 ENGINE = 'engine-bole'
 FEW_TOKENS = 10
+MANY_CALLS = 10
 LONG_ANSWER = 60  # tokens, of 30 ms each
 SLOW_ENGINE = ('--token-ms', '30')
 
@@ -51,6 +52,28 @@
     assert len(engine_records(site, 'engine-2')['requests']) == len(first) * 2
 
 
+def test_leaving_service_gets_no_new_calls_though_the_list_is_stale(start_site):
+    site = start_site(TWO)
+    operation = support.NOT_IDEMPOTENT % 0
+    deployed = site.deployed
+    deployed.start_service('booking-2', 'booking', support.BOLE, operation)
+    wait_until(lambda: knows_engines(site, 3), 'the second replica listed')
+    deployed.platform_faults(stale_list=True, watch_silent=True)
+    deployed.post('booking-1', '/leave', {})
+    client = site.client()
+    client.open('entry-1')
+    told = [client.confirm('entry-1', 1)]
+    while len(told) < 2 * MANY_CALLS:
+        seq = 1 + sum(one['outcome'] == 'RAN' for one in told)
+        told.append(client.confirm('entry-2', seq))
+    outcomes = [one['outcome'] for one in told]
+    refused = deployed.get('booking-1', '/records')['refused']
+    ran = deployed.get('booking-2', '/records')['executions']
+    assert outcomes.count('NOT_RUN') == refused <= 1
+    assert outcomes.count('RAN') == len(ran)
+    assert not site.executions()
+
+
 def tokens_sent(site):
     return sum(one['output_tokens'] for one in engine_records(site)['requests'])
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 
 import pytest
+from msgspec import ValidationError
 
 from cactusledge.errors import (
     StoreAnswerLostError,
@@ -136,20 +137,21 @@
 
 @pytest.mark.parametrize('method', ['read', 'list'])
 @pytest.mark.parametrize(
-    'faults',
+    ('faults', 'tries'),
     [
-        {'down': 'answer'},
-        {'down': 'refuse'},
-        {'hang': True},
-        {'slow_ms': 1000},
+        ({'down': 'answer'}, 1),
+        ({'down': 'refuse'}, 0),
+        ({'hang': True}, 2),
+        ({'slow_ms': 1000}, 2),
     ],
 )
-def test_a_read_under_a_fault(standin, store, method, faults):
+def test_a_read_under_a_fault(standin, store, method, faults, tries):
     store.create(KIND, 'head', {})
     args = (KIND, 'head') if method == 'read' else (KIND,)
     standin.set_faults(**faults)
     with pytest.raises(StoreUnavailableError):
         getattr(store, method)(*args)
+    assert standin.records()['reads'] == tries
     standin.set_faults()
     assert getattr(store, method)(*args)
 
@@ -234,3 +236,8 @@
     newest = store.update(KIND, 'head', {'n': 2}, first.version)
     assert store.list(KIND).items == (first,)
     assert store.read(KIND, 'head') == newest
+
+
+def test_an_unknown_fault_is_refused(standin):
+    with pytest.raises(ValidationError):
+        standin.set_faults(watch_silnt=True)
