--- a/standins/service.py
+++ b/standins/service.py
@@ -58,6 +58,7 @@
         self.leaving = False
         self.executions: deque[dict[str, Any]] = deque(maxlen=RECORDS_KEPT)
         self.received = 0
+        self.refused = 0  # calls that came while it was leaving
         self._ran: dict[tuple[str, str], dict[str, Any]] = {}
         self._server = FaultyServer(self._router(), cfg.listen, cfg.threads)
         self._registrar = Registrar(cfg.register) if cfg.register else None
@@ -94,6 +95,7 @@
             'incarnation': self.incarnation,
             'executions': list(self.executions),
             'received': self.received,
+            'refused': self.refused,
         }
 
     def _router(self) -> Router:
@@ -122,6 +124,7 @@
     def _call(self, request: Request, name: str) -> Reply:
         operation = self.cfg.operations.get(name)
         if self.leaving:
+            self.refused += 1
             return json_reply(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 {'error': 'leaving'},
