Split engines into groups, and take the policy from the definitions

Cause: the running processes kept one group a data centre and model, weighed latency alone, and took all accounts for equal; the parts for it were tested and not wired.

--- a/cactusledge/assembly/routing.py
+++ b/cactusledge/assembly/routing.py
@@ -11,6 +11,7 @@
 from cactusledge.models import CallKind, Endpoint
 from cactusledge.platform.watcher import Watcher, WatchTarget
 from cactusledge.programs.engine_care import CareParts, EngineCare
+from cactusledge.programs.engine_groups import EngineGroups
 from cactusledge.programs.grants import GrantDesk, GrantRouter
 from cactusledge.programs.leases import LeaseDesk
 from cactusledge.programs.neighbours import Neighbours
@@ -19,7 +20,6 @@
 from cactusledge.routing.client import DispatcherClient, Ticker
 from cactusledge.routing.dispatcher import Dispatcher
 from cactusledge.routing.policy import LATENCY_FIRST
-from cactusledge.routing.types import EngineLimits, GroupKey
 
 INSTANCES_KIND = 'instances'
 
@@ -64,10 +64,11 @@
         emit=lambda effect: care.carry_out(effect),
     )
     client = DispatcherClient(dispatcher)
+    groups = EngineGroups(LATENCY_FIRST.group_size)
     directory: EndpointDirectory = EndpointDirectory(
         base.data_centre,
         lambda: _fixed_endpoints(base),
-        lambda: _set_engines(client, directory),
+        lambda: _regroup(base, groups, directory, client),
     )
     grants = GrantRouter(client, neighbours.owner_of_group, base.name)
     pools = ConnectionPools()
@@ -78,6 +79,7 @@
             directory=directory,
             queues=client,
             is_owner=lambda key: neighbours.owner_of_group(key) is None,
+            key_of=groups.key_of,
         ),
     )
     base.config.on_change(lambda _: directory.refresh())
@@ -90,13 +92,14 @@
             directory,
             grants,
             Replicas(base.data_centre, LATENCY_FIRST),
+            groups,
         ),
         ticker=Ticker(client),
         care=care,
         events=ProgramEvents(
             client,
             neighbours.owner_of_group,
-            directory.find,
+            groups.key_of,
         ),
         queues=client,
         pools=pools,
@@ -112,13 +115,11 @@
     return base.config.current().fixed_endpoints()
 
 
-def _set_engines(
-    client: DispatcherClient,
+def _regroup(
+    base: Base,
+    groups: EngineGroups,
     directory: EndpointDirectory,
+    client: DispatcherClient,
 ) -> None:
-    groups: dict[GroupKey, list[Endpoint]] = {}
-    for engine in engines_of(directory):
-        key = GroupKey(engine.data_centre, engine.service)
-        groups.setdefault(key, []).append(engine)
-    for key, members in groups.items():
-        client.set_engines(key, members, EngineLimits())
+    groups.refresh(directory)
+    groups.tell(client, base.config.current())
--- a/cactusledge/programs/engine_care.py
+++ b/cactusledge/programs/engine_care.py
@@ -8,7 +8,7 @@
 from cactusledge.endpoints.directory import EndpointDirectory
 from cactusledge.endpoints.engine import EngineClient
 from cactusledge.errors import CactusledgeError
-from cactusledge.models import CallKind, Endpoint
+from cactusledge.models import Endpoint
 from cactusledge.routing.client import DispatcherClient
 from cactusledge.routing.types import CacheRelease, EngineReport, GroupKey
 from cactusledge.telemetry.logs import get_logger
@@ -27,6 +27,7 @@
     directory: EndpointDirectory
     queues: DispatcherClient
     is_owner: Callable[[GroupKey], bool]
+    key_of: Callable[[str], GroupKey | None]
 
 
 class EngineCare:
@@ -40,11 +41,9 @@
     def tick(self) -> None:
         """Asks the engines of the groups that this instance owns."""
         for endpoint in self._parts.directory.all():
-            if endpoint.kind is not CallKind.MODEL:
-                continue
-            key = GroupKey(endpoint.data_centre, endpoint.service)
+            key = self._parts.key_of(endpoint.name)
             is_new = endpoint.name not in self._asking
-            if is_new and self._parts.is_owner(key):
+            if key and is_new and self._parts.is_owner(key):
                 self._asking.add(endpoint.name)
                 self._parts.workers.submit(self._report, key, endpoint)
 
--- a/cactusledge/programs/leases.py
+++ b/cactusledge/programs/leases.py
@@ -8,6 +8,7 @@
 from cactusledge.endpoints.errors import EndpointNotRunError
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.models import CallKind, Endpoint, Usage
+from cactusledge.programs.engine_groups import EngineGroups
 from cactusledge.programs.grants import Granted, GrantSource
 from cactusledge.programs.prompt import common_chunks, prompt_text
 from cactusledge.programs.sending import Lease, LeaseReport, ModelRequest
@@ -62,6 +63,7 @@
         endpoints: EndpointSource,
         grants: GrantSource,
         replicas: ReplicaChoice,
+        engine_groups: EngineGroups,
     ) -> None:
         """Prepares the desk.
 
@@ -69,7 +71,9 @@
             endpoints: Who takes new calls.
             grants: Owners of the engine groups.
             replicas: Chooses among the replicas of plain services.
+            engine_groups: Groups of the engines.
         """
+        self._engine_groups = engine_groups
         self._endpoints = endpoints
         self._grants = grants
         self._replicas = replicas
@@ -122,12 +126,12 @@
         engines = self._endpoints.available(model)
         if not engines:
             raise _no_endpoint(CallKind.MODEL, model)
-        served = [
-            one for one in engines if one.name == _last_engine(req, model)
-        ]
-        centres = [one.data_centre for one in (*served, *engines)]
-        ordered = list(dict.fromkeys(centres))
-        return [GroupKey(one, model) for one in ordered[:GROUPS_ASKED]]
+        keys = self._engine_groups.candidates(
+            req.task.spec.program_id,
+            _last_engine(req, model),
+            engines,
+        )
+        return keys[:GROUPS_ASKED]
 
     def _lease_of(self, key: GroupKey, req: ModelRequest) -> Lease:
         granted = self._grants.acquire(key, _job_of(req), _seconds_left(req))
--- a/cactusledge/programs/program_events.py
+++ b/cactusledge/programs/program_events.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from cactusledge.errors import CactusledgeError
-from cactusledge.models import Endpoint
 from cactusledge.peers.client import PeerClient
 from cactusledge.peers.messages import ProgramEvent, ProgramEventKind
 from cactusledge.programs.tasks import CallTask
@@ -47,18 +46,18 @@
         self,
         local: DispatcherClient,
         owner_of: Callable[[GroupKey], PeerClient | None],
-        find: Callable[[str], Endpoint | None],
+        key_of: Callable[[str], GroupKey | None],
     ) -> None:
         """Prepares to tell.
 
         Args:
             local: This instance's schedulers.
             owner_of: Returns a group's owner, None for this instance.
-            find: Returns an endpoint by its name.
+            key_of: Returns the group of an engine.
         """
         self._local = local
         self._owner_of = owner_of
-        self._find = find
+        self._key_of = key_of
         self._pauses = PauseEstimates()
 
     def pause(self, task: CallTask) -> 'Pause':
@@ -88,10 +87,9 @@
         kind: ProgramEventKind,
         pause_s: float,
     ) -> None:
-        endpoint = self._find(engine)
-        if endpoint is None:
+        key = self._key_of(engine)
+        if key is None:
             return
-        key = GroupKey(endpoint.data_centre, endpoint.service)
         document = msgspec.json.encode((key, pause_s))
         event = ProgramEvent(program_id, kind, document)
         owner = self._owner_of(key)
--- a/cactusledge/routing/client.py
+++ b/cactusledge/routing/client.py
@@ -8,6 +8,7 @@
 from cactusledge.models import Endpoint
 from cactusledge.routing import types
 from cactusledge.routing.dispatcher import Dispatcher, GrantFuture
+from cactusledge.routing.policy import GroupPolicy
 
 TICK_S = 1.0
 
@@ -42,9 +43,10 @@
         key: types.GroupKey,
         endpoints: Sequence[Endpoint],
         limits: types.EngineLimits,
+        policy: GroupPolicy | None = None,
     ) -> None:
-        """Tells the engines of a group that this instance owns."""
-        self._proxy.set_engines.defer(key, endpoints, limits)
+        """Tells the engines and the policy of a group."""
+        self._proxy.set_engines.defer(key, endpoints, limits, policy)
 
     def drop_group(self, key: types.GroupKey) -> None:
         """Tells that another instance owns the group now."""
--- a/cactusledge/routing/dispatcher.py
+++ b/cactusledge/routing/dispatcher.py
@@ -8,7 +8,7 @@
 
 from cactusledge.models import Endpoint
 from cactusledge.routing import errors, types
-from cactusledge.routing.policy import PolicySettings
+from cactusledge.routing.policy import GroupPolicy, PolicySettings
 from cactusledge.routing.scheduler import GroupScheduler
 
 GrantFuture: TypeAlias = pykka.Future[types.Grant]
@@ -49,11 +49,14 @@
         key: types.GroupKey,
         endpoints: Sequence[Endpoint],
         limits: types.EngineLimits,
+        policy: GroupPolicy | None = None,
     ) -> None:
-        """Takes a group over, or takes its engines in again."""
+        """Takes a group over, or takes its engines and policy in again."""
         if key not in self._groups:
             self._groups[key] = GroupScheduler(key, self._settings)
             self._futures[key] = {}
+        if policy is not None:
+            self._groups[key].set_policy(policy)
         views = [
             types.EngineView(
                 endpoint.name, limits, endpoint.incarnation, endpoint.leaving
--- a/cactusledge/routing/policy.py
+++ b/cactusledge/routing/policy.py
@@ -1,5 +1,6 @@
 """Settings of the routing policy."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -52,6 +53,13 @@
     learn_events: bool = True
 
 
+class GroupPolicy(NamedTuple):
+    """What the published definitions say of a group."""
+
+    settings: PolicySettings
+    shares: Mapping[str, float]  # weights of the accounts, 1 if not named
+
+
 CACHE_FIRST_WEIGHT = 2.0
 
 LATENCY_FIRST = PolicySettings()
--- a/cactusledge/routing/scheduler.py
+++ b/cactusledge/routing/scheduler.py
@@ -5,7 +5,7 @@
 from cactusledge.routing import types, upkeep
 from cactusledge.routing.dispatch import serve
 from cactusledge.routing.group_state import GroupState
-from cactusledge.routing.policy import PolicySettings
+from cactusledge.routing.policy import GroupPolicy, PolicySettings
 
 
 class GroupScheduler:
@@ -39,6 +39,12 @@
         self._state.set_engines(views)
         return serve(self._state, now)
 
+    def set_policy(self, policy: GroupPolicy) -> None:
+        """Takes other prices of the placement, and the accounts' shares."""
+        self._settings = policy.settings
+        self._state.settings = policy.settings
+        self._state.shares.set_weights(policy.shares)
+
     def submit(self, job: types.Job, now: float) -> list[types.Effect]:
         """Queues a job, or refuses it at once."""
         refusal = upkeep.refusal(self._state, job, now)
--- a/cactusledge/routing/shares.py
+++ b/cactusledge/routing/shares.py
@@ -23,6 +23,10 @@
         self._used_s: dict[str, float] = {}
         self._decayed_s: float = 0
 
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Takes other weights; past use stays."""
+        self._weights = weights
+
     def charge(self, account: str, used_s: float) -> None:
         """Adds engine time to an account's use."""
         self._used_s[account] = self._used_s.get(account, 0) + used_s
