Have the model drive the published head's own decisions

Cause: the decisions on the configuration's head stood twice, and the model checker drove the copy that nothing else used. Ruled out: keeping both; the settings' form remembers publishers and parts and has its own interleaving test. Change: the settings' form is protocol/config_head.py now, the copy and its tests are gone; its settlement table, a superset, and the case of a higher generation are held in test_publish_head. The model and its guards call it. Conclusion: what is checked is what runs.

--- a/cactusledge/protocol/config_head.py
+++ b/cactusledge/protocol/config_head.py
@@ -1,85 +1,106 @@
-"""Decisions about the head of the published configuration.
+"""Decisions on the configuration's head, without any I/O.
 
-The head is one object that is replaced by conditional updates only. Its
-generation rises by one with each publication.
+The head is the one object that says which configuration is published. It is
+replaced by conditional updates only, and each version of it carries a nonce
+that its publisher never uses again.
 """
 
 import enum
 from typing import NamedTuple
 
-from cactusledge.errors import CactusledgeError, ErrorCode
+RECENT_ENTRIES = 16  # superseded heads that each head remembers
 
-# Nonces of former generations that a head names, to settle lost answers.
-RECENT_NONCES = 64
 
+class HeadEntry(NamedTuple):
+    """What is remembered of a superseded head."""
 
-class PublishConflictError(CactusledgeError):
-    """Another operator published first."""
-
-    code = ErrorCode.PUBLISH_CONFLICT
+    generation: int
+    nonce: str
+    publisher: str
 
 
 class Head(NamedTuple):
-    """Which configuration is in force."""
+    """The published configuration's identity and the names of its parts."""
+
+    generation: int
+    nonce: str
+    digest: str
+    parts: tuple[str, ...]
+    publisher: str
+    published_at: str  # ISO 8601, UTC
+    recent: tuple[HeadEntry, ...] = ()
+
+    def entry(self) -> HeadEntry:
+        """Returns what later heads remember of this one."""
+        return HeadEntry(self.generation, self.nonce, self.publisher)
+
+
+class PublishStep(enum.Enum):
+    """What a publisher does with the head that it read."""
+
+    WRITE = 'write'
+    UNCHANGED = 'unchanged'
+    CONFLICT = 'conflict'
+
+
+class Settlement(enum.Enum):
+    """What a read-back tells about a write whose answer is not known."""
 
-    generation: int = 0  # 0: nothing was published
-    nonce: str = ''  # unique to one publication
-    digest: str = ''  # of the whole configuration
-    recent: tuple[
-        str, ...
-    ] = ()  # nonces of the generations before, latest last
+    PUBLISHED = 'published'
+    LOST = 'lost'
+    REPEAT = 'repeat'
+    UNDECIDED = 'undecided'
 
 
-class Settlement(enum.StrEnum):
-    """What a head that was read back says of a publication."""
+class Draft(NamedTuple):
+    """What an operator wants to publish."""
 
-    PUBLISHED = 'published'  # in force
-    SUPERSEDED = 'superseded'  # was in force, a later one replaced it
-    LOST = 'lost'  # never in force and never will be
-    PENDING = 'pending'  # may still land: write the same head again
-    UNKNOWN = 'unknown'  # too long ago to tell
+    nonce: str
+    digest: str
+    parts: tuple[str, ...]
+    publisher: str
+    published_at: str
 
 
 def decide_publish(
-    current: Head,
-    expected_generation: int,
-    digest: str,
-    nonce: str,
-) -> Head:
-    """Returns the head to write against the version read with `current`.
-
-    Raises:
-        PublishConflictError: If another generation is in force by now.
-    """
-    if current.generation != expected_generation:
-        raise PublishConflictError(
-            f'Generation {current.generation} is in force, the plan was '
-            f'made for {expected_generation}.',
-            remedy='Plan again and publish the new plan.',
-        )
-    recent = (*current.recent, current.nonce)[-RECENT_NONCES:]
-    return Head(current.generation + 1, nonce, digest, recent)
-
-
-def decide_apply(current_generation: int, offered: Head) -> bool:
-    """Returns whether an instance puts the offered head in force."""
-    return offered.generation > current_generation
-
-
-def settle_lost_answer(found: Head, written: Head) -> Settlement:
-    """Returns what the head that was read back says of the one written.
-
-    A conflict is settled in the same way: an earlier try may have landed.
-    """
-    behind = found.generation - written.generation
-    if behind < 0:
-        return Settlement.PENDING
-    if behind == 0:
-        return _LANDED[found.nonce == written.nonce]
-    if behind > len(found.recent):
-        return Settlement.UNKNOWN
-    same = found.recent[-behind] == written.nonce
-    return Settlement.SUPERSEDED if same else Settlement.LOST
-
-
-_LANDED = (Settlement.LOST, Settlement.PUBLISHED)
+    current: Head | None,
+    wanted_digest: str,
+    expected_generation: int | None,
+) -> PublishStep:
+    """Returns what to do; `expected_generation` is what the operator saw."""
+    generation = current.generation if current else 0
+    if current and current.digest == wanted_digest:
+        return PublishStep.UNCHANGED
+    if expected_generation is None or expected_generation == generation:
+        return PublishStep.WRITE
+    return PublishStep.CONFLICT
+
+
+def next_head(current: Head | None, draft: Draft) -> Head:
+    """Returns the head that takes the place of `current`."""
+    recent: tuple[HeadEntry, ...] = ()
+    if current:
+        recent = (current.entry(), *current.recent)[:RECENT_ENTRIES]
+    generation = current.generation + 1 if current else 1
+    return Head(generation, *draft, recent=recent)
+
+
+def settle(mine: Head, found: Head | None) -> Settlement:
+    """Returns what became of writing `mine`, given the head read back."""
+    generation = found.generation if found else 0
+    if generation < mine.generation:
+        return Settlement.REPEAT
+    for entry in _entries(found):
+        if entry.generation == mine.generation:
+            won = entry.nonce == mine.nonce
+            return Settlement.PUBLISHED if won else Settlement.LOST
+    return Settlement.UNDECIDED
+
+
+def decide_apply(current_generation: int, offered_generation: int) -> bool:
+    """Returns whether an instance applies an offered configuration."""
+    return offered_generation > current_generation
+
+
+def _entries(head: Head | None) -> tuple[HeadEntry, ...]:
+    return (head.entry(), *head.recent) if head else ()
--- a/cactusledge/settings/follower.py
+++ b/cactusledge/settings/follower.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from cactusledge.errors import CactusledgeError
+from cactusledge.protocol.config_head import decide_apply
 from cactusledge.settings.configuration import Configuration
-from cactusledge.settings.head import decide_apply
 from cactusledge.settings.in_force import ConfigInForce, OnChange, Snapshot
 from cactusledge.settings.published import (
     HEAD_KIND,
--- a/cactusledge/settings/in_force.py
+++ b/cactusledge/settings/in_force.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
+from cactusledge.protocol.config_head import Head, decide_apply
 from cactusledge.settings.configuration import Configuration
 from cactusledge.settings.definitions import configure
-from cactusledge.settings.head import Head, decide_apply
 from cactusledge.settings.parts import Part
 from cactusledge.settings.published import read_definitions
 from cactusledge.settings.snapshot import decode_snapshot, encode_snapshot
--- a/cactusledge/settings/publish.py
+++ b/cactusledge/settings/publish.py
@@ -15,9 +15,7 @@
     StoreUnavailableError,
 )
 from cactusledge.models import Outcome
-from cactusledge.settings.definitions import DefinitionSet, digest_of
-from cactusledge.settings.errors import PublishConflictError
-from cactusledge.settings.head import (
+from cactusledge.protocol.config_head import (
     Draft,
     Head,
     PublishStep,
@@ -26,6 +24,8 @@
     next_head,
     settle,
 )
+from cactusledge.settings.definitions import DefinitionSet, digest_of
+from cactusledge.settings.errors import PublishConflictError
 from cactusledge.settings.parts import Part, split
 from cactusledge.settings.published import (
     HEAD_KIND,
--- a/cactusledge/settings/published.py
+++ b/cactusledge/settings/published.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from cactusledge.errors import StoreNotFoundError
+from cactusledge.protocol.config_head import Head
 from cactusledge.settings.configuration import Configuration
 from cactusledge.settings.definitions import configure
-from cactusledge.settings.head import Head
 from cactusledge.settings.parts import (
     CorruptPartError,
     Part,
--- a/model/guards.py
+++ b/model/guards.py
@@ -204,7 +204,7 @@
         (
             Patch(
                 config_head,
-                'settle_lost_answer',
+                'settle',
                 patches.settle_by_generation,
             ),
         ),
@@ -215,7 +215,7 @@
         (
             Patch(
                 config_head,
-                'settle_lost_answer',
+                'settle',
                 patches.give_up_pending,
             ),
         ),
--- a/model/head_model.py
+++ b/model/head_model.py
@@ -8,18 +8,16 @@
 from cactusledge.protocol import config_head
 
 Fields: TypeAlias = dict[str, Any]
-_ACCEPTED = frozenset((
-    config_head.Settlement.PUBLISHED,
-    config_head.Settlement.SUPERSEDED,
-))
+Stored: TypeAlias = config_head.Head | None  # None before the first one
+PUBLISHED = config_head.Settlement.PUBLISHED
 
 
 class Publisher(NamedTuple):
     """One operator's command."""
 
     planned: int = -1  # generation that the plan was made for
-    written: config_head.Head | None = None
-    base: config_head.Head | None = None  # head that the write replaces
+    written: Stored = None
+    base: Stored = None  # head that the write replaces
     unsure: bool = False  # the answer was lost
     told: str = ''  # what the operator was told
     tries: int = 2  # publications left
@@ -28,12 +26,8 @@
 class HeadWorld(NamedTuple):
     """Platform, operators and instances."""
 
-    history: tuple[config_head.Head, ...] = (
-        config_head.Head(),
-    )  # heads that were in force
-    late: frozenset[tuple[config_head.Head, config_head.Head]] = (
-        frozenset()
-    )  # base, written
+    history: tuple[Stored, ...] = (None,)  # heads that were in force
+    late: frozenset[tuple[Stored, config_head.Head]] = frozenset()
     publishers: tuple[Publisher, ...] = (Publisher(), Publisher())
     applied: tuple[int, ...] = (0, 0)  # generation of each instance
     told: frozenset[tuple[str, str]] = frozenset()  # nonce, settlement
@@ -56,7 +50,7 @@
     )
 
 
-def accepts(world: HeadWorld, base: config_head.Head) -> bool:
+def accepts(world: HeadWorld, base: Stored) -> bool:
     """Returns whether the head still has the version of `base`."""
     return world.history[-1] == base
 
@@ -70,14 +64,14 @@
 
 
 def _generations_rise(world: Fields) -> bool:
-    generations = [head.generation for head in world['history']]
+    generations = [generation_of(head) for head in world['history']]
     return generations == list(range(len(generations)))
 
 
 def _told_truth(world: Fields) -> bool:
-    nonces = {head.nonce for head in world['history']}
+    nonces = {head.nonce for head in world['history'] if head}
     return all(
-        (nonce in nonces) == (settled in _ACCEPTED)
+        (nonce in nonces) == (settled == PUBLISHED.value)
         for nonce, settled in world['told']
     )
 
@@ -90,17 +84,21 @@
         yield from _publisher_moves(world, index)
     for index, applied in enumerate(world.applied):
         for offered in world.history:
-            if config_head.decide_apply(applied, offered):
-                label = f'instance {index} applies {offered.generation}'
-                yield label, _apply(world, index, offered)
+            generation = generation_of(offered)
+            if config_head.decide_apply(applied, generation):
+                label = f'instance {index} applies {generation}'
+                yield label, _apply(world, index, generation)
 
 
-def _apply(
-    world: HeadWorld, index: int, offered: config_head.Head
-) -> HeadWorld:
+def generation_of(head: Stored) -> int:
+    """Returns a head's generation, 0 before the first one."""
+    return head.generation if head else 0
+
+
+def _apply(world: HeadWorld, index: int, generation: int) -> HeadWorld:
     applied = list(world.applied)
-    reverted = offered.generation < applied[index]
-    applied[index] = offered.generation
+    reverted = generation < applied[index]
+    applied[index] = generation
     return world._replace(
         applied=tuple(applied),
         reverted=world.reverted or reverted,
@@ -109,7 +107,7 @@
 
 def _publisher_moves(world: HeadWorld, index: int) -> Iterator[Move]:
     publisher = world.publishers[index]
-    if publisher.written is not None and publisher.base is not None:
+    if publisher.written is not None:
         if publisher.unsure:
             yield f'operator {index} reads back', _settle(world, index)
         else:
@@ -117,7 +115,8 @@
     elif publisher.planned >= 0:
         yield f'operator {index} publishes', _begin(world, index)
     elif publisher.tries:
-        planned = publisher._replace(planned=world.history[-1].generation)
+        generation = generation_of(world.history[-1])
+        planned = publisher._replace(planned=generation)
         yield f'operator {index} plans', _with(world, index, planned)
 
 
@@ -126,12 +125,11 @@
     current = world.history[-1]
     nonce = f'{index}.{publisher.tries}'
     left = Publisher(tries=publisher.tries - 1)
-    try:
-        written = config_head.decide_publish(
-            current, publisher.planned, nonce, nonce
-        )
-    except config_head.PublishConflictError:
+    step = config_head.decide_publish(current, nonce, publisher.planned)
+    if step is not config_head.PublishStep.WRITE:
         return _with(world, index, left)
+    draft = config_head.Draft(nonce, nonce, (), str(index), '')
+    written = config_head.next_head(current, draft)
     begun = left._replace(written=written, base=current)
     return _with(world, index, begun)
 
@@ -139,14 +137,14 @@
 def _write_moves(world: HeadWorld, index: int) -> Iterator[Move]:
     publisher = world.publishers[index]
     base, written = publisher.base, publisher.written
-    if base is None or written is None:
+    if written is None:
         return
     unsure = publisher._replace(unsure=True)
     if accepts(world, base):
         done = _write(world, base, written)
         yield (
             f'{written.nonce} written',
-            _tell(done, index, config_head.Settlement.PUBLISHED),
+            _tell(done, index, PUBLISHED),
         )
         if world.losses:
             lost = done._replace(losses=world.losses - 1)
@@ -162,7 +160,7 @@
 
 
 def _write(
-    world: HeadWorld, base: config_head.Head, written: config_head.Head
+    world: HeadWorld, base: Stored, written: config_head.Head
 ) -> HeadWorld:
     if not accepts(world, base):
         return world
@@ -174,8 +172,8 @@
     if publisher.written is None:
         return world
     found = world.history[-1]
-    settled = config_head.settle_lost_answer(found, publisher.written)
-    if settled is config_head.Settlement.PENDING:
+    settled = config_head.settle(publisher.written, found)
+    if settled is config_head.Settlement.REPEAT:
         return _with(world, index, publisher._replace(unsure=False))
     return _tell(world, index, settled)
 
--- a/model/patches.py
+++ b/model/patches.py
@@ -15,7 +15,7 @@
 _commit = journal._commit  # ruff: ignore[private-member-access]
 _takeover = calls.takeover_records
 _settle = budget.settle
-_settle_head = config_head.settle_lost_answer
+_settle_head = config_head.settle
 _end = calls.end_records
 
 
@@ -147,22 +147,22 @@
 
 
 def settle_by_generation(
-    found: config_head.Head,
-    written: config_head.Head,
+    mine: config_head.Head,
+    found: config_head.Head | None,
 ) -> config_head.Settlement:
     """Takes any head of the generation for its own."""
-    if found.generation == written.generation:
+    if found is not None and found.generation == mine.generation:
         return config_head.Settlement.PUBLISHED
-    return _settle_head(found, written)
+    return _settle_head(mine, found)
 
 
 def give_up_pending(
-    found: config_head.Head,
-    written: config_head.Head,
+    mine: config_head.Head,
+    found: config_head.Head | None,
 ) -> config_head.Settlement:
     """Takes an unchanged head for a failure."""
-    settled = _settle_head(found, written)
-    if settled is config_head.Settlement.PENDING:
+    settled = _settle_head(mine, found)
+    if settled is config_head.Settlement.REPEAT:
         return config_head.Settlement.LOST
     return settled
 
--- a/tests/test_journal_steps.py
+++ b/tests/test_journal_steps.py
@@ -6,14 +6,6 @@
 from cactusledge.protocol import calls, journal, ring
 from cactusledge.protocol import journal_types as msg
 from cactusledge.protocol import records as rec
-from cactusledge.protocol.config_head import (
-    Head,
-    PublishConflictError,
-    Settlement,
-    decide_apply,
-    decide_publish,
-    settle_lost_answer,
-)
 from cactusledge.protocol.errors import (
     CorruptRecordError,
     HistoryError,
@@ -231,36 +223,3 @@
     with pytest.raises(RefusedCallError) as refused:
         check_size([opened('x' * ring.MAX_DATA_BYTES)])
     assert refused.value.outcome is Outcome.NOT_RUN
-
-
-CURRENT = Head(2, 'n2', 'd2', ('', 'n1'))
-MINE = decide_publish(CURRENT, 2, 'd3', 'n3')
-NEXT = decide_publish(MINE, 3, 'd4', 'n4')
-OTHER = decide_publish(CURRENT, 2, 'dx', 'nx')
-
-
-@pytest.mark.parametrize(
-    ('found', 'settled'),
-    [
-        (CURRENT, Settlement.PENDING),
-        (MINE, Settlement.PUBLISHED),
-        (OTHER, Settlement.LOST),
-        (NEXT, Settlement.SUPERSEDED),
-        (decide_publish(OTHER, 3, 'd', 'n'), Settlement.LOST),
-        (Head(900, 'n900', 'd'), Settlement.UNKNOWN),
-    ],
-)
-def test_lost_publication_is_settled(found, settled):
-    assert settle_lost_answer(found, MINE) is settled
-
-
-def test_losing_publisher_learns_the_generation_in_force():
-    with pytest.raises(PublishConflictError, match='Generation 3'):
-        decide_publish(MINE, 2, 'd', 'n')
-
-
-@pytest.mark.parametrize(
-    ('current', 'applies'), [(1, True), (2, False), (3, False)]
-)
-def test_only_a_higher_generation_is_applied(current, applies):
-    assert decide_apply(current, CURRENT) is applies
--- a/tests/test_publish_head.py
+++ b/tests/test_publish_head.py
@@ -5,19 +5,20 @@
 import pytest
 
 from cactusledge.errors import ErrorCode, StoreUnavailableError
-from cactusledge.settings.definitions import DefinitionSet, merge, parse_file
-from cactusledge.settings.errors import (
-    InvalidDefinitionError,
-    PublishConflictError,
-)
-from cactusledge.settings.head import (
+from cactusledge.protocol.config_head import (
     Draft,
     PublishStep,
     Settlement,
+    decide_apply,
     decide_publish,
     next_head,
     settle,
 )
+from cactusledge.settings.definitions import DefinitionSet, merge, parse_file
+from cactusledge.settings.errors import (
+    InvalidDefinitionError,
+    PublishConflictError,
+)
 from cactusledge.settings.parts import (
     MAX_PART_BYTES,
     CorruptPartError,
@@ -120,6 +121,13 @@
     assert decide_publish(current, digest, expected) is step
 
 
+@pytest.mark.parametrize(
+    ('current', 'applies'), [(1, True), (2, False), (3, False)]
+)
+def test_only_a_higher_generation_is_applied(current, applies):
+    assert decide_apply(current, SECOND.generation) is applies
+
+
 @pytest.mark.parametrize(('faults', 'winner'), HEAD_FAULTS)
 @pytest.mark.parametrize('part_faults', PART_FAULTS)
 @pytest.mark.parametrize('first', [True, False])
--- a/tests/test_publish_model.py
+++ b/tests/test_publish_model.py
@@ -13,7 +13,7 @@
 import pytest
 from minicheck import Protocol, check_safety
 
-from cactusledge.settings.head import (
+from cactusledge.protocol.config_head import (
     Draft,
     Head,
     PublishStep,
