Remove settings without effect; wait for a call as long as it may take

Ruled out: keeping names for later; an operator would trust them. Change: driver_actors, data_folder, ready_timeout_s and max_batch_bytes are gone; limits.call_timeout_s; 1,024 slots and 128 threads by default.

--- a/cactusledge/api/handlers.py
+++ b/cactusledge/api/handlers.py
@@ -46,7 +46,7 @@
     programs: ProgramService
     report: InstanceReport
     find_account: AccountLookup
-    request_timeout_s: float
+    call_timeout_s: float
     openapi: bytes
     metrics: Metrics
     traces: Traces
@@ -72,7 +72,7 @@
     """Makes a call: `POST /v1/programs/{program_id}/calls`."""
     account = _account(ctx, req)
     body = parse_body(req.body, CallBody)
-    deadline_s = time.monotonic() + ctx.request_timeout_s
+    deadline_s = time.monotonic() + ctx.call_timeout_s
     stream = ctx.programs.call(_call_args(ctx, account, req, body))
     if body.stream:
         return Response(
@@ -81,7 +81,7 @@
             content_type=EVENT_STREAM_TYPE,
             headers=(('Cache-Control', 'no-store'),),
         )
-    return _whole_answer(stream, ctx.request_timeout_s)
+    return _whole_answer(stream, ctx.call_timeout_s)
 
 
 def view_program(ctx: ApiContext, req: Request) -> Response:
--- a/cactusledge/assembly/api.py
+++ b/cactusledge/assembly/api.py
@@ -23,7 +23,7 @@
         programs=programs,
         report=report,
         find_account=partial(_find_account, base),
-        request_timeout_s=limits.request_timeout_s,
+        call_timeout_s=limits.call_timeout_s,
         openapi=openapi.read_bytes(),
         metrics=base.metrics,
         traces=base.traces,
--- a/cactusledge/settings/sections.py
+++ b/cactusledge/settings/sections.py
@@ -7,26 +7,23 @@
 from cactusledge.settings.strict import (
     Addresses,
     AddressField,
-    Amount,
     Count,
     Seconds,
     StrictModel,
     parse_address,
 )
 
-KIB = 1024
-MIB = KIB * KIB
+MIB = 1_048_576
 
 PLATFORM_TIMEOUT_S = 2.0
-RING_SLOTS = 256
+RING_SLOTS = 1024
 COMMIT_INTERVAL_S = 0.02
-MAX_BATCH_BYTES = MIB * 3 // 4
 MAX_HEADER_BYTES = 32_768
 MAX_CONNECTIONS = 512
 REQUEST_TIMEOUT_S = 30.0
-WORKER_THREADS = 32
+CALL_TIMEOUT_S = 300.0
+WORKER_THREADS = 128
 BALANCER_GRACE_S = 3.0
-READY_TIMEOUT_S = 30
 DRAIN_TIMEOUT_S = 60.0
 MAX_BODY_BYTES = MIB * 4
 MAX_WAITING_BYTES = MIB * 8
@@ -93,20 +90,11 @@
         default=COMMIT_INTERVAL_S,
         description='Longest wait for a batch to fill.',
     )
-    max_batch_bytes: Annotated[int, Field(ge=KIB, le=MIB)] = Field(
-        default=MAX_BATCH_BYTES, description='Largest batch of one commit.'
-    )
-    max_waiting_bytes: Count = Field(
+    max_waiting_bytes: Annotated[int, Field(ge=MIB)] = Field(
         default=MAX_WAITING_BYTES,
         description='Records held in memory while the platform is away.',
     )
 
-    @model_validator(mode='after')
-    def _check_sizes(self) -> Self:
-        if self.max_waiting_bytes < self.max_batch_bytes:
-            raise ValueError('max_waiting_bytes is below max_batch_bytes')
-        return self
-
 
 class LimitsSection(StrictModel):
     """Limits on requests and on the instance's own resources."""
@@ -123,12 +111,13 @@
     request_timeout_s: Seconds = Field(
         default=REQUEST_TIMEOUT_S, description='Limit for reading one request.'
     )
+    call_timeout_s: Seconds = Field(
+        default=CALL_TIMEOUT_S,
+        description='Longest wait of one request for the answer to its call.',
+    )
     worker_threads: Count = Field(
         default=WORKER_THREADS, description='Threads for requests to endpoints.'
     )
-    driver_actors: Count = Field(
-        default=4, description='Actors that drive programs.'
-    )
 
 
 class ShutdownSection(StrictModel):
@@ -188,11 +177,3 @@
     shutdown: ShutdownSection = ShutdownSection()
     logs: LogsSection = LogsSection()
     traces: TracesSection = TracesSection()
-    data_folder: str | None = Field(
-        default=None,
-        description='Folder for bulk data, where the instance has a disk.',
-    )
-    ready_timeout_s: Amount = Field(
-        default=READY_TIMEOUT_S,
-        description='Longest wait for a configuration at start-up.',
-    )
--- a/tests/api_support.py
+++ b/tests/api_support.py
@@ -102,7 +102,7 @@
         programs=programs,
         report=programs,
         find_account={TOKEN: 'buyers'}.get,
-        request_timeout_s=1,
+        call_timeout_s=1,
         openapi=OPENAPI,
         metrics=Metrics(),
         traces=Traces(instance='entry-1', data_centre='bole'),
--- a/tests/test_settings_instance.py
+++ b/tests/test_settings_instance.py
@@ -24,14 +24,14 @@
     ('logs: {format: xml}', ':2', "'json' or 'console'"),
     ('peers:\n  seeds:\n  - 127.0.0.1:1\n  - x', ':5', 'host:port'),
     ('traces: {exporter: jsonl}', ':2', 'needs a path'),
-    ('journal: {max_waiting_bytes: 9}', ':2', 'below max_batch_bytes'),
+    ('journal: {max_waiting_bytes: 9}', ':2', 'greater than or equal'),
     ('instance: {name: b}', ':2', 'stands twice'),
     ('logs: &a {level: info}', ':2', 'Anchors and aliases'),
     ('logs: {level: info', ':2', 'not valid YAML'),
     ('? [a]\n: 1', ':2', 'not a plain string'),
-    ('data_folder: 2026-99-99', ':2', 'cannot be read'),
-    ('data_folder: \x07', ':1', 'not valid YAML'),
-    (f'data_folder: {"[" * 40}', ':2', 'deeper than'),
+    ('traces: {path: 2026-99-99}', ':2', 'cannot be read'),
+    ('logs: \x07', ':1', 'not valid YAML'),
+    (f'logs: {"[" * 40}', ':2', 'deeper than'),
     ('---\na: 1', ':2', 'not valid YAML'),
 )
 BAD_VARIABLES = (
@@ -53,7 +53,7 @@
     cfg = load_settings(path, {'HOME': '/root'})
     assert cfg.instance.data_centre == 'tpe'
     assert cfg.listen.api == Address('127.0.0.1', 8420)
-    assert cfg.data_folder is None
+    assert not cfg.traces.path
 
 
 def test_environment_overrides_the_file(path):
@@ -65,13 +65,13 @@
             'CACTUSLEDGE_LIMITS__WORKER_THREADS': '7',
             'CACTUSLEDGE_LISTEN__API': '127.0.0.9:1',
             'CACTUSLEDGE_PEERS__SEEDS': '127.0.0.1:1, 127.0.0.2:2',
-            'CACTUSLEDGE_DATA_FOLDER': '2026',
+            'CACTUSLEDGE_TRACES__PATH': '2026',
         },
     )
     assert cfg.limits.worker_threads == 7
     assert cfg.listen.api == Address('127.0.0.9', 1)
     assert cfg.peers.seeds == (Address('127.0.0.1', 1), Address('127.0.0.2', 2))
-    assert cfg.data_folder == '2026'
+    assert cfg.traces.path == '2026'
 
 
 @pytest.mark.parametrize(('text', 'line', 'part'), BAD_FILES)
