Read only the new events of the platform stand-in's history

Cause: under the load of three instances the platform stand-in used 0.79 of a core at 42 writes a second: each write wakes every watch, and each woken watch read the whole history of 1000 events twice. Ruled out: a shorter switch interval of the interpreter in the instances (0.5 ms in place of 5 ms: 79 against 87.5 requests a second, no better); one setting of the socket's timeout a stream instead of one a read (44.1 to 49.1 against 43.1 to 45.9 ms CPU a call of 96 tokens, no better). Neither is kept. Change: events_after walks back from the newest event.

--- a/standins/platform_table.py
+++ b/standins/platform_table.py
@@ -3,6 +3,7 @@
 import threading
 from collections import defaultdict, deque
 from collections.abc import Mapping
+from itertools import takewhile
 from typing import Any
 
 from cactusledge.platform.store import (
@@ -104,11 +105,11 @@
             after = int(version)
             if after < self._oldest:
                 raise GoneError
-            return tuple(
-                event
-                for event in self._events
-                if int(event.object.version) > after
+            newest_first = takewhile(
+                lambda event: int(event.object.version) > after,
+                reversed(self._events),
             )
+            return tuple(reversed(tuple(newest_first)))
 
     def bookmark(self, kind: str) -> WatchEvent:
         """Returns an event that carries the present version."""
