--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -127,7 +127,6 @@
     def _stop_parts(self) -> None:
         self._peers.stop()
         self._routing.stop()
-        self._programs.pools.close()
         pykka.ActorRegistry.stop_all(timeout=STOP_WAIT_S)
         self._base.stop()
 
--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -11,7 +11,6 @@
 from cactusledge.peers.messages import MemberView
 from cactusledge.peers.rendezvous import owner
 from cactusledge.peers.server import PeerServer
-from cactusledge.programs.held import HeldStore
 from cactusledge.programs.neighbours import (
     Me,
     Neighbours,
@@ -24,6 +23,7 @@
 from cactusledge.telemetry.logs import get_logger
 
 PEER_TIMEOUT_S = 5.0
+NS_PER_MS = 1_000_000
 
 log = get_logger('peers')
 
@@ -40,8 +40,8 @@
 
     def start(self) -> None:
         """Listens, then tells the peers of this instance."""
-        self.server.start()
         self.membership.start()
+        self.server.start()
         self.base.workers.submit(self._find_peers)
 
     def tick(self) -> None:
@@ -53,7 +53,8 @@
         self.base.workers.submit(self.reporter.tick)
         newest = max(map(generation_of, self.membership.alive()), default=0)
         if newest > generation:
-            self._fetch_config(generation)
+            self.base.config.hint(newest)
+            self.base.workers.submit(self._fetch_config, generation)
 
     def leave(self) -> None:
         """Tells the peers that this instance takes no new work."""
@@ -62,8 +63,8 @@
 
     def stop(self) -> None:
         """Closes the connections from and to peers."""
-        self.membership.stop()
         self.server.stop()
+        self.membership.stop()
         self.neighbours.close()
 
     def _find_peers(self) -> None:
@@ -100,7 +101,7 @@
             host=address.host,
             port=address.port,
             data_centre=base.data_centre,
-            incarnation=time.time_ns(),
+            incarnation=time.time_ns() // NS_PER_MS,
         ),
         peers.seeds,
         peers.heartbeat_interval_s,
@@ -128,7 +129,8 @@
             heartbeats=membership,
             programs=programs.local,
             grants=routing.grant_desk,
-            held=HeldStore(),
+            queues=routing.queues,
+            held=programs.held,
             config=base.config,
             traces=base.traces,
             want_log=programs.logs.want,
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -7,15 +7,15 @@
 from cactusledge.assembly.base import Base
 from cactusledge.assembly.routing import RoutingPart
 from cactusledge.assembly.sending import build_work
-from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.programs.call_stream import CallStream
 from cactusledge.programs.claims import Choose, Fence, InstanceView, wanted_logs
 from cactusledge.programs.durability import CommitWait
-from cactusledge.programs.held import PeerHeldRecords
+from cactusledge.programs.held import HeldStore, PeerHeldRecords
 from cactusledge.programs.ids import log_names
 from cactusledge.programs.log_opener import OpenerParts, StoreLogOpener
 from cactusledge.programs.logs import LogManager, LogTable
 from cactusledge.programs.neighbours import Neighbours
+from cactusledge.programs.relay import Relay
 from cactusledge.programs.remote import PeerPrograms
 from cactusledge.programs.router import (
     Home,
@@ -33,10 +33,10 @@
     logs: LogManager
     local: LocalPrograms
     router: ProgramRouter
-    pools: ConnectionPools
     neighbours: Neighbours
     home: Home
     opener: StoreLogOpener
+    held: HeldStore
 
     def platform_up(self) -> bool:
         """Returns whether the platform answers the journal's writers."""
@@ -87,35 +87,42 @@
 ) -> ProgramsPart:
     """Returns the programs part of an instance."""
     table = LogTable()
-    opener = _build_opener(base, neighbours)
+    held = HeldStore()
+    opener = _build_opener(base, neighbours, held)
     durability = CommitWait(opener.is_up, opener.hold_waiting)
-    pools = ConnectionPools()
-    opener.work = build_work(base, routing, pools, durability)
+    relay = Relay()
+    opener.work = build_work(base, routing, durability, relay)
     logs = LogManager(
         table,
         opener,
         base.workers,
         lambda fences: _wanted(base, table, neighbours, choose, fences),
+        lambda: {name for one in neighbours.others() for name in one.logs},
     )
     local = LocalPrograms(table, durability)
     home = Home(base.data_centre, base.settings.journal.logs_per_data_centre)
     remotes = _Remotes(base, neighbours)
     router = ProgramRouter(home, local, remotes.find)
     remotes.again = router.call
+    relay.again = router.call
     return ProgramsPart(
         table,
         logs,
         local,
         router,
-        pools,
         neighbours,
         home,
         opener,
+        held,
     )
 
 
-def _build_opener(base: Base, neighbours: Neighbours) -> StoreLogOpener:
-    held = PeerHeldRecords(base.name, neighbours.nearby)
+def _build_opener(
+    base: Base,
+    neighbours: Neighbours,
+    store: HeldStore,
+) -> StoreLogOpener:
+    held = PeerHeldRecords(base.name, neighbours.nearby, store)
     return StoreLogOpener(
         OpenerParts(
             store=base.store,
--- a/cactusledge/assembly/routing.py
+++ b/cactusledge/assembly/routing.py
@@ -6,22 +6,23 @@
 
 from cactusledge.assembly.base import Base
 from cactusledge.endpoints.directory import EndpointDirectory
+from cactusledge.endpoints.engine import EngineClient
+from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.models import CallKind, Endpoint
 from cactusledge.platform.watcher import Watcher, WatchTarget
+from cactusledge.programs.engine_care import CareParts, EngineCare
+from cactusledge.programs.engine_groups import EngineGroups
 from cactusledge.programs.grants import GrantDesk, GrantRouter
 from cactusledge.programs.leases import LeaseDesk
 from cactusledge.programs.neighbours import Neighbours
+from cactusledge.programs.program_events import ProgramEvents
 from cactusledge.programs.replicas import Replicas
 from cactusledge.routing.client import DispatcherClient, Ticker
 from cactusledge.routing.dispatcher import Dispatcher
 from cactusledge.routing.policy import LATENCY_FIRST
-from cactusledge.routing.types import CacheRelease, EngineLimits, GroupKey, Warm
-from cactusledge.telemetry.logs import get_logger
 
 INSTANCES_KIND = 'instances'
 
-log = get_logger('routing')
-
 
 class RoutingPart(NamedTuple):
     """The endpoints and who decides about them."""
@@ -32,6 +33,10 @@
     grant_desk: GrantDesk
     leases: LeaseDesk
     ticker: Ticker
+    care: EngineCare
+    events: ProgramEvents
+    queues: DispatcherClient
+    pools: ConnectionPools
 
     def start(self) -> None:
         """Follows the live list and lets the queues tick."""
@@ -39,14 +44,16 @@
         self.ticker.start()
 
     def tick(self) -> None:
-        """Takes back what dead instances asked for."""
+        """Takes back what dead instances asked for, and asks the engines."""
         self.grant_desk.tick()
+        self.care.tick()
 
     def stop(self) -> None:
         """Stops following and answers what waits."""
         self.watcher.stop()
         self.ticker.stop()
         self.dispatcher.stop(block=False)
+        self.pools.close()
 
 
 def build_routing(base: Base, neighbours: Neighbours) -> RoutingPart:
@@ -54,15 +61,27 @@
     dispatcher = Dispatcher.start(
         owner=base.name,
         settings=LATENCY_FIRST,
-        emit=_log_effect,
+        emit=lambda effect: care.carry_out(effect),
     )
     client = DispatcherClient(dispatcher)
-    directory = EndpointDirectory(
+    groups = EngineGroups(LATENCY_FIRST.group_size)
+    directory: EndpointDirectory = EndpointDirectory(
         base.data_centre,
         lambda: _fixed_endpoints(base),
-        lambda: _set_engines(client, directory),
+        lambda: _regroup(base, groups, directory, client),
     )
     grants = GrantRouter(client, neighbours.owner_of_group, base.name)
+    pools = ConnectionPools()
+    care: EngineCare = EngineCare(
+        CareParts(
+            workers=base.workers,
+            engines=EngineClient(pools),
+            directory=directory,
+            queues=client,
+            is_owner=lambda key: neighbours.owner_of_group(key) is None,
+            key_of=groups.key_of,
+        ),
+    )
     base.config.on_change(lambda _: directory.refresh())
     return RoutingPart(
         directory=directory,
@@ -73,8 +92,17 @@
             directory,
             grants,
             Replicas(base.data_centre, LATENCY_FIRST),
+            groups,
         ),
         ticker=Ticker(client),
+        care=care,
+        events=ProgramEvents(
+            client,
+            neighbours.owner_of_group,
+            groups.key_of,
+        ),
+        queues=client,
+        pools=pools,
     )
 
 
@@ -87,17 +115,11 @@
     return base.config.current().fixed_endpoints()
 
 
-def _set_engines(
-    client: DispatcherClient,
+def _regroup(
+    base: Base,
+    groups: EngineGroups,
     directory: EndpointDirectory,
+    client: DispatcherClient,
 ) -> None:
-    groups: dict[GroupKey, list[Endpoint]] = {}
-    for engine in engines_of(directory):
-        key = GroupKey(engine.data_centre, engine.service)
-        groups.setdefault(key, []).append(engine)
-    for key, members in groups.items():
-        client.set_engines(key, members, EngineLimits())
-
-
-def _log_effect(effect: CacheRelease | Warm) -> None:
-    log.debug('Effect.', engine=effect.engine)
+    groups.refresh(directory)
+    groups.tell(client, base.config.current())
--- a/cactusledge/assembly/sending.py
+++ b/cactusledge/assembly/sending.py
@@ -5,12 +5,14 @@
 from cactusledge.assembly.base import Base
 from cactusledge.assembly.routing import RoutingPart, engines_of
 from cactusledge.endpoints.engine import EngineClient
-from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.endpoints.service import ServiceClient
 from cactusledge.models import CallKind, CallSpec
 from cactusledge.programs.durability import CommitWait
+from cactusledge.programs.model_sender import ModelSender
+from cactusledge.programs.relay import Relay
 from cactusledge.programs.runner import CallRunner
-from cactusledge.programs.sending import ModelSender, Sender, ServiceSender
+from cactusledge.programs.sending import Sender
+from cactusledge.programs.service_sender import ServiceSender
 from cactusledge.programs.work import WorkPool
 from cactusledge.settings.configuration import Operation
 
@@ -34,12 +36,12 @@
 def build_work(
     base: Base,
     routing: RoutingPart,
-    pools: ConnectionPools,
     durability: CommitWait,
+    relay: Relay,
 ) -> WorkPool:
     """Returns the worker pool of the drivers."""
-    engines = EngineClient(pools)
-    services = ServiceClient(pools)
+    engines = EngineClient(routing.pools)
+    services = ServiceClient(routing.pools)
     definitions = _Definitions(base)
     senders: Mapping[CallKind, Sender] = {
         CallKind.MODEL: ModelSender(
@@ -53,13 +55,22 @@
             services,
             definitions.operation_of,
             base.traces,
+            routing.events,
         ),
     }
     return WorkPool(
         base.workers,
-        CallRunner(senders, durability, base.traces, base.metrics),
+        CallRunner(
+            senders,
+            durability,
+            base.traces,
+            base.metrics,
+            relay,
+            routing.care.release,
+        ),
         engines,
         services,
         routing.directory,
         lambda: engines_of(routing.directory),
+        routing.events.ended,
     )
--- /dev/null
+++ b/cactusledge/programs/engine_care.py
@@ -0,0 +1,90 @@
+"""Engine work between calls: load reports and cache releases."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import NamedTuple
+
+from cactusledge.endpoints.directory import EndpointDirectory
+from cactusledge.endpoints.engine import EngineClient
+from cactusledge.errors import CactusledgeError
+from cactusledge.models import Endpoint
+from cactusledge.routing.client import DispatcherClient
+from cactusledge.routing.types import CacheRelease, EngineReport, GroupKey
+from cactusledge.telemetry.logs import get_logger
+
+REPORT_TIMEOUT_S = 1.0
+RELEASE_TIMEOUT_S = 5.0
+
+log = get_logger('engines')
+
+
+class CareParts(NamedTuple):
+    """What the care of engines works with."""
+
+    workers: Executor
+    engines: EngineClient
+    directory: EndpointDirectory
+    queues: DispatcherClient
+    is_owner: Callable[[GroupKey], bool]
+    key_of: Callable[[str], GroupKey | None]
+
+
+class EngineCare:
+    """Carries out what the schedulers of this instance ask of engines."""
+
+    def __init__(self, parts: CareParts) -> None:
+        """Keeps the parts."""
+        self._parts = parts
+        self._asking: set[str] = set()
+
+    def tick(self) -> None:
+        """Asks the engines of the groups that this instance owns."""
+        for endpoint in self._parts.directory.all():
+            key = self._parts.key_of(endpoint.name)
+            is_new = endpoint.name not in self._asking
+            if key and is_new and self._parts.is_owner(key):
+                self._asking.add(endpoint.name)
+                self._parts.workers.submit(self._report, key, endpoint)
+
+    def carry_out(self, effect: CacheRelease) -> None:
+        """Does what a scheduler asked for, in a worker."""
+        self.release(effect.engine, effect.program_id)
+
+    def release(self, engine: str, program_id: str) -> None:
+        """Frees a program's cache at an engine, in a worker."""
+        endpoint = self._parts.directory.find(engine)
+        if endpoint is not None:
+            self._parts.workers.submit(self._release, endpoint, program_id)
+
+    def _report(self, key: GroupKey, endpoint: Endpoint) -> None:
+        deadline_s = time.monotonic() + REPORT_TIMEOUT_S
+        try:
+            load = self._parts.engines.load_report(
+                endpoint,
+                deadline_s=deadline_s,
+            )
+        except CactusledgeError as exc:
+            log.info('No load report.', reason=exc.message)
+        else:
+            report = EngineReport(
+                engine=endpoint.name,
+                taken_s=time.time() - load.lag_s,
+                running=load.running,
+                waiting=load.waiting,
+                kv_used_tokens=load.memory_tokens,
+            )
+            self._parts.queues.report(key, report)
+        finally:
+            self._asking.discard(endpoint.name)
+
+    def _release(self, endpoint: Endpoint, program_id: str) -> None:
+        deadline_s = time.monotonic() + RELEASE_TIMEOUT_S
+        try:
+            self._parts.engines.release_cache(
+                endpoint,
+                program_id,
+                deadline_s=deadline_s,
+            )
+        except CactusledgeError as exc:
+            log.info('Cache not released.', reason=exc.message)
--- a/cactusledge/programs/journal_actor.py
+++ b/cactusledge/programs/journal_actor.py
@@ -15,13 +15,14 @@
 from cactusledge.programs.journal_queue import (
     CommitQueue,
     Entry,
-    WaitingBytes,
+    PendingEntries,
 )
 from cactusledge.protocol import journal
 from cactusledge.protocol import journal_types as msg
 from cactusledge.protocol.errors import (
     FencedError,
     HistoryError,
+    JournalFailedError,
     JournalStoppedError,
 )
 from cactusledge.protocol.ledger import Ledger
@@ -32,9 +33,6 @@
     from cactusledge.programs.journal_writer import WriterOptions
     from cactusledge.programs.takeover import TakenLog
 
-# Part of an object that snapshots may take while the ring has room.
-CARRY_BYTES = MAX_DATA_BYTES // 4
-
 
 class WriterStatus:
     """What other threads may read of the writer."""
@@ -60,13 +58,11 @@
     future: 'pykka.ThreadingFuture[None]'
 
 
-class Peek(NamedTuple):
-    """Message: answer with the records that are not durable."""
-
-
 class FlushDue(NamedTuple):
     """Message: the commit interval is over."""
 
+    force: bool = False  # appends an empty batch too, to learn of a seal
+
 
 # What an event says of the platform; other events say nothing.
 _REACHABLE: Mapping[type[Any], bool] = MappingProxyType({
@@ -88,7 +84,7 @@
         executor: Executor,
         options: 'WriterOptions',
         status: WriterStatus,
-        waiting: WaitingBytes,
+        pending: PendingEntries,
     ) -> None:
         """Starts idle behind the append that took the log over."""
         super().__init__()
@@ -103,9 +99,10 @@
         self._slots = slots
         self._options = options
         self._status = status
-        self._queue = CommitQueue(waiting)
+        self._queue = CommitQueue(pending)
         self._retries = 0
         self._flush_set = False
+        self._next_flush_s = options.monotonic_s()
 
     def on_receive(self, message: Any) -> Any:
         """Handles a message or an event of the state machine."""
@@ -121,31 +118,42 @@
         )
         self._queue.settle_all(error)
 
+    def on_failure(self, *failure: Any) -> None:
+        """Fails everything after an unexpected error, for good."""
+        error = JournalFailedError(
+            f'The writer of log {self._state.log!r} failed: {failure[1]}',
+            remedy='Take the log over again.',
+        )
+        self._status.error = error
+        self._queue.settle_all(error)
+
     def submit(self, message: Submit) -> None:
         """Queues an entry."""
         if self._status.error is not None:
-            self._queue.settle(message.entry, self._status.error)
+            self._queue.pending.settle(message.entry, self._status.error)
             return
         self._queue.push(message.entry)
-        self._pump(self._options.commit_interval_s)
+        self._pump()
 
     def close(self, message: Close) -> None:
         """Resolves the future now or when all is durable."""
         self._queue.when_idle(message.future)
 
-    def peek(self, message: Peek) -> tuple[ProgramRecord, ...]:
-        """Returns the records that are not durable."""
-        return self._queue.records()
-
     def flush(self, message: FlushDue) -> None:
         """Starts an append of what waits and what is carried forward."""
         self._flush_set = False
+        if self._state.phase is not journal.Phase.IDLE:
+            return
+        interval_s = self._options.commit_interval_s
         batch = self._batch(self._state.number)
-        if batch:
+        if not batch:
+            interval_s = self._options.retry_cap_s
+        self._next_flush_s = self._options.monotonic_s() + interval_s
+        if batch or message.force:
             oldest = self._ledger.oldest(self._state.number)
             self.advance(msg.Append(encode_batch(batch), oldest))
         else:
-            self._pump(self._options.retry_cap_s)
+            self._pump()
 
     def advance(self, event: Any) -> None:
         """Steps the state machine and carries its effects out."""
@@ -170,7 +178,7 @@
         """Reports the append as durable and goes on."""
         self._retries = 0
         self._queue.settle_sent()
-        self._pump(self._options.commit_interval_s)
+        self._pump()
 
     def fenced(self, effect: msg.Fenced) -> None:
         """Fails everything, for good."""
@@ -182,21 +190,21 @@
         self._queue.settle_all(error)
 
     def _batch(self, number: int) -> tuple[ProgramRecord, ...]:
-        room = self._ledger.has_room(number)
-        limit = CARRY_BYTES if room else MAX_DATA_BYTES
-        carried = self._ledger.carry(number, self._options.now_s(), limit)
         self._status.full = self._ledger.is_crowded(number)
+        limit = self._ledger.carry_limit(number, self._queue.head_bytes)
+        carried = self._ledger.carry(number, self._options.now_s(), limit)
         if not self._ledger.has_room(number):
-            return carried
-        left = MAX_DATA_BYTES - limit if carried else MAX_DATA_BYTES
+            return carried.records
+        left = MAX_DATA_BYTES - carried.size_bytes
         fresh = _fold(self._ledger, number, self._queue, left)
-        return (*carried, *fresh)
+        return (*carried.records, *fresh)
 
-    def _pump(self, delay_s: float) -> None:
+    def _pump(self) -> None:
         idle = self._state.phase is journal.Phase.IDLE
         if idle and len(self._queue) and not self._flush_set:
             self._flush_set = True
-            self._jobs.later(delay_s, FlushDue())
+            left_s = self._next_flush_s - self._options.monotonic_s()
+            self._jobs.later(max(left_s, 0), FlushDue())
 
 
 def _fold(
@@ -209,7 +217,7 @@
         try:
             ledger.fold(number, entry.records)
         except HistoryError as exc:
-            queue.settle(entry, exc)
+            queue.pending.settle(entry, exc)
         else:
             queue.send(entry)
             yield from entry.records
@@ -219,7 +227,6 @@
 _MESSAGES: Mapping[type[Any], _Handler] = MappingProxyType({
     Submit: JournalActor.submit,
     Close: JournalActor.close,
-    Peek: JournalActor.peek,
     FlushDue: JournalActor.flush,
 })
 _EFFECTS: Mapping[type[Any], _Handler] = MappingProxyType({
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -2,6 +2,7 @@
 
 import itertools
 import threading
+import time
 from collections.abc import Callable, Sequence
 from concurrent.futures import Executor
 from functools import partial
@@ -17,6 +18,9 @@
 from cactusledge.protocol.records import ProgramRecord
 from cactusledge.settings.configuration import Configuration
 from cactusledge.settings.sections import JournalSection
+from cactusledge.telemetry.logs import get_logger
+
+log = get_logger('logs')
 
 CLOSE_WAIT_S = 10.0
 ROOM_SHARE = 0.75  # of the waiting bytes; the rest is for outcomes
@@ -26,13 +30,21 @@
     """Copies of waiting records in other instances' memory."""
 
     def fetch(self, log: str) -> Sequence[ProgramRecord]:
-        """Returns what the live peers hold of a log."""
+        """Returns what this instance and the live peers hold of a log."""
 
-    def hold(self, log: str, records: Sequence[ProgramRecord]) -> bool:
+    def hold(
+        self,
+        log: str,
+        records: Sequence[ProgramRecord],
+        number: int,
+    ) -> bool:
         """Copies records to a peer; returns whether one has them."""
 
-    def drop(self, log: str) -> None:
-        """Tells the peers that the log's records are durable."""
+    def is_holding(self, log: str) -> bool:
+        """Returns whether a peer may hold records of a log."""
+
+    def drop(self, log: str, up_to: int) -> None:
+        """Drops all copies of records that are durable."""
 
 
 class WriterSink:
@@ -92,12 +104,15 @@
         self._parts = parts
         self._writers: dict[str, JournalWriter] = {}
         self.work: DriverWork | None = None
+        self._number = 0  # of the latest copy of waiting records
+        self._numbering = threading.RLock()
 
     def __call__(self, name: str, on_lost: Callable[[], None]) -> OwnedLog:
         """Seals the log and starts its writer and its driver."""
         parts = self._parts
         if self.work is None:
             raise RuntimeError('Set `work` before a log is opened.')
+        number = self._next_number()
         taken = take_over(
             parts.store,
             name,
@@ -108,6 +123,14 @@
                 now_s=parts.now_s,
             ),
         )
+        for record in taken.rejected:
+            log.error(
+                'Held record does not fit the log.',
+                log=name,
+                program_id=record.program_id,
+                seq=record.seq,
+            )
+        parts.held.drop(name, number)
         writer = JournalWriter(
             parts.store,
             taken,
@@ -132,6 +155,7 @@
             driver,
             partial(self._close, name),
             writer.fenced,
+            writer.probe,
         )
 
     def is_up(self) -> bool:
@@ -147,14 +171,32 @@
         writers = tuple(self._writers.items())
         return all(itertools.starmap(self._hold, writers))
 
+    def drop_held(self) -> None:
+        """Drops the peers' copies of records that have become durable."""
+        for name, writer in tuple(self._writers.items()):
+            if self._parts.held.is_holding(name) and not writer.waiting_bytes():
+                self._hold(name, writer)
+
     def _lost(self, name: str, on_lost: Callable[[], None]) -> None:
         """Forgets a writer that another instance fenced."""
         self._writers.pop(name, None)
         on_lost()
 
     def _hold(self, name: str, writer: JournalWriter) -> bool:
-        waiting = writer.waiting_records().get(timeout=CLOSE_WAIT_S)
-        return not waiting or self._parts.held.hold(name, waiting)
+        held = self._parts.held
+        with self._numbering:  # a later number has the later records
+            number = self._next_number()
+            waiting = writer.waiting_records()
+        if waiting:
+            return held.hold(name, waiting, number)
+        if held.is_holding(name):
+            held.drop(name, number)
+        return True
+
+    def _next_number(self) -> int:
+        with self._numbering:
+            self._number = max(self._number + 1, time.time_ns())
+            return self._number
 
     def _close(self, name: str) -> None:
         """Writes what waits; what cannot be written goes to a peer."""
@@ -163,4 +205,4 @@
             return
         left = writer.stop(CLOSE_WAIT_S)
         if left:
-            self._parts.held.hold(name, left)
+            self._parts.held.hold(name, left, self._next_number())
--- a/cactusledge/programs/remote.py
+++ b/cactusledge/programs/remote.py
@@ -3,12 +3,13 @@
 import time
 from collections.abc import Callable, Mapping
 from concurrent.futures import Executor
+from itertools import chain
 from typing import Any
 
 import msgspec
 
 from cactusledge.errors import CactusledgeError, ErrorCode
-from cactusledge.models import Answer
+from cactusledge.models import Answer, Outcome
 from cactusledge.peers import messages as peer
 from cactusledge.peers.client import PeerClient
 from cactusledge.peers.errors import PeerAnswerLostError, PeerUnreachableError
@@ -165,10 +166,10 @@
             stream.finish(_refused(args, exc))
             return
         give_up_s = time.monotonic() + FOLLOW_LIMIT_S
-        for event in again.follow(give_up_s):
+        for event in chain.from_iterable(again.follow(give_up_s)):
             if isinstance(event, Answer):
                 stream.finish(event)
-            elif event is not None:
+            else:
                 stream.put_text(event.text)
 
 
@@ -203,11 +204,12 @@
 
 
 def _refused(args: CallArgs, exc: CactusledgeError) -> Answer:
+    """Returns the end of a call that its first driver may have sent."""
     body: Mapping[str, Any] = {'message': exc.message}
     return Answer(
         program_id=args.program_id,
         seq=args.seq,
-        outcome=exc.outcome,
+        outcome=Outcome.UNKNOWN,
         status=0,
         body=body,
         spent=0,
--- a/cactusledge/routing/dispatcher.py
+++ b/cactusledge/routing/dispatcher.py
@@ -8,19 +8,19 @@
 
 from cactusledge.models import Endpoint
 from cactusledge.routing import errors, types
-from cactusledge.routing.policy import PolicySettings
+from cactusledge.routing.policy import GroupPolicy, PolicySettings
 from cactusledge.routing.scheduler import GroupScheduler
 
 GrantFuture: TypeAlias = pykka.Future[types.Grant]
-Emit: TypeAlias = Callable[[types.CacheRelease | types.Warm], None]
+Emit: TypeAlias = Callable[[types.CacheRelease], None]
 Clock: TypeAlias = Callable[[], float]
 
 
 class Dispatcher(pykka.ThreadingActor):
     """Queues jobs and resolves their futures; never blocks.
 
-    Messages are sent by `DispatcherClient`. `emit` gets the cache releases
-    and the prefixes to warm; it must hand them to a worker and return.
+    Messages are sent by `DispatcherClient`. `emit` gets the cache releases;
+    it must hand them to a worker and return.
     """
 
     def __init__(
@@ -49,11 +49,14 @@
         key: types.GroupKey,
         endpoints: Sequence[Endpoint],
         limits: types.EngineLimits,
+        policy: GroupPolicy | None = None,
     ) -> None:
-        """Takes a group over, or takes its engines in again."""
+        """Takes a group over, or takes its engines and policy in again."""
         if key not in self._groups:
             self._groups[key] = GroupScheduler(key, self._settings)
             self._futures[key] = {}
+        if policy is not None:
+            self._groups[key].set_policy(policy)
         views = [
             types.EngineView(
                 endpoint.name, limits, endpoint.incarnation, endpoint.leaving
@@ -137,7 +140,7 @@
         self, key: types.GroupKey, effects: Iterable[types.Effect]
     ) -> None:
         for effect in effects:
-            if isinstance(effect, types.CacheRelease | types.Warm):
+            if isinstance(effect, types.CacheRelease):
                 self._emit(effect)
                 continue
             future = self._futures[key].pop(effect.job_id, None)
--- a/cactusledge/routing/policy.py
+++ b/cactusledge/routing/policy.py
@@ -1,5 +1,6 @@
 """Settings of the routing policy."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -35,7 +36,6 @@
     max_ejection_s: float = 120.0
     grant_bound_s: float = 600.0  # longest life of an unfinished grant
     grant_grace_s: float = 10.0  # age from which an idle report ends a grant
-    warm_load: float = 0.5  # queued jobs per slot that start one more copy
     long_prefill_s: float = 0.5  # from which a prefill waits for its turn
     hold_prefills: bool = True
     bound_resident: bool = True
@@ -46,7 +46,6 @@
     refuse: bool = True
     retain: bool = True
     release: bool = True
-    warm: bool = True
     eject: bool = True
     breaker: bool = True
     retry_budget: bool = True
@@ -54,6 +53,13 @@
     learn_events: bool = True
 
 
+class GroupPolicy(NamedTuple):
+    """What the published definitions say of a group."""
+
+    settings: PolicySettings
+    shares: Mapping[str, float]  # weights of the accounts, 1 if not named
+
+
 CACHE_FIRST_WEIGHT = 2.0
 
 LATENCY_FIRST = PolicySettings()
--- a/cactusledge/routing/scheduler.py
+++ b/cactusledge/routing/scheduler.py
@@ -5,14 +5,14 @@
 from cactusledge.routing import types, upkeep
 from cactusledge.routing.dispatch import serve
 from cactusledge.routing.group_state import GroupState
-from cactusledge.routing.policy import PolicySettings
+from cactusledge.routing.policy import GroupPolicy, PolicySettings
 
 
 class GroupScheduler:
     """Decides for the engines of one data centre and one model.
 
     Every input carries the current time and returns the effects to carry
-    out: grants, refusals, cache releases and prefixes to warm.
+    out: grants, refusals and cache releases.
     """
 
     def __init__(
@@ -39,6 +39,12 @@
         self._state.set_engines(views)
         return serve(self._state, now)
 
+    def set_policy(self, policy: GroupPolicy) -> None:
+        """Takes other prices of the placement, and the accounts' shares."""
+        self._settings = policy.settings
+        self._state.settings = policy.settings
+        self._state.shares.set_weights(policy.shares)
+
     def submit(self, job: types.Job, now: float) -> list[types.Effect]:
         """Queues a job, or refuses it at once."""
         refusal = upkeep.refusal(self._state, job, now)
@@ -65,7 +71,10 @@
     ) -> list[types.Effect]:
         """Takes an engine's report; ends grants that the engine lost."""
         engine = self._state.engines.get(report.engine)
-        if engine is not None and report.running + report.waiting == 0:
+        sequences = report.running + report.waiting
+        if engine is not None:
+            engine.reported(sequences)
+        if engine is not None and not sequences:
             idle_s = report.taken_s - self._settings.grant_grace_s
             upkeep.expire(self._state, engine, idle_s)
         return serve(self._state, now)
@@ -118,7 +127,9 @@
         """Returns the group's load for other instances."""
         state = self._state
         usable = state.usable(now)
-        slowness = [state.ejector.slowness(eng.view.name) for eng in usable]
+        slowness = [
+            state.ejector.slowness(eng.view.name, now) for eng in usable
+        ]
         return types.GroupSummary(
             key=self.key,
             owner=owner,
--- a/cactusledge/routing/upkeep.py
+++ b/cactusledge/routing/upkeep.py
@@ -24,15 +24,15 @@
 
 def refusal(state: GroupState, job: Job, now: float) -> Refusal | None:
     """Returns the refusal of a job, or None when it may wait."""
-    wait_s = new_program_wait_s(state, now)
+    over_share = state.shares.over_share(state.queue.accounts() | {job.account})
+    ahead = state.queue.new_programs_ahead(job.account, over_share)
+    wait_s = state.starts.wait_s(ahead, now)
     retry_s = admission.retry_after_s(job, wait_s, state.settings)
     if job.deadline_s <= now:
         return Refusal(job.job_id, 0, RefusalReason.DEADLINE)
     if not state.usable(now):
         return Refusal(job.job_id, retry_s, RefusalReason.NO_ENGINE)
-    if not job.retry:
-        state.retries.deposit()
-    elif state.settings.retry_budget and not state.retries.withdraw():
+    if not _may_retry(state, job):
         return Refusal(job.job_id, retry_s, RefusalReason.RETRY_BUDGET)
     if job.turn > 1 or not state.settings.refuse:
         return None
@@ -98,6 +98,13 @@
     return release(state, program) if program.kept else []
 
 
+def _may_retry(state: GroupState, job: Job) -> bool:
+    if not job.retry:
+        state.retries.deposit()
+        return True
+    return not state.settings.retry_budget or state.retries.withdraw()
+
+
 def _slowness(engine: EngineState, finish: Finish) -> float:
     usage = finish.usage
     missing = usage.prompt_tokens - usage.cached_tokens
--- a/model/appends.py
+++ b/model/appends.py
@@ -32,7 +32,7 @@
             instance.program,
             instance.base,
             state.number,
-            len(state.versions),
+            world.platform.size,
             records,
         )
         event = msg.Append(batch.data, batch.oldest)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -22,6 +22,7 @@
 POLL_S = 0.02
 HTTP_OK = 200
 LOOPBACK = '127.0.0.1'
+RING_SLOTS = 48
 
 
 class Started(NamedTuple):
@@ -30,6 +31,7 @@
     name: str
     process: subprocess.Popen[bytes]
     port: int
+    control_port: int = 0  # of the platform: reachable while it is down
 
 
 class Deployment:
@@ -84,10 +86,21 @@
         name: str,
         data_centre: str,
         seeds: Sequence[int] = (),
+        proxy: tuple[int, int] | None = None,
         **sections: Any,
     ) -> Started:
-        """Starts an entry instance; further settings go by section."""
-        api_port, peers_port = free_port(), free_port()
+        """Starts an entry instance; further settings go by section.
+
+        Args:
+            name: Name of the instance.
+            data_centre: Where it is.
+            seeds: Peer ports of instances that it asks first.
+            proxy: Port that the peers are told, and the one that the
+                instance listens on, if a proxy stands between them.
+            sections: Settings.
+        """
+        api_port = free_port()
+        peers_port, listen_port = proxy or (free_port(), 0)
         settings = {
             'instance': {'name': name, 'data_centre': data_centre},
             'listen': {
@@ -97,11 +110,20 @@
             'platform': {'addresses': [self._platform_address()]},
             'peers': {'seeds': [f'{LOOPBACK}:{port}' for port in seeds]},
             'shutdown': {'balancer_grace_s': 0.2, 'drain_timeout_s': 20.0},
+            'journal': {'ring_slots': RING_SLOTS},
             **sections,
         }
         path = self._folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings), encoding='utf-8')
-        command = ('cactusledge', 'entry', '--settings', str(path))
+        command: tuple[str, ...] = (
+            'cactusledge',
+            'entry',
+            '--settings',
+            str(path),
+        )
+        if listen_port:
+            listen = f'{LOOPBACK}:{listen_port}'
+            command = ('standins.entry', listen, *command[1:])
         process = self._spawn(name, command)
         started = Started(name, process, api_port)
         self._started[name] = started
@@ -151,6 +173,12 @@
         url = f'http://{LOOPBACK}:{self.port(name)}{path}'
         return self._http.request('POST', url, json=document).json()
 
+    def platform_faults(self, **switches: Any) -> None:
+        """Sets the platform's given fault switches and resets the others."""
+        port = self._started['platform'].control_port
+        url = f'http://{LOOPBACK}:{port}/faults'
+        self._http.request('PUT', url, json=switches)
+
     def wait_ready(self, *names: str) -> None:
         """Waits until entry instances are ready and own all their logs."""
         for name in names:
@@ -232,8 +260,8 @@
             lambda: port_file.exists() and port_file.read_text('utf-8'),
             f'{name} listening',
         )
-        port = json.loads(port_file.read_text('utf-8'))['port']
-        started = Started(name, process, port)
+        ports = json.loads(port_file.read_text('utf-8'))
+        started = Started(name, process, **ports)
         self._started[name] = started
         return started
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -57,6 +57,8 @@
         self.incarnation = new_incarnation()
         self.leaving = False
         self.executions: deque[dict[str, Any]] = deque(maxlen=RECORDS_KEPT)
+        self.received = 0
+        self.refused = 0  # calls that came while it was leaving
         self._ran: dict[tuple[str, str], dict[str, Any]] = {}
         self._server = FaultyServer(self._router(), cfg.listen, cfg.threads)
         self._registrar = Registrar(cfg.register) if cfg.register else None
@@ -88,10 +90,12 @@
         self._server.set_faults(faults)
 
     def records(self) -> dict[str, Any]:
-        """Returns every execution."""
+        """Returns every execution, and how many calls have arrived."""
         return {
             'incarnation': self.incarnation,
             'executions': list(self.executions),
+            'received': self.received,
+            'refused': self.refused,
         }
 
     def _router(self) -> Router:
@@ -120,6 +124,7 @@
     def _call(self, request: Request, name: str) -> Reply:
         operation = self.cfg.operations.get(name)
         if self.leaving:
+            self.refused += 1
             return json_reply(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 {'error': 'leaving'},
@@ -139,6 +144,8 @@
         key: str,
         operation: Operation,
     ) -> dict[str, Any]:
+        with self._lock:
+            self.received += 1
         time.sleep(operation.delay_s)
         with self._lock:
             first = self._ran.get((name, key))
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -1,6 +1,7 @@
 """Senders: what is said of a call that was tried more than once."""
 
 import time
+from contextlib import nullcontext
 
 import pytest
 
@@ -10,7 +11,9 @@
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import Address, CallKind, CallSpec, Endpoint, Outcome
 from cactusledge.programs.call_stream import CallStream
-from cactusledge.programs.sending import Lease, ModelSender, ServiceSender
+from cactusledge.programs.model_sender import ModelSender
+from cactusledge.programs.sending import Lease
+from cactusledge.programs.service_sender import ServiceSender
 from cactusledge.programs.tasks import CallTask
 from cactusledge.protocol.program import replay
 from cactusledge.protocol.records import Opened
@@ -33,6 +36,13 @@
 )
 
 
+class Pauses:
+    """Takes no note of pauses."""
+
+    def pause(self, task):
+        return nullcontext()
+
+
 class OneEndpoint:
     """Leases the same endpoint again and again."""
 
@@ -126,6 +136,7 @@
         ServiceClient(ConnectionPools()),
         lambda spec: Operation(spec.operation, operation == 'op', 1, 5),
         traces,
+        Pauses(),
     )
     service.set_faults(*[Fault(kind, 1) for kind in faults])
     task = task_of(CallKind.SERVICE, operation, operation == 'op')
