Confirm a log's ownership before old state is told

Ruled out: checking the peers' claims, which two paused instances may both make; the platform decides. Change: before such an answer an empty append confirms the log, and a fenced instance sends the request on. A new ring is created by eight requests at once. Before: 6 of 6 cases of former owners in test_local_programs fail without the confirmation; the writer never settled an empty append.

--- a/cactusledge/programs/journal_actor.py
+++ b/cactusledge/programs/journal_actor.py
@@ -146,10 +146,11 @@
             return
         interval_s = self._options.commit_interval_s
         batch = self._batch(self._state.number)
-        if not batch:
+        is_due = bool(batch) or self._queue.is_sending
+        if not is_due:
             interval_s = self._options.retry_cap_s
         self._next_flush_s = self._options.monotonic_s() + interval_s
-        if batch or message.force:
+        if is_due or message.force:
             oldest = self._ledger.oldest(self._state.number)
             self.advance(msg.Append(encode_batch(batch), oldest))
         else:
--- a/cactusledge/programs/journal_queue.py
+++ b/cactusledge/programs/journal_queue.py
@@ -114,6 +114,11 @@
         """Returns how many entries wait to be sent."""
         return len(self._entries)
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether entries, even empty ones, wait for the next append."""
+        return bool(self._in_flight)
+
     @property
     def head_bytes(self) -> int:
         """Size of the entry that is sent next, 0 if there is none."""
--- a/cactusledge/programs/journal_writer.py
+++ b/cactusledge/programs/journal_writer.py
@@ -79,6 +79,8 @@
     ) -> 'pykka.ThreadingFuture[None]':
         """Queues records; the future resolves when they are durable.
 
+        Without records it tells whether the log is still this writer's.
+
         The future, and `on_done` with the same error or None, fail with
         FencedError for good once another owner sealed the log. `on_done` runs
         in the writer's thread and must not block.
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -156,6 +156,7 @@
             partial(self._close, name),
             writer.fenced,
             writer.probe,
+            partial(writer.append, ()),
         )
 
     def is_up(self) -> bool:
--- a/cactusledge/programs/logs.py
+++ b/cactusledge/programs/logs.py
@@ -28,6 +28,7 @@
     close: Callable[[], None]  # writes what waits, then stops the writer
     is_lost: Callable[[], bool]  # whether another instance has sealed it
     probe: Callable[[], None]  # starts to find that out
+    confirm: Callable[[], Any]  # future that fails if it was sealed
 
 
 class LogOpener(Protocol):
--- a/cactusledge/programs/ring_access.py
+++ b/cactusledge/programs/ring_access.py
@@ -1,5 +1,6 @@
 """Lists the ring of a log and creates what is missing of it."""
 
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 from cactusledge.errors import (
@@ -13,6 +14,7 @@
 if TYPE_CHECKING:
     from cactusledge.platform.store import ObjectStore
 
+CREATORS = 8  # requests at once for a new ring
 MAX_LISTINGS = 5
 
 
@@ -70,9 +72,13 @@
     slots: dict[int, ring.Slot],
     size: int,
 ) -> None:
-    for index in range(size):
-        if index not in slots:
-            _create(store, log, index, size)
+    missing = [index for index in range(size) if index not in slots]
+    with ThreadPoolExecutor(CREATORS) as pool:
+        made = [
+            pool.submit(_create, store, log, index, size) for index in missing
+        ]
+    for future in made:
+        future.result()
 
 
 def _create(store: 'ObjectStore', log: str, index: int, size: int) -> None:
--- a/cactusledge/programs/router.py
+++ b/cactusledge/programs/router.py
@@ -8,7 +8,11 @@
 
 from cactusledge.programs import messages as msg
 from cactusledge.programs.call_stream import CallStream
-from cactusledge.programs.errors import NoDriverError, unreachable_driver
+from cactusledge.programs.errors import (
+    NoDriverError,
+    NoSuchProgramError,
+    unreachable_driver,
+)
 from cactusledge.programs.ids import (
     child_program_id,
     data_centre_of,
@@ -23,7 +27,7 @@
     OpenArgs,
     ProgramView,
 )
-from cactusledge.protocol.errors import FencedError
+from cactusledge.protocol.errors import FencedError, RefusedCallError
 
 Reply = TypeVar('Reply')
 
@@ -86,11 +90,13 @@
     def view(self, account: str, program_id: str) -> ProgramView:
         """Returns a program's state."""
         view: ProgramView = self._ask(program_id, msg.View(account, program_id))
+        self._confirm(program_id)
         return view
 
     def view_unchecked(self, program_id: str) -> ProgramView:
         """Returns a program's state, whichever account it belongs to."""
         view: ProgramView = self._ask(program_id, msg.View(None, program_id))
+        self._confirm(program_id)
         return view
 
     def history(
@@ -103,6 +109,7 @@
             program_id,
             msg.History(account, program_id),
         )
+        self._confirm(program_id)
         return entries
 
     def end_program(
@@ -132,6 +139,23 @@
             return owned.driver.ask(message, timeout=DRIVER_WAIT_S)
         except (pykka.ActorDeadError, pykka.Timeout, FencedError):
             raise _no_driver(program_id) from None
+        except (NoSuchProgramError, RefusedCallError):
+            self._confirm(program_id)
+            raise
+
+    def _confirm(self, program_id: str) -> None:
+        """Makes sure that the state just told is not a former owner's.
+
+        Raises:
+            NoDriverError: Another instance has sealed the log.
+        """
+        owned = self._table.find(log_of(program_id))
+        if owned is None:
+            raise _no_driver(program_id)
+        try:
+            self._durability.wait(owned.confirm())
+        except FencedError:
+            raise _no_driver(program_id) from None
 
 
 class Home(NamedTuple):
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -127,6 +127,16 @@
     assert set(stored(store)) == {'p', 'r'}
 
 
+def test_empty_append_tells_whose_log_it_is(store, start):
+    old = start('a')
+    old.append([opened()]).get(timeout=WAIT_S)
+    old.append([]).get(timeout=WAIT_S)
+    start('b')
+    with pytest.raises(FencedError):
+        old.append([]).get(timeout=WAIT_S)
+    assert set(stored(store)) == {'p'}
+
+
 def test_write_delayed_past_a_takeover_never_lands(store, start):
     old = start('a')
     store.faults.append('delayed')
--- /dev/null
+++ b/tests/test_local_programs.py
@@ -0,0 +1,72 @@
+"""Programs of owned logs: what a former owner must not tell."""
+
+import pykka
+import pytest
+
+from cactusledge.programs.durability import CommitWait
+from cactusledge.programs.errors import NoDriverError, no_such_program
+from cactusledge.programs.logs import LogTable, OwnedLog
+from cactusledge.programs.router import LocalPrograms
+from cactusledge.protocol.errors import FencedError
+
+PROGRAM_ID = 'bole-0.ab'
+ASKS = (
+    lambda programs: programs.view('a', PROGRAM_ID),
+    lambda programs: programs.history('a', PROGRAM_ID),
+    lambda programs: programs.view_unchecked(PROGRAM_ID),
+)
+
+
+class FakeDriver:
+    """Answers from its state, whoever owns the log."""
+
+    def __init__(self, reply):
+        self.reply = reply
+
+    def ask(self, message, timeout):
+        if isinstance(self.reply, Exception):
+            raise self.reply
+        return self.reply
+
+
+def programs_with(reply, sealed_by_another):
+    def confirm():
+        future = pykka.ThreadingFuture()
+        if sealed_by_another:
+            exc = FencedError('Sealed.', remedy='Ask its owner.')
+            future.set_exception((FencedError, exc, None))
+        else:
+            future.set(None)
+        return future
+
+    table = LogTable()
+    table.put(
+        OwnedLog(
+            'bole-0',
+            FakeDriver(reply),
+            close=bool,
+            is_lost=bool,
+            probe=bool,
+            confirm=confirm,
+        ),
+    )
+    return LocalPrograms(table, CommitWait(lambda: True, lambda: True))
+
+
+@pytest.mark.parametrize('ask', ASKS)
+@pytest.mark.parametrize('reply', ['state', no_such_program(PROGRAM_ID)])
+def test_former_owner_sends_on_instead_of_telling_old_state(ask, reply):
+    with pytest.raises(NoDriverError):
+        ask(programs_with(reply, sealed_by_another=True))
+
+
+@pytest.mark.parametrize('ask', ASKS[:2])
+def test_owner_tells_its_state(ask):
+    assert ask(programs_with('state', sealed_by_another=False)) == 'state'
+
+
+def test_owner_tells_that_a_program_is_not_there():
+    error = no_such_program(PROGRAM_ID)
+    programs = programs_with(error, sealed_by_another=False)
+    with pytest.raises(type(error)):
+        programs.view('a', PROGRAM_ID)
