Kill the driver when the record itself is at the platform

Ruled out: a fault of the takeover (the expected record was not in the log). Change: the steps wait until the platform's slots hold the call's Intent or OutcomeRecorded; as strict as before, and exact. Conclusion: the verdict hangs on the record, not on a count.

--- a/tests/failure_support.py
+++ b/tests/failure_support.py
@@ -11,6 +11,9 @@
 from urllib3 import PoolManager
 
 from cactusledge.models import Address
+from cactusledge.platform.client import HttpObjectStore
+from cactusledge.protocol import ring
+from cactusledge.protocol.records import decode_batch
 from standins.deployment import (
     LOOPBACK,
     ROOT,
@@ -158,6 +161,20 @@
         )
         return float(line.rpartition(' ')[2])
 
+    def is_recorded(self, client: Client, kind: type[Any], seq: int) -> bool:
+        """Returns whether the platform holds such a record of a call."""
+        platform = Address(LOOPBACK, self.deployed.port('platform'))
+        store = HttpObjectStore([platform])
+        listed = store.list(ring.SLOT_KIND, client.log)
+        slots = [ring.parse_slot(one.body, one.version) for one in listed.items]
+        return any(
+            isinstance(record, kind)
+            and (record.program_id, record.seq) == (client.program_id, seq)
+            for slot in slots
+            if slot.data
+            for record in decode_batch(slot.data)
+        )
+
     def wait_waiting(self, entry: str) -> None:
         """Waits until an instance holds records that are not durable."""
         wait_until(
--- a/tests/test_failure_kill.py
+++ b/tests/test_failure_kill.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cactusledge.protocol.records import Intent, OutcomeRecorded
 from standins.deployment import wait_until
 from standins.tcp_proxy import LinkState
 from tests import failure_support as support
@@ -19,42 +20,41 @@
 
     delay_s: float  # of the service
     before: LinkState  # of the driver's link to the platform
-    reach: Callable[[support.Site, str], None]
+    reach: Callable[[support.Site, str, support.Client], None]
     ran: int  # executions that a repeat leaves behind
     outcomes: frozenset[str]
 
 
-def intent_waits(site, driver):
+def intent_waits(site, driver, client):
     site.wait_waiting(driver)
 
 
-def intent_landed(site, driver):
+def intent_landed(site, driver, client):
     """The intent is at the platform, but the driver does not know it."""
-    before = journal_writes(site)
-    wait_until(lambda: journal_writes(site) > before, 'the intent written')
+    wait_until(
+        lambda: site.is_recorded(client, Intent, 2),
+        'the intent written',
+    )
 
 
-def service_runs(site, driver):
+def service_runs(site, driver, client):
     wait_until(site.received, 'the service runs it')
 
 
-def outcome_waits(site, driver):
+def outcome_waits(site, driver, client):
     wait_until(site.received, 'the service runs it')
     site.links[driver].set_state(LinkState.SILENT)
     site.wait_waiting(driver)
 
 
-def outcome_landed(site, driver):
+def outcome_landed(site, driver, client):
     """The outcome is at the platform, but the driver does not know it."""
     wait_until(site.received, 'the service runs it')
-    before = journal_writes(site)
     site.links[driver].set_state(LinkState.NO_ANSWERS)
-    wait_until(lambda: journal_writes(site) > before, 'the outcome written')
-
-
-def journal_writes(site):
-    kinds = site.deployed.get('platform', '/records')['kinds']['writes']
-    return kinds.get('journalslots', 0)
+    wait_until(
+        lambda: site.is_recorded(client, OutcomeRecorded, 2),
+        'the outcome written',
+    )
 
 
 RAN = frozenset(('RAN',))
@@ -80,7 +80,7 @@
     site.wait_durable(driver)
     site.links[driver].set_state(step.before)
     answer = site.begin(client.confirm, caller, 2)
-    step.reach(site, driver)
+    step.reach(site, driver, client)
     site.deployed.kill(driver)
     heir = site.wait_driver(client)
     first = answer.result()
@@ -111,7 +111,7 @@
     driver = site.driver_of(client)
     caller = site.others(driver)[0]
     answer = site.begin(client.confirm, caller, 2)
-    step.reach(site, driver)
+    step.reach(site, driver, client)
     site.deployed.signal(driver, signal.SIGSTOP)
     heir = site.wait_driver(client, driver)
     told = client.confirm(heir, 2)
