--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -46,6 +46,11 @@
     ' {calls} calls, its model calls {tokens} tokens each.'
 )
 
+PEER_NOTE = (
+    'Peer bytes under load include the forwarded calls, but only those of'
+    ' connections that are still open at the end: a lower bound.'
+)
+
 
 class Rates(NamedTuple):
     """What went on while the load, or none, was there."""
@@ -235,7 +240,7 @@
         ('cores of an instance', cores[0], cores[1]),
     ))
     lines = table(('What', 'Idle', 'Under load'), rows)
-    return f'{lines}\n\nPeer bytes under load include the forwarded calls.'
+    return f'{lines}\n\n{PEER_NOTE}'
 
 
 if __name__ == '__main__':
