End the processes of a measurement whose start fails

Cause: a run whose entry did not get ready left six stand-ins behind, since an exception in __enter__ calls no __exit__. Ruled out: ending them by a name, which may hit others' processes. Change: World closes its stack when its start fails. Conclusion: a measurement ends what it started.

--- a/benchmarks/load_world.py
+++ b/benchmarks/load_world.py
@@ -56,22 +56,11 @@
         """Starts every process and publishes the definitions."""
         folder = Path(self._stack.enter_context(TemporaryDirectory()))
         self.deployed = self._stack.enter_context(Deployment(folder))
-        self.deployed.start_platform()
-        for name, centre in zip(
-            self.engines,
-            self.layout.engines,
-            strict=True,
-        ):
-            options = self.layout.engine_options
-            self.deployed.start_engine(name, MODEL, centre, *options)
-        self.deployed.start_service(
-            SERVICE_NAME,
-            SERVICE,
-            BOLE,
-            *SERVICE_OPTIONS,
-        )
-        self.deployed.publish(write_definitions(folder))
-        self._start_entries()
+        try:
+            self._start(folder)
+        except BaseException:
+            self._stack.close()
+            raise
         return self
 
     def __exit__(self, *error: object) -> None:
@@ -91,6 +80,24 @@
         records: Document = self.deployed.get('platform', '/records')
         return records
 
+    def _start(self, folder: Path) -> None:
+        self.deployed.start_platform()
+        for name, centre in zip(
+            self.engines,
+            self.layout.engines,
+            strict=True,
+        ):
+            options = self.layout.engine_options
+            self.deployed.start_engine(name, MODEL, centre, *options)
+        self.deployed.start_service(
+            SERVICE_NAME,
+            SERVICE,
+            BOLE,
+            *SERVICE_OPTIONS,
+        )
+        self.deployed.publish(write_definitions(folder))
+        self._start_entries()
+
     def _start_entries(self) -> None:
         seeds: list[int] = []
         for name, centre in zip(
