--- a/cactusledge/api/app.py
+++ b/cactusledge/api/app.py
@@ -87,6 +87,7 @@
         try:
             response = self._respond(environ)
         except CactusledgeError as exc:
+            self._ctx.metrics.add('calls_refused_total', code=str(exc.code))
             response = _error_response(exc)
         except Exception:
             self._log.exception('Request failed.')
--- a/cactusledge/assembly/base.py
+++ b/cactusledge/assembly/base.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from cactusledge.environment import Environment
+from cactusledge.platform.measured import MeasuredStore
 from cactusledge.platform.store import ObjectStore
 from cactusledge.settings.follower import ConfigFollower
 from cactusledge.settings.sections import InstanceSettings
@@ -58,11 +59,15 @@
         sample_ratio=settings.traces.sample_ratio,
     )
     platform = settings.platform
-    store = env.open_store(platform.addresses, platform.timeout_s)
+    metrics = Metrics()
+    store = MeasuredStore(
+        env.open_store(platform.addresses, platform.timeout_s),
+        metrics,
+    )
     threads = settings.limits.worker_threads
     return Base(
         settings=settings,
-        metrics=Metrics(),
+        metrics=metrics,
         traces=traces,
         store=store,
         config=ConfigFollower(store),
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -131,6 +131,7 @@
             workers=base.workers,
             config=base.config.current,
             held=held,
+            metrics=base.metrics,
             now_s=time.time,
         ),
     )
--- /dev/null
+++ b/cactusledge/platform/measured.py
@@ -0,0 +1,103 @@
+"""Counts and times the requests to the platform's object API."""
+
+import time
+from collections.abc import Iterator, Mapping
+from typing import Any, Protocol
+
+from cactusledge.errors import StoreError
+from cactusledge.platform.store import (
+    ObjectList,
+    ObjectStore,
+    StoredObject,
+    WatchEvent,
+)
+
+OK = 'ok'
+REQUESTS = 'platform_requests_total'
+SECONDS = 'platform_request_seconds'
+
+
+class Meter(Protocol):
+    """Where figures go."""
+
+    def add(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Adds to a counter."""
+
+    def observe(self, name: str, measured: float, **labels: str) -> None:
+        """Records one measurement in a histogram."""
+
+
+class MeasuredStore:
+    """An object store whose requests are measured."""
+
+    def __init__(self, store: ObjectStore, meter: Meter) -> None:
+        """Keeps the store that does the work."""
+        self._store = store
+        self._meter = meter
+
+    def read(self, kind: str, name: str) -> StoredObject:
+        """Returns the object."""
+        with _Timed(self._meter, 'read'):
+            return self._store.read(kind, name)
+
+    def list(self, kind: str, prefix: str = '') -> ObjectList:
+        """Returns all objects of a kind whose names start with `prefix`."""
+        with _Timed(self._meter, 'list'):
+            return self._store.list(kind, prefix)
+
+    def create(
+        self,
+        kind: str,
+        name: str,
+        body: Mapping[str, Any],
+    ) -> StoredObject:
+        """Creates the object."""
+        with _Timed(self._meter, 'create'):
+            return self._store.create(kind, name, body)
+
+    def update(
+        self,
+        kind: str,
+        name: str,
+        body: Mapping[str, Any],
+        version: str,
+    ) -> StoredObject:
+        """Replaces the object if it still has the given version."""
+        with _Timed(self._meter, 'update'):
+            return self._store.update(kind, name, body, version)
+
+    def watch(
+        self,
+        kind: str,
+        version: str,
+        timeout_s: float,
+        prefix: str = '',
+    ) -> Iterator[WatchEvent]:
+        """Yields the changes after `version`; the watch is counted once."""
+        self._meter.add(REQUESTS, operation='watch', result=OK)
+        return self._store.watch(kind, version, timeout_s, prefix)
+
+
+class _Timed:
+    """Measures one request, however it ends."""
+
+    def __init__(self, meter: Meter, operation: str) -> None:
+        self._meter = meter
+        self._operation = operation
+        self._began_s = time.monotonic()
+
+    def __enter__(self) -> None:
+        """Begins the request."""
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: object,
+    ) -> None:
+        """Counts the request under its result."""
+        found = str(exc.code) if isinstance(exc, StoreError) else 'error'
+        told = OK if exc is None else found
+        self._meter.add(REQUESTS, operation=self._operation, result=told)
+        spent_s = time.monotonic() - self._began_s
+        self._meter.observe(SECONDS, spent_s, operation=self._operation)
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -19,6 +19,7 @@
 from cactusledge.settings.configuration import Configuration
 from cactusledge.settings.sections import JournalSection
 from cactusledge.telemetry.logs import get_logger
+from cactusledge.telemetry.metrics import Metrics
 
 log = get_logger('logs')
 
@@ -55,8 +56,10 @@
         writer: JournalWriter,
         max_waiting_bytes: int,
         on_lost: Callable[[], None],
+        metrics: Metrics,
     ) -> None:
         """Keeps the writer and whom to tell of its fencing."""
+        self._metrics = metrics
         self._writer = writer
         self._room_bytes = max_waiting_bytes * ROOM_SHARE
         self._on_lost = on_lost
@@ -64,10 +67,11 @@
 
     def append(self, records: Sequence[ProgramRecord]) -> Any:
         """Returns a future that resolves once the records are durable."""
+        began_s = time.monotonic()
         try:
-            return self._writer.append(records, self._done)
+            return self._writer.append(records, partial(self._done, began_s))
         except FencedError as exc:
-            self._done(exc)
+            self._done(began_s, exc)
             raise
 
     def is_up(self) -> bool:
@@ -78,9 +82,14 @@
         """Returns whether further programs and calls may be recorded."""
         return self._writer.waiting_bytes() < self._room_bytes
 
-    def _done(self, exc: BaseException | None) -> None:
+    def _done(self, began_s: float, exc: BaseException | None) -> None:
+        spent_s = time.monotonic() - began_s
+        failed = 'failed' if exc else 'durable'
+        self._metrics.add('journal_appends_total', result=failed)
+        self._metrics.observe('journal_append_seconds', spent_s)
         if isinstance(exc, FencedError) and not self._lost.is_set():
             self._lost.set()
+            self._metrics.add('journal_fenced_total')
             threading.Thread(target=self._on_lost, daemon=True).start()
 
 
@@ -93,6 +102,7 @@
     workers: Executor
     config: Callable[[], Configuration]
     held: HeldRecords
+    metrics: Metrics
     now_s: Callable[[], float]
 
 
@@ -143,13 +153,16 @@
         limit = parts.journal.max_waiting_bytes
         ctx = DriverContext(
             log=name,
-            sink=WriterSink(writer, limit, partial(self._lost, name, on_lost)),
+            sink=WriterSink(
+                writer, limit, partial(self._lost, name, on_lost), parts.metrics
+            ),
             work=self.work,
             config=parts.config,
             now_s=parts.now_s,
         )
         driver = LogDriver.start(ctx, taken.programs)
         self._writers[name] = writer
+        parts.metrics.add('journal_takeovers_total')
         return OwnedLog(
             name,
             driver,
