Choose test ports that no outgoing connection can take

Cause: a start that was 'not ready' in 2 of about 8 full runs; the log that the time-out now shows says 'Address already in use': the ports were probed in the kernel's range for outgoing connections (32768 to 60999), and one took the port before the instance listened on it. The instance then ended with 'internal' and its process stayed, since its actors were not stopped. Ruled out: slow starts and logs without an owner (12 groups of three instances were ready within 4.7 s). Test workers take work from each other, since one ran the last process tests alone.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	touch $(STAMP)
 
 test: $(STAMP)
-	$(PY) -m pytest -n 6 $(KNOWN_RED)
+	$(PY) -m pytest -n 6 --dist worksteal $(KNOWN_RED)
 
 demo: $(STAMP)
 	$(PY) -m examples.demo
--- a/benchmarks/capacity_journal.py
+++ b/benchmarks/capacity_journal.py
@@ -18,7 +18,8 @@
 from cactusledge.platform.store import StoredObject
 from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
 from cactusledge.programs.takeover import take_over
-from standins.deployment import LOOPBACK, Deployment
+from standins.deployment import Deployment
+from standins.ports import LOOPBACK
 
 INTERVALS_MS = (20, 100, 250, 500)
 LOGS = (1, 2, 4)
--- a/benchmarks/load_client.py
+++ b/benchmarks/load_client.py
@@ -9,7 +9,7 @@
 
 from urllib3 import BaseHTTPResponse, PoolManager, Timeout
 
-from standins.deployment import LOOPBACK
+from standins.ports import LOOPBACK
 
 CONNECT_TIMEOUT_S = 5
 READ_TIMEOUT_S = 60
--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -13,6 +13,7 @@
 from cactusledge.assembly.programs import build_programs
 from cactusledge.assembly.routing import build_routing
 from cactusledge.environment import Environment
+from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.peers.rendezvous import owner
 from cactusledge.settings.sections import InstanceSettings
 from cactusledge.telemetry.logs import get_logger
@@ -24,6 +25,12 @@
 log = get_logger('entry')
 
 
+class ListenError(CactusledgeError):
+    """An address of the settings cannot be listened on."""
+
+    code = ErrorCode.INVALID_SETTINGS
+
+
 class Application:
     """Owns every part of an entry instance."""
 
@@ -55,9 +62,14 @@
     def start(self) -> None:
         """Starts every part; `is_ready` tells when calls are taken."""
         self._base.config.start()
-        self._peers.start()
+        try:
+            self._peers.start()
+            self._api.start()
+        except OSError as exc:
+            pykka.ActorRegistry.stop_all(timeout=STOP_WAIT_S)
+            self._base.stop()
+            raise _cannot_listen(exc) from exc
         self._routing.start()
-        self._api.start()
         self._started_s = time.monotonic()
         self._timer.start()
         log.info('Started.', api=str(self._settings.listen.api))
@@ -143,3 +155,10 @@
         if self._base.config.current().generation and self._may_claim():
             self._programs.logs.tick()
             self._ready.set()
+
+
+def _cannot_listen(exc: OSError) -> ListenError:
+    return ListenError(
+        f'An address under `listen` cannot be used: {exc}.',
+        remedy='Choose another port, or end what listens there.',
+    )
--- a/examples/demo_program.py
+++ b/examples/demo_program.py
@@ -4,7 +4,8 @@
 
 from cactusledge.cli.api_client import ApiClient
 from cactusledge.models import Address
-from standins.deployment import LOOPBACK, Deployment
+from standins.deployment import Deployment
+from standins.ports import LOOPBACK
 
 OUTPUT_TOKENS = 24
 SHARE_UNITS = 20_000
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,12 +15,13 @@
 from urllib3 import PoolManager, Timeout
 from urllib3.exceptions import HTTPError
 
+from standins.ports import LOOPBACK, free_port
+
 ROOT = Path(__file__).parent.parent
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.02
 HTTP_OK = 200
-LOOPBACK = '127.0.0.1'
 RING_SLOTS = 48
 LOG_TAIL_CHARACTERS = 4000
 
@@ -217,6 +217,10 @@
         """Returns whether a process was started and not ended yet."""
         return name in self._started
 
+    def is_alive(self, name: str) -> bool:
+        """Returns whether a started process still runs."""
+        return self._started[name].process.poll() is None
+
     def processes_left(self) -> int:
         """Returns how many of the started processes still run."""
         return sum(process.poll() is None for process in self._spawned)
@@ -288,13 +292,6 @@
         return process
 
 
-def free_port() -> int:
-    """Returns a TCP port of loopback that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
-
-
 def wait_until(
     holds: Callable[[], object],
     what: str,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,7 +7,6 @@
 import argparse
 import json
 import signal
-import socket
 import threading
 from pathlib import Path
 from typing import Any, Self
@@ -19,13 +18,13 @@
 from standins.platform_app import CONNECTION_KEY, PlatformApp
 from standins.platform_faults import FaultSettings
 from standins.platform_limits import Limits
+from standins.ports import LOOPBACK, free_port
 
 SERVER_THREADS = 64  # a watch or a hanging request holds one
 CONTROL_THREADS = 2
 BACKLOG = 128  # connections that the kernel keeps until they are accepted
 STOP_TIMEOUT_S = 1
 SELECT_TIMEOUT_S = 0.05  # how soon a stop is noticed
-LOOPBACK = '127.0.0.1'
 
 
 class ConnectionGateway(wsgi.Gateway_10):
@@ -157,14 +156,6 @@
         self.app.stopping.clear()
 
 
-def free_port() -> int:
-    """Returns a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
-
-
 def parse_arguments() -> argparse.Namespace:
     """Returns the command line's arguments."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/api_support.py
+++ b/tests/api_support.py
@@ -10,7 +10,8 @@
 from cactusledge.programs.views import HistoryEntry, ProgramView
 from cactusledge.telemetry.metrics import Metrics
 from cactusledge.telemetry.traces import Traces
-from standins.deployment import LOOPBACK, ROOT, free_port
+from standins.deployment import ROOT
+from standins.ports import LOOPBACK, free_port
 
 TOKEN = 'token-1'
 OPENAPI = (ROOT / 'cactusledge/api/openapi.json').read_bytes()
--- a/tests/failure_support.py
+++ b/tests/failure_support.py
@@ -18,9 +18,9 @@
     LOOPBACK,
     ROOT,
     Deployment,
-    free_port,
     wait_until,
 )
+from standins.ports import free_port
 from standins.tcp_proxy import TcpProxy
 
 HEADERS = {'Authorization': 'Bearer demo-showroom-token'}
--- a/tests/test_api_contract.py
+++ b/tests/test_api_contract.py
@@ -10,7 +10,7 @@
 from cactusledge.api.app import ROUTES
 from cactusledge.models import Outcome
 from cactusledge.programs.errors import no_such_program, platform_down
-from standins.deployment import LOOPBACK
+from standins.ports import LOOPBACK
 from tests.api_support import OPENAPI, TOKEN
 
 
--- a/tests/test_cli_calls.py
+++ b/tests/test_cli_calls.py
@@ -10,7 +10,7 @@
 from cactusledge.models import Outcome
 from cactusledge.programs.errors import no_such_program
 from cactusledge.status import ExitStatus
-from standins.deployment import LOOPBACK
+from standins.ports import LOOPBACK
 from tests.api_support import TOKEN, port, programs  # ruff: ignore[unused-import] - fixtures
 
 PROGRAM_ID = 'bole-0.ab'
--- a/tests/test_failure_twice.py
+++ b/tests/test_failure_twice.py
@@ -6,7 +6,8 @@
 import pytest
 
 from cactusledge.status import ExitStatus
-from standins.deployment import LOOPBACK, ROOT, wait_until
+from standins.deployment import ROOT, wait_until
+from standins.ports import LOOPBACK
 from tests import failure_support as support
 
 define = support.define
--- a/tests/test_membership_service.py
+++ b/tests/test_membership_service.py
@@ -9,7 +9,7 @@
 from cactusledge.peers.membership import Membership
 from cactusledge.peers.messages import Heartbeat, MemberView
 from cactusledge.peers.server import PeerServer
-from standins.platform import free_port
+from standins.ports import free_port
 
 INTERVAL_S = 0.05
 WAIT_S = 20
--- a/tests/test_path_process.py
+++ b/tests/test_path_process.py
@@ -4,7 +4,8 @@
 
 from cactusledge.cli.api_client import ApiClient
 from cactusledge.models import Address
-from standins.deployment import LOOPBACK, ROOT, Deployment, wait_until
+from standins.deployment import ROOT, Deployment, wait_until
+from standins.ports import LOOPBACK
 
 pytestmark = pytest.mark.process
 
@@ -82,3 +83,11 @@
 
 def test_instance_stops_with_status_zero(path):
     assert path.stop('entry-1') == 0
+
+
+def test_address_in_use_is_told_with_a_remedy(path):
+    settings = path.settings_of('entry-1')
+    taken = settings['listen']['peers']
+    path.start_entry('entry-2', 'bole', listen={'peers': taken})
+    wait_until(lambda: not path.is_alive('entry-2'), 'the process ended')
+    assert 'Choose another port' in path.log_of('entry-2')
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -21,8 +21,9 @@
     StoreSilentError,
     StoreTooLargeError,
 )
-from standins.platform import PlatformStandin, free_port
+from standins.platform import PlatformStandin
 from standins.platform_limits import Limits
+from standins.ports import free_port
 
 TIMEOUT_S = 0.5  # where a request is to time out
 SILENCE_S = 1
--- a/tests/test_traces_process.py
+++ b/tests/test_traces_process.py
@@ -5,7 +5,8 @@
 import pytest
 from urllib3 import PoolManager
 
-from standins.deployment import LOOPBACK, ROOT, Deployment, wait_until
+from standins.deployment import ROOT, Deployment, wait_until
+from standins.ports import LOOPBACK
 
 pytestmark = pytest.mark.process
 
