Answer at once while the platform is known to be down; split the router

The router's module held the local programs as well. Ruled out: not waiting at all, since a platform that just went down still counts as up and its commit may come. Conclusion: an outage costs a peer's copy in place of a commit.

--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -12,6 +12,7 @@
 from cactusledge.programs.durability import CommitWait
 from cactusledge.programs.held import HeldStore, PeerHeldRecords
 from cactusledge.programs.ids import log_names
+from cactusledge.programs.local_programs import LocalPrograms
 from cactusledge.programs.log_opener import OpenerParts, StoreLogOpener
 from cactusledge.programs.logs import LogManager, LogTable
 from cactusledge.programs.neighbours import Neighbours
@@ -19,7 +20,6 @@
 from cactusledge.programs.remote import PeerPrograms
 from cactusledge.programs.router import (
     Home,
-    LocalPrograms,
     ProgramRouter,
     RemotePrograms,
 )
--- a/cactusledge/programs/durability.py
+++ b/cactusledge/programs/durability.py
@@ -42,18 +42,19 @@
         give_up_s = time.monotonic() + self._longest_wait_s
         durable = future is None
         while not durable and time.monotonic() < give_up_s:
-            durable = _is_durable(future)
-            if not durable and not self._is_up():
+            up = self._is_up()
+            durable = _is_durable(future, WAIT_STEP_S if up else 0)
+            if not durable and not up:
                 break
         if not durable:
             self._hold()
         return durable
 
 
-def _is_durable(future: Any) -> bool:
+def _is_durable(future: Any, step_s: float) -> bool:
     """Waits one step; raises FencedError."""
     try:
-        future.get(timeout=WAIT_STEP_S)
+        future.get(timeout=step_s)
     except FencedError:
         raise
     except (pykka.Timeout, CactusledgeError):
--- a/cactusledge/programs/peer_handler.py
+++ b/cactusledge/programs/peer_handler.py
@@ -13,8 +13,8 @@
 from cactusledge.programs.grants import GrantDesk
 from cactusledge.programs.held import HeldStore
 from cactusledge.programs.ids import log_of
+from cactusledge.programs.local_programs import LocalPrograms
 from cactusledge.programs.program_events import take_event
-from cactusledge.programs.router import LocalPrograms
 from cactusledge.programs.views import CallArgs, HistoryEntry, OpenArgs
 from cactusledge.routing.client import DispatcherClient
 from cactusledge.settings.follower import ConfigFollower
--- a/tests/test_local_programs.py
+++ b/tests/test_local_programs.py
@@ -5,8 +5,8 @@
 
 from cactusledge.programs.durability import CommitWait
 from cactusledge.programs.errors import NoDriverError, no_such_program
+from cactusledge.programs.local_programs import LocalPrograms
 from cactusledge.programs.logs import LogTable, OwnedLog
-from cactusledge.programs.router import LocalPrograms
 from cactusledge.protocol.errors import FencedError
 
 PROGRAM_ID = 'bole-0.ab'
