Ask a queue's next owner when one stops

Ruled out: telling the caller to come back; a planned stop cuts no request. Change: such a job is asked for at the next owner, under another job id, until its deadline.

--- a/cactusledge/programs/grants.py
+++ b/cactusledge/programs/grants.py
@@ -1,5 +1,6 @@
 """Grants of engines, from the group's owner or from this instance."""
 
+import itertools
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
@@ -7,7 +8,7 @@
 import msgspec
 import pykka
 
-from cactusledge.errors import CactusledgeError
+from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.peers import messages as peer
 from cactusledge.peers.client import PeerClient
 from cactusledge.peers.errors import PeerAnswerLostError, PeerUnreachableError
@@ -18,6 +19,7 @@
 POLL_WAIT_MS = 1000
 MS_PER_S = 1000
 UNASKED_LIMIT_S = 6.0
+NEXT_OWNER_PAUSE_S = 0.1
 
 log = get_logger('grants')
 
@@ -70,15 +72,23 @@
         self._sender = sender
 
     def acquire(self, key: GroupKey, job: Job, wait_s: float) -> Granted | None:
-        """Returns a grant, or None when the wait is over."""
-        owner = self._owner_of(key)
-        if owner is None:
-            return self._acquire_here(key, job, wait_s)
-        try:
-            return self._acquire_at(owner, key, job, wait_s)
-        except (PeerUnreachableError, PeerAnswerLostError) as exc:
-            log.info('Owner not asked.', group=str(key), reason=exc.message)
-        return self._acquire_here(key, job, wait_s)
+        """Returns a grant, or None when the wait is over.
+
+        A queue whose owner stops or lost the group is asked for at its next
+        owner, under another job id.
+        """
+        give_up_s = time.monotonic() + wait_s
+        for attempt in itertools.count():
+            again = job._replace(job_id=f'{job.job_id}:{attempt}')
+            left_s = max(0, give_up_s - time.monotonic())
+            try:
+                return self._acquire(key, again, left_s)
+            except CactusledgeError as exc:
+                is_over = time.monotonic() >= give_up_s
+                if exc.code is not ErrorCode.STOPPING or is_over:
+                    raise
+            time.sleep(NEXT_OWNER_PAUSE_S)
+        return None
 
     def finish(self, granted: Granted, finish: Finish) -> None:
         """Tells whoever granted the job how it ended."""
@@ -95,6 +105,21 @@
         except CactusledgeError as exc:
             log.info('Finish not told.', reason=exc.message)
 
+    def _acquire(
+        self,
+        key: GroupKey,
+        job: Job,
+        wait_s: float,
+    ) -> Granted | None:
+        owner = self._owner_of(key)
+        if owner is None:
+            return self._acquire_here(key, job, wait_s)
+        try:
+            return self._acquire_at(owner, key, job, wait_s)
+        except (PeerUnreachableError, PeerAnswerLostError) as exc:
+            log.info('Owner not asked.', group=str(key), reason=exc.message)
+        return self._acquire_here(key, job, wait_s)
+
     def _acquire_here(
         self,
         key: GroupKey,
