End the process once an instance has stopped

Worker threads that still wait for a peer or an engine are joined when the interpreter ends. Change: the program leaves by os._exit after its command has returned and the streams are flushed.

--- a/standins/entry.py
+++ b/standins/entry.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import Any
 
+from cactusledge.__main__ import leave
 from cactusledge.assembly import peers as assembly
 from cactusledge.core import main as run
 from cactusledge.environment import process_environment
@@ -21,7 +22,7 @@
     listen = Address(host, int(port))
     server = partial(behind_proxy, listen)
     assembly.PeerServer = server  # type: ignore[attr-defined, assignment]
-    sys.exit(run(sys.argv[2:], process_environment()))
+    leave(run(sys.argv[2:], process_environment()))
 
 
 def behind_proxy(listen: Address, _told: Address, *args: Any) -> PeerServer:
