Have a deployment end a process that does not stop in time

Cause: two instances of a failed rolling restart were still running minutes later; stop forgot the process before it had ended, so the clean-up did not end it. Change: it is forgotten once it has ended.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -201,10 +201,12 @@
 
     def stop(self, name: str) -> int:
         """Ends a process with SIGTERM; returns its exit status."""
-        started = self._started.pop(name)
-        started.process.send_signal(signal.SIGCONT)
-        started.process.terminate()
-        return started.process.wait(STOP_TIMEOUT_S)
+        process = self._started[name].process
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        status = process.wait(STOP_TIMEOUT_S)
+        self._started.pop(name)
+        return status
 
     def stop_all(self) -> None:
         """Ends every process that is left."""
