--- a/benchmarks/capacity_journal.py
+++ b/benchmarks/capacity_journal.py
@@ -14,8 +14,8 @@
 from benchmarks.capacity_feeder import Feeder
 from benchmarks.capacity_series import Series
 from cactusledge.models import Address
-from cactusledge.platform.client import HttpObjectStore
-from cactusledge.platform.store import StoredObject
+from cactusledge.objects.client import HttpObjectStore
+from cactusledge.objects.store import StoredObject
 from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
 from cactusledge.programs.takeover import take_over
 from standins.deployment import Deployment
--- a/benchmarks/capacity_routing.py
+++ b/benchmarks/capacity_routing.py
@@ -7,7 +7,7 @@
 from benchmarks.capacity_series import Series
 from cactusledge.endpoints.directory import EndpointDirectory
 from cactusledge.models import Usage
-from cactusledge.platform.store import ObjectList, StoredObject, WatchEvent
+from cactusledge.objects.store import ObjectList, StoredObject, WatchEvent
 from cactusledge.routing import types
 from cactusledge.routing.policy import LATENCY_FIRST
 from cactusledge.routing.scheduler import GroupScheduler
--- a/cactusledge/assembly/base.py
+++ b/cactusledge/assembly/base.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from cactusledge.environment import Environment
-from cactusledge.platform.measured import MeasuredStore
-from cactusledge.platform.store import ObjectStore
+from cactusledge.objects.measured import MeasuredStore
+from cactusledge.objects.store import ObjectStore
 from cactusledge.settings.follower import ConfigFollower
 from cactusledge.settings.sections import InstanceSettings
 from cactusledge.telemetry.logs import configure_logs
--- a/cactusledge/assembly/routing.py
+++ b/cactusledge/assembly/routing.py
@@ -9,7 +9,7 @@
 from cactusledge.endpoints.engine import EngineClient
 from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.models import CallKind, Endpoint
-from cactusledge.platform.watcher import Watcher, WatchTarget
+from cactusledge.objects.watcher import Watcher, WatchTarget
 from cactusledge.programs.engine_care import CareParts, EngineCare
 from cactusledge.programs.engine_groups import EngineGroups
 from cactusledge.programs.grants import GrantDesk, GrantRouter
--- a/cactusledge/cli/options.py
+++ b/cactusledge/cli/options.py
@@ -13,7 +13,7 @@
 from cactusledge.settings.strict import parse_address
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 PLATFORM_VARIABLE = 'CACTUSLEDGE_PLATFORM__ADDRESSES'
 REQUEST_TIMEOUT_S = 5.0
--- a/cactusledge/cli/reports.py
+++ b/cactusledge/cli/reports.py
@@ -18,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 LIVE_KIND = 'instances'
 ENTRY_ROLE = 'entry'  # marks instances of ours in the live list
--- a/cactusledge/endpoints/directory.py
+++ b/cactusledge/endpoints/directory.py
@@ -7,7 +7,7 @@
 from cactusledge.endpoints.registry import EndpointRegistry, Leaving
 from cactusledge.errors import StoreError
 from cactusledge.models import Address, CallKind, Endpoint
-from cactusledge.platform.store import (
+from cactusledge.objects.store import (
     DELETED,
     ObjectList,
     StoredObject,
--- a/cactusledge/environment.py
+++ b/cactusledge/environment.py
@@ -10,7 +10,7 @@
 from cactusledge.models import Address
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 PROGRAM_NAME = 'cactusledge'
 
@@ -22,7 +22,7 @@
     addresses: Sequence[Address], timeout_s: float
 ) -> 'ObjectStore':
     """Returns a client of the platform's object API."""
-    client = import_module('cactusledge.platform.client')
+    client = import_module('cactusledge.objects.client')
     store: ObjectStore = client.HttpObjectStore(tuple(addresses), timeout_s)
     return store
 
--- /dev/null
+++ b/cactusledge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The data path between callers and endpoints, on one event loop."""
--- /dev/null
+++ b/cactusledge/gateway/answers.py
@@ -0,0 +1,30 @@
+"""Answers to callers: an endpoint's, passed on unchanged, or our own."""
+
+from cactusledge.gateway.context import Call, Fleet, Outcome
+from cactusledge.gateway.http_server import ServerConnection
+from cactusledge.gateway.sending import Sent, status_of
+
+
+def pass_on(fleet: Fleet, call: Call, sent: Sent, attempts: int) -> Outcome:
+    """Passes a whole answer on."""
+    status = status_of(sent)
+    head = sent.answer.head
+    headers = fleet.dialect.response_headers(head.headers) if head else b''
+    call.conn.answer(status, headers, sent.answer.body)
+    return Outcome(status, 'answered', sent.replica.endpoint_id, attempts)
+
+
+def refuse(
+    conn: ServerConnection,
+    status: int,
+    reason: str,
+    retry_after_s: float | None = None,
+    *,
+    close: bool = False,
+) -> Outcome:
+    """Answers for the endpoints; says when to come back, if that helps."""
+    headers = b''
+    if retry_after_s is not None:
+        headers = f'Retry-After: {retry_after_s:.3f}\r\n'.encode()
+    conn.answer(status, headers, b'', close=close)
+    return Outcome(status, reason, retry_after_s=retry_after_s)
--- /dev/null
+++ b/cactusledge/gateway/app.py
@@ -0,0 +1,209 @@
+"""The gateway's process: what it owns, its start and its stop."""
+
+import asyncio
+import gc
+import http
+import signal
+from typing import NamedTuple
+
+import structlog
+
+from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.dialect import Dialect
+from cactusledge.gateway.feeds import Feed, Follower
+from cactusledge.gateway.followers import (
+    ConfigurationFollower,
+    DecodeConfiguration,
+    DecodeReplica,
+    GroupFollower,
+    ReplicaFollower,
+)
+from cactusledge.gateway.gateway import Gateway
+from cactusledge.gateway.http_server import ServerConnection
+from cactusledge.gateway.loads import Loads
+from cactusledge.gateway.messages import Limits, Request
+from cactusledge.gateway.pool import ConnectionPool
+from cactusledge.gateway.replicas import ReplicaList
+from cactusledge.models import Address
+from cactusledge.objects.store import ObjectStore
+from cactusledge.objects.watcher import Watcher, WatchTarget
+from cactusledge.records.client import RecordClient
+from cactusledge.records.keeper import GROUP_KIND
+from cactusledge.records.messages import Ask, Status
+from cactusledge.records.transport import Peer
+
+BACKLOG = 512
+WATCH_S = 10.0
+UPKEEP_S = 0.5
+ASK_TIMEOUT_S = 0.5
+NOTICE_S = 2.6  # until the balancer has seen that this instance is not ready
+STOP_MARGIN_S = 0.6  # before the process is killed
+
+log = structlog.get_logger('gateway')
+
+
+class GatewayParts(NamedTuple):
+    """What an adapter provides."""
+
+    instance: str
+    data_centre: str
+    callers: Address
+    readiness: Address
+    seeds: tuple[Address, ...]  # record stores that may be asked at the start
+    grace_s: float
+    objects: ObjectStore
+    dialect: Dialect
+    configuration_kind: str
+    endpoint_kind: str
+    decode_configuration: DecodeConfiguration
+    decode_replica: DecodeReplica
+
+
+class Readiness:
+    """Answers the balancer's questions; implements `http_server.Server`."""
+
+    def __init__(self, app: 'GatewayApplication') -> None:
+        """Keeps whom to ask."""
+        self._app = app
+        self.limits = Limits()
+        self.is_closing = False
+        self.connections: set[ServerConnection] = set()
+
+    async def serve(self, request: Request, conn: ServerConnection) -> None:
+        """Answers whether this instance takes new connections."""
+        is_ready = self._app.is_ready
+        status = (
+            http.HTTPStatus.OK
+            if is_ready
+            else http.HTTPStatus.SERVICE_UNAVAILABLE
+        )
+        conn.answer(status, b'', b'')
+
+
+class GatewayApplication:
+    """Owns the parts; `run` returns once the process may end."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        """Builds the parts; nothing is opened yet."""
+        self._parts = parts
+        self.fleet = Fleet(
+            ReplicaList(),
+            Loads(),
+            ConnectionPool(parts.dialect),
+            parts.dialect,
+            parts.data_centre,
+        )
+        self.records = RecordClient(parts.data_centre)
+        self.gateway = Gateway(self.fleet, self.records)
+        self._watchers: list[Watcher] = []
+        self._servers: list[asyncio.Server] = []
+        self._stop_asked = asyncio.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this instance can serve turns and calls."""
+        return (
+            self.gateway.table is not None
+            and len(self.fleet.replicas) > 0
+            and self.records.has_quorum
+            and not self._stop_asked.is_set()
+        )
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, and then until the last answer has ended."""
+        await self._start()
+        upkeep = asyncio.ensure_future(self._keep_up())
+        await self._stop_asked.wait()
+        upkeep.cancel()
+        await self._drain()
+        self._close()
+
+    async def _start(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        self._follow()
+        await self._listen(self._parts.readiness, Readiness(self))
+        await self._listen(self._parts.callers, self.gateway)
+        gc.collect()
+        gc.freeze()
+        log.info('gateway: started', instance=self._parts.instance)
+
+    def _follow(self) -> None:
+        parts = self._parts
+        followers: dict[str, Follower] = {
+            parts.configuration_kind: ConfigurationFollower(
+                self.gateway, parts.decode_configuration
+            ),
+            parts.endpoint_kind: ReplicaFollower(
+                self.fleet, parts.decode_replica
+            ),
+            GROUP_KIND: GroupFollower(self.records.take_group),
+        }
+        loop = asyncio.get_running_loop()
+        for kind, follower in followers.items():
+            target = WatchTarget(kind, timeout_s=WATCH_S)
+            watcher = Watcher(parts.objects, target, Feed(loop, follower))
+            watcher.start()
+            self._watchers.append(watcher)
+
+    async def _listen(
+        self, address: Address, server: Readiness | Gateway
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        opened = await loop.create_server(
+            lambda: ServerConnection(server),
+            address.host,
+            address.port,
+            backlog=BACKLOG,
+        )
+        self._servers.append(opened)
+
+    async def _keep_up(self) -> None:
+        while True:
+            self.fleet.pool.close_expired()
+            if not self.records.group.generation:
+                await self._ask_seeds()
+            await asyncio.sleep(UPKEEP_S)
+
+    async def _ask_seeds(self) -> None:
+        """Learns from a record store what the platform can not tell now."""
+        for address in self._parts.seeds:
+            peer = Peer('seed', address)
+            peer.start()
+            await asyncio.sleep(UPKEEP_S / 4)
+            try:
+                reply = await peer.call(Ask(0), ASK_TIMEOUT_S)
+            except (ConnectionError, TimeoutError):
+                continue
+            finally:
+                peer.stop()
+            if isinstance(reply, Status):
+                self.records.take_group(reply.group)
+
+    async def _drain(self) -> None:
+        """Serves on until the balancer has noticed, then ends connections."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + self._parts.grace_s - STOP_MARGIN_S
+        log.info('gateway: stopping', open=len(self.gateway.connections))
+        await asyncio.sleep(NOTICE_S)
+        self.gateway.is_closing = True
+        while self.gateway.connections and loop.time() < ends_s:
+            await asyncio.sleep(0.05)
+            self._close_idle()
+        log.info('gateway: stopped', cut=len(self.gateway.connections))
+
+    def _close_idle(self) -> None:
+        for conn in tuple(self.gateway.connections):
+            conn.close_if_idle()
+
+    def _close(self) -> None:
+        for server in self._servers:
+            server.close()
+        self.records.stop()
+        self.fleet.pool.close()
+
+
+def _note_reload() -> None:
+    """Logs a SIGHUP; an instance's own settings hold until its next start."""
+    log.info('gateway: settings changed, in force at the next start')
--- /dev/null
+++ b/cactusledge/gateway/chains.py
@@ -0,0 +1,71 @@
+"""Chains of turns as an engine reads them, cached by their last turn."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import zstandard
+
+from cactusledge.records.messages import Turn
+
+CACHE_BYTES = 16 * 1024 * 1024
+LEVEL = 1
+
+_compressor = zstandard.ZstdCompressor(level=LEVEL)
+_decompressor = zstandard.ZstdDecompressor()
+
+
+class Chain(NamedTuple):
+    """All that was said up to a turn, and the engine that said it last."""
+
+    text: bytes
+    endpoint_id: str
+
+
+EMPTY_CHAIN = Chain(b'', '')
+
+
+def compress(text: bytes) -> bytes:
+    """Returns the bytes as a record holds them."""
+    return _compressor.compress(text)
+
+
+def join(turns: Iterable[Turn]) -> Chain:
+    """Returns the chain of records, oldest first."""
+    parts: list[bytes] = []
+    endpoint_id = ''
+    for turn in turns:
+        parts.extend((
+            _decompressor.decompress(turn.request),
+            _decompressor.decompress(turn.response),
+        ))
+        endpoint_id = turn.endpoint_id
+    return Chain(b''.join(parts), endpoint_id)
+
+
+class ChainCache:
+    """The chains used last, bounded in bytes."""
+
+    def __init__(self, capacity_bytes: int = CACHE_BYTES) -> None:
+        """Starts empty."""
+        self._chains: OrderedDict[str, Chain] = OrderedDict()
+        self._capacity_bytes = capacity_bytes
+        self._bytes = 0
+
+    def get(self, turn_id: str) -> Chain | None:
+        """Returns the chain that ends with a turn."""
+        chain = self._chains.get(turn_id)
+        if chain is not None:
+            self._chains.move_to_end(turn_id)
+        return chain
+
+    def put(self, turn_id: str, chain: Chain) -> None:
+        """Keeps a chain; the ones not used for longest make room."""
+        old = self._chains.pop(turn_id, None)
+        if old is not None:
+            self._bytes -= len(old.text)
+        self._chains[turn_id] = chain
+        self._bytes += len(chain.text)
+        while self._bytes > self._capacity_bytes:
+            _, dropped = self._chains.popitem(last=False)
+            self._bytes -= len(dropped.text)
--- /dev/null
+++ b/cactusledge/gateway/feeds.py
@@ -0,0 +1,80 @@
+"""Bring what watchers learn in their threads to the event loop."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+import structlog
+
+from cactusledge.errors import StoreError, StoreVersionGoneError
+from cactusledge.objects.store import (
+    DELETED,
+    ObjectList,
+    StoredObject,
+    WatchEvent,
+)
+
+OUTAGE_S = 1.0  # failures for this long may have let live entries lapse
+
+log = structlog.get_logger('gateway')
+
+
+class Listing(NamedTuple):
+    """A complete list, and whether the platform was away before it."""
+
+    listed: ObjectList
+    after_outage: bool
+
+
+class Follower(Protocol):
+    """Takes on the event loop what a watcher has learned."""
+
+    def take_list(self, listing: Listing) -> None:
+        """Takes a complete list."""
+
+    def take_object(self, stored: StoredObject) -> None:
+        """Takes a new or changed object."""
+
+    def take_removal(self, name: str) -> None:
+        """Takes the removal of an object."""
+
+
+class Feed:
+    """A `WatchSink` that hands everything to a follower on the loop."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, follower: Follower
+    ) -> None:
+        """Keeps the follower."""
+        self._loop = loop
+        self._follower = follower
+        self._failing_since_s: float | None = None
+
+    def on_snapshot(self, listed: ObjectList) -> None:
+        """Takes all objects."""
+        since_s = self._failing_since_s
+        self._failing_since_s = None
+        away_s = time.monotonic() - since_s if since_s else 0
+        if since_s:
+            log.info('gateway: platform regained', away_s=round(away_s, 2))
+        listing = Listing(listed, away_s >= OUTAGE_S)
+        self._call(self._follower.take_list, listing)
+
+    def on_event(self, event: WatchEvent) -> None:
+        """Takes a change of one object."""
+        if event.type == DELETED:
+            self._call(self._follower.take_removal, event.object.name)
+        else:
+            self._call(self._follower.take_object, event.object)
+
+    def on_failure(self, exc: StoreError) -> None:
+        """Takes note that the platform could not be followed."""
+        if isinstance(exc, StoreVersionGoneError):
+            return
+        if self._failing_since_s is None:
+            self._failing_since_s = time.monotonic()
+            log.warning('gateway: platform lost', error=exc.message)
+
+    def _call(self, take: Callable[..., None], *args: object) -> None:
+        self._loop.call_soon_threadsafe(take, *args)
--- /dev/null
+++ b/cactusledge/gateway/followers.py
@@ -0,0 +1,102 @@
+"""What a gateway does with the objects that it follows."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.feeds import Listing
+from cactusledge.gateway.gateway import Gateway
+from cactusledge.gateway.messages import Configuration, Replica
+from cactusledge.objects.store import StoredObject
+from cactusledge.records.membership import decode_group
+from cactusledge.records.messages import Group
+
+DecodeConfiguration = Callable[[StoredObject], Configuration | None]
+DecodeReplica = Callable[[StoredObject], Replica | None]
+
+log = structlog.get_logger('gateway')
+
+
+class ConfigurationFollower:
+    """Applies each version of the configuration that is newer."""
+
+    def __init__(self, gateway: Gateway, decode: DecodeConfiguration) -> None:
+        """Keeps whom to give the configuration."""
+        self._gateway = gateway
+        self._decode = decode
+
+    def take_list(self, listing: Listing) -> None:
+        """Takes a complete list."""
+        for stored in listing.listed.items:
+            self.take_object(stored)
+
+    def take_object(self, stored: StoredObject) -> None:
+        """Takes a new or changed object."""
+        cfg = self._decode(stored)
+        if cfg is not None:
+            self._gateway.apply(cfg)
+
+    def take_removal(self, name: str) -> None:
+        """Keeps the configuration in force."""
+        log.warning('gateway: configuration removed, the last one stays')
+
+
+class ReplicaFollower:
+    """Keeps the list of endpoints."""
+
+    def __init__(self, fleet: Fleet, decode: DecodeReplica) -> None:
+        """Keeps the list to update."""
+        self._fleet = fleet
+        self._decode = decode
+
+    def take_list(self, listing: Listing) -> None:
+        """Takes a complete list."""
+        decoded = (self._decode(stored) for stored in listing.listed.items)
+        self._fleet.replicas.replace_all(
+            [replica for replica in decoded if replica is not None],
+            asyncio.get_running_loop().time(),
+            after_outage=listing.after_outage,
+        )
+        log.info(
+            'gateway: endpoints listed',
+            count=len(self._fleet.replicas),
+            version=listing.listed.version,
+            after_outage=listing.after_outage,
+        )
+
+    def take_object(self, stored: StoredObject) -> None:
+        """Takes a new or changed entry; an unreadable one names nothing."""
+        replica = self._decode(stored)
+        if replica is None:
+            self.take_removal(stored.name)
+            return
+        self._fleet.replicas.put(replica)
+        log.info('gateway: endpoint listed', **replica._asdict())
+
+    def take_removal(self, name: str) -> None:
+        """Takes the removal of an entry."""
+        self._fleet.replicas.remove(name)
+        log.info('gateway: endpoint gone', endpoint_id=name)
+
+
+class GroupFollower:
+    """Takes the group of record stores."""
+
+    def __init__(self, take_group: Callable[[Group], object]) -> None:
+        """Keeps whom to give the group."""
+        self._take_group = take_group
+
+    def take_list(self, listing: Listing) -> None:
+        """Takes a complete list."""
+        for stored in listing.listed.items:
+            self.take_object(stored)
+
+    def take_object(self, stored: StoredObject) -> None:
+        """Takes a new or changed object."""
+        self._take_group(decode_group(stored.body))
+
+    def take_removal(self, name: str) -> None:
+        """Keeps the group in force."""
+        log.warning('records: group removed, the last one stays')
--- /dev/null
+++ b/cactusledge/gateway/gateway.py
@@ -0,0 +1,136 @@
+"""The gateway: finds each request's route and has it served."""
+
+import asyncio
+import http
+import random
+from collections.abc import Sequence
+
+import structlog
+
+from cactusledge.gateway.answers import refuse
+from cactusledge.gateway.calls import serve_call
+from cactusledge.gateway.context import Call, Fleet, Outcome
+from cactusledge.gateway.http_server import ServerConnection
+from cactusledge.gateway.messages import (
+    CallInfo,
+    Configuration,
+    Limits,
+    Repeatability,
+    Request,
+    Route,
+    Share,
+)
+from cactusledge.gateway.routes import RouteTable
+from cactusledge.gateway.turns import TurnServer
+from cactusledge.records.client import RecordClient
+
+NOT_READY_RETRY_S = 0.2
+
+log = structlog.get_logger('gateway')
+
+
+class Gateway:
+    """Serves the requests of all connections."""
+
+    def __init__(self, fleet: Fleet, records: RecordClient) -> None:
+        """Starts without a configuration: all requests get a 503."""
+        self.fleet = fleet
+        self.records = records
+        self.table: RouteTable | None = None
+        self.limits = Limits()
+        self.is_closing = False
+        self.connections: set[ServerConnection] = set()
+        self._turns = TurnServer(fleet, records)
+
+    def apply(self, cfg: Configuration) -> bool:
+        """Takes a configuration; returns whether it was newer."""
+        if self.table is not None and cfg.version <= self.table.cfg.version:
+            return False
+        self.table = RouteTable(cfg)
+        self.limits = cfg.limits
+        log.info('gateway: configuration applied', version=cfg.version)
+        return True
+
+    async def serve(self, request: Request, conn: ServerConnection) -> None:
+        """Answers one request and logs how it ended."""
+        info = self.fleet.dialect.read_call(request)
+        table = self.table
+        route = table.find(info.host, info.path) if table else None
+        outcome = Outcome(0, 'caller left')
+        try:
+            outcome = await self._dispatch(request, info, conn, table, route)
+        finally:
+            self._log(request, info, route, outcome)
+
+    async def _dispatch(
+        self,
+        request: Request,
+        info: CallInfo,
+        conn: ServerConnection,
+        table: RouteTable | None,
+        route: Route | None,
+    ) -> Outcome:
+        if table is None:
+            return refuse(
+                conn,
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'no configuration yet',
+                NOT_READY_RETRY_S,
+            )
+        if route is None:
+            return refuse(conn, http.HTTPStatus.NOT_FOUND, 'no route')
+        call = Call(
+            request, info, route, table, conn, ends_s(request, info, route)
+        )
+        return await self._serve_in_time(call)
+
+    async def _serve_in_time(self, call: Call) -> Outcome:
+        service = choose_share(call.route.shares, call.info)
+        try:
+            async with asyncio.timeout_at(call.ends_s):
+                if call.route.repeatability is Repeatability.STREAM:
+                    return await self._turns.serve(call, service)
+                return await serve_call(self.fleet, call, service)
+        except TimeoutError:
+            if call.conn.has_head:
+                call.conn.break_off()
+                return Outcome(0, 'timeout in the stream')
+            return refuse(call.conn, http.HTTPStatus.GATEWAY_TIMEOUT, 'timeout')
+
+    def _log(
+        self,
+        request: Request,
+        info: CallInfo,
+        route: Route | None,
+        outcome: Outcome,
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        log.info(
+            'gateway: request ended',
+            request_id=info.request_id,
+            program_id=info.program_id,
+            route=route.name if route else '',
+            version=self.table.cfg.version if self.table else 0,
+            ms=round((now_s - request.received_s) * 1000, 1),
+            **outcome._asdict(),
+        )
+
+
+def ends_s(request: Request, info: CallInfo, route: Route) -> float:
+    """Returns when the caller or the route gives up, on the loop's clock."""
+    limit_ms = route.timeout_ms
+    if info.deadline_ms is not None:
+        limit_ms = min(limit_ms, info.deadline_ms)
+    return request.received_s + limit_ms / 1000
+
+
+def choose_share(shares: Sequence[Share], info: CallInfo) -> str:
+    """Returns the service of a request, by the shares' weights.
+
+    All turns of a program go to the same one as long as the shares stand.
+    """
+    if len(shares) == 1:
+        return shares[0].service
+    draw = random.Random(info.program_id or info.request_id)
+    weights = [share.weight for share in shares]
+    return draw.choices(shares, weights=weights)[0].service
--- /dev/null
+++ b/cactusledge/gateway/http_client.py
@@ -0,0 +1,151 @@
+"""Client side of HTTP/1.1 to one endpoint on asyncio; `httptools` parses."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+import httptools
+
+from cactusledge.gateway.dialect import Dialect
+from cactusledge.gateway.messages import EndpointAnswer, Headers
+from cactusledge.records.transport import set_liveness
+
+FIRST_FINAL_STATUS = 200
+
+
+class AnswerSink(Protocol):
+    """Receives one answer as it arrives."""
+
+    def on_head(self, answer: EndpointAnswer) -> None:
+        """Takes the head."""
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+
+    def on_end(self, *, is_whole: bool) -> None:
+        """Takes the end; called once."""
+
+
+class EndpointConnection(asyncio.Protocol):
+    """One connection to an endpoint; carries one request at a time."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        on_idle: Callable[['EndpointConnection', float | None], None],
+    ) -> None:
+        """Keeps whom to tell when the connection can be used again."""
+        self._dialect = dialect
+        self._on_idle = on_idle
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: Headers = []
+        self._request_id = ''
+        self._sink: AnswerSink | None = None
+        self._is_skipping = False
+        self._has_head = False
+        self._has_framing = False
+        self._idle_s: float | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a request may be sent."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing()
+
+    def send(self, content: bytes, request_id: str, sink: AnswerSink) -> None:
+        """Sends a request; the answer goes to the sink."""
+        self._request_id = request_id
+        self._sink = sink
+        self._has_head = False
+        if self._transport is None:
+            self._end(is_whole=False)
+            return
+        self._transport.write(content)
+
+    def abort(self) -> None:
+        """Closes the connection; its sink is not called any more."""
+        self._sink = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the connection."""
+        self._transport = transport  # type: ignore[assignment]
+        set_liveness(transport.get_extra_info('socket'))
+
+    def data_received(self, data: bytes) -> None:
+        """Parses; bytes that belong to no request end the connection."""
+        if self._sink is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the answer; one without a length ends whole by a close."""
+        self._transport = None
+        ends_by_close = self._has_head and not self._has_framing
+        self._end(is_whole=ends_by_close and exc is None)
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Starts an answer; one more than asked for is dropped."""
+        self._headers = []
+        self._has_framing = False
+        self._is_skipping = False
+        if self._sink is None:
+            self.abort()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes one header."""
+        self._headers.append((name, value))
+        if name.lower() in {b'content-length', b'transfer-encoding'}:
+            self._has_framing = True
+
+    def on_headers_complete(self) -> None:
+        """Takes the head; a late answer to another request is skipped."""
+        status = self._parser.get_status_code()
+        sink = self._sink
+        if sink is None or status < FIRST_FINAL_STATUS:
+            self._is_skipping = True
+            return
+        answer = self._dialect.read_answer(status, self._headers)
+        self._idle_s = answer.idle_s
+        if answer.request_id and answer.request_id != self._request_id:
+            self._is_skipping = True
+            return
+        self._has_head = True
+        sink.on_head(answer)
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        if not self._is_skipping and self._sink is not None:
+            self._sink.on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Ends the answer and offers the connection for reuse."""
+        if self._is_skipping:
+            return
+        keeps_alive = self._parser.should_keep_alive() and self._has_framing
+        self._end(is_whole=True)
+        if keeps_alive and self.is_open:
+            self._on_idle(self, self._idle_s)
+        elif self._transport is not None:
+            self._transport.close()
+
+    def _fail(self) -> None:
+        self._end(is_whole=False)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _end(self, *, is_whole: bool) -> None:
+        sink = self._sink
+        self._sink = None
+        if sink is not None:
+            sink.on_end(is_whole=is_whole)
--- /dev/null
+++ b/cactusledge/gateway/placement.py
@@ -0,0 +1,75 @@
+"""Chooses the endpoint of a request; pure functions over known loads."""
+
+import random
+from collections.abc import Collection, Sequence
+
+from cactusledge.gateway.loads import Loads
+from cactusledge.gateway.messages import PromptPart, Replica
+
+READ_TOKENS_PER_MS = 160.0  # prompt tokens that an engine reads
+QUEUE_MS = 350.0  # until a full engine frees all of its slots once
+CROWDING_MS = 30.0  # added to a turn by an engine that is nearly full
+REMOTE_MS = 6.0  # another data centre: delay, and traffic that is paid for
+REMOTE_SHARE = 0.3  # the same for a plain service, as a share of its latency
+JITTER_MS = 0.5  # spreads equal costs
+
+
+def choose_engine(
+    candidates: Sequence[Replica],
+    loads: Loads,
+    parts: Sequence[PromptPart],
+    here: str,
+) -> Replica | None:
+    """Returns the engine that is expected to end a turn first."""
+
+    def cost_ms(replica: Replica) -> float:  # noqa: WPS430
+        load = loads.of(replica.endpoint_id)
+        return (
+            load.missing_tokens(parts) / READ_TOKENS_PER_MS
+            + wait_ms(load.total, replica.slots)
+            + (REMOTE_MS if replica.data_centre != here else 0)
+            + JITTER_MS * random.random()
+        )
+
+    return min(candidates, key=cost_ms, default=None)
+
+
+def choose_service(
+    candidates: Sequence[Replica],
+    loads: Loads,
+    here: str,
+) -> Replica | None:
+    """Returns the replica of a plain service expected to answer first."""
+
+    def cost_ms(replica: Replica) -> float:  # noqa: WPS430
+        load = loads.of(replica.endpoint_id)
+        remote = REMOTE_SHARE if replica.data_centre != here else 0
+        queued = load.total / max(1, replica.slots)
+        return load.latency_ms * (1 + remote + queued) + random.random()
+
+    return min(candidates, key=cost_ms, default=None)
+
+
+def wait_ms(under_way: int, slots: int) -> float:
+    """Returns how much longer a turn takes behind those under way."""
+    if under_way >= slots:
+        return CROWDING_MS + QUEUE_MS * (under_way - slots + 1) / slots
+    return CROWDING_MS * under_way / slots
+
+
+def healthy(
+    replicas: Sequence[Replica],
+    loads: Loads,
+    tried: Collection[str],
+    now_s: float,
+) -> Sequence[Replica]:
+    """Returns those not tried yet, without ejected ones if others are left."""
+    untried = [
+        replica for replica in replicas if replica.endpoint_id not in tried
+    ]
+    sound = [
+        replica
+        for replica in untried
+        if loads.of(replica.endpoint_id).ejected_until_s <= now_s
+    ]
+    return sound or untried
--- /dev/null
+++ b/cactusledge/gateway/pool.py
@@ -0,0 +1,108 @@
+"""Connections to endpoints, kept for reuse until they may be closed."""
+
+import asyncio
+from typing import NamedTuple
+
+from cactusledge.gateway.dialect import Dialect
+from cactusledge.gateway.http_client import EndpointConnection
+from cactusledge.gateway.messages import Lifetime, Replica
+
+CONNECT_TIMEOUT_S = 0.8
+DEFAULT_IDLE_S = 4.0
+IDLE_MARGIN_S = 0.7  # an endpoint may close a connection a little early
+IDLE_KEPT = 12  # connections kept for one endpoint
+
+
+class EndpointUnreachableError(Exception):
+    """No connection could be opened; nothing was sent."""
+
+
+class _Idle(NamedTuple):
+    """A connection and when it should not be used any more."""
+
+    conn: EndpointConnection
+    until_s: float
+
+
+class ConnectionPool:
+    """Idle connections by endpoint."""
+
+    def __init__(self, dialect: Dialect) -> None:
+        """Starts without connections."""
+        self._dialect = dialect
+        self._idle: dict[Lifetime, list[_Idle]] = {}
+        self.opened = 0
+
+    async def take(self, replica: Replica) -> EndpointConnection:
+        """Returns an open connection, the one used last if there is one.
+
+        Raises:
+            EndpointUnreachableError: The endpoint takes no connection.
+        """
+        now_s = asyncio.get_running_loop().time()
+        idle = self._idle.get(replica.lifetime, [])
+        while idle:
+            conn, until_s = idle.pop()
+            if conn.is_open and now_s < until_s:
+                return conn
+            conn.abort()
+        return await self._open(replica)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Closes the idle connections to an endpoint."""
+        for lifetime in tuple(self._idle):
+            if lifetime.endpoint_id == endpoint_id:
+                self._drop(lifetime)
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for lifetime in tuple(self._idle):
+            self._drop(lifetime)
+
+    def close_expired(self) -> None:
+        """Closes connections that were idle for too long."""
+        now_s = asyncio.get_running_loop().time()
+        for lifetime, idle in self._idle.items():
+            for conn, until_s in idle:
+                if until_s <= now_s:
+                    conn.abort()
+            self._idle[lifetime] = [
+                kept for kept in idle if kept.until_s > now_s
+            ]
+
+    def _drop(self, lifetime: Lifetime) -> None:
+        for conn, _ in self._idle.pop(lifetime, []):
+            conn.abort()
+
+    async def _open(self, replica: Replica) -> EndpointConnection:
+        loop = asyncio.get_running_loop()
+        lifetime = replica.lifetime
+
+        def put(conn: EndpointConnection, idle_s: float | None) -> None:  # noqa: WPS430
+            self._put(lifetime, conn, idle_s)
+
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, conn = await loop.create_connection(
+                    lambda: EndpointConnection(self._dialect, put),
+                    replica.host,
+                    replica.port,
+                )
+        except (OSError, TimeoutError) as exc:
+            raise EndpointUnreachableError(str(exc)) from exc
+        self.opened += 1
+        return conn
+
+    def _put(
+        self,
+        lifetime: Lifetime,
+        conn: EndpointConnection,
+        idle_s: float | None,
+    ) -> None:
+        keep_s = (idle_s or DEFAULT_IDLE_S) - IDLE_MARGIN_S
+        idle = self._idle.setdefault(lifetime, [])
+        if keep_s <= 0 or len(idle) >= IDLE_KEPT:
+            conn.abort()
+            return
+        now_s = asyncio.get_running_loop().time()
+        idle.append(_Idle(conn, now_s + keep_s))
--- /dev/null
+++ b/cactusledge/gateway/routes.py
@@ -0,0 +1,40 @@
+"""Finds the route of a request: by host, then by the longest prefix."""
+
+from collections.abc import Iterator
+
+from cactusledge.gateway.messages import Configuration, Route, Service
+
+SLASH = '/'
+
+
+class RouteTable:
+    """The routes of one version of the configuration."""
+
+    def __init__(self, cfg: Configuration) -> None:
+        """Indexes the routes."""
+        self.cfg = cfg
+        self._routes: dict[tuple[str, str], Route] = {
+            (route.host, route.prefix): route for route in cfg.routes
+        }
+        self._services = {service.name: service for service in cfg.services}
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix that begins the path."""
+        host = host.partition(':')[0].lower()
+        for prefix in prefixes(path):
+            route = self._routes.get((host, prefix))
+            if route is not None:
+                return route
+        return None
+
+    def service(self, name: str) -> Service | None:
+        """Returns a service of the configuration."""
+        return self._services.get(name)
+
+
+def prefixes(path: str) -> Iterator[str]:
+    """Yields what may be a route's prefix of the path, longest first."""
+    end = path.partition('?')[0].rfind(SLASH)
+    while end >= 0:
+        yield path[: end + 1]
+        end = path.rfind(SLASH, 0, end)
--- /dev/null
+++ b/cactusledge/gateway/sending.py
@@ -0,0 +1,119 @@
+"""Sends a call to endpoints until one has answered it or may have run it."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cactusledge.gateway.context import Call, Fleet
+from cactusledge.gateway.http_client import EndpointConnection
+from cactusledge.gateway.messages import Replica
+from cactusledge.gateway.placement import healthy
+from cactusledge.gateway.pool import EndpointUnreachableError
+from cactusledge.gateway.sinks import End, WholeAnswer, is_success
+
+Choose = Callable[['Attempts'], Replica | None]
+
+
+class Sent(NamedTuple):
+    """An exchange with an endpoint that has ended."""
+
+    replica: Replica
+    answer: WholeAnswer
+    end: End
+
+
+class Attempts:
+    """The attempts of one call; `count` were really sent."""
+
+    def __init__(self, fleet: Fleet, call: Call, service: str) -> None:
+        """Starts before the first attempt."""
+        self.fleet = fleet
+        self.call = call
+        self.count = 0
+        self.tried: set[str] = set()
+        self._service = service
+
+    @property
+    def may_send(self) -> bool:
+        """Whether the route allows one more attempt."""
+        return self.count < self.call.route.max_attempts
+
+    def candidates(self) -> list[Replica]:
+        """Returns the endpoints to choose from."""
+        now_s = asyncio.get_running_loop().time()
+        usable = self.fleet.replicas.usable(self._service, now_s)
+        return list(healthy(usable, self.fleet.loads, self.tried, now_s))
+
+    async def connect(
+        self, choose: Choose
+    ) -> tuple[Replica, EndpointConnection] | None:
+        """Returns an endpoint and a connection to it, None if none is left."""
+        while True:
+            replica = choose(self)
+            if replica is None:
+                return None
+            try:
+                conn = await self.fleet.pool.take(replica)
+            except EndpointUnreachableError:
+                self.tried.add(replica.endpoint_id)
+                self._failed(replica)
+            else:
+                return replica, conn
+
+    async def exchange(
+        self,
+        replica: Replica,
+        conn: EndpointConnection,
+        answer: WholeAnswer,
+        body: bytes,
+    ) -> Sent:
+        """Sends the request and waits for the end of its answer.
+
+        A cancelled exchange closes its connection, which tells the endpoint
+        to stop.
+        """
+        self.count += 1
+        self.tried.add(replica.endpoint_id)
+        load = self.fleet.loads.of(replica.endpoint_id)
+        load.in_flight += 1
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        conn.send(self._encode(replica, body), self.call.info.request_id, answer)
+        try:
+            end = await answer.ended
+        finally:
+            load.in_flight -= 1
+            if not answer.ended.done() or answer.ended.cancelled():
+                conn.abort()
+        if end is End.ANSWERED:
+            load.succeeded((loop.time() - started_s) * 1000)
+        elif end is End.BROKEN:
+            self._failed(replica)
+        return Sent(replica, answer, end)
+
+    def _encode(self, replica: Replica, body: bytes) -> bytes:
+        request = self.call.request
+        return b''.join((
+            request.method,
+            b' ',
+            request.target,
+            b' HTTP/1.1\r\n',
+            self.fleet.dialect.request_headers(
+                request, replica, self.call.left_ms(), len(body)
+            ),
+            body,
+        ))
+
+    def _failed(self, replica: Replica) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.fleet.loads.of(replica.endpoint_id).failed(now_s)
+
+
+def status_of(sent: Sent) -> int:
+    """Returns the endpoint's status, 0 if there was none."""
+    return sent.answer.head.status if sent.answer.head else 0
+
+
+def succeeded(sent: Sent) -> bool:
+    """Returns whether the endpoint answered with success."""
+    return sent.end is End.ANSWERED and is_success(status_of(sent))
--- /dev/null
+++ b/cactusledge/gateway/sinks.py
@@ -0,0 +1,105 @@
+"""Receivers of endpoints' answers: whole ones, and event streams."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+from cactusledge.gateway.messages import EndpointAnswer
+
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
+
+
+class End(enum.StrEnum):
+    """How an exchange with an endpoint ended."""
+
+    ANSWERED = 'answered'  # a whole answer that may be passed on
+    NOT_RUN = 'not_run'  # the endpoint says that it did not run the request
+    BROKEN = 'broken'  # no answer, or one that is not the endpoint's
+
+
+def is_success(status: int) -> bool:
+    """Returns whether the status is one of success."""
+    return FIRST_SUCCESS <= status < FIRST_REDIRECT
+
+
+def is_genuine(answer: EndpointAnswer) -> bool:
+    """Returns whether an answer is the endpoint's own to this request."""
+    if answer.is_encoded:
+        return False
+    if is_success(answer.status):
+        return answer.has_seal and bool(answer.request_id)
+    return True
+
+
+class WholeAnswer:
+    """Collects an answer; `ended` resolves when it has arrived."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.head: EndpointAnswer | None = None
+        self.ended: asyncio.Future[End] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._parts: list[bytes] = []
+
+    @property
+    def body(self) -> bytes:
+        """The body as far as it has arrived."""
+        return b''.join(self._parts)
+
+    def on_head(self, answer: EndpointAnswer) -> None:
+        """Takes the head."""
+        self.head = answer
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        self._parts.append(body)
+
+    def on_end(self, *, is_whole: bool) -> None:
+        """Takes the end."""
+        if not self.ended.done():
+            self.ended.set_result(end_of(self.head, is_whole=is_whole))
+
+
+def end_of(head: EndpointAnswer | None, *, is_whole: bool) -> End:
+    """Returns how an exchange has ended."""
+    if head is None:
+        return End.BROKEN
+    if head.not_run:
+        return End.NOT_RUN
+    if is_whole and is_genuine(head):
+        return End.ANSWERED
+    return End.BROKEN
+
+
+class StreamAnswer(WholeAnswer):
+    """Passes the parts of a successful answer on as they arrive.
+
+    `on_start` is called with the head, `on_part` with each part; of other
+    answers only `ended` tells.
+    """
+
+    def __init__(
+        self,
+        on_start: Callable[[EndpointAnswer], None],
+        on_part: Callable[[bytes], None],
+    ) -> None:
+        """Keeps whom to pass the parts to."""
+        super().__init__()
+        self.has_started = False
+        self._on_start = on_start
+        self._on_part = on_part
+
+    def on_head(self, answer: EndpointAnswer) -> None:
+        """Starts the caller's answer."""
+        super().on_head(answer)
+        if is_success(answer.status) and is_genuine(answer):
+            self.has_started = True
+            self._on_start(answer)
+
+    def on_body(self, body: bytes) -> None:
+        """Passes the part on."""
+        super().on_body(body)
+        if self.has_started:
+            self._on_part(body)
--- /dev/null
+++ b/cactusledge/gateway/turns.py
@@ -0,0 +1,233 @@
+"""Serves turns of agent programs: event streams whose chain is kept.
+
+A turn's tokens are reserved before it is sent, and its record is durable
+before its answer ends. A turn is never sent a second time unless the engine
+says that it did not run it.
+"""
+
+import asyncio
+import http
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import NamedTuple
+
+from cactusledge.gateway.answers import pass_on, refuse
+from cactusledge.gateway.chains import (
+    EMPTY_CHAIN,
+    Chain,
+    ChainCache,
+    compress,
+    join,
+)
+from cactusledge.gateway.context import Call, Fleet, Outcome
+from cactusledge.gateway.events import count_events, event_data
+from cactusledge.gateway.messages import EndpointAnswer, Replica
+from cactusledge.gateway.placement import choose_engine
+from cactusledge.gateway.sending import Attempts, Sent, status_of, succeeded
+from cactusledge.gateway.sinks import End, StreamAnswer
+from cactusledge.records.client import RecordClient, TurnStart
+from cactusledge.records.messages import Turn
+from cactusledge.records.quorum import Demand, Verdict
+
+UNSURE_RETRY_S = 0.25  # until the record stores may answer again
+BUSY_RETRY_S = 0.3  # until a full engine has room again
+
+
+class Refusal(NamedTuple):
+    """The answer to a turn that is not sent."""
+
+    status: int
+    retry_after_s: float | None
+
+
+REFUSALS: Mapping[Verdict, Refusal] = MappingProxyType({
+    Verdict.SPENT: Refusal(http.HTTPStatus.PAYMENT_REQUIRED, None),
+    Verdict.NO_PARENT: Refusal(http.HTTPStatus.NOT_FOUND, None),
+    Verdict.UNSURE: Refusal(
+        http.HTTPStatus.SERVICE_UNAVAILABLE, UNSURE_RETRY_S
+    ),
+})
+
+
+class TurnServer:
+    """Serves streams, with records where the route keeps turns."""
+
+    def __init__(self, fleet: Fleet, records: RecordClient) -> None:
+        """Keeps the endpoints and the records."""
+        self._fleet = fleet
+        self._records = records
+        self._chains = ChainCache()
+
+    async def serve(self, call: Call, service: str) -> Outcome:
+        """Answers one turn."""
+        if not call.route.keeps_turns:
+            stream = TurnStream(call, EMPTY_CHAIN, 0)
+            return await self._send(call, service, stream)
+        return await self._serve_kept(call, service)
+
+    async def _serve_kept(self, call: Call, service: str) -> Outcome:
+        info = call.info
+        cached = self._chains.get(info.parent_id) or EMPTY_CHAIN
+        start = TurnStart(
+            Demand(
+                info.request_id, info.max_tokens, info.budget, info.parent_id
+            ),
+            info.program_id,
+            wants_chain=bool(info.parent_id) and cached is EMPTY_CHAIN,
+        )
+        spent = _Spent()
+        try:
+            return await self._reserve_and_send(
+                call, service, start, cached, spent
+            )
+        finally:
+            if not spent.is_recorded:
+                self._records.settle(
+                    info.program_id, info.request_id, spent.tokens
+                )
+
+    async def _reserve_and_send(
+        self,
+        call: Call,
+        service: str,
+        start: TurnStart,
+        cached: Chain,
+        spent: '_Spent',
+    ) -> Outcome:
+        grant = await self._records.begin(start)
+        if grant.verdict is not Verdict.GRANTED:
+            refusal = REFUSALS[grant.verdict]
+            return refuse(
+                call.conn,
+                refusal.status,
+                f'{grant.verdict}: {grant.reason}',
+                refusal.retry_after_s,
+            )
+        chain = join(grant.chain) if start.wants_chain else cached
+        stream = TurnStream(call, chain, self._tokens_per_event(call, service))
+        stream.spent = spent
+        return await self._send(call, service, stream)
+
+    def _tokens_per_event(self, call: Call, service: str) -> int:
+        found = call.table.service(service)
+        if found is None or found.engine is None:
+            return 1
+        return found.engine.tokens_per_event
+
+    async def _send(
+        self, call: Call, service: str, stream: 'TurnStream'
+    ) -> Outcome:
+        attempts = Attempts(self._fleet, call, service)
+        body = stream.chain.text + call.request.body
+        while attempts.may_send:
+            found = await attempts.connect(stream.choose)
+            if found is None:
+                break
+            replica, conn = found
+            answer = stream.new_answer(self._fleet)
+            load = self._fleet.loads.of(replica.endpoint_id)
+            load.learn_parts(call.info.parts)
+            try:
+                sent = await attempts.exchange(replica, conn, answer, body)
+            finally:
+                stream.count(answer)
+            if sent.end is End.NOT_RUN:
+                continue
+            return await self._end(call, stream, sent, attempts.count)
+        return refuse(
+            call.conn,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            f'no engine took it in {attempts.count} attempts',
+            BUSY_RETRY_S,
+        )
+
+    async def _end(
+        self,
+        call: Call,
+        stream: 'TurnStream',
+        sent: Sent,
+        attempts: int,
+    ) -> Outcome:
+        """Ends the caller's answer as the engine's has ended."""
+        endpoint_id = sent.replica.endpoint_id
+        if succeeded(sent):
+            if call.route.keeps_turns and not await self._keep(
+                call, stream, sent
+            ):
+                call.conn.break_off()
+                return Outcome(0, 'turn not recorded', endpoint_id, attempts)
+            call.conn.end_stream()
+            return Outcome(status_of(sent), 'answered', endpoint_id, attempts)
+        if call.conn.has_head:
+            call.conn.break_off()
+            return Outcome(0, 'stream broken', endpoint_id, attempts)
+        if sent.end is End.ANSWERED:
+            return pass_on(self._fleet, call, sent, attempts)
+        return refuse(call.conn, http.HTTPStatus.BAD_GATEWAY, 'answer broken')
+
+    async def _keep(self, call: Call, stream: 'TurnStream', sent: Sent) -> bool:
+        """Returns whether the turn's record is durable."""
+        info = call.info
+        response = event_data(sent.answer.body)
+        turn = Turn(
+            turn_id=info.request_id,
+            parent_id=info.parent_id,
+            program_id=info.program_id,
+            request=compress(call.request.body),
+            response=compress(response),
+            tokens=stream.spent.tokens,
+            endpoint_id=sent.replica.endpoint_id,
+        )
+        if not await self._records.record(turn):
+            return False
+        stream.spent.is_recorded = True
+        text = b''.join((stream.chain.text, call.request.body, response))
+        self._chains.put(
+            info.request_id, Chain(text, sent.replica.endpoint_id)
+        )
+        return True
+
+
+class _Spent:
+    """The tokens that a turn has handed out."""
+
+    def __init__(self) -> None:
+        self.tokens = 0
+        self.is_recorded = False
+
+
+class TurnStream:
+    """One turn on its way: where it came from and what it has spent."""
+
+    def __init__(self, call: Call, chain: Chain, tokens_per_event: int) -> None:
+        """Starts before the first attempt."""
+        self.call = call
+        self.chain = chain
+        self.spent = _Spent()
+        self._tokens_per_event = tokens_per_event
+
+    def choose(self, attempts: Attempts) -> Replica | None:
+        """Returns the engine to send the turn to."""
+        fleet = attempts.fleet
+        return choose_engine(
+            attempts.candidates(),
+            fleet.loads,
+            self.call.info.parts,
+            fleet.data_centre,
+        )
+
+    def new_answer(self, fleet: Fleet) -> StreamAnswer:
+        """Returns a receiver that passes the events on to the caller."""
+        conn = self.call.conn
+
+        def on_start(answer: EndpointAnswer) -> None:  # noqa: WPS430
+            headers = fleet.dialect.response_headers(answer.headers)
+            conn.begin_stream(answer.status, headers)
+
+        return StreamAnswer(on_start, conn.write_chunk)
+
+    def count(self, answer: StreamAnswer) -> None:
+        """Counts the tokens that an attempt has handed out."""
+        if answer.has_started:
+            events = count_events(answer.body)
+            self.spent.tokens += events * self._tokens_per_event
--- /dev/null
+++ b/cactusledge/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- a/cactusledge/platform/client.py
+++ b/cactusledge/objects/client.py
@@ -13,20 +13,20 @@
     StoreUnavailableError,
 )
 from cactusledge.models import Address
-from cactusledge.platform import wire
-from cactusledge.platform.errors import StoreRefusedError, StoreSilentError
-from cactusledge.platform.exchange import (
+from cactusledge.objects import wire
+from cactusledge.objects.errors import StoreRefusedError, StoreSilentError
+from cactusledge.objects.exchange import (
     Exchange,
     Reply,
     new_pool,
     request_timeout,
 )
-from cactusledge.platform.statuses import (
+from cactusledge.objects.statuses import (
     UNCERTAIN,
     check_status,
     store_error,
 )
-from cactusledge.platform.store import ObjectList, StoredObject, WatchEvent
+from cactusledge.objects.store import ObjectList, StoredObject, WatchEvent
 
 REQUEST_TIMEOUT_S = 2.0
 WATCH_SILENCE_S = 5.0  # longest wait for an event or a bookmark
--- a/cactusledge/platform/measured.py
+++ b/cactusledge/objects/measured.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from cactusledge.errors import StoreError
-from cactusledge.platform.store import (
+from cactusledge.objects.store import (
     ObjectList,
     ObjectStore,
     StoredObject,
--- a/cactusledge/platform/statuses.py
+++ b/cactusledge/objects/statuses.py
@@ -12,8 +12,8 @@
     StoreUnavailableError,
     StoreVersionGoneError,
 )
-from cactusledge.platform.errors import StoreRefusedError, StoreTooLargeError
-from cactusledge.platform.exchange import Reply
+from cactusledge.objects.errors import StoreRefusedError, StoreTooLargeError
+from cactusledge.objects.exchange import Reply
 
 FIRST_SUCCESS = 200
 FIRST_ERROR = 300
--- a/cactusledge/platform/watcher.py
+++ b/cactusledge/objects/watcher.py
@@ -7,8 +7,8 @@
 import structlog
 
 from cactusledge.errors import StoreError
-from cactusledge.platform.outage import backoff_s
-from cactusledge.platform.store import (
+from cactusledge.objects.outage import backoff_s
+from cactusledge.objects.store import (
     BOOKMARK,
     ObjectList,
     ObjectStore,
--- a/cactusledge/platform/wire.py
+++ b/cactusledge/objects/wire.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cactusledge.platform.store import ObjectList, StoredObject, WatchEvent
+from cactusledge.objects.store import ObjectList, StoredObject, WatchEvent
 
 API_ROOT = '/apis/cactusledge/v1'
 
--- a/cactusledge/platform/__init__.py
+++ b/cactusledge/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client of the platform's object API."""
+"""Adapter to the users' platform: translates its names, decides nothing."""
--- /dev/null
+++ b/cactusledge/platform/__main__.py
@@ -0,0 +1,39 @@
+"""Runs one role on the users' platform: `cactusledge.platform ROLE`."""
+
+import asyncio
+import os
+import sys
+
+from cactusledge.errors import CactusledgeError
+from cactusledge.platform.roles import ROLES
+from cactusledge.platform.settings import read_settings
+from cactusledge.status import ExitStatus
+from cactusledge.telemetry.logs import configure_logs
+
+
+def main(role: str) -> ExitStatus:
+    """Runs the role until it is stopped."""
+    if role not in ROLES:
+        sys.stderr.write(f'{role}: not a role; use one of {sorted(ROLES)}\n')
+        return ExitStatus.USAGE
+    try:
+        settings = read_settings(os.environ)
+    except CactusledgeError as exc:
+        sys.stderr.write(f'{exc.code}: {exc.message} {exc.remedy}\n')
+        return ExitStatus.INVALID
+    configure_logs(
+        sys.stdout,
+        log_format='json',
+        level='info',
+        instance=settings.instance,
+        data_centre=settings.data_centre,
+    )
+    asyncio.run(ROLES[role](settings))
+    return ExitStatus.OK
+
+
+if __name__ == '__main__':
+    status = main(sys.argv[1] if len(sys.argv) > 1 else '')
+    sys.stdout.flush()
+    # Watchers may wait for the platform; they must not keep the process.
+    os._exit(status)
--- /dev/null
+++ b/cactusledge/platform/documents.py
@@ -0,0 +1,136 @@
+"""Decodes the platform's documents: configuration, endpoints, retirements."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+import structlog
+
+from cactusledge.gateway.messages import (
+    Configuration,
+    Engine,
+    Limits,
+    Replica,
+    Repeatability,
+    Route,
+    Service,
+    Share,
+)
+from cactusledge.objects.store import StoredObject
+
+CONFIGURATION_KIND = 'config'
+CONFIGURATION_NAME = 'main'
+ENDPOINT_KIND = 'servers'
+RETIREMENT_KIND = 'retirements'  # named by the machine to be emptied
+
+REPEATABILITY: Mapping[str, Repeatability] = MappingProxyType({
+    'safe': Repeatability.IDEMPOTENT,
+    'unsafe': Repeatability.ONCE,
+    'stream': Repeatability.STREAM,
+})
+ENDPOINT_STATES = frozenset(('ready', 'draining'))
+DEFAULT_ATTEMPTS = 2
+
+log = structlog.get_logger('platform')
+
+
+def decode_configuration(stored: StoredObject) -> Configuration | None:
+    """Returns a version of the configuration, None if it is not one."""
+    if stored.name != CONFIGURATION_NAME:
+        return None
+    try:
+        return to_configuration(stored.body)
+    except (KeyError, TypeError, ValueError) as exc:
+        log.error(
+            'platform: configuration not readable',
+            version=stored.version,
+            error=repr(exc),
+        )
+        return None
+
+
+def to_configuration(spec: Mapping[str, Any]) -> Configuration:
+    """Returns the configuration in an object's content."""
+    limits = spec.get('limits', {})
+    return Configuration(
+        version=int(spec['version']),
+        routes=tuple(to_route(route) for route in spec['routes']),
+        services=tuple(to_service(service) for service in spec['services']),
+        limits=Limits(
+            header_bytes=int(limits.get('max_header_bytes', 16384)),
+            body_bytes=int(limits.get('max_body_bytes', 4194304)),
+            header_timeout_ms=float(limits.get('header_timeout_ms', 3000)),
+            idle_timeout_ms=float(limits.get('idle_timeout_ms', 15000)),
+        ),
+    )
+
+
+def to_route(spec: Mapping[str, Any]) -> Route:
+    """Returns a route; it names one service or a split over several."""
+    split = spec.get('split') or [{'service': spec['service'], 'weight': 1}]
+    return Route(
+        name=spec['name'],
+        host=spec['host'].lower(),
+        prefix=spec['path_prefix'],
+        repeatability=REPEATABILITY[spec['kind']],
+        timeout_ms=float(spec['timeout_ms']),
+        target_latency_ms=float(spec.get('target_latency_ms', 0)),
+        priority=int(spec.get('priority', 0)),
+        shares=tuple(
+            Share(part['service'], int(part['weight'])) for part in split
+        ),
+        max_attempts=int(spec.get('max_attempts', DEFAULT_ATTEMPTS)),
+        keeps_turns=bool(spec.get('retain_context', False)),
+        retention_s=float(spec.get('retention_s', 0)),
+    )
+
+
+def to_service(spec: Mapping[str, Any]) -> Service:
+    """Returns a service."""
+    engine = spec.get('engine')
+    return Service(
+        name=spec['name'],
+        max_connections=int(spec.get('max_conns', 0)),
+        engine=Engine(int(engine['tokens_per_event'])) if engine else None,
+    )
+
+
+def decode_replica(stored: StoredObject) -> Replica | None:
+    """Returns an endpoint of the list; None for an entry not to be used."""
+    try:
+        return to_replica(stored.name, stored.body)
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        log.info(
+            'platform: endpoint entry not readable, left out',
+            endpoint_id=stored.name,
+            error=repr(exc),
+        )
+        return None
+
+
+def to_replica(endpoint_id: str, spec: Mapping[str, Any]) -> Replica:
+    """Returns an endpoint; raises if a field is missing or of another type."""
+    host, _, port = spec['address'].rpartition(':')
+    service, zone, state = spec['service'], spec['zone'], spec['state']
+    slots, born = spec['slots'], spec.get('born', 0)
+    if not all(isinstance(name, str) and name for name in (service, zone)):
+        raise TypeError('service and zone have to be names')
+    if state not in ENDPOINT_STATES:
+        raise ValueError(f'state {state} is not known')
+    if not isinstance(slots, int) or not isinstance(born, int):
+        raise TypeError('slots and born have to be whole numbers')
+    return Replica(
+        endpoint_id=endpoint_id,
+        service=service,
+        host=host,
+        port=int(port),
+        data_centre=zone,
+        slots=slots,
+        is_draining=state == 'draining',
+        born_ms=born,
+    )
+
+
+def is_retirement_of(stored: StoredObject, instance: str) -> bool:
+    """Returns whether the object asks to empty this instance."""
+    return stored.name == instance
--- /dev/null
+++ b/cactusledge/platform/objects.py
@@ -0,0 +1,169 @@
+"""The platform's object API; implements `objects.store.ObjectStore`."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from cactusledge.errors import StoreAnswerLostError, StoreUnavailableError
+from cactusledge.models import Address
+from cactusledge.objects.client import as_unavailable
+from cactusledge.objects.exchange import Exchange, Reply
+from cactusledge.objects.statuses import UNCERTAIN, check_status, store_error
+from cactusledge.objects.store import (
+    ADDED,
+    BOOKMARK,
+    DELETED,
+    ObjectList,
+    StoredObject,
+    WatchEvent,
+)
+
+ROOT = '/api/objects'
+REQUEST_TIMEOUT_S = 1.5
+WATCH_MARGIN_S = 1.0  # for the answer of a watch that waited in full
+
+
+class PlatformObjects:
+    """Reads, writes and watches the platform's objects; used by threads."""
+
+    def __init__(self, address: Address) -> None:
+        """Keeps the address; opens no connection."""
+        self._address = address
+        self._exchange = Exchange((address,), REQUEST_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._exchange.close()
+
+    def read(self, kind: str, name: str) -> StoredObject:
+        """Returns the object; raises StoreNotFoundError if there is none."""
+        return self._decode(kind, self._get(path_of(kind, name)))
+
+    def list(self, kind: str, prefix: str = '') -> ObjectList:
+        """Returns all objects of a kind whose names start with `prefix`."""
+        items: list[StoredObject] = []
+        page = self._page(kind, {})
+        version = str(page['as_of'])
+        items.extend(objects_in(kind, page))
+        while page.get('has_more') and items:
+            page = self._page(kind, {'after': items[-1].name})
+            items.extend(objects_in(kind, page))
+        kept = (found for found in items if found.name.startswith(prefix))
+        return ObjectList(tuple(kept), version)
+
+    def create(
+        self, kind: str, name: str, body: Mapping[str, Any]
+    ) -> StoredObject:
+        """Creates the object; raises StoreConflictError if it exists."""
+        document = {'metadata': {'name': name}, 'spec': body}
+        return self._write('POST', path_of(kind), kind, document)
+
+    def update(
+        self, kind: str, name: str, body: Mapping[str, Any], version: str
+    ) -> StoredObject:
+        """Replaces the object if it still has the given version."""
+        metadata = {'name': name, 'revision': int(version)}
+        document = {'metadata': metadata, 'spec': body}
+        return self._write('PUT', path_of(kind, name), kind, document)
+
+    def put_status(
+        self, kind: str, name: str, status: Mapping[str, Any]
+    ) -> StoredObject:
+        """Replaces what the system says of an object of the operator's."""
+        document = {'metadata': {'name': name}, 'status': status}
+        path = f'{path_of(kind, name)}/status'
+        return self._write('PUT', path, kind, document)
+
+    def watch(
+        self,
+        kind: str,
+        version: str,
+        timeout_s: float,
+        prefix: str = '',
+    ) -> Iterator[WatchEvent]:
+        """Yields the changes after `version`: one answer of the platform.
+
+        The platform holds the answer back until there is a change; without
+        one it answers after `timeout_s`, which shows as a bookmark.
+        """
+        query = {'watch': version, 'wait_ms': str(int(timeout_s * 1000))}
+        exchange = Exchange((self._address,), timeout_s + WATCH_MARGIN_S)
+        try:
+            reply = self._ask(exchange, f'{path_of(kind)}?{urlencode(query)}')
+        finally:
+            exchange.close()
+        page = decode(reply)
+        for event in page['events']:
+            found = to_object(kind, event['object'])
+            if found.name.startswith(prefix):
+                yield WatchEvent(
+                    DELETED if event.get('deleted') else ADDED, found
+                )
+        marker = StoredObject(kind, '', str(page['as_of']), {})
+        yield WatchEvent(BOOKMARK, marker)
+
+    def _page(self, kind: str, query: Mapping[str, str]) -> Any:
+        path = path_of(kind)
+        if query:
+            path = f'{path}?{urlencode(query)}'
+        return decode(self._get(path))
+
+    def _get(self, path: str) -> Reply:
+        return self._ask(self._exchange, path)
+
+    def _ask(self, exchange: Exchange, path: str) -> Reply:
+        try:
+            reply = exchange.send('GET', path)
+            check_status(path, reply)
+        except StoreAnswerLostError as exc:
+            raise as_unavailable(exc) from exc
+        return reply
+
+    def _write(
+        self, method: str, path: str, kind: str, document: Mapping[str, Any]
+    ) -> StoredObject:
+        content = msgspec.json.encode(document)
+        reply = self._exchange.send(method, path, content)
+        check_status(path, reply)
+        try:
+            return to_object(kind, msgspec.json.decode(reply.body))
+        except (msgspec.MsgspecError, KeyError) as exc:
+            raise store_error(UNCERTAIN, path, None) from exc
+
+    def _decode(self, kind: str, reply: Reply) -> StoredObject:
+        return to_object(kind, decode(reply))
+
+
+def path_of(kind: str, name: str = '') -> str:
+    """Returns the path of a kind, or of one object."""
+    path = f'{ROOT}/{quote(kind, safe="")}'
+    return f'{path}/{quote(name, safe="")}' if name else path
+
+
+def decode(reply: Reply) -> Any:
+    """Returns a document; one that can not be read counts as no answer."""
+    try:
+        return msgspec.json.decode(reply.body)
+    except msgspec.MsgspecError as exc:
+        raise StoreUnavailableError(
+            'The platform sent a document that can not be read.',
+            remedy='Try again later.',
+        ) from exc
+
+
+def objects_in(kind: str, page: Mapping[str, Any]) -> list[StoredObject]:
+    """Returns the objects of a page of a list."""
+    return [to_object(kind, document) for document in page['items']]
+
+
+def to_object(kind: str, document: Mapping[str, Any]) -> StoredObject:
+    """Returns the object in a document."""
+    metadata = document['metadata']
+    return StoredObject(
+        kind=kind,
+        name=str(metadata['name']),
+        version=str(metadata['revision']),
+        body=document.get('spec') or {},
+    )
--- /dev/null
+++ b/cactusledge/platform/roles.py
@@ -0,0 +1,93 @@
+"""The roles of the deploy file, built from the product's parts."""
+
+from collections.abc import Callable, Coroutine, Mapping
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+from cactusledge.gateway.app import GatewayApplication, GatewayParts
+from cactusledge.models import Address
+from cactusledge.objects.store import StoredObject
+from cactusledge.platform.documents import (
+    CONFIGURATION_KIND,
+    ENDPOINT_KIND,
+    RETIREMENT_KIND,
+    decode_configuration,
+    decode_replica,
+    is_retirement_of,
+)
+from cactusledge.platform.headers import HeaderDialect
+from cactusledge.platform.objects import PlatformObjects
+from cactusledge.platform.settings import PlatformSettings, invalid
+from cactusledge.records.app import StoreApplication, StoreParts
+
+Role = Callable[[PlatformSettings], Coroutine[Any, Any, None]]
+
+
+class PlatformRetirement:
+    """Requests to empty a store; implements `records.app.Retirement`."""
+
+    kind = RETIREMENT_KIND
+
+    def __init__(self, objects: PlatformObjects, instance: str) -> None:
+        """Keeps whose requests to look for."""
+        self._objects = objects
+        self._instance = instance
+
+    def is_asked(self, stored: StoredObject) -> bool:
+        """Returns whether an object asks to empty this store."""
+        return is_retirement_of(stored, self._instance)
+
+    def report(self, *, is_done: bool) -> None:
+        """Tells the operator how far it is."""
+        state = 'done' if is_done else 'running'
+        self._objects.put_status(
+            RETIREMENT_KIND, self._instance, {'state': state}
+        )
+
+
+async def run_front(settings: PlatformSettings) -> None:
+    """Serves callers."""
+    if settings.callers is None or settings.readiness is None:
+        raise invalid('listen', 'listen.front or listen.ready is missing.')
+    parts = GatewayParts(
+        instance=settings.instance,
+        data_centre=settings.data_centre,
+        callers=settings.callers,
+        readiness=settings.readiness,
+        seeds=tuple(
+            Address(seed.host, settings.peer_port) for seed in settings.seeds
+        ),
+        grace_s=settings.grace_s,
+        objects=PlatformObjects(settings.store),
+        dialect=HeaderDialect(),
+        configuration_kind=CONFIGURATION_KIND,
+        endpoint_kind=ENDPOINT_KIND,
+        decode_configuration=decode_configuration,
+        decode_replica=decode_replica,
+    )
+    await GatewayApplication(parts).run()
+
+
+async def run_store(settings: PlatformSettings) -> None:
+    """Keeps records."""
+    folder = settings.data_folder
+    if folder is None:
+        raise invalid('data_dir', 'data_dir is missing.')
+    objects = PlatformObjects(settings.store)
+    parts = StoreParts(
+        instance=settings.instance,
+        data_centre=settings.data_centre,
+        address=Address(settings.host, settings.peer_port),
+        folder=Path(folder),
+        is_first_start=settings.is_first_start,
+        objects=objects,
+        retirement=PlatformRetirement(objects, settings.instance),
+    )
+    await StoreApplication(parts).run()
+
+
+ROLES: Mapping[str, Role] = MappingProxyType({
+    'front': run_front,
+    'store': run_store,
+})
--- /dev/null
+++ b/cactusledge/platform/settings.py
@@ -0,0 +1,126 @@
+"""Reads the settings file that the platform writes for each process."""
+
+import os
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import NamedTuple, TypeVar
+
+from cactusledge.models import Address
+from cactusledge.settings.errors import InvalidSettingsError, Problem
+
+PATH_VARIABLE = 'CACTUSLEDGE_CONFIG'
+Converted = TypeVar('Converted')
+
+REMEDY = 'Correct the settings file of this process.'
+
+
+class PlatformSettings(NamedTuple):
+    """The settings that the product uses; others are ignored."""
+
+    instance: str  # node_name: the machine's name
+    data_centre: str  # zone
+    host: str  # ip
+    peer_port: int  # first of port_range
+    callers: Address | None  # listen.front
+    readiness: Address | None  # listen.ready
+    seeds: tuple[Address, ...]  # record stores, perhaps stale
+    is_first_start: bool  # bootstrap: all disks are empty, and should be
+    data_folder: Path | None  # data_dir
+    grace_s: float  # from SIGTERM to SIGKILL
+    store: Address  # platform.address
+
+
+def read_settings(environ: Mapping[str, str]) -> PlatformSettings:
+    """Returns the settings of this process.
+
+    Raises:
+        InvalidSettingsError: The file is absent, or a field is missing or not
+            of its type.
+    """
+    name = environ.get(PATH_VARIABLE, '')
+    try:
+        text = Path(name).read_text(encoding='utf-8')
+    except OSError as exc:
+        raise invalid(name or PATH_VARIABLE, f'{exc}.') from exc
+    return parse_settings(text, name)
+
+
+def parse_settings(text: str, place: str) -> PlatformSettings:
+    """Returns the settings in a text of `a.b=value` lines."""
+    fields = dict(
+        line.split('=', 1)
+        for line in text.splitlines()
+        if '=' in line and not line.startswith('#')
+    )
+    reader = _Reader(fields, place)
+    return PlatformSettings(
+        instance=reader.text('node_name'),
+        data_centre=reader.text('zone'),
+        host=reader.text('ip'),
+        peer_port=reader.convert('port_range', first_port),
+        callers=reader.optional('listen.front', parse_address),
+        readiness=reader.optional('listen.ready', parse_address),
+        seeds=reader.optional('seeds', parse_addresses) or (),
+        is_first_start=fields.get('bootstrap') == 'true',
+        data_folder=reader.optional('data_dir', Path),
+        grace_s=reader.convert('bounds.grace_s', float),
+        store=reader.convert('platform.address', parse_address),
+    )
+
+
+def parse_address(text: str) -> Address:
+    """Returns the address in `host:port` form."""
+    host, _, port = text.rpartition(':')
+    return Address(host, int(port))
+
+
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Returns a list of addresses joined by commas."""
+    return tuple(parse_address(part) for part in text.split(',') if part)
+
+
+def first_port(text: str) -> int:
+    """Returns the first port of a `first,last` range."""
+    return int(text.split(',', maxsplit=1)[0])
+
+
+def invalid(place: str, message: str) -> InvalidSettingsError:
+    """Returns the error for one fault in the settings."""
+    return InvalidSettingsError((Problem(place, message, REMEDY),))
+
+
+class _Reader:
+    """Reads single fields and names the one that is at fault."""
+
+    def __init__(self, fields: Mapping[str, str], place: str) -> None:
+        self._fields = fields
+        self._place = place
+
+    def text(self, name: str) -> str:
+        """Returns a field that must be there."""
+        found = self._fields.get(name, '')
+        if not found:
+            raise invalid(self._place, f'{name} is missing.')
+        return found
+
+    def convert(
+        self, name: str, parse: Callable[[str], Converted]
+    ) -> Converted:
+        """Returns a field that must be there, converted."""
+        found = self.text(name)
+        try:
+            return parse(found)
+        except ValueError as exc:
+            message = f'{name}={found} is not valid ({exc}).'
+            raise invalid(self._place, message) from exc
+
+    def optional(
+        self, name: str, parse: Callable[[str], Converted]
+    ) -> Converted | None:
+        """Returns a field, converted, or None if it is not there."""
+        return self.convert(name, parse) if self._fields.get(name) else None
+
+
+def process_settings() -> PlatformSettings:
+    """Returns the settings of this process."""
+    return read_settings(os.environ)
--- a/cactusledge/programs/journal_io.py
+++ b/cactusledge/programs/journal_io.py
@@ -15,7 +15,7 @@
 from cactusledge.protocol.journal import JournalState
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 
 class SlotAccess:
--- a/cactusledge/programs/journal_writer.py
+++ b/cactusledge/programs/journal_writer.py
@@ -33,7 +33,7 @@
 from cactusledge.protocol.records import Opened, ProgramRecord
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
     from cactusledge.programs.takeover import TakenLog
 
 
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/log_opener.py
@@ -8,7 +8,7 @@
 from functools import partial
 from typing import Any, NamedTuple, Protocol
 
-from cactusledge.platform.store import ObjectStore
+from cactusledge.objects.store import ObjectStore
 from cactusledge.programs.driver import LogDriver
 from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
 from cactusledge.programs.logs import OwnedLog
--- a/cactusledge/programs/ring_access.py
+++ b/cactusledge/programs/ring_access.py
@@ -12,7 +12,7 @@
 from cactusledge.protocol.errors import HistoryError
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 CREATORS = 8  # requests at once for a new ring
 MAX_LISTINGS = 5
--- a/cactusledge/programs/takeover.py
+++ b/cactusledge/programs/takeover.py
@@ -16,7 +16,7 @@
 from cactusledge.protocol.state import ProgramState
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 MAX_ATTEMPTS = 8  # listings, or appends of the former owner in between
 MAX_STEPS = 32  # requests and waits for one append
--- /dev/null
+++ b/cactusledge/records/app.py
@@ -0,0 +1,161 @@
+"""The record store's process: what it owns, its start and its stop."""
+
+import asyncio
+import gc
+import signal
+from pathlib import Path
+from typing import NamedTuple, Protocol
+
+import structlog
+
+from cactusledge.gateway.feeds import Feed, Listing
+from cactusledge.gateway.followers import GroupFollower
+from cactusledge.models import Address
+from cactusledge.objects.store import ObjectStore, StoredObject
+from cactusledge.objects.watcher import Watcher, WatchTarget
+from cactusledge.records.disk import read_document
+from cactusledge.records.keeper import GROUP_KIND, GroupKeeper
+from cactusledge.records.log import RecordLog
+from cactusledge.records.membership import decode_group
+from cactusledge.records.messages import Member
+from cactusledge.records.store import GROUP_FILE, RecordStore
+from cactusledge.records.transport import MessageServer
+
+WATCH_S = 10.0
+
+log = structlog.get_logger('records')
+
+
+class Retirement(Protocol):
+    """Where the operator asks for this store to be emptied."""
+
+    kind: str
+
+    def is_asked(self, stored: StoredObject) -> bool:
+        """Returns whether an object asks to empty this store."""
+
+    def report(self, *, is_done: bool) -> None:
+        """Tells the operator how far it is; blocks, raises StoreError."""
+
+
+class StoreParts(NamedTuple):
+    """What an adapter provides."""
+
+    instance: str
+    data_centre: str
+    address: Address
+    folder: Path
+    is_first_start: bool
+    objects: ObjectStore
+    retirement: Retirement
+
+
+class StoreApplication:
+    """Owns the parts; `run` returns once the process may end."""
+
+    def __init__(self, parts: StoreParts) -> None:
+        """Reads the data folder."""
+        self._parts = parts
+        record_log = RecordLog(
+            parts.folder, is_first_start=parts.is_first_start
+        )
+        self.store = RecordStore(parts.instance, record_log)
+        self.keeper = GroupKeeper(
+            self.store,
+            parts.objects,
+            Member(str(parts.address), parts.data_centre),
+            is_first_start=parts.is_first_start,
+        )
+        self._server = MessageServer(self.store.handle)
+        self._watchers: list[Watcher] = []
+        self._tasks: list[asyncio.Future[None]] = []
+
+    @property
+    def retirement(self) -> Retirement:
+        """Where the operator asks for an emptying."""
+        return self._parts.retirement
+
+    async def run(self) -> None:
+        """Serves until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        known = read_document(self._parts.folder, GROUP_FILE)
+        if known is not None:
+            self.keeper.take_group(decode_group(known))
+        await self._server.start(self._parts.address)
+        self._follow(loop)
+        self._tasks.append(asyncio.ensure_future(self.keeper.run()))
+        gc.collect()
+        gc.freeze()
+        log.info(
+            'records: started',
+            instance=self._parts.instance,
+            entries=len(self.store.log.entries),
+            **self.store.log.identity._asdict(),
+        )
+        await stop.wait()
+        self._stop()
+
+    def start_retirement(self) -> None:
+        """Begins to empty this store."""
+        if not self.keeper.is_retiring:
+            log.info('records: to be emptied')
+            self.keeper.is_retiring = True
+            self._tasks.append(asyncio.ensure_future(self._retire()))
+
+    async def _retire(self) -> None:
+        loop = asyncio.get_running_loop()
+        report = self._parts.retirement.report
+        await loop.run_in_executor(None, lambda: report(is_done=False))
+        await self.keeper.retire()
+        log.info('records: emptied', entries=len(self.store.log.entries))
+        await loop.run_in_executor(None, lambda: report(is_done=True))
+
+    def _follow(self, loop: asyncio.AbstractEventLoop) -> None:
+        followers = {
+            GROUP_KIND: GroupFollower(self.keeper.take_group),
+            self._parts.retirement.kind: RetirementFollower(self),
+        }
+        for kind, follower in followers.items():
+            target = WatchTarget(kind, timeout_s=WATCH_S)
+            watcher = Watcher(
+                self._parts.objects, target, Feed(loop, follower)
+            )
+            watcher.start()
+            self._watchers.append(watcher)
+
+    def _stop(self) -> None:
+        log.info('records: stopping')
+        for task in self._tasks:
+            task.cancel()
+        self._server.stop()
+        self.store.log.stop()
+
+
+class RetirementFollower:
+    """Starts the emptying of a store when it is asked for."""
+
+    def __init__(self, app: StoreApplication) -> None:
+        """Keeps the application."""
+        self._app = app
+
+    def take_list(self, listing: Listing) -> None:
+        """Takes a complete list."""
+        for stored in listing.listed.items:
+            self.take_object(stored)
+
+    def take_object(self, stored: StoredObject) -> None:
+        """Takes a new or changed object."""
+        if self._app.retirement.is_asked(stored):
+            self._app.start_retirement()
+
+    def take_removal(self, name: str) -> None:
+        """Logs it; an emptying that has begun goes on."""
+        log.info('records: request to empty a store removed', instance=name)
+
+
+def _note_reload() -> None:
+    """Logs a SIGHUP; a store's own settings hold until its next start."""
+    log.info('records: settings changed, in force at the next start')
--- /dev/null
+++ b/cactusledge/records/catch_up.py
@@ -0,0 +1,83 @@
+"""Lets a store with an empty or replaced disk copy what it should hold."""
+
+import asyncio
+from collections.abc import Iterable
+
+import msgspec
+import structlog
+
+from cactusledge.records.membership import sources_needed
+from cactusledge.records.messages import ENTRY_DECODER, Pull, Pulled
+from cactusledge.records.store import RecordStore
+from cactusledge.records.transport import Peer
+
+PULL_TIMEOUT_S = 2.0
+RETRY_S = 0.2
+
+log = structlog.get_logger('records')
+
+
+class CatchUp:
+    """Copies the others' logs; afterwards the store is a witness."""
+
+    def __init__(self, store: RecordStore) -> None:
+        """Keeps the store to fill."""
+        self._store = store
+        self._read: dict[str, str] = {}  # source -> log read in full
+
+    async def run(self, peers: Iterable[Peer]) -> None:
+        """Copies from each peer once; call again until the store is full."""
+        await asyncio.gather(*(
+            self._copy(peer)
+            for peer in peers
+            if peer.name not in self._read and peer.is_connected
+        ))
+        group = self._store.group
+        sources = self._read.keys() & group.members.keys()
+        needed = sources_needed(len(group.members))
+        if self._store.is_member and len(sources) >= needed:
+            self._store.log.become_witness()
+            log.info(
+                'records: caught up',
+                sources=sorted(sources),
+                entries=len(self._store.log.entries),
+            )
+
+    async def _copy(self, peer: Peer) -> None:
+        try:
+            await self._copy_all(peer)
+        except (ConnectionError, TimeoutError, OSError) as exc:
+            log.info(
+                'records: copying interrupted',
+                source=peer.name,
+                error=repr(exc),
+            )
+
+    async def _copy_all(self, peer: Peer) -> None:
+        """Reads a peer's log from its start to the head it had then."""
+        position = 0
+        log_id = ''
+        head = None
+        while head is None or position < head:
+            pulled = await peer.call(
+                Pull(self._store.group.generation, log_id, position),
+                PULL_TIMEOUT_S,
+            )
+            if not isinstance(pulled, Pulled):
+                return
+            await self._apply(pulled)
+            log_id = pulled.log_id
+            position += len(pulled.entries)
+            head = pulled.head if head is None else head
+            if not pulled.is_witness:
+                return
+        self._read[peer.name] = log_id
+
+    async def _apply(self, pulled: Pulled) -> None:
+        entries = []
+        for encoded in pulled.entries:
+            try:
+                entries.append(ENTRY_DECODER.decode(encoded))
+            except msgspec.MsgspecError as exc:
+                log.error('records: copied entry unreadable', error=str(exc))
+        await self._store.log.append(entries)
--- /dev/null
+++ b/cactusledge/records/disk.py
@@ -0,0 +1,166 @@
+"""The data folder of a record store, written by one actor with group commit."""
+
+import json
+import os
+import secrets
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any, BinaryIO, NamedTuple
+
+import pykka
+
+from cactusledge.records.segment import frame_all, parse
+
+IDENTITY_FILE = 'identity.json'
+SEGMENT_SUFFIX = '.log'
+SEGMENT_BYTES = 8 * 1024 * 1024
+ID_BYTES = 8
+
+
+class Identity(NamedTuple):
+    """Which disk this is, and whether it once held all that it should."""
+
+    log_id: str
+    is_witness: bool
+
+
+class Loaded(NamedTuple):
+    """What was found in a data folder."""
+
+    identity: Identity
+    entries: list[bytes]
+
+
+class AppendBatch(NamedTuple):
+    """Entries to write; `on_synced` is called in the actor's thread."""
+
+    entries: list[bytes]
+    on_synced: Callable[[OSError | None], None]
+
+
+class WriteDocument(NamedTuple):
+    """A small file to replace as a whole."""
+
+    name: str
+    content: Mapping[str, Any]
+
+
+class DropBefore(NamedTuple):
+    """Remove segments that were finished before a moment (Unix seconds)."""
+
+    time_s: float
+
+
+def load(folder: Path, *, is_first_start: bool) -> Loaded:
+    """Reads the data folder; an empty one gets a new identity.
+
+    Only at the first start of the whole system does an empty disk know that
+    there are no records.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    found = read_document(folder, IDENTITY_FILE)
+    if found is None:
+        identity = Identity(secrets.token_hex(ID_BYTES), is_first_start)
+        write_document(folder, IDENTITY_FILE, identity._asdict())
+        return Loaded(identity, [])
+    identity = Identity(found['log_id'], found['is_witness'])
+    entries: list[bytes] = []
+    for path in segments(folder):
+        entries.extend(parse(path.read_bytes()).entries)
+    return Loaded(identity, entries)
+
+
+def segments(folder: Path) -> list[Path]:
+    """Returns the segment files, oldest first."""
+    return sorted(folder.glob(f'*{SEGMENT_SUFFIX}'))
+
+
+def read_document(folder: Path, name: str) -> Any:
+    """Returns a small file's content, None if it is absent or torn."""
+    try:
+        return json.loads((folder / name).read_bytes())
+    except (FileNotFoundError, ValueError):
+        return None
+
+
+def write_document(
+    folder: Path, name: str, content: Mapping[str, Any]
+) -> None:
+    """Replaces a small file so that a crash leaves the old or the new one."""
+    temporary = folder / f'{name}.new'
+    with temporary.open('wb') as stream:
+        stream.write(json.dumps(content).encode())
+        stream.flush()
+        os.fsync(stream.fileno())
+    temporary.replace(folder / name)
+    sync_folder(folder)
+
+
+def sync_folder(folder: Path) -> None:
+    """Makes created, renamed and removed names durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+class DiskActor(pykka.ThreadingActor):
+    """Appends batches to segments and syncs each batch once."""
+
+    def __init__(self, folder: Path) -> None:
+        """Keeps the folder; the first append opens a new segment."""
+        super().__init__()
+        self._folder = folder
+        self._stream: BinaryIO | None = None
+        self._written = 0
+
+    def on_receive(self, message: Any) -> None:
+        """Carries out one message."""
+        if isinstance(message, AppendBatch):
+            self._append(message)
+        elif isinstance(message, WriteDocument):
+            write_document(self._folder, message.name, message.content)
+        else:
+            self._drop(message.time_s)
+
+    def on_stop(self) -> None:
+        """Closes the segment."""
+        if self._stream is not None:
+            self._stream.close()
+
+    def _append(self, batch: AppendBatch) -> None:
+        try:
+            self._write(frame_all(batch.entries))
+        except OSError as exc:
+            self._stream = None  # the next batch starts a new segment
+            batch.on_synced(exc)
+        else:
+            batch.on_synced(None)
+
+    def _write(self, content: bytes) -> None:
+        if self._stream is None or self._written > SEGMENT_BYTES:
+            self._open()
+        stream = self._stream
+        if stream is None:
+            raise OSError('no segment is open')
+        stream.write(content)
+        stream.flush()
+        os.fdatasync(stream.fileno())
+        self._written += len(content)
+
+    def _open(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+        name = f'{time.time_ns():020d}-{secrets.token_hex(2)}{SEGMENT_SUFFIX}'
+        path = self._folder / name
+        self._stream = path.open('ab')
+        self._written = 0
+        sync_folder(self._folder)
+
+    def _drop(self, time_s: float) -> None:
+        for path in segments(self._folder)[:-1]:
+            if path.stat().st_mtime < time_s:
+                path.unlink()
+        sync_folder(self._folder)
--- /dev/null
+++ b/cactusledge/records/log.py
@@ -0,0 +1,135 @@
+"""The log of a record store: entries in memory, synced to disk in groups."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pykka
+import structlog
+
+from cactusledge.records.disk import (
+    IDENTITY_FILE,
+    AppendBatch,
+    DiskActor,
+    Identity,
+    WriteDocument,
+    load,
+)
+from cactusledge.records.messages import ENCODER, ENTRY_DECODER, Entry
+from cactusledge.records.state import RecordState
+
+PULL_BYTES = 512 * 1024
+
+log = structlog.get_logger('records')
+
+
+class RecordLog:
+    """Applies entries at once and tells when they are on disk.
+
+    While one batch is being synced, the next one is collected.
+    """
+
+    def __init__(self, folder: Path, *, is_first_start: bool) -> None:
+        """Reads the data folder and starts the disk's actor."""
+        loaded = load(folder, is_first_start=is_first_start)
+        self.identity: Identity = loaded.identity
+        self.state = RecordState()
+        self.entries: list[bytes] = []
+        for encoded in loaded.entries:
+            self._restore(encoded)
+        self._actor: pykka.ActorRef[DiskActor] = DiskActor.start(folder)
+        self._collected: list[bytes] = []
+        self._waiting: list[asyncio.Future[None]] = []
+        self._is_syncing = False
+
+    def stop(self) -> None:
+        """Lets the actor finish what it was told, then stops it."""
+        self._actor.stop()
+
+    async def append(self, entries: Sequence[Entry]) -> None:
+        """Applies the entries and returns once they are on disk.
+
+        An entry that is already known was written before, perhaps a moment
+        ago; waiting for the current batch covers that.
+
+        Raises:
+            OSError: The disk refused; the entries are not durable.
+        """
+        for entry in entries:
+            if self.state.apply(entry):
+                encoded = ENCODER.encode(entry)
+                self.entries.append(encoded)
+                self._collected.append(encoded)
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(fut)
+        if not self._is_syncing:
+            self._sync()
+        await fut
+
+    def pull(self, position: int) -> list[bytes]:
+        """Returns entries from a position on, bounded in bytes."""
+        part: list[bytes] = []
+        size = 0
+        for encoded in self.entries[position:]:
+            part.append(encoded)
+            size += len(encoded)
+            if size > PULL_BYTES:
+                break
+        return part
+
+    def become_witness(self) -> None:
+        """Notes on disk that everything which should be here is here."""
+        self._set_witness(is_witness=True)
+
+    def stop_witnessing(self) -> None:
+        """Notes on disk that something may be missing here."""
+        self._set_witness(is_witness=False)
+
+    def write_document(self, name: str, content: Mapping[str, Any]) -> None:
+        """Replaces a small file, in order with the appends."""
+        self._actor.tell(WriteDocument(name, content))
+
+    def _set_witness(self, *, is_witness: bool) -> None:
+        self.identity = self.identity._replace(is_witness=is_witness)
+        self.write_document(IDENTITY_FILE, self.identity._asdict())
+
+    def _restore(self, encoded: bytes) -> None:
+        try:
+            entry = ENTRY_DECODER.decode(encoded)
+        except msgspec.MsgspecError as exc:
+            log.error('records: entry unreadable, left out', error=str(exc))
+            return
+        if self.state.apply(entry):
+            self.entries.append(encoded)
+
+    def _sync(self) -> None:
+        """Hands all that was collected to the actor as one batch."""
+        loop = asyncio.get_running_loop()
+        waiting = self._waiting
+        batch = self._collected
+        self._waiting = []
+        self._collected = []
+        self._is_syncing = True
+
+        def on_synced(exc: OSError | None) -> None:  # noqa: WPS430
+            loop.call_soon_threadsafe(self._finish, waiting, exc)
+
+        self._actor.tell(AppendBatch(batch, on_synced))
+
+    def _finish(
+        self,
+        waiting: list[asyncio.Future[None]],
+        exc: OSError | None,
+    ) -> None:
+        self._is_syncing = False
+        for fut in waiting:
+            if fut.done():
+                continue
+            if exc is None:
+                fut.set_result(None)
+            else:
+                fut.set_exception(exc)
+        if self._waiting:
+            self._sync()
--- /dev/null
+++ b/cactusledge/records/segment.py
@@ -0,0 +1,57 @@
+"""Framing of the log's segment files: length, checksum, entry.
+
+A crash may leave the tail of a segment missing or torn. Reading stops at the
+first frame that does not hold; what was synced before stands ahead of it.
+"""
+
+import struct
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+HEADER = struct.Struct('>IQ')  # length of the entry, its checksum
+LARGEST_ENTRY_BYTES = 16 * 1024 * 1024
+
+
+class SegmentContent(NamedTuple):
+    """The entries of a segment and where the sound part of it ends."""
+
+    entries: list[bytes]
+    sound_bytes: int
+
+
+def frame(entry: bytes) -> bytes:
+    """Returns the bytes of one entry in a segment."""
+    return HEADER.pack(len(entry), xxhash.xxh64_intdigest(entry)) + entry
+
+
+def frame_all(entries: Iterable[bytes]) -> bytes:
+    """Returns the bytes of several entries."""
+    return b''.join(frame(entry) for entry in entries)
+
+
+def parse(content: bytes) -> SegmentContent:
+    """Returns the entries ahead of the first frame that does not hold."""
+    entries: list[bytes] = []
+    position = 0
+    while True:
+        entry = entry_at(content, position)
+        if entry is None:
+            return SegmentContent(entries, position)
+        entries.append(entry)
+        position += HEADER.size + len(entry)
+
+
+def entry_at(content: bytes, position: int) -> bytes | None:
+    """Returns the entry at a position, None if none stands there whole."""
+    start = position + HEADER.size
+    if start > len(content):
+        return None
+    length, checksum = HEADER.unpack_from(content, position)
+    if not length or length > LARGEST_ENTRY_BYTES:
+        return None
+    entry = content[start : start + length]
+    if len(entry) < length or xxhash.xxh64_intdigest(entry) != checksum:
+        return None
+    return entry
--- /dev/null
+++ b/cactusledge/records/state.py
@@ -0,0 +1,75 @@
+"""What a record store knows: turns by id and each program's spending."""
+
+from collections.abc import Iterable
+
+from cactusledge.records.messages import Entry, Reserved, Settled, Turn
+from cactusledge.records.quorum import Spent
+
+
+class RecordState:
+    """Index of the log; applying an entry twice changes nothing."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.turns: dict[str, Turn] = {}
+        self.spending: dict[str, Spent] = {}
+
+    def apply(self, entry: Entry) -> bool:
+        """Takes an entry; returns whether it was new."""
+        if isinstance(entry, Turn):
+            return self._apply_turn(entry)
+        if isinstance(entry, Settled):
+            return self._settle(entry)
+        return self._reserve(entry)
+
+    def spent(self, program_id: str) -> Spent:
+        """Returns what is known of a program's turns."""
+        return self.spending.get(program_id, {})
+
+    def chain(self, turn_id: str) -> list[Turn]:
+        """Returns the chain that ends with a turn, oldest first.
+
+        Empty if a part of it is missing.
+        """
+        chain: list[Turn] = []
+        while turn_id:
+            turn = self.turns.get(turn_id)
+            if turn is None:
+                return []
+            chain.append(turn)
+            turn_id = turn.parent_id
+        chain.reverse()
+        return chain
+
+    def forget(self, entries: Iterable[Entry]) -> None:
+        """Drops entries whose retention has passed."""
+        for entry in entries:
+            if isinstance(entry, Turn):
+                self.turns.pop(entry.turn_id, None)
+            spent = self.spending.get(entry.program_id, {})
+            spent.pop(entry.turn_id, None)
+            if not spent:
+                self.spending.pop(entry.program_id, None)
+
+    def _apply_turn(self, turn: Turn) -> bool:
+        if turn.turn_id in self.turns:
+            return False
+        self.turns[turn.turn_id] = turn
+        spent = self.spending.setdefault(turn.program_id, {})
+        spent[turn.turn_id] = (turn.tokens, True)
+        return True
+
+    def _settle(self, entry: Settled) -> bool:
+        spent = self.spending.setdefault(entry.program_id, {})
+        known = spent.get(entry.turn_id)
+        if known is not None and known[1]:
+            return False
+        spent[entry.turn_id] = (entry.tokens, True)
+        return True
+
+    def _reserve(self, entry: Reserved) -> bool:
+        spent = self.spending.setdefault(entry.program_id, {})
+        if entry.turn_id in spent:
+            return False
+        spent[entry.turn_id] = (entry.tokens, False)
+        return True
--- a/cactusledge/settings/follower.py
+++ b/cactusledge/settings/follower.py
@@ -18,7 +18,7 @@
 from cactusledge.telemetry.logs import get_logger
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore, StoredObject
+    from cactusledge.objects.store import ObjectStore, StoredObject
 
 STOP_WAIT_S = 0.5
 NEVER_S = float('-inf')
--- a/cactusledge/settings/in_force.py
+++ b/cactusledge/settings/in_force.py
@@ -13,7 +13,7 @@
 from cactusledge.telemetry.logs import get_logger
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 OnChange = Callable[[Configuration], None]
 
--- a/cactusledge/settings/peer_reports.py
+++ b/cactusledge/settings/peer_reports.py
@@ -9,7 +9,7 @@
 from cactusledge.settings.strict import parse_address
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 FRESH_S = 120.0
 
--- a/cactusledge/settings/publish.py
+++ b/cactusledge/settings/publish.py
@@ -37,7 +37,7 @@
 )
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 MAX_ATTEMPTS = 6
 FIRST_PAUSE_S = 0.1
--- a/cactusledge/settings/published.py
+++ b/cactusledge/settings/published.py
@@ -18,7 +18,7 @@
 from cactusledge.settings.schema import Definitions
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 HEAD_KIND = 'configheads'
 HEAD_NAME = 'head'
--- a/cactusledge/settings/reporter.py
+++ b/cactusledge/settings/reporter.py
@@ -8,7 +8,7 @@
 from cactusledge.telemetry.logs import get_logger
 
 if TYPE_CHECKING:
-    from cactusledge.platform.store import ObjectStore
+    from cactusledge.objects.store import ObjectStore
 
 REFRESH_INTERVAL_S = 20.0
 MIN_INTERVAL_S = 1.0
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -14,7 +14,7 @@
 from cheroot import wsgi
 
 from cactusledge.models import Address
-from cactusledge.platform.client import HttpObjectStore
+from cactusledge.objects.client import HttpObjectStore
 from standins.platform_app import CONNECTION_KEY, PlatformApp
 from standins.platform_faults import FaultSettings
 from standins.platform_limits import Limits
--- a/standins/platform_app.py
+++ b/standins/platform_app.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from cactusledge.platform import wire
-from cactusledge.platform.store import StoredObject
+from cactusledge.objects import wire
+from cactusledge.objects.store import StoredObject
 from standins.platform_faults import Faults, WriteFaults, decode_faults
 from standins.platform_limits import Limits, request_budget
 from standins.platform_table import (
--- a/standins/platform_limits.py
+++ b/standins/platform_limits.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from cactusledge.platform.budget import Rate, RequestBudget
+from cactusledge.objects.budget import Rate, RequestBudget
 
 OBJECT_BYTES = 1024 * 1024
 
--- a/standins/platform_table.py
+++ b/standins/platform_table.py
@@ -6,7 +6,7 @@
 from itertools import takewhile
 from typing import Any
 
-from cactusledge.platform.store import (
+from cactusledge.objects.store import (
     ADDED,
     BOOKMARK,
     DELETED,
--- a/standins/platform_watch.py
+++ b/standins/platform_watch.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from cactusledge.platform import wire
-from cactusledge.platform.store import BOOKMARK, StoredObject, WatchEvent
+from cactusledge.objects import wire
+from cactusledge.objects.store import BOOKMARK, StoredObject, WatchEvent
 from standins.platform_faults import Faults
 from standins.platform_table import GoneError, ObjectTable
 
--- a/tests/failure_support.py
+++ b/tests/failure_support.py
@@ -11,7 +11,7 @@
 from urllib3 import PoolManager
 
 from cactusledge.models import Address
-from cactusledge.platform.client import HttpObjectStore
+from cactusledge.objects.client import HttpObjectStore
 from cactusledge.protocol import ring
 from cactusledge.protocol.records import decode_batch
 from standins.deployment import (
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -15,8 +15,8 @@
     StoreVersionGoneError,
 )
 from cactusledge.models import Address, Outcome
-from cactusledge.platform.client import HttpObjectStore
-from cactusledge.platform.errors import (
+from cactusledge.objects.client import HttpObjectStore
+from cactusledge.objects.errors import (
     StoreRefusedError,
     StoreSilentError,
     StoreTooLargeError,
--- a/tests/test_platform_follow.py
+++ b/tests/test_platform_follow.py
@@ -5,17 +5,17 @@
 import pytest
 
 from cactusledge.errors import StoreUnavailableError, StoreVersionGoneError
-from cactusledge.platform import outage
-from cactusledge.platform.budget import Bucket, Rate, take
-from cactusledge.platform.errors import StoreSilentError
-from cactusledge.platform.store import (
+from cactusledge.objects import outage
+from cactusledge.objects.budget import Bucket, Rate, take
+from cactusledge.objects.errors import StoreSilentError
+from cactusledge.objects.store import (
     ADDED,
     BOOKMARK,
     ObjectList,
     StoredObject,
     WatchEvent,
 )
-from cactusledge.platform.watcher import Watcher, WatchTarget
+from cactusledge.objects.watcher import Watcher, WatchTarget
 from standins.platform import PlatformStandin
 from standins.platform_limits import Limits
 
--- a/tests/test_platform_measured.py
+++ b/tests/test_platform_measured.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cactusledge.errors import StoreConflictError
-from cactusledge.platform.measured import MeasuredStore
+from cactusledge.objects.measured import MeasuredStore
 from cactusledge.telemetry.metrics import Metrics
 from standins.platform import PlatformStandin
 
