--- a/cactusledge/gateway/answers.py
+++ b/cactusledge/gateway/answers.py
@@ -1,7 +1,7 @@
 """Answers to callers: an endpoint's, passed on unchanged, or our own."""
 
 from cactusledge.gateway.context import Call, Fleet, Outcome
-from cactusledge.gateway.http_server import ServerConnection
+from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.sending import Sent, status_of
 
 
@@ -15,16 +15,14 @@
 
 
 def refuse(
-    conn: ServerConnection,
+    conn: Responder,
     status: int,
     reason: str,
     retry_after_s: float | None = None,
-    *,
-    close: bool = False,
 ) -> Outcome:
     """Answers for the endpoints; says when to come back, if that helps."""
     headers = b''
     if retry_after_s is not None:
         headers = f'Retry-After: {retry_after_s:.3f}\r\n'.encode()
-    conn.answer(status, headers, b'', close=close)
+    conn.answer(status, headers, b'')
     return Outcome(status, reason, retry_after_s=retry_after_s)
--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import http
 import signal
 from typing import NamedTuple
 
@@ -21,14 +20,14 @@
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.loads import Loads
-from cactusledge.gateway.messages import Limits, Request
 from cactusledge.gateway.pool import ConnectionPool
+from cactusledge.gateway.readiness import Readiness
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.models import Address
 from cactusledge.objects.store import ObjectStore
 from cactusledge.objects.watcher import Watcher, WatchTarget
 from cactusledge.records.client import RecordClient
-from cactusledge.records.keeper import GROUP_KIND
+from cactusledge.records.group_objects import GROUP_KIND
 from cactusledge.records.messages import Ask, Status
 from cactusledge.records.transport import Peer
 
@@ -37,6 +36,7 @@
 UPKEEP_S = 0.5
 ASK_TIMEOUT_S = 0.5
 NOTICE_S = 2.6  # until the balancer has seen that this instance is not ready
+CLOSE_STEP_S = 0.05
 STOP_MARGIN_S = 0.6  # before the process is killed
 
 log = structlog.get_logger('gateway')
@@ -59,27 +59,6 @@
     decode_replica: DecodeReplica
 
 
-class Readiness:
-    """Answers the balancer's questions; implements `http_server.Server`."""
-
-    def __init__(self, app: 'GatewayApplication') -> None:
-        """Keeps whom to ask."""
-        self._app = app
-        self.limits = Limits()
-        self.is_closing = False
-        self.connections: set[ServerConnection] = set()
-
-    async def serve(self, request: Request, conn: ServerConnection) -> None:
-        """Answers whether this instance takes new connections."""
-        is_ready = self._app.is_ready
-        status = (
-            http.HTTPStatus.OK
-            if is_ready
-            else http.HTTPStatus.SERVICE_UNAVAILABLE
-        )
-        conn.answer(status, b'', b'')
-
-
 class GatewayApplication:
     """Owns the parts; `run` returns once the process may end."""
 
@@ -93,7 +72,7 @@
             parts.dialect,
             parts.data_centre,
         )
-        self.records = RecordClient(parts.data_centre)
+        self.records = RecordClient(parts.instance, parts.data_centre)
         self.gateway = Gateway(self.fleet, self.records)
         self._watchers: list[Watcher] = []
         self._servers: list[asyncio.Server] = []
@@ -123,7 +102,9 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
         loop.add_signal_handler(signal.SIGHUP, _note_reload)
         self._follow()
-        await self._listen(self._parts.readiness, Readiness(self))
+        await self._listen(
+            self._parts.readiness, Readiness(lambda: self.is_ready)
+        )
         await self._listen(self._parts.callers, self.gateway)
         gc.collect()
         gc.freeze()
@@ -189,7 +170,7 @@
         await asyncio.sleep(NOTICE_S)
         self.gateway.is_closing = True
         while self.gateway.connections and loop.time() < ends_s:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(CLOSE_STEP_S)
             self._close_idle()
         log.info('gateway: stopped', cut=len(self.gateway.connections))
 
--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -4,9 +4,9 @@
 
 from cactusledge.gateway.answers import pass_on, refuse
 from cactusledge.gateway.context import Call, Fleet, Outcome
-from cactusledge.gateway.messages import Replica, Repeatability
+from cactusledge.gateway.messages import Repeatability, Replica
 from cactusledge.gateway.placement import choose_service
-from cactusledge.gateway.sending import Attempts
+from cactusledge.gateway.sending import Attempts, Sent
 from cactusledge.gateway.sinks import End, WholeAnswer
 
 BUSY_RETRY_S = 0.1  # until a full service has room again
@@ -15,22 +15,14 @@
 async def serve_call(fleet: Fleet, call: Call, service: str) -> Outcome:
     """Answers a call; a failure that leaves its effect open is a 502."""
     attempts = Attempts(fleet, call, service)
-    repeats = call.route.repeatability is Repeatability.IDEMPOTENT
-    last = End.NOT_RUN
-    while attempts.may_send:
-        found = await attempts.connect(_choose)
-        if found is None:
-            break
-        replica, conn = found
-        sent = await attempts.exchange(
-            replica, conn, WholeAnswer(), call.request.body
-        )
-        if sent.end is End.ANSWERED:
-            return pass_on(fleet, call, sent, attempts.count)
-        last = End.BROKEN if End.BROKEN in {last, sent.end} else sent.end
-        if sent.end is End.BROKEN and not repeats:
-            break
-    if last is End.BROKEN:
+    may_have_run = False
+    sent = await _attempt(attempts)
+    while sent is not None and _is_repeated(call, sent):
+        may_have_run = may_have_run or sent.end is End.BROKEN
+        sent = await _attempt(attempts)
+    if sent is not None and sent.end is End.ANSWERED:
+        return pass_on(fleet, call, sent, attempts.count)
+    if sent is not None or may_have_run:
         return refuse(call.conn, http.HTTPStatus.BAD_GATEWAY, 'answer broken')
     return refuse(
         call.conn,
@@ -40,8 +32,25 @@
     )
 
 
+def _is_repeated(call: Call, sent: Sent) -> bool:
+    """Returns whether the call may be sent once more."""
+    if sent.end is End.BROKEN:
+        return call.route.repeatability is Repeatability.IDEMPOTENT
+    return sent.end is End.NOT_RUN
+
+
+async def _attempt(attempts: Attempts) -> Sent | None:
+    """Returns one exchange, None if there is no endpoint or try left."""
+    if not attempts.may_send:
+        return None
+    found = await attempts.connect(_choose)
+    if found is None:
+        return None
+    replica, conn = found
+    body = attempts.call.request.body
+    return await attempts.exchange(replica, conn, WholeAnswer(), body)
+
+
 def _choose(attempts: Attempts) -> Replica | None:
     fleet = attempts.fleet
-    return choose_service(
-        attempts.candidates(), fleet.loads, fleet.data_centre
-    )
+    return choose_service(attempts.candidates(), fleet.loads, fleet.data_centre)
--- a/cactusledge/gateway/chains.py
+++ b/cactusledge/gateway/chains.py
@@ -8,7 +8,7 @@
 
 from cactusledge.records.messages import Turn
 
-CACHE_BYTES = 16 * 1024 * 1024
+CACHE_BYTES = 1 << 24
 LEVEL = 1
 
 _compressor = zstandard.ZstdCompressor(level=LEVEL)
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -4,11 +4,11 @@
 from typing import NamedTuple
 
 from cactusledge.gateway.dialect import Dialect
-from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import CallInfo, Request, Route
 from cactusledge.gateway.pool import ConnectionPool
 from cactusledge.gateway.replicas import ReplicaList
+from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
 
 
@@ -29,7 +29,7 @@
     info: CallInfo
     route: Route
     table: RouteTable
-    conn: ServerConnection
+    conn: Responder
     ends_s: float  # when the caller or the route gives up; loop's clock
 
     def left_ms(self) -> float:
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -20,6 +20,7 @@
     Route,
     Share,
 )
+from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
 from cactusledge.gateway.turns import TurnServer
 from cactusledge.records.client import RecordClient
@@ -51,7 +52,7 @@
         log.info('gateway: configuration applied', version=cfg.version)
         return True
 
-    async def serve(self, request: Request, conn: ServerConnection) -> None:
+    async def serve(self, request: Request, conn: Responder) -> None:
         """Answers one request and logs how it ended."""
         info = self.fleet.dialect.read_call(request)
         table = self.table
@@ -66,7 +67,7 @@
         self,
         request: Request,
         info: CallInfo,
-        conn: ServerConnection,
+        conn: Responder,
         table: RouteTable | None,
         route: Route | None,
     ) -> Outcome:
--- a/cactusledge/gateway/loads.py
+++ b/cactusledge/gateway/loads.py
@@ -21,7 +21,7 @@
         self.others_in_flight = 0  # as the other instances last told
         self.latency_ms = FIRST_LATENCY_MS
         self.failures = 0  # in a row
-        self.ejected_until_s = 0.0
+        self.ejected_until_s = float(0)
         self._parts: OrderedDict[str, None] = OrderedDict()
 
     @property
--- a/cactusledge/gateway/messages.py
+++ b/cactusledge/gateway/messages.py
@@ -92,7 +92,7 @@
 
     @property
     def lifetime(self) -> Lifetime:
-        """Returns what tells this lifetime from others under the same id."""
+        """What tells this lifetime from others under the same id."""
         return Lifetime(self.endpoint_id, self.host, self.port, self.born_ms)
 
 
--- a/cactusledge/gateway/placement.py
+++ b/cactusledge/gateway/placement.py
@@ -27,7 +27,7 @@
         return (
             load.missing_tokens(parts) / READ_TOKENS_PER_MS
             + wait_ms(load.total, replica.slots)
-            + (REMOTE_MS if replica.data_centre != here else 0)
+            + REMOTE_MS * (replica.data_centre != here)
             + JITTER_MS * random.random()
         )
 
@@ -43,7 +43,7 @@
 
     def cost_ms(replica: Replica) -> float:  # noqa: WPS430
         load = loads.of(replica.endpoint_id)
-        remote = REMOTE_SHARE if replica.data_centre != here else 0
+        remote = REMOTE_SHARE * (replica.data_centre != here)
         queued = load.total / max(1, replica.slots)
         return load.latency_ms * (1 + remote + queued) + random.random()
 
--- a/cactusledge/gateway/replicas.py
+++ b/cactusledge/gateway/replicas.py
@@ -50,7 +50,7 @@
             listed[endpoint_id] = self._replicas[endpoint_id]
         for endpoint_id in tuple(self._missing):
             if endpoint_id not in missing:
-                del self._missing[endpoint_id]
+                self._missing.pop(endpoint_id)
         self._replicas = listed
         self._expire(now_s)
         self._index()
@@ -86,6 +86,5 @@
             if not replica.is_draining:
                 by_service.setdefault(replica.service, []).append(replica)
         self._by_service = {
-            service: tuple(replicas)
-            for service, replicas in by_service.items()
+            service: tuple(replicas) for service, replicas in by_service.items()
         }
--- /dev/null
+++ b/cactusledge/gateway/responder.py
@@ -0,0 +1,94 @@
+"""Writes the answers of one connection."""
+
+import asyncio
+import http
+from collections.abc import Mapping
+from types import MappingProxyType
+
+LAST_CHUNK = b'0\r\n\r\n'
+CLOSE_LINE = b'Connection: close\r\n'
+CHUNKED_LINE = b'Transfer-Encoding: chunked\r\n'
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+PHRASES: Mapping[int, str] = MappingProxyType({
+    status.value: status.phrase for status in http.HTTPStatus
+})
+
+
+class Responder:
+    """Answers the request under way; writing to a lost connection is void."""
+
+    def __init__(self) -> None:
+        """Starts without a connection."""
+        self.has_head = False  # the answer under way has begun
+        self.keeps_alive = True
+        self._transport: asyncio.Transport | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller may still be there."""
+        return self._transport is not None
+
+    def open(self, transport: asyncio.Transport) -> None:
+        """Takes the connection."""
+        self._transport = transport
+
+    def lose(self) -> None:
+        """Takes note that the connection is gone."""
+        self._transport = None
+
+    def close(self) -> None:
+        """Closes the connection once all is written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def begin(self, *, is_last: bool) -> None:
+        """Prepares the next answer."""
+        self.has_head = False
+        if is_last:
+            self.keeps_alive = False
+
+    def invite_body(self) -> None:
+        """Lets the caller send the body."""
+        self._write(CONTINUE)
+
+    def answer(self, status: int, headers: bytes, body: bytes) -> None:
+        """Writes a whole answer; `headers` are lines."""
+        framing = f'Content-Length: {len(body)}\r\n'.encode()
+        self._write_head(status, headers, framing, body)
+
+    def begin_stream(self, status: int, headers: bytes) -> None:
+        """Writes the head of an answer in chunks."""
+        self._write_head(status, headers, CHUNKED_LINE, b'')
+
+    def write_chunk(self, body: bytes) -> None:
+        """Writes one chunk at once."""
+        self._write(b'%x\r\n%b\r\n' % (len(body), body))
+
+    def end_stream(self) -> None:
+        """Writes the end of an answer in chunks."""
+        self._write(LAST_CHUNK)
+
+    def break_off(self) -> None:
+        """Closes the connection so that the answer shows as incomplete."""
+        self.keeps_alive = False
+        self.close()
+
+    def _write_head(
+        self, status: int, headers: bytes, framing: bytes, body: bytes
+    ) -> None:
+        self.has_head = True
+        phrase = PHRASES.get(status, '')
+        self._write(
+            b''.join((
+                f'HTTP/1.1 {status} {phrase}\r\n'.encode(),
+                headers,
+                framing,
+                b'' if self.keeps_alive else CLOSE_LINE,
+                b'\r\n',
+                body,
+            )),
+        )
+
+    def _write(self, content: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(content)
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -78,7 +78,9 @@
         load.in_flight += 1
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        conn.send(self._encode(replica, body), self.call.info.request_id, answer)
+        conn.send(
+            self._encode(replica, body), self.call.info.request_id, answer
+        )
         try:
             end = await answer.ended
         finally:
--- a/cactusledge/gateway/sinks.py
+++ b/cactusledge/gateway/sinks.py
@@ -7,6 +7,8 @@
 from cactusledge.gateway.messages import EndpointAnswer
 
 FIRST_SUCCESS = 200
+# To a caller these promise that the request has not run.
+PROMISES = frozenset((408, 421, 429, 503))
 FIRST_REDIRECT = 300
 
 
@@ -27,6 +29,8 @@
     """Returns whether an answer is the endpoint's own to this request."""
     if answer.is_encoded:
         return False
+    if answer.status in PROMISES:
+        return False  # the endpoint does not say that it did not run it
     if is_success(answer.status):
         return answer.has_seal and bool(answer.request_id)
     return True
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -5,7 +5,6 @@
 says that it did not run it.
 """
 
-import asyncio
 import http
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -25,9 +24,10 @@
 from cactusledge.gateway.placement import choose_engine
 from cactusledge.gateway.sending import Attempts, Sent, status_of, succeeded
 from cactusledge.gateway.sinks import End, StreamAnswer
-from cactusledge.records.client import RecordClient, TurnStart
+from cactusledge.records.client import RecordClient
 from cactusledge.records.messages import Turn
 from cactusledge.records.quorum import Demand, Verdict
+from cactusledge.records.reservations import TurnStart
 
 UNSURE_RETRY_S = 0.25  # until the record stores may answer again
 BUSY_RETRY_S = 0.3  # until a full engine has room again
@@ -182,9 +182,7 @@
             return False
         stream.spent.is_recorded = True
         text = b''.join((stream.chain.text, call.request.body, response))
-        self._chains.put(
-            info.request_id, Chain(text, sent.replica.endpoint_id)
-        )
+        self._chains.put(info.request_id, Chain(text, sent.replica.endpoint_id))
         return True
 
 
--- a/cactusledge/platform/documents.py
+++ b/cactusledge/platform/documents.py
@@ -10,8 +10,8 @@
     Configuration,
     Engine,
     Limits,
-    Replica,
     Repeatability,
+    Replica,
     Route,
     Service,
     Share,
@@ -30,6 +30,8 @@
 })
 ENDPOINT_STATES = frozenset(('ready', 'draining'))
 DEFAULT_ATTEMPTS = 2
+DEFAULT_LIMITS = Limits()
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 log = structlog.get_logger('platform')
 
@@ -40,27 +42,35 @@
         return None
     try:
         return to_configuration(stored.body)
-    except (KeyError, TypeError, ValueError) as exc:
-        log.error(
+    except MALFORMED:
+        log.exception(
             'platform: configuration not readable',
             version=stored.version,
-            error=repr(exc),
         )
         return None
 
 
 def to_configuration(spec: Mapping[str, Any]) -> Configuration:
     """Returns the configuration in an object's content."""
-    limits = spec.get('limits', {})
     return Configuration(
         version=int(spec['version']),
         routes=tuple(to_route(route) for route in spec['routes']),
         services=tuple(to_service(service) for service in spec['services']),
-        limits=Limits(
-            header_bytes=int(limits.get('max_header_bytes', 16384)),
-            body_bytes=int(limits.get('max_body_bytes', 4194304)),
-            header_timeout_ms=float(limits.get('header_timeout_ms', 3000)),
-            idle_timeout_ms=float(limits.get('idle_timeout_ms', 15000)),
+        limits=to_limits(spec.get('limits', {})),
+    )
+
+
+def to_limits(spec: Mapping[str, Any]) -> Limits:
+    """Returns the bounds on callers; defaults stand for missing ones."""
+    default = DEFAULT_LIMITS
+    return Limits(
+        header_bytes=int(spec.get('max_header_bytes', default.header_bytes)),
+        body_bytes=int(spec.get('max_body_bytes', default.body_bytes)),
+        header_timeout_ms=float(
+            spec.get('header_timeout_ms', default.header_timeout_ms)
+        ),
+        idle_timeout_ms=float(
+            spec.get('idle_timeout_ms', default.idle_timeout_ms)
         ),
     )
 
@@ -99,7 +109,7 @@
     """Returns an endpoint of the list; None for an entry not to be used."""
     try:
         return to_replica(stored.name, stored.body)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except MALFORMED as exc:
         log.info(
             'platform: endpoint entry not readable, left out',
             endpoint_id=stored.name,
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -8,16 +8,18 @@
 
 import structlog
 
-from cactusledge.gateway.feeds import Feed, Listing
+from cactusledge.gateway.feeds import Feed, Follower, Listing
 from cactusledge.gateway.followers import GroupFollower
 from cactusledge.models import Address
 from cactusledge.objects.store import ObjectStore, StoredObject
 from cactusledge.objects.watcher import Watcher, WatchTarget
 from cactusledge.records.disk import read_document
-from cactusledge.records.keeper import GROUP_KIND, GroupKeeper
+from cactusledge.records.group_objects import GROUP_KIND, GroupObjects
+from cactusledge.records.keeper import GroupKeeper
 from cactusledge.records.log import RecordLog
 from cactusledge.records.membership import decode_group
 from cactusledge.records.messages import Member
+from cactusledge.records.retiring import Retiring
 from cactusledge.records.store import GROUP_FILE, RecordStore
 from cactusledge.records.transport import MessageServer
 
@@ -62,7 +64,7 @@
         self.store = RecordStore(parts.instance, record_log)
         self.keeper = GroupKeeper(
             self.store,
-            parts.objects,
+            GroupObjects(parts.objects),
             Member(str(parts.address), parts.data_centre),
             is_first_start=parts.is_first_start,
         )
@@ -109,20 +111,18 @@
         loop = asyncio.get_running_loop()
         report = self._parts.retirement.report
         await loop.run_in_executor(None, lambda: report(is_done=False))
-        await self.keeper.retire()
+        await Retiring(self.store, self.keeper).run()
         log.info('records: emptied', entries=len(self.store.log.entries))
         await loop.run_in_executor(None, lambda: report(is_done=True))
 
     def _follow(self, loop: asyncio.AbstractEventLoop) -> None:
-        followers = {
+        followers: dict[str, Follower] = {
             GROUP_KIND: GroupFollower(self.keeper.take_group),
             self._parts.retirement.kind: RetirementFollower(self),
         }
         for kind, follower in followers.items():
             target = WatchTarget(kind, timeout_s=WATCH_S)
-            watcher = Watcher(
-                self._parts.objects, target, Feed(loop, follower)
-            )
+            watcher = Watcher(self._parts.objects, target, Feed(loop, follower))
             watcher.start()
             self._watchers.append(watcher)
 
--- a/cactusledge/records/catch_up.py
+++ b/cactusledge/records/catch_up.py
@@ -27,11 +27,13 @@
 
     async def run(self, peers: Iterable[Peer]) -> None:
         """Copies from each peer once; call again until the store is full."""
-        await asyncio.gather(*(
-            self._copy(peer)
-            for peer in peers
-            if peer.name not in self._read and peer.is_connected
-        ))
+        await asyncio.gather(
+            *(
+                self._copy(peer)
+                for peer in peers
+                if peer.name not in self._read and peer.is_connected
+            )
+        )
         group = self._store.group
         sources = self._read.keys() & group.members.keys()
         needed = sources_needed(len(group.members))
@@ -78,6 +80,6 @@
         for encoded in pulled.entries:
             try:
                 entries.append(ENTRY_DECODER.decode(encoded))
-            except msgspec.MsgspecError as exc:
-                log.error('records: copied entry unreadable', error=str(exc))
+            except msgspec.MsgspecError:
+                log.exception('records: copied entry unreadable')
         await self._store.log.append(entries)
--- a/cactusledge/records/disk.py
+++ b/cactusledge/records/disk.py
@@ -10,7 +10,7 @@
 
 import pykka
 
-from cactusledge.records.segment import frame_all, parse
+from cactusledge.records.segment import frame_all, parse_segment
 
 IDENTITY_FILE = 'identity.json'
 SEGMENT_SUFFIX = '.log'
@@ -52,7 +52,7 @@
     time_s: float
 
 
-def load(folder: Path, *, is_first_start: bool) -> Loaded:
+def read_folder(folder: Path, *, is_first_start: bool) -> Loaded:
     """Reads the data folder; an empty one gets a new identity.
 
     Only at the first start of the whole system does an empty disk know that
@@ -67,7 +67,7 @@
     identity = Identity(found['log_id'], found['is_witness'])
     entries: list[bytes] = []
     for path in segments(folder):
-        entries.extend(parse(path.read_bytes()).entries)
+        entries.extend(parse_segment(path.read_bytes()).entries)
     return Loaded(identity, entries)
 
 
@@ -84,9 +84,7 @@
         return None
 
 
-def write_document(
-    folder: Path, name: str, content: Mapping[str, Any]
-) -> None:
+def write_document(folder: Path, name: str, content: Mapping[str, Any]) -> None:
     """Replaces a small file so that a crash leaves the old or the new one."""
     temporary = folder / f'{name}.new'
     with temporary.open('wb') as stream:
--- /dev/null
+++ b/cactusledge/records/group_objects.py
@@ -0,0 +1,96 @@
+"""The group of record stores as objects at the platform."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, TypeVar
+
+import structlog
+
+from cactusledge.errors import StoreConflictError, StoreNotFoundError
+from cactusledge.objects.store import ObjectStore
+from cactusledge.records.membership import decode_group, encode_group
+from cactusledge.records.messages import Group, Member
+
+GROUP_KIND = 'record-groups'
+GROUP_NAME = 'main'
+STORE_KIND = 'record-stores'  # registered at the first start of the system
+
+ResultType = TypeVar('ResultType')
+
+log = structlog.get_logger('records')
+
+
+class Published(NamedTuple):
+    """The group as the platform holds it."""
+
+    group: Group
+    version: str
+
+
+class GroupObjects:
+    """Reads and changes the group, each time by a conditional update.
+
+    All methods raise StoreError while the platform can not be used.
+    """
+
+    def __init__(self, objects: ObjectStore) -> None:
+        """Keeps the client, whose blocking calls run in threads."""
+        self._objects = objects
+
+    async def read(self) -> Published | None:
+        """Returns the group, None before the first start has formed it."""
+        try:
+            stored = await in_thread(
+                lambda: self._objects.read(GROUP_KIND, GROUP_NAME)
+            )
+        except StoreNotFoundError:
+            return None
+        return Published(decode_group(stored.body), stored.version)
+
+    async def create(self, group: Group) -> bool:
+        """Publishes the first group; returns whether there was none."""
+        body = encode_group(group)
+        try:
+            await in_thread(
+                lambda: self._objects.create(GROUP_KIND, GROUP_NAME, body)
+            )
+        except StoreConflictError:
+            return False
+        return True
+
+    async def replace(self, published: Published, group: Group) -> bool:
+        """Publishes the next group; returns whether no other came first."""
+        body = encode_group(group)
+        try:
+            await in_thread(
+                lambda: self._objects.update(
+                    GROUP_KIND, GROUP_NAME, body, published.version
+                )
+            )
+        except StoreConflictError:
+            log.info('records: group changed by another store')
+            return False
+        return True
+
+    async def register(self, name: str, member: Member) -> None:
+        """Tells the other stores of the first start of this one."""
+        body = {'member': [member.address, member.data_centre]}
+        try:
+            await in_thread(
+                lambda: self._objects.create(STORE_KIND, name, body)
+            )
+        except StoreConflictError:
+            log.info('records: registered before')
+
+    async def registered(self) -> Mapping[str, Member]:
+        """Returns the stores that have registered."""
+        listed = await in_thread(lambda: self._objects.list(STORE_KIND))
+        return {
+            stored.name: Member(*stored.body['member'])
+            for stored in listed.items
+        }
+
+
+async def in_thread(call: Callable[[], ResultType]) -> ResultType:
+    """Runs a call of the blocking client in a thread."""
+    return await asyncio.get_running_loop().run_in_executor(None, call)
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -15,12 +15,13 @@
     DiskActor,
     Identity,
     WriteDocument,
-    load,
+    read_folder,
 )
 from cactusledge.records.messages import ENCODER, ENTRY_DECODER, Entry
 from cactusledge.records.state import RecordState
 
-PULL_BYTES = 512 * 1024
+KIB = 1024
+PULL_BYTES = 512 * KIB  # noqa: WPS432
 
 log = structlog.get_logger('records')
 
@@ -33,7 +34,7 @@
 
     def __init__(self, folder: Path, *, is_first_start: bool) -> None:
         """Reads the data folder and starts the disk's actor."""
-        loaded = load(folder, is_first_start=is_first_start)
+        loaded = read_folder(folder, is_first_start=is_first_start)
         self.identity: Identity = loaded.identity
         self.state = RecordState()
         self.entries: list[bytes] = []
@@ -98,8 +99,8 @@
     def _restore(self, encoded: bytes) -> None:
         try:
             entry = ENTRY_DECODER.decode(encoded)
-        except msgspec.MsgspecError as exc:
-            log.error('records: entry unreadable, left out', error=str(exc))
+        except msgspec.MsgspecError:
+            log.exception('records: entry unreadable, left out')
             return
         if self.state.apply(entry):
             self.entries.append(encoded)
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -63,7 +63,6 @@
     generation: int
     entry: Reserved
     parent_id: str
-    wants_chain: bool
 
 
 class ReserveReply(Message, frozen=True):
@@ -135,6 +134,12 @@
     endpoints: bytes  # document of the endpoints' list, b'' if unknown
 
 
+class Announce(Message, frozen=True):
+    """Tells a changed group to those that it concerns."""
+
+    group: Group
+
+
 class Failed(Message, frozen=True):
     """The request could not be carried out."""
 
@@ -152,6 +157,7 @@
     | StaleGroup
     | Ask
     | Status
+    | Announce
     | Failed
 )
 
--- /dev/null
+++ b/cactusledge/records/reservations.py
@@ -0,0 +1,149 @@
+"""Reserves a turn's tokens and reads its chain, from the record stores."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import structlog
+
+from cactusledge.records import messages
+from cactusledge.records.peers import GroupPeers
+from cactusledge.records.quorum import (
+    Demand,
+    Verdict,
+    decide,
+    is_exact,
+    quorum,
+)
+from cactusledge.records.round import Round
+
+ROUND_TIMEOUT_S = 0.7
+READ_TIMEOUT_S = 0.35  # of a chain, from one store
+
+log = structlog.get_logger('records')
+
+
+class TurnStart(NamedTuple):
+    """A turn that wants to begin."""
+
+    demand: Demand
+    program_id: str
+    wants_chain: bool
+
+
+class Grant(NamedTuple):
+    """The verdict, and the chain if it was wanted and found."""
+
+    verdict: Verdict
+    chain: tuple[messages.Turn, ...] = ()
+    reason: str = ''
+
+
+class StaleGroupError(Exception):
+    """The stores have a newer group than this instance; it is known now."""
+
+
+class Reservations:
+    """Asks the members of the group for the tokens of turns."""
+
+    def __init__(self, peers: GroupPeers) -> None:
+        """Keeps the connections to the group."""
+        self._peers = peers
+
+    async def begin(self, start: TurnStart) -> Grant:
+        """Reserves a turn's tokens and brings its chain."""
+        if not self._peers.has_quorum:
+            return Grant(Verdict.UNSURE, reason='no quorum connected')
+        try:
+            return await self._begin(start)
+        except StaleGroupError:
+            return await self._begin_again(start)
+
+    async def _begin(self, start: TurnStart) -> Grant:
+        """Reserves and reads the chain side by side.
+
+        Raises:
+            StaleGroupError: The group has changed; nothing was granted.
+        """
+        if not start.wants_chain:
+            return await self._reserve(start)
+        reading = asyncio.ensure_future(self._read_chain(start))
+        try:
+            grant = await self._reserve(start)
+        except StaleGroupError:
+            reading.cancel()
+            raise
+        chain = await reading
+        if grant.verdict is Verdict.GRANTED and not chain:
+            return Grant(Verdict.UNSURE, reason='chain not readable')
+        return grant._replace(chain=chain)
+
+    async def _begin_again(self, start: TurnStart) -> Grant:
+        try:
+            return await self._begin(start)
+        except StaleGroupError:
+            return Grant(Verdict.UNSURE, reason='group changed twice')
+
+    async def _reserve(self, start: TurnStart) -> Grant:
+        group = self._peers.group
+        request = messages.Reserve(
+            generation=group.generation,
+            entry=messages.Reserved(
+                start.program_id,
+                start.demand.turn_id,
+                start.demand.tokens,
+            ),
+            parent_id=start.demand.parent_id,
+        )
+        replies = await self._ask_all(request)
+        verdict = decide(start.demand, replies, quorum(group))
+        if verdict is Verdict.GRANTED and not is_exact(len(replies), group):
+            verdict = await self._confirm(start)
+        return Grant(
+            verdict, reason=f'{len(replies)} of {len(group.members)} stores'
+        )
+
+    async def _confirm(self, start: TurnStart) -> Verdict:
+        """Returns the verdict of a second round, after the first is complete.
+
+        Of two turns that reserve at once, at least the one whose first round
+        ended last sees the other here.
+        """
+        replies = await self._ask_all(self._query(start, wants_chain=False))
+        return decide(start.demand, replies, quorum(self._peers.group))
+
+    async def _ask_all(
+        self, request: messages.Reserve | messages.Query
+    ) -> Mapping[str, messages.ReserveReply]:
+        collected = Round(messages.ReserveReply, quorum(self._peers.group))
+        await collected.run(self._peers.all(), request, ROUND_TIMEOUT_S)
+        if collected.stale is not None:
+            self._peers.take_group(collected.stale.group)
+            raise StaleGroupError
+        return collected.replies
+
+    async def _read_chain(self, start: TurnStart) -> tuple[messages.Turn, ...]:
+        """Reads the chain from the nearest store that has it."""
+        query = self._query(start, wants_chain=True)
+        for peer in self._peers.nearest_first():
+            try:
+                reply = await peer.call(query, READ_TIMEOUT_S)
+            except (ConnectionError, TimeoutError) as exc:
+                log.info(
+                    'records: chain not read',
+                    store=peer.name,
+                    turn_id=start.demand.parent_id,
+                    error=repr(exc),
+                )
+                continue
+            if isinstance(reply, messages.ReserveReply) and reply.chain:
+                return tuple(reply.chain)
+        return ()
+
+    def _query(self, start: TurnStart, *, wants_chain: bool) -> messages.Query:
+        return messages.Query(
+            self._peers.group.generation,
+            start.program_id,
+            start.demand.parent_id,
+            wants_chain,
+        )
--- /dev/null
+++ b/cactusledge/records/retiring.py
@@ -0,0 +1,75 @@
+"""Empties a store: its records are handed over before it leaves the group."""
+
+import asyncio
+
+import structlog
+
+from cactusledge.errors import StoreError
+from cactusledge.records.keeper import GroupKeeper
+from cactusledge.records.messages import ENTRY_DECODER, Append, Appended
+from cactusledge.records.quorum import majority
+from cactusledge.records.store import RecordStore
+
+STEP_S = 0.2
+PUSH_ENTRIES = 200  # entries of one message
+PUSH_TIMEOUT_S = 2.0
+
+log = structlog.get_logger('records')
+
+
+class Retiring:
+    """Hands all records of a store to the others."""
+
+    def __init__(self, store: RecordStore, keeper: GroupKeeper) -> None:
+        """Keeps whose records to hand over."""
+        self._store = store
+        self._keeper = keeper
+        self._pushed = 0
+
+    async def run(self) -> None:
+        """Returns once the store may lose its disk.
+
+        Every record then stands on all others that can be reached, on a
+        majority at least, and a majority uses the group without this store.
+        """
+        self._keeper.is_retiring = True
+        while not await self._is_done():
+            await asyncio.sleep(STEP_S)
+
+    async def _is_done(self) -> bool:
+        await self._push()
+        if self._pushed < len(self._store.log.entries):
+            return False
+        if not self._store.is_member:
+            return await self._keeper.is_adopted()
+        try:
+            await self._keeper.leave()
+        except StoreError as exc:
+            log.info('records: platform not usable', error=exc.message)
+        return False
+
+    async def _push(self) -> None:
+        """Pushes what is left until the others do not take it."""
+        while self._pushed < len(self._store.log.entries):
+            end = self._pushed + PUSH_ENTRIES
+            entries = self._store.log.entries[self._pushed : end]
+            if not await self._is_taken(entries):
+                return
+            self._pushed += len(entries)
+
+    async def _is_taken(self, entries: list[bytes]) -> bool:
+        group = self._store.group
+        request = Append(
+            group.generation,
+            [ENTRY_DECODER.decode(encoded) for encoded in entries],
+        )
+        replies = await asyncio.gather(
+            *(
+                peer.call(request, PUSH_TIMEOUT_S)
+                for peer in self._keeper.peers.connected()
+            ),
+            return_exceptions=True,
+        )
+        taken = sum(isinstance(reply, Appended) for reply in replies)
+        others = len(self._keeper.peers.all())
+        return taken == len(replies) and taken >= majority(others)
--- a/cactusledge/records/round.py
+++ b/cactusledge/records/round.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 from cactusledge.records.messages import Body, StaleGroup
 from cactusledge.records.transport import Peer
@@ -12,7 +12,7 @@
 ReplyType = TypeVar('ReplyType')
 
 
-class Round:
+class Round(Generic[ReplyType]):
     """Collects replies until all are in, or a quorum and a short wait.
 
     `replies` holds those of the type wanted; `stale` is the newest group that
--- a/cactusledge/records/segment.py
+++ b/cactusledge/records/segment.py
@@ -11,7 +11,7 @@
 import xxhash
 
 HEADER = struct.Struct('>IQ')  # length of the entry, its checksum
-LARGEST_ENTRY_BYTES = 16 * 1024 * 1024
+LARGEST_ENTRY_BYTES = 1 << 24
 
 
 class SegmentContent(NamedTuple):
@@ -31,7 +31,7 @@
     return b''.join(frame(entry) for entry in entries)
 
 
-def parse(content: bytes) -> SegmentContent:
+def parse_segment(content: bytes) -> SegmentContent:
     """Returns the entries ahead of the first frame that does not hold."""
     entries: list[bytes] = []
     position = 0
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -6,26 +6,14 @@
 
 import structlog
 
+from cactusledge.records import messages
 from cactusledge.records.log import RecordLog
 from cactusledge.records.membership import encode_group
-from cactusledge.records.messages import (
-    EMPTY_GROUP,
-    Append,
-    Appended,
-    Ask,
-    Body,
-    Failed,
-    Group,
-    Pull,
-    Pulled,
-    Query,
-    Reserve,
-    ReserveReply,
-    StaleGroup,
-    Status,
-)
 
 GROUP_FILE = 'group.json'
+ANY_GENERATION = (messages.Ask, messages.Announce)
+
+Handle = Callable[[Any], Awaitable[messages.Body]]
 
 log = structlog.get_logger('records')
 
@@ -37,25 +25,25 @@
         """Keeps the log; the group comes with `take_group`."""
         self.name = name
         self.log = record_log
-        self.group: Group = EMPTY_GROUP
+        self.group: messages.Group = messages.EMPTY_GROUP
         self.configuration = b''
         self.endpoints = b''
-        self._handlers: Mapping[type, Callable[[Any], Awaitable[Body]]] = (
-            MappingProxyType({
-                Reserve: self._reserve,
-                Append: self._append,
-                Query: self._query,
-                Pull: self._pull,
-                Ask: self._ask,
-            })
-        )
+        self.on_group: Callable[[messages.Group], object] = self.take_group
+        self._handlers: Mapping[type, Handle] = MappingProxyType({
+            messages.Reserve: self._reserve,
+            messages.Append: self._append,
+            messages.Query: self._query,
+            messages.Pull: self._pull,
+            messages.Ask: self._ask,
+            messages.Announce: self._announce,
+        })
 
     @property
     def is_member(self) -> bool:
         """Whether this instance belongs to the group."""
         return self.name in self.group.members
 
-    def take_group(self, group: Group) -> bool:
+    def take_group(self, group: messages.Group) -> bool:
         """Adopts a newer group; returns whether it was newer."""
         if group.generation <= self.group.generation:
             return False
@@ -69,49 +57,50 @@
         )
         return True
 
-    async def handle(self, body: Body) -> Body:
+    async def handle(self, body: messages.Body) -> messages.Body:
         """Returns the reply to one message."""
         generation = getattr(body, 'generation', 0)
-        if generation < self.group.generation and not isinstance(body, Ask):
-            return StaleGroup(self.group)
+        is_stale = generation < self.group.generation
+        if is_stale and not isinstance(body, ANY_GENERATION):
+            return messages.StaleGroup(self.group)
         handler = self._handlers.get(type(body))
         if handler is None:
-            return Failed(f'{type(body).__name__} is not a request')
+            return messages.Failed(f'{type(body).__name__} is not a request')
         return await handler(body)
 
-    async def _reserve(self, request: Reserve) -> Body:
+    async def _reserve(self, request: messages.Reserve) -> messages.Body:
         await self.log.append((request.entry,))
         return self._view(
             request.entry.program_id,
             request.parent_id,
-            wants_chain=request.wants_chain,
+            wants_chain=False,
         )
 
-    async def _append(self, request: Append) -> Body:
+    async def _append(self, request: messages.Append) -> messages.Body:
         await self.log.append(request.entries)
-        return Appended()
+        return messages.Appended()
 
-    async def _query(self, request: Query) -> Body:
+    async def _query(self, request: messages.Query) -> messages.Body:
         return self._view(
             request.program_id,
             request.parent_id,
             wants_chain=request.wants_chain,
         )
 
-    async def _pull(self, request: Pull) -> Body:
+    async def _pull(self, request: messages.Pull) -> messages.Body:
         identity = self.log.identity
         position = request.position
         if request.log_id and request.log_id != identity.log_id:
-            return Failed('the log is another one than before')
-        return Pulled(
+            return messages.Failed('the log is another one than before')
+        return messages.Pulled(
             log_id=identity.log_id,
             entries=self.log.pull(position),
             head=len(self.log.entries),
             is_witness=identity.is_witness,
         )
 
-    async def _ask(self, request: Ask) -> Body:
-        return Status(
+    async def _ask(self, request: messages.Ask) -> messages.Body:
+        return messages.Status(
             name=self.name,
             group=self.group,
             is_witness=self.log.identity.is_witness,
@@ -120,15 +109,19 @@
             endpoints=self.endpoints,
         )
 
+    async def _announce(self, request: messages.Announce) -> messages.Body:
+        self.on_group(request.group)
+        return messages.Appended()
+
     def _view(
         self,
         program_id: str,
         parent_id: str,
         *,
         wants_chain: bool,
-    ) -> ReserveReply:
+    ) -> messages.ReserveReply:
         state = self.log.state
-        return ReserveReply(
+        return messages.ReserveReply(
             is_witness=self.log.identity.is_witness,
             spent=dict(state.spent(program_id)),
             knows_parent=parent_id in state.turns,
--- a/cactusledge/records/transport.py
+++ b/cactusledge/records/transport.py
@@ -19,7 +19,8 @@
 )
 
 LENGTH = struct.Struct('>I')
-LARGEST_FRAME_BYTES = 32 * 1024 * 1024
+LARGEST_FRAME_BYTES = 1 << 24
+BACKLOG = 256  # connections waiting to be accepted
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -72,7 +73,7 @@
             self._take(bytes(self._buffer[start:end]))
             position = end
         if position:
-            del self._buffer[:position]
+            self._buffer = self._buffer[position:]
 
     def on_message(self, envelope: Envelope) -> None:
         """Takes a message; subclasses say what becomes of it."""
@@ -87,7 +88,7 @@
         start = position + LENGTH.size
         if len(self._buffer) < start:
             return None
-        (length,) = LENGTH.unpack_from(self._buffer, position)
+        length = LENGTH.unpack_from(self._buffer, position)[0]
         if length > LARGEST_FRAME_BYTES:
             self.close()
             return None
@@ -106,7 +107,9 @@
 class ServerProtocol(FrameProtocol):
     """Serves one connection of a peer."""
 
-    def __init__(self, handler: Handler, open_connections: set['ServerProtocol']) -> None:
+    def __init__(
+        self, handler: Handler, open_connections: set['ServerProtocol']
+    ) -> None:
         """Keeps the handler; each request runs in a task of its own."""
         super().__init__()
         self._handler = handler
@@ -229,9 +232,10 @@
         while True:
             with contextlib.suppress(OSError, TimeoutError):
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    _, self._protocol = await loop.create_connection(
+                    opened = await loop.create_connection(
                         ClientProtocol, self.address.host, self.address.port
                     )
+                    self._protocol = opened[1]
             while self.is_connected:
                 await asyncio.sleep(RECONNECT_S)
             await asyncio.sleep(RECONNECT_S)
@@ -250,7 +254,7 @@
         """Opens the port."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._protocol, address.host, address.port, backlog=256
+            self._protocol, address.host, address.port, backlog=BACKLOG
         )
 
     def stop(self) -> None:
--- /dev/null
+++ b/tests/records_support.py
@@ -0,0 +1,133 @@
+"""Record stores in one event loop, with folders that can be lost."""
+
+import asyncio
+import shutil
+import socket
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from cactusledge.models import Address
+from cactusledge.records.client import RecordClient
+from cactusledge.records.group_objects import GroupObjects
+from cactusledge.records.keeper import GroupKeeper
+from cactusledge.records.log import RecordLog
+from cactusledge.records.messages import Member
+from cactusledge.records.quorum import Demand
+from cactusledge.records.reservations import TurnStart
+from cactusledge.records.store import RecordStore
+from cactusledge.records.transport import MessageServer
+
+WAIT_S = 8.0
+STEP_S = 0.02
+
+
+def free_port():
+    """Returns a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+async def until(condition, wait_s=WAIT_S):
+    """Waits for a condition; fails the test if it does not come."""
+    loop = asyncio.get_running_loop()
+    ends_s = loop.time() + wait_s
+    while not condition():
+        assert loop.time() < ends_s, 'the condition did not come'
+        await asyncio.sleep(STEP_S)
+
+
+class StoreNode:
+    """One record store that can be killed, wiped and started again."""
+
+    def __init__(self, name, folder, objects):
+        self.name = name
+        self.folder = Path(folder)
+        self.address = Address('127.0.0.1', free_port())
+        self.store = None
+        self.keeper = None
+        self._objects = objects
+        self._server = None
+        self._task = None
+
+    async def start(self, *, is_first_start=False):
+        log = RecordLog(self.folder, is_first_start=is_first_start)
+        self.store = RecordStore(self.name, log)
+        self.keeper = GroupKeeper(
+            self.store,
+            GroupObjects(self._objects),
+            Member(str(self.address), self.name),
+            is_first_start=is_first_start,
+        )
+        self._server = MessageServer(self.store.handle)
+        await self._server.start(self.address)
+        self._task = asyncio.ensure_future(self.keeper.run())
+
+    async def kill(self):
+        self._task.cancel()
+        self._server.stop()
+        self.keeper.peers.stop()
+        self.store.log.stop()
+        await asyncio.sleep(0)
+
+    def wipe(self):
+        shutil.rmtree(self.folder)
+
+    @property
+    def is_witness(self):
+        return self.store.log.identity.is_witness
+
+
+class Cluster:
+    """A group of stores and one client."""
+
+    def __init__(self, folder, objects):
+        self.nodes = {}
+        self.client = RecordClient('front-1', 'store-0')
+        self._folder = folder
+        self._objects = objects
+
+    async def add(self, name, *, is_first_start=False):
+        node = StoreNode(name, self._folder / name, self._objects)
+        self.nodes[name] = node
+        await node.start(is_first_start=is_first_start)
+        return node
+
+    async def form(self, size):
+        for index in range(size):
+            await self.add(f'store-{index}', is_first_start=True)
+        await until(lambda: len(self.group_at('store-0').members) == size)
+        await self.connect()
+
+    def group_at(self, name):
+        return self.nodes[name].store.group
+
+    async def connect(self):
+        newest = max(
+            (node.store.group for node in self.nodes.values()),
+            key=lambda group: group.generation,
+        )
+        self.client.take_group(newest)
+        await until(lambda: self.client.has_quorum)
+
+    async def stop(self):
+        self.client.stop()
+        for node in self.nodes.values():
+            await node.kill()
+
+
+@asynccontextmanager
+async def cluster_of(size, folder, objects):
+    """A group of so many stores."""
+    cluster = Cluster(folder, objects)
+    try:
+        await cluster.form(size)
+        yield cluster
+    finally:
+        await cluster.stop()
+
+
+def start_of(turn_id, parent_id='', *, tokens=10, budget=100):
+    """Returns a turn that wants to begin."""
+    demand = Demand(turn_id, tokens, budget, parent_id)
+    return TurnStart(demand, 'p', wants_chain=bool(parent_id))
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,262 @@
+"""Parts of the data path that need no connection."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cactusledge.gateway.chains import Chain, ChainCache, compress, join
+from cactusledge.gateway.events import count_events, event_data
+from cactusledge.gateway.gateway import choose_share, ends_s
+from cactusledge.gateway.loads import Loads
+from cactusledge.gateway.messages import (
+    CallInfo,
+    Configuration,
+    EndpointAnswer,
+    Limits,
+    PromptPart,
+    Replica,
+    Repeatability,
+    Request,
+    Route,
+    Share,
+)
+from cactusledge.gateway.placement import (
+    choose_engine,
+    choose_service,
+    healthy,
+    wait_ms,
+)
+from cactusledge.gateway.replicas import RETURN_WAIT_S, ReplicaList
+from cactusledge.gateway.routes import RouteTable
+from cactusledge.gateway.sinks import End, end_of
+from cactusledge.records.messages import Turn
+
+HERE = 'dc-a'
+
+
+def route(prefix, host='shop.example', **changes):
+    base = Route(
+        name=prefix,
+        host=host,
+        prefix=prefix,
+        repeatability=Repeatability.ONCE,
+        timeout_ms=2000,
+        target_latency_ms=100,
+        priority=1,
+        shares=(Share('svc', 1),),
+        max_attempts=2,
+        keeps_turns=False,
+        retention_s=0,
+    )
+    return base._replace(**changes)
+
+
+def table(*routes):
+    return RouteTable(Configuration(1, routes, (), Limits()))
+
+
+def replica(endpoint_id, data_centre=HERE, service='svc', **changes):
+    base = Replica(
+        endpoint_id, service, '10.0.0.1', 80, data_centre, 4, False, 1
+    )
+    return base._replace(**changes)
+
+
+def call_info(**changes):
+    base = CallInfo(
+        'r1', 'shop.example', '/a/', None, '', None, None, '', 0, 0, ()
+    )
+    return base._replace(**changes)
+
+
+@pytest.mark.parametrize(
+    ('path', 'found'),
+    [
+        ('/a/x', '/a/'),
+        ('/a/b/x', '/a/b/'),
+        ('/a/bx', '/a/'),
+        ('/a/b/', '/a/b/'),
+        ('/a/x?back=/a/b/c', '/a/'),
+        ('/c/x', '/'),
+    ],
+)
+def test_longest_prefix_wins(path, found):
+    routes = table(route('/'), route('/a/'), route('/a/b/'))
+    assert routes.find('Shop.example:80', path).prefix == found
+
+
+@pytest.mark.parametrize('path', ['/b', '/b/x', 'b', ''])
+def test_path_without_a_route_is_not_found(path):
+    assert table(route('/a/')).find('shop.example', path) is None
+
+
+def test_route_of_another_host_is_not_found():
+    assert table(route('/')).find('other.example', '/a') is None
+
+
+def test_program_keeps_its_share_of_a_split():
+    shares = (Share('old', 90), Share('new', 10))
+    infos = [call_info(program_id=f'p{index}') for index in range(400)]
+    first = [choose_share(shares, info) for info in infos]
+    assert first == [choose_share(shares, info) for info in infos]
+    assert 15 <= first.count('new') <= 80
+
+
+def test_call_ends_with_the_sooner_of_deadline_and_timeout():
+    request = Request(b'GET', b'/a/', [], b'', 10)
+    assert ends_s(request, call_info(deadline_ms=500), route('/a/')) == 10.5
+    assert ends_s(request, call_info(deadline_ms=9000), route('/a/')) == 12
+    assert ends_s(request, call_info(), route('/a/')) == 12
+
+
+def test_leaving_endpoint_takes_no_new_work():
+    replicas = ReplicaList()
+    replicas.put(replica('e1'))
+    replicas.put(replica('e2', is_draining=True))
+    assert [found.endpoint_id for found in replicas.usable('svc', 0)] == ['e1']
+
+
+def test_entry_missing_without_an_outage_is_gone_at_once():
+    replicas = ReplicaList()
+    replicas.replace_all([replica('e1'), replica('e2')], 0, after_outage=False)
+    replicas.replace_all([replica('e1')], 1, after_outage=False)
+    assert len(replicas.usable('svc', 1)) == 1
+
+
+def test_entry_lapsed_in_an_outage_is_waited_for():
+    replicas = ReplicaList()
+    replicas.replace_all([replica('e1'), replica('e2')], 0, after_outage=False)
+    replicas.replace_all([], 10, after_outage=True)
+    assert len(replicas.usable('svc', 10)) == 2
+    replicas.put(replica('e1'))
+    left = replicas.usable('svc', 10 + RETURN_WAIT_S)
+    assert [found.endpoint_id for found in left] == ['e1']
+
+
+def test_engine_that_holds_the_chain_is_chosen():
+    loads = Loads()
+    parts = (PromptPart('shared', 12000), PromptPart('own', 1700))
+    loads.of('far').learn_parts(parts)
+    engines = (replica('near'), replica('far', 'dc-b'))
+    assert choose_engine(engines, loads, parts, HERE).endpoint_id == 'far'
+
+
+def test_engine_without_room_gives_way_to_reading_the_prompt_again():
+    loads = Loads()
+    parts = (PromptPart('own', 1600),)
+    loads.of('warm').learn_parts(parts)
+    loads.of('warm').in_flight = 8
+    engines = (replica('warm'), replica('cold'))
+    assert choose_engine(engines, loads, parts, HERE).endpoint_id == 'cold'
+
+
+def test_first_unknown_part_makes_all_after_it_missing():
+    load = Loads().of('e')
+    load.learn_parts((PromptPart('b', 5),))
+    parts = (PromptPart('a', 10), PromptPart('b', 5))
+    assert load.missing_tokens(parts) == 15
+
+
+def test_slow_replica_of_a_service_is_avoided():
+    loads = Loads()
+    for _ in range(20):
+        loads.of('slow').succeeded(400)
+        loads.of('sound').succeeded(20)
+    found = choose_service(
+        (replica('slow'), replica('sound', 'dc-b')), loads, HERE
+    )
+    assert found.endpoint_id == 'sound'
+
+
+def test_failed_endpoint_is_avoided_while_others_are_left():
+    loads = Loads()
+    loads.of('e1').failed(now_s=10)
+    both = (replica('e1'), replica('e2'))
+    assert healthy(both, loads, (), 10.1) == [both[1]]
+    assert healthy(both, loads, {'e2'}, 10.1) == [both[0]]
+    assert len(healthy(both, loads, (), 11)) == 2
+
+
+def test_wait_grows_with_load():
+    waits = [wait_ms(under_way, 4) for under_way in range(12)]
+    assert waits == sorted(waits)
+
+
+def test_chain_is_all_inputs_and_outputs_in_order():
+    turns = [
+        Turn('t1', '', 'p', compress(b'a'), compress(b'b\n'), 1, 'e1'),
+        Turn('t2', 't1', 'p', compress(b'c'), compress(b'd\n'), 1, 'e2'),
+    ]
+    assert join(turns) == Chain(b'ab\ncd\n', 'e2')
+
+
+def test_chain_cache_stays_within_its_bytes():
+    cache = ChainCache(capacity_bytes=10)
+    cache.put('t1', Chain(b'12345', ''))
+    cache.put('t2', Chain(b'12345', ''))
+    cache.get('t1')
+    cache.put('t3', Chain(b'12345', ''))
+    assert cache.get('t2') is None
+    assert cache.get('t1') is not None
+
+
+@pytest.mark.parametrize(
+    ('stream', 'events', 'data'),
+    [
+        (b'', 0, b''),
+        (b'id: 1\ndata: x\n\n', 1, b'x\n'),
+        (b'id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: y\r\n\r\n', 2, b'x\ny\n'),
+        (b'id: 1\ndata: x\n\nid: 2\nda', 2, b'x\n'),
+        (b'weights: 3\nid: 1\ndata: x\n\n', 1, b'x\n'),
+        (b'data: a\ndata: b\n\n', 1, b'a\nb\n'),
+        (b': ping\n\ndata:x\n\n', 2, b'x\n'),
+    ],
+)
+def test_event_stream_is_read(stream, events, data):
+    assert count_events(stream) == events
+    assert event_data(stream) == data
+
+
+@given(
+    st.lists(
+        st.binary(max_size=20).filter(lambda text: not set(b'\r\n') & set(text))
+    )
+)
+def test_any_data_is_read_back(texts):
+    stream = b''.join(b'data: %b\n\n' % text for text in texts)
+    assert event_data(stream) == b''.join(text + b'\n' for text in texts)
+
+
+def answer(status=200, **changes):
+    base = EndpointAnswer(
+        status,
+        [],
+        'r1',
+        has_seal=True,
+        not_run=False,
+        is_encoded=False,
+        idle_s=None,
+    )
+    return base._replace(**changes)
+
+
+@pytest.mark.parametrize(
+    ('head', 'is_whole', 'end'),
+    [
+        (None, True, End.BROKEN),
+        (answer(), True, End.ANSWERED),
+        (answer(), False, End.BROKEN),
+        (answer(has_seal=False), True, End.BROKEN),
+        (answer(request_id=''), True, End.BROKEN),
+        (answer(is_encoded=True), True, End.BROKEN),
+        (answer(503, not_run=True), True, End.NOT_RUN),
+        (answer(503, not_run=True), False, End.NOT_RUN),
+        (answer(500), True, End.ANSWERED),
+        (answer(503, has_seal=False), True, End.BROKEN),
+        (answer(429), True, End.BROKEN),
+        (answer(408), True, End.BROKEN),
+        (answer(504), True, End.ANSWERED),
+    ],
+)
+def test_how_an_exchange_has_ended(head, is_whole, end):
+    assert end_of(head, is_whole=is_whole) is end
--- /dev/null
+++ b/tests/test_records_cluster.py
@@ -0,0 +1,188 @@
+"""Record stores and their client on loopback: kills, lost disks, changes."""
+
+import asyncio
+
+import pytest
+
+from cactusledge.records import keeper
+from cactusledge.records.messages import Turn
+from cactusledge.records.quorum import Verdict
+from cactusledge.records.retiring import Retiring
+from tests.records_support import cluster_of, start_of, until
+
+pytestmark = pytest.mark.process
+
+
+@pytest.fixture(autouse=True)
+def _quick_start(monkeypatch):
+    monkeypatch.setattr(keeper, 'FORM_AFTER_S', 0.5)
+
+
+@pytest.fixture
+def play(tmp_path, store):
+    """Runs a scenario with a cluster of so many stores."""
+
+    def run(size, scenario):
+        async def scene():
+            async with cluster_of(size, tmp_path, store) as cluster:
+                await scenario(cluster)
+
+        asyncio.run(scene())
+
+    return run
+
+
+def turn(turn_id, parent_id='', tokens=10):
+    return Turn(turn_id, parent_id, 'p', b'in', b'out', tokens, 'engine-1')
+
+
+async def verdict(cluster, *args, **options):
+    grant = await cluster.client.begin(start_of(*args, **options))
+    return grant.verdict
+
+
+def test_chain_is_kept(play):
+    async def scenario(cluster):
+        assert await verdict(cluster, 't1') is Verdict.GRANTED
+        assert await cluster.client.record(turn('t1'))
+        grant = await cluster.client.begin(start_of('t2', 't1'))
+        assert grant.verdict is Verdict.GRANTED
+        assert grant.chain == (turn('t1'),)
+
+    play(3, scenario)
+
+
+def test_unknown_turn_is_not_found_only_with_a_quorum(play):
+    async def scenario(cluster):
+        assert await verdict(cluster, 't2', 'none') is Verdict.NO_PARENT
+        await cluster.nodes['store-2'].kill()
+        assert await verdict(cluster, 't3', 'none') is Verdict.NO_PARENT
+        await cluster.nodes['store-1'].kill()
+        assert await verdict(cluster, 't4', 'none') is Verdict.UNSURE
+        await cluster.nodes['store-1'].start()
+        await cluster.nodes['store-2'].start()
+
+    play(3, scenario)
+
+
+def test_budget_is_shared_by_all_turns_of_a_program(play):
+    async def scenario(cluster):
+        await verdict(cluster, 't1', tokens=60)
+        assert await verdict(cluster, 't2', tokens=60) is Verdict.SPENT
+        cluster.client.settle('p', 't2', 0)
+        assert await cluster.client.record(turn('t1', tokens=30))
+        await asyncio.sleep(0.1)
+        assert await verdict(cluster, 't3', tokens=60) is Verdict.GRANTED
+        assert await verdict(cluster, 't4', tokens=60) is Verdict.SPENT
+
+    play(3, scenario)
+
+
+def test_turns_that_start_at_once_do_not_overdraw(play):
+    async def scenario(cluster):
+        await cluster.nodes['store-3'].kill()
+        starts = [
+            verdict(cluster, f't{index}', tokens=30) for index in range(8)
+        ]
+        granted = await asyncio.gather(*starts)
+        assert granted.count(Verdict.GRANTED) <= 3
+        await cluster.nodes['store-3'].start()
+
+    play(4, scenario)
+
+
+@pytest.mark.parametrize('size', [3, 4])
+def test_disks_lost_one_after_the_other_lose_no_turn(play, size):
+    async def scenario(cluster):
+        assert await cluster.client.record(turn('t1'))
+        for name in tuple(cluster.nodes):
+            node = cluster.nodes[name]
+            await node.kill()
+            node.wipe()
+            await node.start()
+            await until(lambda node=node: node.is_witness)
+        for node in cluster.nodes.values():
+            assert node.store.log.state.chain('t1') == [turn('t1')]
+
+    play(size, scenario)
+
+
+def test_empty_store_does_not_say_that_there_is_nothing(play):
+    async def scenario(cluster):
+        assert await cluster.client.record(turn('t1'))
+        nodes = cluster.nodes
+        await nodes['store-1'].kill()
+        await nodes['store-0'].kill()
+        nodes['store-0'].wipe()
+        await nodes['store-0'].start()
+        await until(lambda: cluster.client.has_quorum)
+        await asyncio.sleep(1)
+        assert not nodes['store-0'].is_witness
+        assert await verdict(cluster, 't2', 'none') is Verdict.UNSURE
+        await nodes['store-1'].start()
+        await until(lambda: nodes['store-0'].is_witness)
+        await until(lambda: len(cluster.client._peers.connected()) == 3)
+        assert await verdict(cluster, 't3', 'none') is Verdict.NO_PARENT
+
+    play(3, scenario)
+
+
+def test_added_store_copies_all_before_it_is_a_witness(play):
+    async def scenario(cluster):
+        assert await cluster.client.record(turn('t1'))
+        added = await cluster.add('store-9')
+        await until(lambda: added.is_witness)
+        assert added.store.log.state.chain('t1') == [turn('t1')]
+        assert len(cluster.group_at('store-0').members) == 4
+        grant = await cluster.client.begin(start_of('t2', 't1'))
+        assert grant.verdict is Verdict.GRANTED
+        assert cluster.client.group.generation == 2
+
+    play(3, scenario)
+
+
+def test_replaced_store_leaves_the_group(play, monkeypatch):
+    monkeypatch.setattr('cactusledge.records.membership.DEAD_AFTER_S', 0.5)
+
+    async def scenario(cluster):
+        assert await cluster.client.record(turn('t1'))
+        await cluster.nodes['store-0'].kill()
+        added = await cluster.add('store-9')
+        await until(lambda: 'store-0' not in added.store.group.members)
+        await until(lambda: added.is_witness)
+        assert added.store.log.state.chain('t1') == [turn('t1')]
+        await cluster.nodes['store-0'].start()
+
+    play(3, scenario)
+
+
+def test_emptied_store_may_lose_its_disk_and_one_more(play):
+    async def scenario(cluster):
+        for index in range(30):
+            assert await cluster.client.record(turn(f't{index}'))
+        node = cluster.nodes['store-0']
+        await Retiring(node.store, node.keeper).run()
+        assert len(cluster.group_at('store-1').members) == 3
+        await until(
+            lambda: all(
+                len(other.store.log.state.turns) == 30
+                for other in cluster.nodes.values()
+            )
+        )
+
+    play(4, scenario)
+
+
+def test_all_stores_killed_at_once_know_what_they_acknowledged(play):
+    async def scenario(cluster):
+        await verdict(cluster, 't0', tokens=60)
+        assert await cluster.client.record(turn('t1'))
+        for node in cluster.nodes.values():
+            await node.kill()
+        for node in cluster.nodes.values():
+            await node.start()
+        await until(lambda: cluster.client.has_quorum)
+        assert await verdict(cluster, 't2', 't1') is Verdict.GRANTED
+        assert await verdict(cluster, 't3', tokens=60) is Verdict.SPENT
+
+    play(3, scenario)
--- /dev/null
+++ b/tests/test_records_disk.py
@@ -0,0 +1,128 @@
+"""The log's segments through crashes, torn tails and lost disks."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cactusledge.records.disk import read_folder, segments
+from cactusledge.records.log import RecordLog
+from cactusledge.records.messages import (
+    ENCODER,
+    ENTRY_DECODER,
+    Reserved,
+    Settled,
+    Turn,
+)
+from cactusledge.records.segment import frame_all, parse_segment
+from cactusledge.records.state import RecordState
+
+ENTRIES = st.lists(st.binary(min_size=1, max_size=60), max_size=12)
+
+
+def turn(turn_id, parent_id='', tokens=5):
+    return Turn(turn_id, parent_id, 'p', b'in', b'out', tokens, 'engine-1')
+
+
+@given(ENTRIES)
+def test_segment_is_read_back(entries):
+    content = frame_all(entries)
+    assert parse_segment(content) == (entries, len(content))
+
+
+@given(ENTRIES, st.data())
+def test_torn_tail_keeps_what_stands_ahead_of_it(entries, data):
+    content = frame_all(entries)
+    cut = data.draw(st.integers(0, len(content)))
+    found = parse_segment(content[:cut]).entries
+    assert found == entries[: len(found)]
+    assert len(frame_all(found)) <= cut
+
+
+@given(ENTRIES.filter(bool), st.data())
+def test_rotten_byte_hides_only_what_follows(entries, data):
+    content = bytearray(frame_all(entries))
+    place = data.draw(st.integers(0, len(content) - 1))
+    content[place] ^= data.draw(st.integers(1, 255))
+    found = parse_segment(bytes(content)).entries
+    assert found == entries[: len(found)]
+    assert len(frame_all(found)) <= place
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_read_without_an_error(content):
+    assert parse_segment(content).sound_bytes <= len(content)
+
+
+@pytest.mark.parametrize(
+    'entry',
+    [turn('t1', 't0'), Reserved('p', 't1', 40), Settled('p', 't1', 3)],
+)
+def test_entry_is_read_back(entry):
+    assert ENTRY_DECODER.decode(ENCODER.encode(entry)) == entry
+
+
+def test_acknowledged_entries_survive_a_kill(tmp_path):
+    async def write():
+        log = RecordLog(tmp_path, is_first_start=True)
+        await log.append((Reserved('p', 't1', 40), turn('t1')))
+        return log
+
+    log = asyncio.run(write())
+    reopened = RecordLog(tmp_path, is_first_start=False)
+    assert reopened.state.chain('t1') == [turn('t1')]
+    assert reopened.state.spent('p') == {'t1': (5, True)}
+    assert reopened.identity == log.identity
+    log.stop()
+    reopened.stop()
+
+
+def test_write_after_a_torn_tail_is_found_at_the_next_start(tmp_path):
+    async def write(turn_id):
+        log = RecordLog(tmp_path, is_first_start=False)
+        await log.append((turn(turn_id),))
+        log.stop()
+
+    asyncio.run(write('t1'))
+    path = segments(tmp_path)[-1]
+    path.write_bytes(path.read_bytes() + b'\0\0\0\7half')
+    asyncio.run(write('t2'))
+    found = RecordLog(tmp_path, is_first_start=False)
+    assert set(found.state.turns) == {'t1', 't2'}
+    found.stop()
+
+
+def test_empty_disk_is_a_witness_only_at_the_first_start(tmp_path):
+    first = read_folder(tmp_path / 'first', is_first_start=True)
+    wiped = read_folder(tmp_path / 'wiped', is_first_start=False)
+    assert first.identity.is_witness
+    assert not wiped.identity.is_witness
+
+
+def test_wiped_disk_stays_no_witness_over_restarts(tmp_path):
+    read_folder(tmp_path, is_first_start=False)
+    assert not read_folder(tmp_path, is_first_start=True).identity.is_witness
+
+
+def test_caught_up_store_stays_a_witness_over_restarts(tmp_path):
+    log = RecordLog(tmp_path, is_first_start=False)
+    log.become_witness()
+    log.stop()
+    assert read_folder(tmp_path, is_first_start=False).identity.is_witness
+
+
+def test_chain_with_a_gap_is_not_told():
+    state = RecordState()
+    state.apply(turn('t2', 't1'))
+    assert not state.chain('t2')
+    state.apply(turn('t1'))
+    assert [found.turn_id for found in state.chain('t2')] == ['t1', 't2']
+
+
+def test_settled_turn_does_not_go_back_to_its_reservation():
+    state = RecordState()
+    state.apply(Settled('p', 't1', 3))
+    assert not state.apply(Reserved('p', 't1', 40))
+    assert not state.apply(Settled('p', 't1', 9))
+    assert state.spent('p') == {'t1': (3, True)}
--- /dev/null
+++ b/tests/test_records_quorum.py
@@ -0,0 +1,138 @@
+"""The decisions over one round of replies, and the changes of the group."""
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cactusledge.records.membership import (
+    DEAD_AFTER_S,
+    decode_group,
+    encode_group,
+    first_group,
+    may_change,
+    removable,
+    sources_needed,
+    with_member,
+    without_member,
+)
+from cactusledge.records.messages import Member, ReserveReply
+from cactusledge.records.quorum import (
+    Demand,
+    Verdict,
+    decide,
+    is_exact,
+    majority,
+    merge_spent,
+)
+
+NAMES = ('store-a', 'store-b', 'store-c', 'store-d')
+
+
+def group_of(size):
+    return first_group({
+        name: Member(f'10.0.0.{index}:1', name)
+        for index, name in enumerate(NAMES[:size])
+    })
+
+
+def reply(spent=None, *, is_witness=True, knows_parent=False):
+    return ReserveReply(is_witness, spent or {}, knows_parent, [])
+
+
+@pytest.mark.parametrize(
+    ('spent', 'budget', 'verdict'),
+    [
+        ({}, 100, Verdict.GRANTED),
+        ({'x': (60, True)}, 100, Verdict.GRANTED),
+        ({'x': (61, True)}, 100, Verdict.SPENT),
+        ({'x': (61, False)}, 100, Verdict.SPENT),
+        ({'me': (40, False), 'x': (60, True)}, 100, Verdict.GRANTED),
+        ({'x': (900, True)}, None, Verdict.GRANTED),
+    ],
+)
+def test_budget_holds_the_largest_turn(spent, budget, verdict):
+    demand = Demand('me', 40, budget, '')
+    replies = {name: reply(spent) for name in NAMES[:3]}
+    assert decide(demand, replies, 3) is verdict
+
+
+@pytest.mark.parametrize(
+    ('witnesses', 'knows', 'verdict'),
+    [
+        (3, False, Verdict.NO_PARENT),
+        (2, False, Verdict.UNSURE),
+        (3, True, Verdict.GRANTED),
+        (2, True, Verdict.UNSURE),
+    ],
+)
+def test_refusal_needs_a_quorum_of_witnesses(witnesses, knows, verdict):
+    replies = {
+        name: reply(is_witness=index < witnesses, knows_parent=knows)
+        for index, name in enumerate(NAMES)
+    }
+    assert decide(Demand('me', 1, 9, 'parent'), replies, 3) is verdict
+
+
+def test_settled_figure_replaces_the_reservation():
+    views = [{'x': (40, False)}, {'x': (7, True)}, {'x': (40, False)}]
+    for order in itertools.permutations(views):
+        assert merge_spent(order) == {'x': (7, True)}
+
+
+def test_settled_to_nothing_frees_the_budget():
+    views = [{'x': (100, False)}, {'x': (0, True)}]
+    replies = {str(index): reply(view) for index, view in enumerate(views)}
+    assert decide(Demand('me', 40, 100, ''), replies, 2) is Verdict.GRANTED
+
+
+def test_round_with_a_missing_member_is_not_exact():
+    group = group_of(4)
+    assert is_exact(4, group)
+    assert not is_exact(3, group)
+
+
+@given(st.integers(1, 30))
+def test_majorities_of_neighbouring_groups_meet(size):
+    assert majority(size) + majority(size + 1) > size + 1
+
+
+@given(st.integers(1, 30))
+def test_sources_meet_each_majority_without_this_store(size):
+    others = size - 1
+    holders = majority(size) - 1
+    assert sources_needed(size) + holders > others
+
+
+def test_change_waits_until_a_majority_has_adopted_the_last():
+    group = with_member(group_of(4), 'store-e', Member('10.0.0.9:1', 'e'))
+    adopted = {'store-a': 2, 'store-b': 2, 'store-c': 1}
+    assert not may_change(group, adopted)
+    assert may_change(group, {**adopted, 'store-c': 2})
+
+
+def test_dead_member_goes_only_once_it_is_replaced():
+    dead = {'store-a': DEAD_AFTER_S}
+    group = group_of(4)
+    assert removable(group, dead) is None
+    grown = with_member(group, 'store-e', Member('10.0.0.9:1', 'e'))
+    assert removable(grown, dead) == 'store-a'
+    assert removable(grown, {'store-a': DEAD_AFTER_S - 1}) is None
+
+
+def test_dead_members_that_are_a_minority_no_more_stay():
+    grown = with_member(group_of(3), 'store-e', Member('10.0.0.9:1', 'e'))
+    dead = dict.fromkeys(('store-a', 'store-b'), DEAD_AFTER_S)
+    assert removable(grown, dead) is None
+
+
+def test_planned_leaving_lowers_the_target():
+    group = without_member(group_of(4), 'store-b', shrinks=True)
+    assert group.target_size == 3
+    assert 'store-b' not in group.members
+
+
+def test_group_document_is_read_back():
+    group = group_of(3)
+    assert decode_group(encode_group(group)) == group
