Find silent stores by heartbeats and send callers of a cut instance elsewhere

Cause: a store behind a partition was known to be lost only after 2.5 s or more; until then turns waited, and their callers came back while the balancer still sent them to the same data centre. Ruled out: shorter TCP_USER_TIMEOUT, which only sees unacknowledged bytes. Change: pings every 0.2 s, four without a sign of life give a connection up; a refusal for want of a quorum closes the connection and names 1.2 s.

--- a/cactusledge/gateway/pool.py
+++ b/cactusledge/gateway/pool.py
@@ -7,7 +7,7 @@
 from cactusledge.gateway.http_client import EndpointConnection
 from cactusledge.gateway.messages import Lifetime, Replica
 
-CONNECT_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.4
 DEFAULT_IDLE_S = 4.0
 IDLE_MARGIN_S = 0.7  # an endpoint may close a connection a little early
 IDLE_KEPT = 12  # connections kept for one endpoint
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -27,9 +27,10 @@
 from cactusledge.records.client import RecordClient
 from cactusledge.records.messages import Turn
 from cactusledge.records.quorum import Demand, Verdict
-from cactusledge.records.reservations import TurnStart
+from cactusledge.records.reservations import Grant, TurnStart
 
 UNSURE_RETRY_S = 0.25  # until the record stores may answer again
+CUT_OFF_RETRY_S = 1.2  # until the balancer has chosen another instance
 BUSY_RETRY_S = 0.3  # until a full engine has room again
 
 
@@ -96,18 +97,26 @@
     ) -> Outcome:
         grant = await self._records.begin(start)
         if grant.verdict is not Verdict.GRANTED:
-            refusal = REFUSALS[grant.verdict]
-            return refuse(
-                call.conn,
-                refusal.status,
-                f'{grant.verdict}: {grant.reason}',
-                refusal.retry_after_s,
-            )
+            return self._refuse(call, grant)
         chain = join(grant.chain) if start.wants_chain else cached
         stream = TurnStream(call, chain, self._tokens_per_event(call, service))
         stream.spent = spent
         return await self._send(call, service, stream)
 
+    def _refuse(self, call: Call, grant: Grant) -> Outcome:
+        """Refuses a turn; one that is cut off sends callers elsewhere."""
+        refusal = REFUSALS[grant.verdict]
+        retry_after_s = refusal.retry_after_s
+        if grant.verdict is Verdict.UNSURE and not self._records.has_quorum:
+            retry_after_s = CUT_OFF_RETRY_S
+            call.conn.keeps_alive = False
+        return refuse(
+            call.conn,
+            refusal.status,
+            f'{grant.verdict}: {grant.reason}',
+            retry_after_s,
+        )
+
     def _tokens_per_event(self, call: Call, service: str) -> int:
         found = call.table.service(service)
         if found is None or found.engine is None:
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -134,6 +134,14 @@
     endpoints: bytes  # document of the endpoints' list, b'' if unknown
 
 
+class Ping(Message, frozen=True):
+    """Asks whether the other side is alive."""
+
+
+class Pong(Message, frozen=True):
+    """The answer to a ping."""
+
+
 class Announce(Message, frozen=True):
     """Tells a changed group to those that it concerns."""
 
@@ -158,6 +166,8 @@
     | Ask
     | Status
     | Announce
+    | Ping
+    | Pong
     | Failed
 )
 
--- a/cactusledge/records/transport.py
+++ b/cactusledge/records/transport.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+import structlog
 
 from cactusledge.models import Address
 from cactusledge.records.messages import (
@@ -16,6 +17,8 @@
     Body,
     Envelope,
     Failed,
+    Ping,
+    Pong,
 )
 
 LENGTH = struct.Struct('>I')
@@ -27,6 +30,10 @@
 USER_TIMEOUT_MS = 2500
 CONNECT_TIMEOUT_S = 0.6
 RECONNECT_S = 0.3
+HEARTBEAT_S = 0.2
+SILENT_STEPS = 4  # heartbeats without a sign of life
+
+log = structlog.get_logger('records')
 
 Handler = Callable[[Body], Awaitable[Body]]
 
@@ -132,12 +139,18 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, envelope: Envelope) -> None:
+        if isinstance(envelope.body, Ping):
+            self._send(envelope.number, Pong())
+            return
         try:
             reply = await self._handler(envelope.body)
         except Exception as exc:
             reply = Failed(f'{type(exc).__name__}: {exc}')
+        self._send(envelope.number, reply)
+
+    def _send(self, number: int, body: Body) -> None:
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(encode_frame(envelope.number, reply))
+            self.transport.write(encode_frame(number, body))
 
 
 class ClientProtocol(FrameProtocol):
@@ -147,6 +160,12 @@
         """Starts without requests."""
         super().__init__()
         self.pending: dict[int, asyncio.Future[Body]] = {}
+        self.silent_steps = 0  # heartbeats since anything was received
+
+    def data_received(self, data: bytes) -> None:
+        """Takes any bytes as a sign of life."""
+        self.silent_steps = 0
+        super().data_received(data)
 
     def on_message(self, envelope: Envelope) -> None:
         """Hands the reply to its request; a late one is dropped."""
@@ -236,10 +255,26 @@
                         ClientProtocol, self.address.host, self.address.port
                     )
                     self._protocol = opened[1]
-            while self.is_connected:
-                await asyncio.sleep(RECONNECT_S)
+            await self._beat()
             await asyncio.sleep(RECONNECT_S)
 
+    async def _beat(self) -> None:
+        """Pings while the connection lasts; gives up a silent one.
+
+        Steps are counted, not time: a process that was paused finds what has
+        arrived meanwhile before it counts the next step.
+        """
+        protocol = self._protocol
+        while protocol is not None and protocol.transport is not None:
+            if protocol.silent_steps >= SILENT_STEPS:
+                log.info('records: connection silent', peer=self.name)
+                self.drop()
+                return
+            if protocol.silent_steps:
+                protocol.transport.write(self.prepare(Ping())[1])
+            protocol.silent_steps += 1
+            await asyncio.sleep(HEARTBEAT_S)
+
 
 class MessageServer:
     """Listens for peers."""
