--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -5,7 +5,6 @@
 says that it did not run it.
 """
 
-import asyncio
 import http
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -25,11 +24,13 @@
 from cactusledge.gateway.placement import choose_engine
 from cactusledge.gateway.sending import Attempts, Sent, status_of, succeeded
 from cactusledge.gateway.sinks import End, StreamAnswer
-from cactusledge.records.client import RecordClient, TurnStart
+from cactusledge.records.client import RecordClient
 from cactusledge.records.messages import Turn
 from cactusledge.records.quorum import Demand, Verdict
+from cactusledge.records.reservations import Grant, TurnStart
 
 UNSURE_RETRY_S = 0.25  # until the record stores may answer again
+CUT_OFF_RETRY_S = 1.2  # until the balancer has chosen another instance
 BUSY_RETRY_S = 0.3  # until a full engine has room again
 
 
@@ -96,18 +97,26 @@
     ) -> Outcome:
         grant = await self._records.begin(start)
         if grant.verdict is not Verdict.GRANTED:
-            refusal = REFUSALS[grant.verdict]
-            return refuse(
-                call.conn,
-                refusal.status,
-                f'{grant.verdict}: {grant.reason}',
-                refusal.retry_after_s,
-            )
+            return self._refuse(call, grant)
         chain = join(grant.chain) if start.wants_chain else cached
         stream = TurnStream(call, chain, self._tokens_per_event(call, service))
         stream.spent = spent
         return await self._send(call, service, stream)
 
+    def _refuse(self, call: Call, grant: Grant) -> Outcome:
+        """Refuses a turn; one that is cut off sends callers elsewhere."""
+        refusal = REFUSALS[grant.verdict]
+        retry_after_s = refusal.retry_after_s
+        if grant.verdict is Verdict.UNSURE and not self._records.has_quorum:
+            retry_after_s = CUT_OFF_RETRY_S
+            call.conn.keeps_alive = False
+        return refuse(
+            call.conn,
+            refusal.status,
+            f'{grant.verdict}: {grant.reason}',
+            retry_after_s,
+        )
+
     def _tokens_per_event(self, call: Call, service: str) -> int:
         found = call.table.service(service)
         if found is None or found.engine is None:
@@ -182,9 +191,7 @@
             return False
         stream.spent.is_recorded = True
         text = b''.join((stream.chain.text, call.request.body, response))
-        self._chains.put(
-            info.request_id, Chain(text, sent.replica.endpoint_id)
-        )
+        self._chains.put(info.request_id, Chain(text, sent.replica.endpoint_id))
         return True
 
 
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -63,7 +63,6 @@
     generation: int
     entry: Reserved
     parent_id: str
-    wants_chain: bool
 
 
 class ReserveReply(Message, frozen=True):
@@ -135,6 +134,20 @@
     endpoints: bytes  # document of the endpoints' list, b'' if unknown
 
 
+class Ping(Message, frozen=True):
+    """Asks whether the other side is alive."""
+
+
+class Pong(Message, frozen=True):
+    """The answer to a ping."""
+
+
+class Announce(Message, frozen=True):
+    """Tells a changed group to those that it concerns."""
+
+    group: Group
+
+
 class Failed(Message, frozen=True):
     """The request could not be carried out."""
 
@@ -152,6 +165,9 @@
     | StaleGroup
     | Ask
     | Status
+    | Announce
+    | Ping
+    | Pong
     | Failed
 )
 
--- a/cactusledge/records/transport.py
+++ b/cactusledge/records/transport.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+import structlog
 
 from cactusledge.models import Address
 from cactusledge.records.messages import (
@@ -16,16 +17,23 @@
     Body,
     Envelope,
     Failed,
+    Ping,
+    Pong,
 )
 
 LENGTH = struct.Struct('>I')
-LARGEST_FRAME_BYTES = 32 * 1024 * 1024
+LARGEST_FRAME_BYTES = 1 << 24
+BACKLOG = 256  # connections waiting to be accepted
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 2500
 CONNECT_TIMEOUT_S = 0.6
 RECONNECT_S = 0.3
+HEARTBEAT_S = 0.2
+SILENT_STEPS = 4  # heartbeats without a sign of life
+
+log = structlog.get_logger('records')
 
 Handler = Callable[[Body], Awaitable[Body]]
 
@@ -72,7 +80,7 @@
             self._take(bytes(self._buffer[start:end]))
             position = end
         if position:
-            del self._buffer[:position]
+            self._buffer = self._buffer[position:]
 
     def on_message(self, envelope: Envelope) -> None:
         """Takes a message; subclasses say what becomes of it."""
@@ -87,7 +95,7 @@
         start = position + LENGTH.size
         if len(self._buffer) < start:
             return None
-        (length,) = LENGTH.unpack_from(self._buffer, position)
+        length = LENGTH.unpack_from(self._buffer, position)[0]
         if length > LARGEST_FRAME_BYTES:
             self.close()
             return None
@@ -106,7 +114,9 @@
 class ServerProtocol(FrameProtocol):
     """Serves one connection of a peer."""
 
-    def __init__(self, handler: Handler, open_connections: set['ServerProtocol']) -> None:
+    def __init__(
+        self, handler: Handler, open_connections: set['ServerProtocol']
+    ) -> None:
         """Keeps the handler; each request runs in a task of its own."""
         super().__init__()
         self._handler = handler
@@ -129,12 +139,18 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, envelope: Envelope) -> None:
+        if isinstance(envelope.body, Ping):
+            self._send(envelope.number, Pong())
+            return
         try:
             reply = await self._handler(envelope.body)
         except Exception as exc:
             reply = Failed(f'{type(exc).__name__}: {exc}')
+        self._send(envelope.number, reply)
+
+    def _send(self, number: int, body: Body) -> None:
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(encode_frame(envelope.number, reply))
+            self.transport.write(encode_frame(number, body))
 
 
 class ClientProtocol(FrameProtocol):
@@ -144,6 +160,12 @@
         """Starts without requests."""
         super().__init__()
         self.pending: dict[int, asyncio.Future[Body]] = {}
+        self.silent_steps = 0  # heartbeats since anything was received
+
+    def data_received(self, data: bytes) -> None:
+        """Takes any bytes as a sign of life."""
+        self.silent_steps = 0
+        super().data_received(data)
 
     def on_message(self, envelope: Envelope) -> None:
         """Hands the reply to its request; a late one is dropped."""
@@ -229,13 +251,30 @@
         while True:
             with contextlib.suppress(OSError, TimeoutError):
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    _, self._protocol = await loop.create_connection(
+                    opened = await loop.create_connection(
                         ClientProtocol, self.address.host, self.address.port
                     )
-            while self.is_connected:
-                await asyncio.sleep(RECONNECT_S)
+                    self._protocol = opened[1]
+            await self._beat()
             await asyncio.sleep(RECONNECT_S)
 
+    async def _beat(self) -> None:
+        """Pings while the connection lasts; gives up a silent one.
+
+        Steps are counted, not time: a process that was paused finds what has
+        arrived meanwhile before it counts the next step.
+        """
+        protocol = self._protocol
+        while protocol is not None and protocol.transport is not None:
+            if protocol.silent_steps >= SILENT_STEPS:
+                log.info('records: connection silent', peer=self.name)
+                self.drop()
+                return
+            if protocol.silent_steps:
+                protocol.transport.write(self.prepare(Ping())[1])
+            protocol.silent_steps += 1
+            await asyncio.sleep(HEARTBEAT_S)
+
 
 class MessageServer:
     """Listens for peers."""
@@ -250,7 +289,7 @@
         """Opens the port."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._protocol, address.host, address.port, backlog=256
+            self._protocol, address.host, address.port, backlog=BACKLOG
         )
 
     def stop(self) -> None:
