Recognise a cut data centre by its stores and give up what hangs there

Cause: requests to endpoints behind a partition waited for the kernel's keep-alive (3 s) or the caller's own limit, and each front had to find every unreachable endpoint by itself; callers of a cut front came back too early or too late. Change: a data centre all of whose stores are silent counts as cut off: its endpoints are the last choice, and turns and repeatable calls that have been silent there for 0.5 s are broken off, since their callers then try again. Retry-After of a front without a quorum is what is left until the balancer has turned elsewhere. Heartbeats every 0.15 s.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -3,37 +3,27 @@
 import asyncio
 import gc
 import signal
-from typing import NamedTuple
 
 import structlog
 
 from cactusledge.gateway.context import Fleet
-from cactusledge.gateway.dialect import Dialect
-from cactusledge.gateway.feeds import Feed, Follower
-from cactusledge.gateway.followers import (
-    ConfigurationFollower,
-    DecodeConfiguration,
-    DecodeReplica,
-    GroupFollower,
-    ReplicaFollower,
-)
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.loads import Loads
+from cactusledge.gateway.partitions import Partitions
+from cactusledge.gateway.parts import GatewayParts, start_watchers
 from cactusledge.gateway.pool import ConnectionPool
 from cactusledge.gateway.readiness import Readiness
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.models import Address
-from cactusledge.objects.store import ObjectStore
-from cactusledge.objects.watcher import Watcher, WatchTarget
+from cactusledge.objects.watcher import Watcher
 from cactusledge.records.client import RecordClient
-from cactusledge.records.group_objects import GROUP_KIND
 from cactusledge.records.messages import Ask, Status
 from cactusledge.records.transport import Peer
 
 BACKLOG = 512
-WATCH_S = 10.0
 UPKEEP_S = 0.5
+PARTITION_STEP_S = 0.1
 ASK_TIMEOUT_S = 0.5
 NOTICE_S = 2.6  # until the balancer has seen that this instance is not ready
 CLOSE_STEP_S = 0.05
@@ -42,23 +32,6 @@
 log = structlog.get_logger('gateway')
 
 
-class GatewayParts(NamedTuple):
-    """What an adapter provides."""
-
-    instance: str
-    data_centre: str
-    callers: Address
-    readiness: Address
-    seeds: tuple[Address, ...]  # record stores that may be asked at the start
-    grace_s: float
-    objects: ObjectStore
-    dialect: Dialect
-    configuration_kind: str
-    endpoint_kind: str
-    decode_configuration: DecodeConfiguration
-    decode_replica: DecodeReplica
-
-
 class GatewayApplication:
     """Owns the parts; `run` returns once the process may end."""
 
@@ -71,6 +44,7 @@
             ConnectionPool(parts.dialect),
             parts.dialect,
             parts.data_centre,
+            Partitions(),
         )
         self.records = RecordClient(parts.instance, parts.data_centre)
         self.gateway = Gateway(self.fleet, self.records)
@@ -91,17 +65,17 @@
     async def run(self) -> None:
         """Serves until SIGTERM, and then until the last answer has ended."""
         await self._start()
-        upkeep = asyncio.ensure_future(self._keep_up())
+        upkeep = asyncio.gather(self._keep_up(), self._watch_partitions())
         await self._stop_asked.wait()
-        upkeep.cancel()
         await self._drain()
+        upkeep.cancel()
         self._close()
 
     async def _start(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
         loop.add_signal_handler(signal.SIGHUP, _note_reload)
-        self._follow()
+        self._watchers = start_watchers(self._parts, self.gateway, self.records)
         await self._listen(
             self._parts.readiness, Readiness(lambda: self.is_ready)
         )
@@ -110,24 +84,6 @@
         gc.freeze()
         log.info('gateway: started', instance=self._parts.instance)
 
-    def _follow(self) -> None:
-        parts = self._parts
-        followers: dict[str, Follower] = {
-            parts.configuration_kind: ConfigurationFollower(
-                self.gateway, parts.decode_configuration
-            ),
-            parts.endpoint_kind: ReplicaFollower(
-                self.fleet, parts.decode_replica
-            ),
-            GROUP_KIND: GroupFollower(self.records.take_group),
-        }
-        loop = asyncio.get_running_loop()
-        for kind, follower in followers.items():
-            target = WatchTarget(kind, timeout_s=WATCH_S)
-            watcher = Watcher(parts.objects, target, Feed(loop, follower))
-            watcher.start()
-            self._watchers.append(watcher)
-
     async def _listen(
         self, address: Address, server: Readiness | Gateway
     ) -> None:
@@ -140,6 +96,19 @@
         )
         self._servers.append(opened)
 
+    async def _watch_partitions(self) -> None:
+        """Compares what can be reached with what was in reach before."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self.records.note_quorum()
+            cut_off = self.records.silent_data_centres()
+            if cut_off != self.fleet.partitions.cut_off:
+                log.warning(
+                    'gateway: data centres cut off', names=sorted(cut_off)
+                )
+            self.fleet.partitions.update(cut_off, loop.time())
+            await asyncio.sleep(PARTITION_STEP_S)
+
     async def _keep_up(self) -> None:
         while True:
             self.fleet.pool.close_expired()
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -6,6 +6,7 @@
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import CallInfo, Request, Route
+from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.pool import ConnectionPool
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.responder import Responder
@@ -20,6 +21,7 @@
     pool: ConnectionPool
     dialect: Dialect
     data_centre: str
+    partitions: Partitions
 
 
 class Call(NamedTuple):
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -46,6 +46,7 @@
         self._has_head = False
         self._has_framing = False
         self._idle_s: float | None = None
+        self.heard_s = float(0)  # loop's clock
 
     @property
     def is_open(self) -> bool:
@@ -58,6 +59,7 @@
         self._request_id = request_id
         self._sink = sink
         self._has_head = False
+        self.heard_s = asyncio.get_running_loop().time()
         if self._transport is None:
             self._end(is_whole=False)
             return
@@ -78,13 +80,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses; bytes that belong to no request end the connection."""
+        self.heard_s = asyncio.get_running_loop().time()
         if self._sink is None:
             self.abort()
             return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail()
+            self.give_up()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the answer; one without a length ends whole by a close."""
@@ -139,7 +142,8 @@
         elif self._transport is not None:
             self._transport.close()
 
-    def _fail(self) -> None:
+    def give_up(self) -> None:
+        """Ends the answer as broken and closes the connection."""
         self._end(is_whole=False)
         if self._transport is not None:
             self._transport.abort()
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -1,10 +1,12 @@
 """Sends a call to endpoints until one has answered it or may have run it."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Generator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 from cactusledge.gateway.context import Call, Fleet
+from cactusledge.gateway.exchange import OpenExchange
 from cactusledge.gateway.http_client import EndpointConnection
 from cactusledge.gateway.messages import Replica
 from cactusledge.gateway.placement import healthy
@@ -42,7 +44,8 @@
         """Returns the endpoints to choose from."""
         now_s = asyncio.get_running_loop().time()
         usable = self.fleet.replicas.usable(self._service, now_s)
-        return list(healthy(usable, self.fleet.loads, self.tried, now_s))
+        reachable = self.fleet.partitions.in_reach(usable)
+        return list(healthy(reachable, self.fleet.loads, self.tried, now_s))
 
     async def connect(
         self, choose: Choose
@@ -75,24 +78,41 @@
         self.count += 1
         self.tried.add(replica.endpoint_id)
         load = self.fleet.loads.of(replica.endpoint_id)
-        load.in_flight += 1
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        conn.send(
-            self._encode(replica, body), self.call.info.request_id, answer
-        )
-        try:
+        with self._open(replica, conn, answer):
+            conn.send(
+                self._encode(replica, body),
+                self.call.info.request_id,
+                answer,
+            )
             end = await answer.ended
-        finally:
-            load.in_flight -= 1
-            if not answer.ended.done() or answer.ended.cancelled():
-                conn.abort()
         if end is End.ANSWERED:
             load.succeeded((loop.time() - started_s) * 1000)
         elif end is End.BROKEN:
             self._failed(replica)
         return Sent(replica, answer, end)
 
+    @contextmanager
+    def _open(
+        self,
+        replica: Replica,
+        conn: EndpointConnection,
+        answer: WholeAnswer,
+    ) -> Generator[None, None, None]:
+        """Counts the exchange while it lasts; closes one that is cancelled."""
+        load = self.fleet.loads.of(replica.endpoint_id)
+        exchange = OpenExchange(replica, conn, self.call.route.repeatability)
+        load.in_flight += 1
+        self.fleet.partitions.add(exchange)
+        try:
+            yield
+        finally:
+            load.in_flight -= 1
+            self.fleet.partitions.remove(exchange)
+            if not answer.ended.done() or answer.ended.cancelled():
+                conn.abort()
+
     def _encode(self, replica: Replica, body: bytes) -> bytes:
         request = self.call.request
         return b''.join((
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -30,7 +30,7 @@
 from cactusledge.records.reservations import Grant, TurnStart
 
 UNSURE_RETRY_S = 0.25  # until the record stores may answer again
-CUT_OFF_RETRY_S = 1.2  # until the balancer has chosen another instance
+BALANCER_S = 2.2  # until the balancer has turned to other instances
 BUSY_RETRY_S = 0.3  # until a full engine has room again
 
 
@@ -108,7 +108,8 @@
         refusal = REFUSALS[grant.verdict]
         retry_after_s = refusal.retry_after_s
         if grant.verdict is Verdict.UNSURE and not self._records.has_quorum:
-            retry_after_s = CUT_OFF_RETRY_S
+            left_s = BALANCER_S - self._records.lacks_quorum_s
+            retry_after_s = max(UNSURE_RETRY_S, left_s)
             call.conn.keeps_alive = False
         return refuse(
             call.conn,
--- a/cactusledge/platform/roles.py
+++ b/cactusledge/platform/roles.py
@@ -5,7 +5,8 @@
 from types import MappingProxyType
 from typing import Any
 
-from cactusledge.gateway.app import GatewayApplication, GatewayParts
+from cactusledge.gateway.app import GatewayApplication
+from cactusledge.gateway.parts import GatewayParts
 from cactusledge.models import Address
 from cactusledge.objects.store import StoredObject
 from cactusledge.platform.documents import (
--- a/cactusledge/records/client.py
+++ b/cactusledge/records/client.py
@@ -1,6 +1,7 @@
 """The gateway's side of the records: reserve, record, settle."""
 
 import asyncio
+import time
 from collections.abc import Sequence
 
 import structlog
@@ -31,6 +32,7 @@
         self._peers = GroupPeers(instance, data_centre)
         self._reservations = Reservations(self._peers)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._lost_s: float | None = None
 
     @property
     def group(self) -> messages.Group:
@@ -42,6 +44,24 @@
         """Whether connections to a quorum of the stores are open."""
         return self._peers.has_quorum
 
+    @property
+    def lacks_quorum_s(self) -> float:
+        """For how long no quorum has been connected, 0 while one is."""
+        since_s = self._lost_s
+        return 0 if since_s is None else time.monotonic() - since_s
+
+    def silent_data_centres(self) -> frozenset[str]:
+        """Returns those none of whose stores can be reached."""
+        return self._peers.silent_data_centres()
+
+    def note_quorum(self) -> None:
+        """Takes note of whether a quorum is connected; called regularly."""
+        if self.has_quorum:
+            self._lost_s = None
+        elif self._lost_s is None:
+            self._lost_s = time.monotonic()
+            log.warning('records: quorum lost')
+
     def take_group(self, group: messages.Group) -> None:
         """Adopts a newer group and connects to its members."""
         if self._peers.take_group(group):
--- a/cactusledge/records/keeper.py
+++ b/cactusledge/records/keeper.py
@@ -148,13 +148,11 @@
 
     async def _announce(self, group: Group) -> None:
         """Tells the members before and after the change, then adopts it."""
-        told = self.peers.all()
+        told = set(self.peers.all())
         self.take_group(group)
+        told.update(self.peers.all())
         await asyncio.gather(
-            *(
-                peer.call(Announce(group), ASK_TIMEOUT_S)
-                for peer in {*told, *self.peers.all()}
-            ),
+            *(peer.call(Announce(group), ASK_TIMEOUT_S) for peer in told),
             return_exceptions=True,
         )
 
--- a/cactusledge/records/peers.py
+++ b/cactusledge/records/peers.py
@@ -50,6 +50,20 @@
         """Returns the connections, open ones of this data centre first."""
         return sorted(self._peers.values(), key=self._distance)
 
+    def silent_data_centres(self) -> frozenset[str]:
+        """Returns those none of whose members can be reached."""
+        connected = {peer.name for peer in self.connected()}
+        all_of: dict[str, bool] = {}
+        for name, member in self.group.members.items():
+            is_silent = name not in connected and name != self._instance
+            known = all_of.get(member.data_centre, True)
+            all_of[member.data_centre] = known and is_silent
+        return frozenset(
+            data_centre
+            for data_centre, is_silent in all_of.items()
+            if is_silent
+        )
+
     def unreachable_s(self) -> dict[str, float]:
         """Returns for how long each lost member has been unreachable."""
         now_s = time.monotonic()
--- a/cactusledge/records/transport.py
+++ b/cactusledge/records/transport.py
@@ -30,7 +30,7 @@
 USER_TIMEOUT_MS = 2500
 CONNECT_TIMEOUT_S = 0.6
 RECONNECT_S = 0.3
-HEARTBEAT_S = 0.2
+HEARTBEAT_S = 0.15
 SILENT_STEPS = 4  # heartbeats without a sign of life
 
 log = structlog.get_logger('records')
