Keep the text of a turn on as few disks as must be, its existence on all

Change: the text goes to one store more than may be lost at once, in different data centres, the nearest first; all others get the turn without it, so that a 404 and a budget still need only a majority. Heirs take over from holders that left the group; a store restores what it should keep; logs are read without text, so catching up moves each text once. Entries and segments expire.

--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -187,6 +187,7 @@
             response=compress(response),
             tokens=stream.spent.tokens,
             endpoint_id=sent.replica.endpoint_id,
+            holders=(),  # chosen when it is recorded
         )
         if not await self._records.record(turn):
             return False
--- a/cactusledge/platform/roles.py
+++ b/cactusledge/platform/roles.py
@@ -82,6 +82,7 @@
         address=Address(settings.host, settings.peer_port),
         folder=Path(folder),
         is_first_start=settings.is_first_start,
+        copies=settings.tolerated + 1,
         objects=objects,
         retirement=PlatformRetirement(objects, settings.instance),
     )
--- a/cactusledge/platform/settings.py
+++ b/cactusledge/platform/settings.py
@@ -26,6 +26,7 @@
     seeds: tuple[Address, ...]  # record stores, perhaps stale
     is_first_start: bool  # bootstrap: all disks are empty, and should be
     data_folder: Path | None  # data_dir
+    tolerated: int  # tolerate.machines: disks that may be lost at once
     grace_s: float  # from SIGTERM to SIGKILL
     store: Address  # platform.address
 
@@ -63,6 +64,7 @@
         seeds=reader.optional('seeds', parse_addresses) or (),
         is_first_start=fields.get('bootstrap') == 'true',
         data_folder=reader.optional('data_dir', Path),
+        tolerated=reader.convert('tolerate.machines', int),
         grace_s=reader.convert('bounds.grace_s', float),
         store=reader.convert('platform.address', parse_address),
     )
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -48,6 +48,7 @@
     address: Address
     folder: Path
     is_first_start: bool
+    copies: int  # disks that a text stands on: one more than may be lost
     objects: ObjectStore
     retirement: Retirement
 
@@ -67,6 +68,7 @@
             GroupObjects(parts.objects),
             Member(str(parts.address), parts.data_centre),
             is_first_start=parts.is_first_start,
+            copies=parts.copies,
         )
         self._server = MessageServer(self.store.handle)
         self._watchers: list[Watcher] = []
@@ -94,7 +96,7 @@
         log.info(
             'records: started',
             instance=self._parts.instance,
-            entries=len(self.store.log.entries),
+            entries=self.store.log.head,
             **self.store.log.identity._asdict(),
         )
         await stop.wait()
@@ -112,7 +114,7 @@
         report = self._parts.retirement.report
         await loop.run_in_executor(None, lambda: report(is_done=False))
         await Retiring(self.store, self.keeper).run()
-        log.info('records: emptied', entries=len(self.store.log.entries))
+        log.info('records: emptied', entries=self.store.log.head)
         await loop.run_in_executor(None, lambda: report(is_done=True))
 
     def _follow(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/cactusledge/records/catch_up.py
+++ b/cactusledge/records/catch_up.py
@@ -1,13 +1,12 @@
-"""Lets a store with an empty or replaced disk copy what it should hold."""
+"""Lets a store with an empty or replaced disk learn what there is."""
 
 import asyncio
 from collections.abc import Iterable
 
-import msgspec
 import structlog
 
 from cactusledge.records.membership import sources_needed
-from cactusledge.records.messages import ENTRY_DECODER, Pull, Pulled
+from cactusledge.records.messages import Pull, Pulled
 from cactusledge.records.store import RecordStore
 from cactusledge.records.transport import Peer
 
@@ -18,7 +17,10 @@
 
 
 class CatchUp:
-    """Copies the others' logs; afterwards the store is a witness."""
+    """Reads the others' logs; afterwards the store is a witness.
+
+    Texts are not read here, see `restoring`.
+    """
 
     def __init__(self, store: RecordStore) -> None:
         """Keeps the store to fill."""
@@ -26,7 +28,7 @@
         self._read: dict[str, str] = {}  # source -> log read in full
 
     async def run(self, peers: Iterable[Peer]) -> None:
-        """Copies from each peer once; call again until the store is full."""
+        """Reads each peer's log once; call again until it is a witness."""
         await asyncio.gather(
             *(
                 self._copy(peer)
@@ -42,7 +44,7 @@
             log.info(
                 'records: caught up',
                 sources=sorted(sources),
-                entries=len(self._store.log.entries),
+                entries=self._store.log.head,
             )
 
     async def _copy(self, peer: Peer) -> None:
@@ -67,19 +69,10 @@
             )
             if not isinstance(pulled, Pulled):
                 return
-            await self._apply(pulled)
+            await self._store.log.append(pulled.entries)
             log_id = pulled.log_id
             position += len(pulled.entries)
             head = pulled.head if head is None else head
             if not pulled.is_witness:
                 return
         self._read[peer.name] = log_id
-
-    async def _apply(self, pulled: Pulled) -> None:
-        entries = []
-        for encoded in pulled.entries:
-            try:
-                entries.append(ENTRY_DECODER.decode(encoded))
-            except msgspec.MsgspecError:
-                log.exception('records: copied entry unreadable')
-        await self._store.log.append(entries)
--- a/cactusledge/records/client.py
+++ b/cactusledge/records/client.py
@@ -4,9 +4,11 @@
 import time
 from collections.abc import Sequence
 
+import msgspec
 import structlog
 
 from cactusledge.records import messages
+from cactusledge.records.holders import choose_holders
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.quorum import quorum
 from cactusledge.records.reservations import (
@@ -15,9 +17,9 @@
     Reservations,
     TurnStart,
 )
-from cactusledge.records.round import Round
+from cactusledge.records.round import Ask, Round, ask_all
 
-RECORD_TRIES = 2
+FIRST_TIMEOUT_S = 0.25  # of a record, until its text goes to all
 SETTLE_TRIES = 4
 SETTLE_PAUSE_S = 0.3
 
@@ -80,11 +82,20 @@
         return await self._reservations.begin(start)
 
     async def record(self, turn: messages.Turn) -> bool:
-        """Returns whether the turn is durable."""
-        for _ in range(RECORD_TRIES):
-            if await self._append([turn]):
-                return True
-        return False
+        """Returns whether the turn is durable.
+
+        Its text goes to its holders, and to all if one of these fails.
+        """
+        turn = msgspec.structs.replace(
+            turn, holders=holders_of(turn, self._peers)
+        )
+        asks = record_asks(turn, self._peers)
+        if await self._append(asks, FIRST_TIMEOUT_S, turn.holders):
+            return True
+        log.info('records: holders slow, text to all', turn_id=turn.turn_id)
+        request = messages.Append(self.group.generation, [turn])
+        asks = ask_all(self._peers.all(), request)
+        return await self._append(asks, ROUND_TIMEOUT_S)
 
     def settle(self, program_id: str, turn_id: str, tokens: int) -> None:
         """Lets the stores know what a turn without a whole answer spent."""
@@ -95,7 +106,9 @@
 
     async def _settle(self, entry: messages.Settled) -> None:
         for _ in range(SETTLE_TRIES):
-            if await self._append([entry]):
+            request = messages.Append(self.group.generation, [entry])
+            asks = ask_all(self._peers.all(), request)
+            if await self._append(asks, ROUND_TIMEOUT_S):
                 return
             await asyncio.sleep(SETTLE_PAUSE_S)
         log.warning(
@@ -105,13 +118,38 @@
             tokens=entry.tokens,
         )
 
-    async def _append(self, entries: Sequence[messages.Entry]) -> bool:
-        group = self.group
-        collected = Round(messages.Appended, quorum(group))
-        request = messages.Append(group.generation, list(entries))
-        await collected.run(
-            self._peers.all(), request, ROUND_TIMEOUT_S, wait_s=0
-        )
+    async def _append(
+        self,
+        asks: Sequence[Ask],
+        timeout_s: float,
+        required: Sequence[str] = (),
+    ) -> bool:
+        """Returns whether a quorum and all required stores have written."""
+        collected = Round(messages.Appended, quorum(self.group), required)
+        await collected.run(asks, timeout_s, wait_s=0)
         if collected.stale is not None:
             self.take_group(collected.stale.group)
-        return collected.has_quorum
+        return collected.is_enough
+
+
+def holders_of(turn: messages.Turn, peers: GroupPeers) -> tuple[str, ...]:
+    """Returns the stores that are to keep a turn's text."""
+    connected = {peer.name for peer in peers.connected()}
+    members = {
+        name: member
+        for name, member in peers.group.members.items()
+        if name in connected
+    }
+    return choose_holders(
+        turn.turn_id, members, peers.data_centre, peers.group.copies
+    )
+
+
+def record_asks(turn: messages.Turn, peers: GroupPeers) -> list[Ask]:
+    """Returns the requests that record a turn, with text for its holders."""
+    generation = peers.group.generation
+    whole = messages.Append(generation, [turn])
+    bare = messages.Append(generation, [turn.without_text()])
+    holders = [peer for peer in peers.all() if peer.name in turn.holders]
+    others = [peer for peer in peers.all() if peer.name not in turn.holders]
+    return [*ask_all(holders, whole), *ask_all(others, bare)]
--- /dev/null
+++ b/cactusledge/records/holders.py
@@ -0,0 +1,76 @@
+"""Which stores keep the text of a turn; pure functions.
+
+A turn's text stands on as many disks as may be lost at once and one more, in
+different data centres where there are enough of them.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+
+import xxhash
+
+from cactusledge.records.messages import Group, Member, Turn
+
+
+def rank(turn_id: str, name: str) -> int:
+    """Returns a store's place for a turn by rendezvous hashing."""
+    return xxhash.xxh64_intdigest(f'{turn_id} {name}'.encode())
+
+
+def choose_holders(
+    turn_id: str,
+    members: Mapping[str, Member],
+    here: str,
+    copies: int,
+) -> tuple[str, ...]:
+    """Returns the stores to keep a new turn's text, the nearest one first."""
+    ordered = sorted(
+        members,
+        key=lambda name: (
+            members[name].data_centre != here,
+            rank(turn_id, name),
+        ),
+    )
+    return spread(ordered, members, copies)
+
+
+def spread(
+    ordered: Iterable[str], members: Mapping[str, Member], copies: int
+) -> tuple[str, ...]:
+    """Returns the first stores, of different data centres if possible."""
+    chosen: list[str] = []
+    others: list[str] = []
+    data_centres: set[str] = set()
+    for name in ordered:
+        is_new = members[name].data_centre not in data_centres
+        (chosen if is_new else others).append(name)
+        data_centres.add(members[name].data_centre)
+    return tuple((chosen + others)[:copies])
+
+
+def keepers(turn: Turn, group: Group) -> frozenset[str]:
+    """Returns the members that should keep a turn's text.
+
+    Heirs take the place of holders that have left the group.
+    """
+    living = [name for name in turn.holders if name in group.members]
+    heirs = heirs_of(turn.turn_id, group, living)
+    return frozenset((*living, *heirs))
+
+
+def heirs_of(
+    turn_id: str, group: Group, living: Collection[str]
+) -> tuple[str, ...]:
+    """Returns the members that take the place of missing holders."""
+    missing = group.copies - len(living)
+    if missing <= 0:
+        return ()
+    taken = {group.members[name].data_centre for name in living}
+    others = [name for name in group.members if name not in living]
+    ordered = sorted(
+        others,
+        key=lambda name: (
+            group.members[name].data_centre in taken,
+            rank(turn_id, name),
+        ),
+    )
+    return spread(ordered, group.members, missing)
--- a/cactusledge/records/keeper.py
+++ b/cactusledge/records/keeper.py
@@ -17,10 +17,12 @@
 )
 from cactusledge.records.messages import Announce, Ask, Group, Member, Status
 from cactusledge.records.peers import GroupPeers
+from cactusledge.records.restoring import TextRestorer
 from cactusledge.records.store import RecordStore
 
 FORM_AFTER_S = 2.0  # for the other stores of a first start to register
 STEP_S = 0.3
+KEPT_S = 600.0  # more than any route's retention and a program's duration
 ASK_TIMEOUT_S = 0.6
 
 log = structlog.get_logger('records')
@@ -40,8 +42,10 @@
         member: Member,
         *,
         is_first_start: bool,
+        copies: int,
     ) -> None:
         """Keeps the parts; `run` does the work."""
+        self._copies = copies
         self.peers = GroupPeers(store.name, member.data_centre)
         self.is_retiring = False
         self._store = store
@@ -50,6 +54,7 @@
         self._is_first_start = is_first_start
         self._started_s = time.monotonic()
         self._catch_up = CatchUp(store)
+        self._restorer = TextRestorer(store, self.peers)
         self._is_registered = False
         store.on_group = self.take_group
 
@@ -81,6 +86,7 @@
         return may_change(self._store.group, await self._generations())
 
     async def _step(self) -> None:
+        self._store.log.expire(KEPT_S)
         if not self._store.group.generation:
             await self._form()
             return
@@ -88,6 +94,8 @@
             await self._join()
         if not self._store.log.identity.is_witness:
             await self._catch_up.run(self.peers.all())
+            self._restorer.restart()
+        await self._restorer.run()
         await self._remove_dead()
 
     async def _form(self) -> None:
@@ -103,7 +111,7 @@
         members = await self._objects.registered()
         if self._store.name != min(members, default=''):
             return
-        group = first_group(members)
+        group = first_group(members, self._copies)
         if await self._objects.create(group):
             self.take_group(group)
 
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -1,6 +1,8 @@
 """The log of a record store: entries in memory, synced to disk in groups."""
 
 import asyncio
+import bisect
+import time
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
@@ -13,15 +15,16 @@
     IDENTITY_FILE,
     AppendBatch,
     DiskActor,
+    DropBefore,
     Identity,
     WriteDocument,
     read_folder,
 )
-from cactusledge.records.messages import ENCODER, ENTRY_DECODER, Entry
+from cactusledge.records.messages import ENCODER, ENTRY_DECODER, Entry, Turn
 from cactusledge.records.state import RecordState
 
-KIB = 1024
-PULL_BYTES = 512 * KIB  # noqa: WPS432
+PULL_ENTRIES = 2000  # entries of one reply
+SEGMENT_SLACK = 2  # ancestors of young turns are in older segments
 
 log = structlog.get_logger('records')
 
@@ -37,7 +40,9 @@
         loaded = read_folder(folder, is_first_start=is_first_start)
         self.identity: Identity = loaded.identity
         self.state = RecordState()
-        self.entries: list[bytes] = []
+        self.entries: list[Entry] = []  # turns without their text
+        self._times_s: list[float] = []  # when each was taken
+        self._first = 0  # position of the first entry
         for encoded in loaded.entries:
             self._restore(encoded)
         self._actor: pykka.ActorRef[DiskActor] = DiskActor.start(folder)
@@ -49,6 +54,11 @@
         """Lets the actor finish what it was told, then stops it."""
         self._actor.stop()
 
+    @property
+    def head(self) -> int:
+        """The position after the last entry."""
+        return self._first + len(self.entries)
+
     async def append(self, entries: Sequence[Entry]) -> None:
         """Applies the entries and returns once they are on disk.
 
@@ -60,25 +70,37 @@
         """
         for entry in entries:
             if self.state.apply(entry):
-                encoded = ENCODER.encode(entry)
-                self.entries.append(encoded)
-                self._collected.append(encoded)
+                self._index(entry)
+                self._collected.append(ENCODER.encode(entry))
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.append(fut)
         if not self._is_syncing:
             self._sync()
         await fut
 
-    def pull(self, position: int) -> list[bytes]:
-        """Returns entries from a position on, bounded in bytes."""
-        part: list[bytes] = []
-        size = 0
-        for encoded in self.entries[position:]:
-            part.append(encoded)
-            size += len(encoded)
-            if size > PULL_BYTES:
-                break
-        return part
+    def pull(self, position: int) -> list[Entry]:
+        """Returns entries from a position on, turns without text."""
+        start = max(0, position - self._first)
+        return self.entries[start : start + PULL_ENTRIES]
+
+    def expire(self, kept_s: float) -> None:
+        """Forgets entries that are older, and segments that hold only such.
+
+        The turns that a younger one continues stay.
+        """
+        oldest_s = time.monotonic() - kept_s
+        count = bisect.bisect_left(self._times_s, oldest_s)
+        if not count:
+            return
+        live = self.state.ancestors_of(self.entries[count:])
+        gone = [
+            entry for entry in self.entries[:count] if entry.turn_id not in live
+        ]
+        self.state.forget(gone)
+        self.entries = self.entries[count:]
+        self._times_s = self._times_s[count:]
+        self._first += count
+        self._actor.tell(DropBefore(time.time() - SEGMENT_SLACK * kept_s))
 
     def become_witness(self) -> None:
         """Notes on disk that everything which should be here is here."""
@@ -103,7 +125,12 @@
             log.exception('records: entry unreadable, left out')
             return
         if self.state.apply(entry):
-            self.entries.append(encoded)
+            self._index(entry)
+
+    def _index(self, entry: Entry) -> None:
+        bare = entry.without_text() if isinstance(entry, Turn) else entry
+        self.entries.append(bare)
+        self._times_s.append(time.monotonic())
 
     def _sync(self) -> None:
         """Hands all that was collected to the actor as one batch."""
--- a/cactusledge/records/membership.py
+++ b/cactusledge/records/membership.py
@@ -7,21 +7,25 @@
 
 from collections.abc import Mapping
 
+import msgspec
+
 from cactusledge.records.messages import Group, Member
 from cactusledge.records.quorum import majority
 
 DEAD_AFTER_S = 6.0  # an unreachable member may then be removed
 
 
-def first_group(members: Mapping[str, Member]) -> Group:
+def first_group(members: Mapping[str, Member], copies: int) -> Group:
     """Returns the group of the system's first start."""
-    return Group(1, dict(members), len(members))
+    return Group(1, dict(members), len(members), copies)
 
 
 def with_member(group: Group, name: str, member: Member) -> Group:
     """Returns the next group, with a member added or at a new address."""
     members = {**group.members, name: member}
-    return Group(group.generation + 1, members, group.target_size)
+    return msgspec.structs.replace(
+        group, generation=group.generation + 1, members=members
+    )
 
 
 def without_member(group: Group, name: str, *, shrinks: bool) -> Group:
@@ -37,7 +41,7 @@
     target = group.target_size
     if shrinks:
         target = min(target, len(members))
-    return Group(group.generation + 1, members, target)
+    return Group(group.generation + 1, members, target, group.copies)
 
 
 def may_change(group: Group, generations: Mapping[str, int]) -> bool:
@@ -93,6 +97,7 @@
         int(str(document['generation'])),
         {name: Member(*member) for name, member in members.items()},
         int(str(document['target_size'])),
+        int(str(document['copies'])),
     )
 
 
@@ -105,4 +110,5 @@
             for name, member in group.members.items()
         },
         'target_size': group.target_size,
+        'copies': group.copies,
     }
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -8,15 +8,28 @@
 
 
 class Turn(Message, frozen=True):
-    """A turn that was answered whole. Immutable; settles its reservation."""
+    """A turn that was answered whole. Immutable; settles its reservation.
+
+    All stores know that there is the turn, its holders keep the text too.
+    """
 
     turn_id: str
     parent_id: str  # the turn that it continues, '' at the start of a chain
     program_id: str
-    request: bytes  # the turn's own input, compressed
+    request: bytes  # the turn's own input, compressed; b'' without the text
     response: bytes  # data of each event and a line feed, compressed
     tokens: int  # tokens handed to the caller
     endpoint_id: str  # the engine that holds the chain in its cache
+    holders: tuple[str, ...]  # instances that are to keep the text
+
+    @property
+    def has_text(self) -> bool:
+        """Whether the request and the response are here."""
+        return bool(self.request)
+
+    def without_text(self) -> 'Turn':
+        """Returns the turn as those that are no holders know it."""
+        return msgspec.structs.replace(self, request=b'', response=b'')
 
 
 class Reserved(Message, frozen=True):
@@ -55,6 +68,7 @@
     generation: int
     members: dict[str, Member]  # by the instance's name
     target_size: int  # size that dead members are removed down to
+    copies: int  # instances that keep the text of a turn
 
 
 class Reserve(Message, frozen=True):
@@ -71,7 +85,7 @@
     is_witness: bool  # whether what it does not know does not exist
     spent: dict[str, tuple[int, bool]]  # turn -> (tokens, settled)
     knows_parent: bool
-    chain: list[Turn]  # oldest first, empty if not wanted or not known
+    chain: list[Turn]  # oldest first, perhaps without text; [] if unknown
 
 
 class Append(Message, frozen=True):
@@ -94,8 +108,21 @@
     wants_chain: bool
 
 
+class Fetch(Message, frozen=True):
+    """Asks for turns with their text."""
+
+    generation: int
+    turn_ids: list[str]
+
+
+class Fetched(Message, frozen=True):
+    """The turns asked for whose text is here."""
+
+    turns: list[Turn]
+
+
 class Pull(Message, frozen=True):
-    """Asks for a part of the log, to catch up."""
+    """Asks for a part of the log, to catch up; turns come without text."""
 
     generation: int
     log_id: str  # '' at the first request
@@ -106,7 +133,7 @@
     """A part of the log."""
 
     log_id: str
-    entries: list[bytes]
+    entries: list[Entry]
     head: int  # length of the log
     is_witness: bool
 
@@ -160,6 +187,8 @@
     | Append
     | Appended
     | Query
+    | Fetch
+    | Fetched
     | Pull
     | Pulled
     | StaleGroup
@@ -183,4 +212,4 @@
 ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
 ENTRY_DECODER: msgspec.msgpack.Decoder[Entry] = msgspec.msgpack.Decoder(Entry)
 
-EMPTY_GROUP = Group(generation=0, members={}, target_size=0)
+EMPTY_GROUP = Group(generation=0, members={}, target_size=0, copies=1)
--- a/cactusledge/records/peers.py
+++ b/cactusledge/records/peers.py
@@ -15,7 +15,7 @@
         """Starts without a group."""
         self.group: Group = EMPTY_GROUP
         self._instance = instance
-        self._data_centre = data_centre
+        self.data_centre = data_centre
         self._peers: dict[str, Peer] = {}
         self._unreachable_since_s: dict[str, float] = {}
 
@@ -92,7 +92,7 @@
 
     def _distance(self, peer: Peer) -> tuple[bool, bool, str]:
         member = self.group.members.get(peer.name)
-        is_near = member is not None and member.data_centre == self._data_centre
+        is_near = member is not None and member.data_centre == self.data_centre
         return not peer.is_connected, not is_near, peer.name
 
     def _connect(self, name: str, member: Member) -> None:
--- a/cactusledge/records/reservations.py
+++ b/cactusledge/records/reservations.py
@@ -1,7 +1,7 @@
 """Reserves a turn's tokens and reads its chain, from the record stores."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 import structlog
@@ -15,7 +15,8 @@
     is_exact,
     quorum,
 )
-from cactusledge.records.round import Round
+from cactusledge.records.round import Round, ask_all
+from cactusledge.records.transport import Peer
 
 ROUND_TIMEOUT_S = 0.7
 READ_TIMEOUT_S = 0.35  # of a chain, from one store
@@ -116,29 +117,45 @@
         self, request: messages.Reserve | messages.Query
     ) -> Mapping[str, messages.ReserveReply]:
         collected = Round(messages.ReserveReply, quorum(self._peers.group))
-        await collected.run(self._peers.all(), request, ROUND_TIMEOUT_S)
+        await collected.run(
+            ask_all(self._peers.all(), request), ROUND_TIMEOUT_S
+        )
         if collected.stale is not None:
             self._peers.take_group(collected.stale.group)
             raise StaleGroupError
         return collected.replies
 
     async def _read_chain(self, start: TurnStart) -> tuple[messages.Turn, ...]:
-        """Reads the chain from the nearest store that has it."""
+        """Reads the chain, from the nearest stores that have its texts."""
         query = self._query(start, wants_chain=True)
+        chain: dict[str, messages.Turn] = {}
         for peer in self._peers.nearest_first():
-            try:
-                reply = await peer.call(query, READ_TIMEOUT_S)
-            except (ConnectionError, TimeoutError) as exc:
-                log.info(
-                    'records: chain not read',
-                    store=peer.name,
-                    turn_id=start.demand.parent_id,
-                    error=repr(exc),
-                )
-                continue
-            if isinstance(reply, messages.ReserveReply) and reply.chain:
-                return tuple(reply.chain)
-        return ()
+            missing = [key for key, turn in chain.items() if not turn.has_text]
+            if chain and not missing:
+                break
+            request = self._fetch(missing) if missing else query
+            for turn in await self._turns_of(peer, request):
+                chain[turn.turn_id] = turn
+        is_whole = all(found.has_text for found in chain.values())
+        return tuple(chain.values()) if is_whole else ()
+
+    async def _turns_of(
+        self, peer: Peer, request: messages.Query | messages.Fetch
+    ) -> Sequence[messages.Turn]:
+        """Returns the turns in a store's reply, none without a reply."""
+        try:
+            reply = await peer.call(request, READ_TIMEOUT_S)
+        except (ConnectionError, TimeoutError) as exc:
+            log.info(
+                'records: chain not read', store=peer.name, error=repr(exc)
+            )
+            return ()
+        if isinstance(reply, messages.ReserveReply):
+            return reply.chain
+        return reply.turns if isinstance(reply, messages.Fetched) else ()
+
+    def _fetch(self, turn_ids: list[str]) -> messages.Fetch:
+        return messages.Fetch(self._peers.group.generation, turn_ids)
 
     def _query(self, start: TurnStart, *, wants_chain: bool) -> messages.Query:
         return messages.Query(
--- /dev/null
+++ b/cactusledge/records/restoring.py
@@ -0,0 +1,74 @@
+"""Brings the texts that a store should keep and does not have."""
+
+import asyncio
+
+import structlog
+
+from cactusledge.records.holders import keepers
+from cactusledge.records.messages import Fetch, Fetched, Group
+from cactusledge.records.peers import GroupPeers
+from cactusledge.records.store import RecordStore
+
+FETCH_TURNS = 40  # turns of one message
+FETCH_TIMEOUT_S = 2.0
+
+log = structlog.get_logger('records')
+
+
+class TextRestorer:
+    """Fetches texts after a lost disk or a change of the group."""
+
+    def __init__(self, store: RecordStore, peers: GroupPeers) -> None:
+        """Keeps the store to fill and whom to ask."""
+        self._store = store
+        self._peers = peers
+        self._checked: Group | None = None  # the group all is in place for
+
+    def restart(self) -> None:
+        """Looks for missing texts once more."""
+        self._checked = None
+
+    async def run(self) -> None:
+        """Fetches what is missing; call again until all is in place."""
+        group = self._store.group
+        if self._checked is group:
+            return
+        missing = self._missing(group)
+        for start in range(0, len(missing), FETCH_TURNS):
+            await self._fetch(missing[start : start + FETCH_TURNS])
+        left = len(self._missing(group))
+        if missing:
+            log.info('records: texts restored', wanted=len(missing), left=left)
+        if not left:
+            self._checked = group
+
+    def _missing(self, group: Group) -> list[str]:
+        """Returns the turns whose text should be here and is not."""
+        name = self._store.name
+        return [
+            turn.turn_id
+            for turn in self._store.log.state.turns.values()
+            if not turn.has_text and name in keepers(turn, group)
+        ]
+
+    async def _fetch(self, turn_ids: list[str]) -> None:
+        """Asks one store after the other, to move each text once."""
+        wanted = list(turn_ids)
+        for peer in self._peers.nearest_first():
+            if not wanted or not peer.is_connected:
+                return
+            request = Fetch(self._store.group.generation, wanted)
+            try:
+                reply = await peer.call(request, FETCH_TIMEOUT_S)
+            except (ConnectionError, TimeoutError) as exc:
+                log.info(
+                    'records: texts not fetched',
+                    source=peer.name,
+                    error=repr(exc),
+                )
+                continue
+            if isinstance(reply, Fetched):
+                await self._store.log.append(reply.turns)
+                found = {turn.turn_id for turn in reply.turns}
+                wanted = [key for key in wanted if key not in found]
+            await asyncio.sleep(0)
--- a/cactusledge/records/retiring.py
+++ b/cactusledge/records/retiring.py
@@ -5,14 +5,16 @@
 import structlog
 
 from cactusledge.errors import StoreError
+from cactusledge.records.holders import keepers
 from cactusledge.records.keeper import GroupKeeper
-from cactusledge.records.messages import ENTRY_DECODER, Append, Appended
+from cactusledge.records.membership import without_member
+from cactusledge.records.messages import Append, Appended, Entry, Group, Turn
 from cactusledge.records.quorum import majority
 from cactusledge.records.store import RecordStore
 
 STEP_S = 0.2
 PUSH_ENTRIES = 200  # entries of one message
-PUSH_TIMEOUT_S = 2.0
+TIMEOUT_S = 2.0
 
 log = structlog.get_logger('records')
 
@@ -38,7 +40,7 @@
 
     async def _is_done(self) -> bool:
         await self._push()
-        if self._pushed < len(self._store.log.entries):
+        if self._pushed < self._store.log.head:
             return False
         if not self._store.is_member:
             return await self._keeper.is_adopted()
@@ -50,22 +52,20 @@
 
     async def _push(self) -> None:
         """Pushes what is left until the others do not take it."""
-        while self._pushed < len(self._store.log.entries):
-            end = self._pushed + PUSH_ENTRIES
-            entries = self._store.log.entries[self._pushed : end]
+        while self._pushed < self._store.log.head:
+            entries = self._store.log.pull(self._pushed)[:PUSH_ENTRIES]
             if not await self._is_taken(entries):
                 return
             self._pushed += len(entries)
 
-    async def _is_taken(self, entries: list[bytes]) -> bool:
-        group = self._store.group
-        request = Append(
-            group.generation,
-            [ENTRY_DECODER.decode(encoded) for encoded in entries],
+    async def _is_taken(self, entries: list[Entry]) -> bool:
+        """Returns whether all that can be reached, and a majority, took it."""
+        after = without_member(
+            self._store.group, self._store.name, shrinks=True
         )
         replies = await asyncio.gather(
             *(
-                peer.call(request, PUSH_TIMEOUT_S)
+                peer.call(self._part_for(peer.name, entries, after), TIMEOUT_S)
                 for peer in self._keeper.peers.connected()
             ),
             return_exceptions=True,
@@ -73,3 +73,18 @@
         taken = sum(isinstance(reply, Appended) for reply in replies)
         others = len(self._keeper.peers.all())
         return taken == len(replies) and taken >= majority(others)
+
+    def _part_for(
+        self, name: str, entries: list[Entry], after: Group
+    ) -> Append:
+        """Returns the entries for one store, with the texts it is to keep."""
+        turns = self._store.log.state.turns
+        part: list[Entry] = []
+        for entry in entries:
+            turn = turns.get(entry.turn_id)
+            is_keeper = turn is not None and name in keepers(turn, after)
+            if isinstance(entry, Turn) and turn is not None and is_keeper:
+                part.append(turn)
+            else:
+                part.append(entry)
+        return Append(self._store.group.generation, part)
--- a/cactusledge/records/round.py
+++ b/cactusledge/records/round.py
@@ -1,8 +1,8 @@
 """One round of a request to the members of a group."""
 
 import asyncio
-from collections.abc import Iterable
-from typing import Generic, TypeVar
+from collections.abc import Iterable, Sequence
+from typing import Generic, NamedTuple, TypeVar
 
 from cactusledge.records.messages import Body, StaleGroup
 from cactusledge.records.transport import Peer
@@ -12,6 +12,20 @@
 ReplyType = TypeVar('ReplyType')
 
 
+class Ask(NamedTuple):
+    """A prepared request to one member."""
+
+    peer: Peer
+    number: int
+    content: bytes
+
+
+def ask_all(peers: Iterable[Peer], body: Body) -> list[Ask]:
+    """Returns the same request to several members."""
+    number, content = Peer.prepare(body)
+    return [Ask(peer, number, content) for peer in peers]
+
+
 class Round(Generic[ReplyType]):
     """Collects replies until all are in, or a quorum and a short wait.
 
@@ -19,46 +33,53 @@
     a member told instead.
     """
 
-    def __init__(self, wanted: type[ReplyType], needed: int) -> None:
-        """Prepares a round that needs so many replies."""
+    def __init__(
+        self,
+        wanted: type[ReplyType],
+        needed: int,
+        required: Iterable[str] = (),
+    ) -> None:
+        """Prepares a round that needs so many replies, some members' too."""
         self.replies: dict[str, ReplyType] = {}
         self.stale: StaleGroup | None = None
         self._wanted = wanted
         self._needed = needed
+        self._required = frozenset(required)
         self._open = 0
+        self._wait_s = FULL_HOUSE_WAIT_S
+        self._is_waiting = False
         self._settled: asyncio.Future[None] | None = None
 
     @property
-    def has_quorum(self) -> bool:
-        """Whether enough members have answered."""
-        return len(self.replies) >= self._needed
+    def is_enough(self) -> bool:
+        """Whether a quorum and all required members have answered."""
+        if len(self.replies) < self._needed:
+            return False
+        return self._required <= self.replies.keys()
 
     async def run(
         self,
-        peers: Iterable[Peer],
-        body: Body,
+        asks: Sequence[Ask],
         timeout_s: float,
         wait_s: float = FULL_HOUSE_WAIT_S,
     ) -> None:
-        """Sends the request to the peers and collects their replies."""
+        """Sends the requests and collects the replies."""
         loop = asyncio.get_running_loop()
         settled = loop.create_future()
         self._settled = settled
-        number, content = Peer.prepare(body)
-        targets = tuple(peers)
-        self._open = len(targets)
         self._wait_s = wait_s
-        for peer in targets:
-            self._send(peer, number, content)
+        self._open = len(asks)
+        for ask in asks:
+            self._send(ask)
         limit = loop.call_later(timeout_s, self._settle)
         try:
             await settled
         finally:
             limit.cancel()
 
-    def _send(self, peer: Peer, number: int, content: bytes) -> None:
-        fut = peer.send(number, content)
-        name = peer.name
+    def _send(self, ask: Ask) -> None:
+        fut = ask.peer.send(ask.number, ask.content)
+        name = ask.peer.name
         fut.add_done_callback(lambda done: self._take(name, done))
 
     def _take(self, name: str, fut: asyncio.Future[Body]) -> None:
@@ -67,7 +88,8 @@
             self._sort(name, fut.result())
         if not self._open:
             self._settle()
-        elif len(self.replies) == self._needed:
+        elif self.is_enough and not self._is_waiting:
+            self._is_waiting = True
             asyncio.get_running_loop().call_later(self._wait_s, self._settle)
 
     def _sort(self, name: str, reply: Body) -> None:
--- a/cactusledge/records/state.py
+++ b/cactusledge/records/state.py
@@ -15,7 +15,7 @@
         self.spending: dict[str, Spent] = {}
 
     def apply(self, entry: Entry) -> bool:
-        """Takes an entry; returns whether it was new."""
+        """Takes an entry; returns whether it told something new."""
         if isinstance(entry, Turn):
             return self._apply_turn(entry)
         if isinstance(entry, Settled):
@@ -29,7 +29,7 @@
     def chain(self, turn_id: str) -> list[Turn]:
         """Returns the chain that ends with a turn, oldest first.
 
-        Empty if a part of it is missing.
+        Empty if a part of it is not known; texts may be missing.
         """
         chain: list[Turn] = []
         while turn_id:
@@ -41,6 +41,17 @@
         chain.reverse()
         return chain
 
+    def ancestors_of(self, entries: Iterable[Entry]) -> set[str]:
+        """Returns the ids of the turns among the entries and before them."""
+        found: set[str] = set()
+        for entry in entries:
+            turn_id = entry.turn_id
+            while turn_id and turn_id not in found:
+                found.add(turn_id)
+                turn = self.turns.get(turn_id)
+                turn_id = turn.parent_id if turn else ''
+        return found
+
     def forget(self, entries: Iterable[Entry]) -> None:
         """Drops entries whose retention has passed."""
         for entry in entries:
@@ -52,7 +63,8 @@
                 self.spending.pop(entry.program_id, None)
 
     def _apply_turn(self, turn: Turn) -> bool:
-        if turn.turn_id in self.turns:
+        known = self.turns.get(turn.turn_id)
+        if known is not None and (known.has_text or not turn.has_text):
             return False
         self.turns[turn.turn_id] = turn
         spent = self.spending.setdefault(turn.program_id, {})
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -33,6 +33,7 @@
             messages.Reserve: self._reserve,
             messages.Append: self._append,
             messages.Query: self._query,
+            messages.Fetch: self._fetch,
             messages.Pull: self._pull,
             messages.Ask: self._ask,
             messages.Announce: self._announce,
@@ -87,6 +88,13 @@
             wants_chain=request.wants_chain,
         )
 
+    async def _fetch(self, request: messages.Fetch) -> messages.Body:
+        turns = self.log.state.turns
+        found = [
+            turns[turn_id] for turn_id in request.turn_ids if turn_id in turns
+        ]
+        return messages.Fetched([turn for turn in found if turn.has_text])
+
     async def _pull(self, request: messages.Pull) -> messages.Body:
         identity = self.log.identity
         position = request.position
@@ -95,7 +103,7 @@
         return messages.Pulled(
             log_id=identity.log_id,
             entries=self.log.pull(position),
-            head=len(self.log.entries),
+            head=self.log.head,
             is_witness=identity.is_witness,
         )
 
--- a/tests/records_support.py
+++ b/tests/records_support.py
@@ -58,6 +58,7 @@
             GroupObjects(self._objects),
             Member(str(self.address), self.name),
             is_first_start=is_first_start,
+            copies=2,
         )
         self._server = MessageServer(self.store.handle)
         await self._server.start(self.address)
