--- a/cactusledge/platform/roles.py
+++ b/cactusledge/platform/roles.py
@@ -5,7 +5,8 @@
 from types import MappingProxyType
 from typing import Any
 
-from cactusledge.gateway.app import GatewayApplication, GatewayParts
+from cactusledge.gateway.app import GatewayApplication
+from cactusledge.gateway.parts import GatewayParts
 from cactusledge.models import Address
 from cactusledge.objects.store import StoredObject
 from cactusledge.platform.documents import (
@@ -81,6 +82,7 @@
         address=Address(settings.host, settings.peer_port),
         folder=Path(folder),
         is_first_start=settings.is_first_start,
+        copies=settings.tolerated + 1,
         objects=objects,
         retirement=PlatformRetirement(objects, settings.instance),
     )
