Place by all gateways' loads and offer a refused call again

Ruled out: more attempts than the route allows. Change: gateways tell the stores every 0.25 s what they have under way and get the others' sums; an endpoint slower than the usual is avoided for a while; a call that all its endpoints refuse without running it is offered to the same ones again, with growing pauses, within 0.35 of its time; another data centre costs 25 ms, since its bytes are paid for.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -19,6 +19,7 @@
 from cactusledge.objects.watcher import Watcher
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Member
+from cactusledge.records.load_exchange import LoadExchange
 from cactusledge.records.messages import Ask, Status
 from cactusledge.records.reachability import silent_data_centres
 from cactusledge.records.relays import Relays
@@ -56,6 +57,12 @@
             Member(str(parts.peers), parts.data_centre),
             self.records.peers,
         )
+        self._load_exchange = LoadExchange(
+            parts.instance,
+            self.records.peers,
+            self.fleet.loads.own,
+            self.fleet.loads.take_others,
+        )
         self._messages = MessageServer(self.relays.handle)
         self._watchers: list[Watcher] = []
         self._servers: list[asyncio.Server] = []
@@ -75,7 +82,10 @@
         """Serves until SIGTERM, and then until the last answer has ended."""
         await self._start()
         upkeep = asyncio.gather(
-            self._keep_up(), self._watch_partitions(), self.relays.run()
+            self._keep_up(),
+            self._watch_partitions(),
+            self.relays.run(),
+            self._load_exchange.run(),
         )
         await self._stop_asked.wait()
         await self._drain()
--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -21,13 +21,13 @@
         may_have_run = may_have_run or sent.end is End.BROKEN
         sent = await _attempt(attempts)
     if sent is not None and sent.end is End.ANSWERED:
-        return pass_on(fleet, call, sent, attempts.count)
+        return pass_on(fleet, call, sent, len(attempts.offered))
     if sent is not None or may_have_run:
         return refuse(call.conn, http.HTTPStatus.BAD_GATEWAY, 'answer broken')
     return refuse(
         call.conn,
         http.HTTPStatus.SERVICE_UNAVAILABLE,
-        f'no endpoint took it in {attempts.count} attempts',
+        f'refused by {len(attempts.offered)} endpoints',
         BUSY_RETRY_S,
     )
 
@@ -40,9 +40,7 @@
 
 
 async def _attempt(attempts: Attempts) -> Sent | None:
-    """Returns one exchange, None if there is no endpoint or try left."""
-    if not attempts.may_send:
-        return None
+    """Returns one exchange, None if there is no endpoint left."""
     found = await attempts.connect(_choose)
     if found is None:
         return None
--- a/cactusledge/gateway/loads.py
+++ b/cactusledge/gateway/loads.py
@@ -1,5 +1,6 @@
 """What this instance knows of each endpoint's load and health."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence
 
@@ -9,6 +10,8 @@
 FIRST_LATENCY_MS = 20.0
 FIRST_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
+SLOW_SHARE = 1.5  # times the usual latency that count as usual
+FORGET_S = 3.0  # until a slow endpoint is tried again
 PARTS_KEPT = 400  # prompt parts remembered for an endpoint
 
 
@@ -19,7 +22,8 @@
         """Starts idle and healthy."""
         self.in_flight = 0  # requests sent from here and not ended
         self.others_in_flight = 0  # as the other instances last told
-        self.latency_ms = FIRST_LATENCY_MS
+        self.latency_ms = float(FIRST_LATENCY_MS)  # a unit of work
+        self._measured_s = float(0)  # when it was last measured
         self.failures = 0  # in a row
         self.ejected_until_s = float(0)
         self._parts: OrderedDict[str, None] = OrderedDict()
@@ -29,10 +33,17 @@
         """Requests under way from all instances, as far as is known."""
         return self.in_flight + self.others_in_flight
 
-    def succeeded(self, latency_ms: float) -> None:
-        """Takes an answer."""
+    def succeeded(self, latency_ms: float, now_s: float) -> None:
+        """Takes an answer; the latency is that of a unit of its work."""
         self.failures = 0
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
+        self._measured_s = now_s
+
+    def excess_ms(self, usual_ms: float, now_s: float) -> float:
+        """Returns by how much it is slower than others, forgotten in time."""
+        age_s = max(0, now_s - self._measured_s)
+        excess_ms = max(0, self.latency_ms - SLOW_SHARE * usual_ms)
+        return excess_ms * math.exp(-age_s / FORGET_S)
 
     def failed(self, now_s: float) -> None:
         """Takes a failure; the endpoint is avoided for a while."""
--- a/cactusledge/gateway/placement.py
+++ b/cactusledge/gateway/placement.py
@@ -1,6 +1,7 @@
 """Chooses the endpoint of a request; pure functions over known loads."""
 
 import random
+import statistics
 from collections.abc import Collection, Sequence
 
 from cactusledge.gateway.loads import Loads
@@ -9,9 +10,10 @@
 READ_TOKENS_PER_MS = 160.0  # prompt tokens that an engine reads
 QUEUE_MS = 350.0  # until a full engine frees all of its slots once
 CROWDING_MS = 30.0  # added to a turn by an engine that is nearly full
-REMOTE_MS = 6.0  # another data centre: delay, and traffic that is paid for
+TURN_UNITS = 18  # units of work of a usual turn
+REMOTE_MS = 25.0  # another data centre: delay, and traffic that is paid for
 REMOTE_SHARE = 0.3  # the same for a plain service, as a share of its latency
-JITTER_MS = 0.5  # spreads equal costs
+JITTER_MS = 3.0  # spreads equal costs
 
 
 def choose_engine(
@@ -19,14 +21,17 @@
     loads: Loads,
     parts: Sequence[PromptPart],
     here: str,
+    now_s: float,
 ) -> Replica | None:
     """Returns the engine that is expected to end a turn first."""
+    usual_ms = usual_latency_ms(candidates, loads)
 
     def cost_ms(replica: Replica) -> float:  # noqa: WPS430
         load = loads.of(replica.endpoint_id)
         return (
             load.missing_tokens(parts) / READ_TOKENS_PER_MS
             + wait_ms(load.total, replica.slots)
+            + TURN_UNITS * load.excess_ms(usual_ms, now_s)
             + REMOTE_MS * (replica.data_centre != here)
             + JITTER_MS * random.random()
         )
@@ -50,6 +55,14 @@
     return min(candidates, key=cost_ms, default=None)
 
 
+def usual_latency_ms(candidates: Sequence[Replica], loads: Loads) -> float:
+    """Returns the median latency of a unit of work."""
+    latencies = [
+        loads.of(replica.endpoint_id).latency_ms for replica in candidates
+    ]
+    return statistics.median(latencies) if latencies else 0
+
+
 def wait_ms(under_way: int, slots: int) -> float:
     """Returns how much longer a turn takes behind those under way."""
     if under_way >= slots:
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -1,6 +1,7 @@
 """Sends a call to endpoints until one has answered it or may have run it."""
 
 import asyncio
+import random
 from collections.abc import Callable, Generator
 from contextlib import contextmanager
 from typing import NamedTuple
@@ -13,6 +14,10 @@
 from cactusledge.gateway.pool import EndpointUnreachableError
 from cactusledge.gateway.sinks import End, WholeAnswer, is_success
 
+PATIENCE = 0.35  # part of a call's time in which refusals are tried again
+FIRST_PAUSE_MS = 20
+LONGEST_PAUSE_MS = 160
+
 Choose = Callable[['Attempts'], Replica | None]
 
 
@@ -25,40 +30,51 @@
 
 
 class Attempts:
-    """The attempts of one call; `count` were really sent."""
+    """The attempts of one call.
+
+    A call is offered to no more endpoints than its route allows. One that
+    these refuse without running it is offered to them again a little later.
+    """
 
     def __init__(self, fleet: Fleet, call: Call, service: str) -> None:
         """Starts before the first attempt."""
         self.fleet = fleet
         self.call = call
-        self.count = 0
-        self.tried: set[str] = set()
+        self.offered: set[str] = set()  # endpoints that it was sent to
+        self._tried: set[str] = set()  # in this pass over the endpoints
+        self._passes = 0
         self._service = service
 
-    @property
-    def may_send(self) -> bool:
-        """Whether the route allows one more attempt."""
-        return self.count < self.call.route.max_attempts
-
     def candidates(self) -> list[Replica]:
         """Returns the endpoints to choose from."""
         now_s = asyncio.get_running_loop().time()
         usable = self.fleet.replicas.usable(self._service, now_s)
+        if len(self.offered) >= self.call.route.max_attempts:
+            usable = tuple(
+                replica
+                for replica in usable
+                if replica.endpoint_id in self.offered
+            )
         reachable = self.fleet.partitions.in_reach(usable)
-        return list(healthy(reachable, self.fleet.loads, self.tried, now_s))
+        return list(healthy(reachable, self.fleet.loads, self._tried, now_s))
 
     async def connect(
         self, choose: Choose
     ) -> tuple[Replica, EndpointConnection] | None:
-        """Returns an endpoint and a connection to it, None if none is left."""
+        """Returns an endpoint and a connection to it.
+
+        None if no endpoint takes the call within a part of its time.
+        """
         while True:
             replica = choose(self)
             if replica is None:
-                return None
+                if not await self._next_pass():
+                    return None
+                continue
             try:
                 conn = await self.fleet.pool.take(replica)
             except EndpointUnreachableError:
-                self.tried.add(replica.endpoint_id)
+                self._tried.add(replica.endpoint_id)
                 self._failed(replica)
             else:
                 return replica, conn
@@ -75,8 +91,8 @@
         A cancelled exchange closes its connection, which tells the endpoint
         to stop.
         """
-        self.count += 1
-        self.tried.add(replica.endpoint_id)
+        self.offered.add(replica.endpoint_id)
+        self._tried.add(replica.endpoint_id)
         load = self.fleet.loads.of(replica.endpoint_id)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -88,11 +104,23 @@
             )
             end = await answer.ended
         if end is End.ANSWERED:
-            load.succeeded((loop.time() - started_s) * 1000)
+            took_ms = (loop.time() - started_s) * 1000
+            load.succeeded(took_ms / answer.size, loop.time())
         elif end is End.BROKEN:
             self._failed(replica)
         return Sent(replica, answer, end)
 
+    async def _next_pass(self) -> bool:
+        """Pauses; returns whether the endpoints should be asked again."""
+        total_ms = self.call.age_ms() + self.call.left_ms()
+        if self.call.age_ms() > PATIENCE * total_ms or not self._tried:
+            return False
+        pause_ms = min(FIRST_PAUSE_MS * 2**self._passes, LONGEST_PAUSE_MS)
+        self._passes += 1
+        self._tried.clear()
+        await asyncio.sleep(pause_ms * random.uniform(0.5, 1) / 1000)
+        return True
+
     @contextmanager
     def _open(
         self,
--- a/cactusledge/gateway/sinks.py
+++ b/cactusledge/gateway/sinks.py
@@ -4,12 +4,14 @@
 import enum
 from collections.abc import Callable
 
+from cactusledge.gateway.events import count_events
 from cactusledge.gateway.messages import EndpointAnswer
 
 FIRST_SUCCESS = 200
 # To a caller these promise that the request has not run.
 PROMISES = frozenset((408, 421, 429, 503))
 FIRST_REDIRECT = 300
+PROMPT_EVENTS = 4  # reading a prompt takes about as long as so many events
 
 
 class End(enum.StrEnum):
@@ -47,6 +49,11 @@
         )
         self._parts: list[bytes] = []
 
+    @property
+    def size(self) -> int:
+        """How much work the answer was, in units of its kind."""
+        return 1
+
     @property
     def body(self) -> bytes:
         """The body as far as it has arrived."""
@@ -95,6 +102,11 @@
         self._on_start = on_start
         self._on_part = on_part
 
+    @property
+    def size(self) -> int:
+        """The events, and as many as a prompt takes to be read."""
+        return PROMPT_EVENTS + count_events(self.body)
+
     def on_head(self, answer: EndpointAnswer) -> None:
         """Starts the caller's answer."""
         super().on_head(answer)
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -5,6 +5,7 @@
 says that it did not run it.
 """
 
+import asyncio
 import http
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -129,10 +130,8 @@
     ) -> Outcome:
         attempts = Attempts(self._fleet, call, service)
         body = stream.chain.text + call.request.body
-        while attempts.may_send:
-            found = await attempts.connect(stream.choose)
-            if found is None:
-                break
+        found = await attempts.connect(stream.choose)
+        while found is not None:
             replica, conn = found
             answer = stream.new_answer(self._fleet)
             load = self._fleet.loads.of(replica.endpoint_id)
@@ -141,13 +140,15 @@
                 sent = await attempts.exchange(replica, conn, answer, body)
             finally:
                 stream.count(answer)
-            if sent.end is End.NOT_RUN:
-                continue
-            return await self._end(call, stream, sent, attempts.count)
+            if sent.end is not End.NOT_RUN:
+                return await self._end(
+                    call, stream, sent, len(attempts.offered)
+                )
+            found = await attempts.connect(stream.choose)
         return refuse(
             call.conn,
             http.HTTPStatus.SERVICE_UNAVAILABLE,
-            f'no engine took it in {attempts.count} attempts',
+            f'refused by {len(attempts.offered)} engines',
             BUSY_RETRY_S,
         )
 
@@ -223,6 +224,7 @@
             fleet.loads,
             self.call.info.parts,
             fleet.data_centre,
+            asyncio.get_running_loop().time(),
         )
 
     def new_answer(self, fleet: Fleet) -> StreamAnswer:
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -5,11 +5,20 @@
 from cactusledge.records.entries import (
     Entry,
     Group,
-    Member,
     Message,
     Reserved,
     Turn,
 )
+from cactusledge.records.gateway_messages import (
+    AskReach,
+    Hello,
+    LoadReport,
+    LoadSums,
+    Neighbours,
+    Reach,
+    Relay,
+    Relayed,
+)
 
 
 class Reserve(Message, frozen=True):
@@ -102,42 +111,6 @@
     endpoints: bytes  # document of the endpoints' list, b'' if unknown
 
 
-class Hello(Message, frozen=True):
-    """Tells a store of a gateway, and asks for the other gateways."""
-
-    name: str
-    gateway: Member
-
-
-class Neighbours(Message, frozen=True):
-    """The gateways that a store has heard of lately."""
-
-    gateways: dict[str, Member]
-
-
-class AskReach(Message, frozen=True):
-    """Asks a gateway which stores it can reach."""
-
-
-class Reach(Message, frozen=True):
-    """The stores that a gateway is connected to."""
-
-    names: list[str]
-
-
-class Relay(Message, frozen=True):
-    """Asks a gateway to pass a request on to a store."""
-
-    target: str
-    request: bytes  # an encoded envelope
-
-
-class Relayed(Message, frozen=True):
-    """The store's reply."""
-
-    reply: bytes  # an encoded envelope
-
-
 class Ping(Message, frozen=True):
     """Asks whether the other side is alive."""
 
@@ -167,6 +140,7 @@
     | Ask
     | Announce
     | Hello
+    | LoadReport
     | AskReach
     | Relay
     | Ping
@@ -179,6 +153,7 @@
     | StaleGroup
     | Status
     | Neighbours
+    | LoadSums
     | Reach
     | Relayed
     | Pong
--- a/cactusledge/records/relays.py
+++ b/cactusledge/records/relays.py
@@ -8,6 +8,14 @@
 from cactusledge.models import Address
 from cactusledge.records import messages
 from cactusledge.records.entries import ENCODER, Member
+from cactusledge.records.gateway_messages import (
+    AskReach,
+    Hello,
+    Neighbours,
+    Reach,
+    Relay,
+    Relayed,
+)
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.transport import Peer
 
@@ -38,9 +46,9 @@
 
     async def handle(self, body: messages.Body) -> messages.Body:
         """Serves another gateway."""
-        if isinstance(body, messages.AskReach):
-            return messages.Reach(sorted(self._peers.direct_names()))
-        if isinstance(body, messages.Relay):
+        if isinstance(body, AskReach):
+            return Reach(sorted(self._peers.direct_names()))
+        if isinstance(body, Relay):
             return await self._pass_on(body)
         return messages.Failed(f'{type(body).__name__} is not for a gateway')
 
@@ -57,7 +65,7 @@
             step += 1
             await asyncio.sleep(STEP_S)
 
-    async def _pass_on(self, relay: messages.Relay) -> messages.Body:
+    async def _pass_on(self, relay: Relay) -> messages.Body:
         """Passes a request on, only by a connection of this instance."""
         request = messages.ENVELOPE_DECODER.decode(relay.request)
         peer = self._peers.direct(relay.target)
@@ -66,19 +74,17 @@
                 f'{relay.target} can not be reached from here'
             )
         reply = await peer.call(request.body, RELAY_TIMEOUT_S)
-        return messages.Relayed(
-            ENCODER.encode(messages.Envelope(request.number, reply))
-        )
+        return Relayed(ENCODER.encode(messages.Envelope(request.number, reply)))
 
     async def _greet(self) -> None:
-        hello = messages.Hello(self._name, self._me)
+        hello = Hello(self._name, self._me)
         for name in self._peers.direct_names():
             peer = self._peers.direct(name)
             if peer is None:
                 continue
             with contextlib.suppress(ConnectionError, TimeoutError):
                 reply = await peer.call(hello, CALL_TIMEOUT_S)
-                if isinstance(reply, messages.Neighbours):
+                if isinstance(reply, Neighbours):
                     self._gateways.update(reply.gateways)
 
     async def _find_relay(self) -> None:
@@ -97,12 +103,10 @@
 
     async def _reach_of(self, peer: Peer) -> frozenset[str]:
         try:
-            reply = await peer.call(messages.AskReach(), CALL_TIMEOUT_S)
+            reply = await peer.call(AskReach(), CALL_TIMEOUT_S)
         except (ConnectionError, TimeoutError):
             return frozenset()
-        return frozenset(
-            reply.names if isinstance(reply, messages.Reach) else ()
-        )
+        return frozenset(reply.names if isinstance(reply, Reach) else ())
 
     def _connect_candidates(self) -> None:
         """Connects to some gateways, those of other data centres last."""
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -1,6 +1,5 @@
 """A record store: answers the messages of gateways and of other stores."""
 
-import time
 from collections.abc import Awaitable, Callable, Mapping
 from types import MappingProxyType
 from typing import Any
@@ -8,12 +7,13 @@
 import structlog
 
 from cactusledge.records import entries, messages
+from cactusledge.records.gateway_messages import Hello, LoadReport
+from cactusledge.records.gateways import Gateways
 from cactusledge.records.log import RecordLog
 from cactusledge.records.membership import encode_group
 
 GROUP_FILE = 'group.json'
-GATEWAY_KEPT_S = 10.0  # since a gateway was last heard of
-ANY_GENERATION = (messages.Ask, messages.Announce, messages.Hello)
+ANY_GENERATION = (messages.Ask, messages.Announce, Hello, LoadReport)
 
 Handle = Callable[[Any], Awaitable[messages.Body]]
 
@@ -30,7 +30,7 @@
         self.group: entries.Group = entries.EMPTY_GROUP
         self.configuration = b''
         self.endpoints = b''
-        self._gateways: dict[str, tuple[entries.Member, float]] = {}
+        self._gateways = Gateways()
         self.on_group: Callable[[entries.Group], object] = self.take_group
         self._handlers: Mapping[type, Handle] = MappingProxyType({
             messages.Reserve: self._reserve,
@@ -40,7 +40,8 @@
             messages.Pull: self._pull,
             messages.Ask: self._ask,
             messages.Announce: self._announce,
-            messages.Hello: self._hello,
+            Hello: self._hello,
+            LoadReport: self._load,
         })
 
     @property
@@ -125,14 +126,11 @@
         self.on_group(request.group)
         return messages.Appended()
 
-    async def _hello(self, request: messages.Hello) -> messages.Body:
-        now_s = time.monotonic()
-        self._gateways[request.name] = (request.gateway, now_s)
-        return messages.Neighbours({
-            name: gateway
-            for name, (gateway, heard_s) in self._gateways.items()
-            if name != request.name and now_s - heard_s < GATEWAY_KEPT_S
-        })
+    async def _hello(self, request: Hello) -> messages.Body:
+        return self._gateways.greet(request)
+
+    async def _load(self, request: LoadReport) -> messages.Body:
+        return self._gateways.report(request)
 
     def _view(
         self,
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -139,7 +139,7 @@
     parts = (PromptPart('shared', 12000), PromptPart('own', 1700))
     loads.of('far').learn_parts(parts)
     engines = (replica('near'), replica('far', 'dc-b'))
-    assert choose_engine(engines, loads, parts, HERE).endpoint_id == 'far'
+    assert choose_engine(engines, loads, parts, HERE, 0).endpoint_id == 'far'
 
 
 def test_engine_without_room_gives_way_to_reading_the_prompt_again():
@@ -148,7 +148,7 @@
     loads.of('warm').learn_parts(parts)
     loads.of('warm').in_flight = 8
     engines = (replica('warm'), replica('cold'))
-    assert choose_engine(engines, loads, parts, HERE).endpoint_id == 'cold'
+    assert choose_engine(engines, loads, parts, HERE, 0).endpoint_id == 'cold'
 
 
 def test_first_unknown_part_makes_all_after_it_missing():
@@ -161,8 +161,8 @@
 def test_slow_replica_of_a_service_is_avoided():
     loads = Loads()
     for _ in range(20):
-        loads.of('slow').succeeded(400)
-        loads.of('sound').succeeded(20)
+        loads.of('slow').succeeded(400, 0)
+        loads.of('sound').succeeded(20, 0)
     found = choose_service(
         (replica('slow'), replica('sound', 'dc-b')), loads, HERE
     )
