--- a/cactusledge/records/links.py
+++ b/cactusledge/records/links.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from cactusledge.records.messages import ENVELOPE_DECODER, Body, Relay, Relayed
+from cactusledge.records.gateway_messages import Relay, Relayed
+from cactusledge.records.messages import ENVELOPE_DECODER, Body
 from cactusledge.records.transport import LENGTH, Peer
 
 
