Follow the group by its members, and find silent watches by probes

Change: fronts ask the seeds, and the platform every 2 s, only while no quorum is in reach; a watch pauses 0.25 s after changes and waits 20 s; connections to the platform have keep-alive probes and a user timeout. The gateway's background work stands in a module of its own.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from cactusledge.gateway.background import Background
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
@@ -18,17 +19,8 @@
 from cactusledge.models import Address
 from cactusledge.objects.watcher import Watcher
 from cactusledge.records.client import RecordClient
-from cactusledge.records.entries import Member
-from cactusledge.records.load_exchange import LoadExchange
-from cactusledge.records.messages import Ask, Status
-from cactusledge.records.reachability import silent_data_centres
-from cactusledge.records.relays import Relays
-from cactusledge.records.transport import MessageServer, Peer
 
 BACKLOG = 512
-UPKEEP_S = 0.5
-PARTITION_STEP_S = 0.1
-ASK_TIMEOUT_S = 0.5
 NOTICE_S = 2.6  # until the balancer has seen that this instance is not ready
 CLOSE_STEP_S = 0.05
 STOP_MARGIN_S = 0.6  # before the process is killed
@@ -52,18 +44,7 @@
         )
         self.records = RecordClient(parts.instance, parts.data_centre)
         self.gateway = Gateway(self.fleet, self.records)
-        self.relays = Relays(
-            parts.instance,
-            Member(str(parts.peers), parts.data_centre),
-            self.records.peers,
-        )
-        self._load_exchange = LoadExchange(
-            parts.instance,
-            self.records.peers,
-            self.fleet.loads.own,
-            self.fleet.loads.take_others,
-        )
-        self._messages = MessageServer(self.relays.handle)
+        self._background = Background(parts, self.fleet, self.records)
         self._watchers: list[Watcher] = []
         self._servers: list[asyncio.Server] = []
         self._stop_asked = asyncio.Event()
@@ -81,12 +62,7 @@
     async def run(self) -> None:
         """Serves until SIGTERM, and then until the last answer has ended."""
         await self._start()
-        upkeep = asyncio.gather(
-            self._keep_up(),
-            self._watch_partitions(),
-            self.relays.run(),
-            self._load_exchange.run(),
-        )
+        upkeep = asyncio.ensure_future(self._background.run())
         await self._stop_asked.wait()
         await self._drain()
         upkeep.cancel()
@@ -96,12 +72,12 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
         loop.add_signal_handler(signal.SIGHUP, _note_reload)
-        self._watchers = start_watchers(self._parts, self.gateway, self.records)
+        self._watchers = start_watchers(self._parts, self.gateway)
         await self._listen(
             self._parts.readiness, Readiness(lambda: self.is_ready)
         )
         await self._listen(self._parts.callers, self.gateway)
-        await self._messages.start(self._parts.peers)
+        await self._background.start()
         gc.collect()
         gc.freeze()
         log.info('gateway: started', instance=self._parts.instance)
@@ -118,42 +94,6 @@
         )
         self._servers.append(opened)
 
-    async def _watch_partitions(self) -> None:
-        """Compares what can be reached with what was in reach before."""
-        loop = asyncio.get_running_loop()
-        while True:
-            self.records.note_quorum()
-            peers = self.records.peers
-            cut_off = silent_data_centres(peers.group, peers.direct_names())
-            if cut_off != self.fleet.partitions.cut_off:
-                log.warning(
-                    'gateway: data centres cut off', names=sorted(cut_off)
-                )
-            self.fleet.partitions.update(cut_off, loop.time())
-            await asyncio.sleep(PARTITION_STEP_S)
-
-    async def _keep_up(self) -> None:
-        while True:
-            self.fleet.pool.close_expired()
-            if not self.records.group.generation:
-                await self._ask_seeds()
-            await asyncio.sleep(UPKEEP_S)
-
-    async def _ask_seeds(self) -> None:
-        """Learns from a record store what the platform can not tell now."""
-        for address in self._parts.seeds:
-            peer = Peer('seed', address)
-            peer.start()
-            await asyncio.sleep(UPKEEP_S / 4)
-            try:
-                reply = await peer.call(Ask(0), ASK_TIMEOUT_S)
-            except (ConnectionError, TimeoutError):
-                continue
-            finally:
-                peer.stop()
-            if isinstance(reply, Status):
-                self.records.take_group(reply.group)
-
     async def _drain(self) -> None:
         """Serves on until the balancer has noticed, then ends connections."""
         loop = asyncio.get_running_loop()
@@ -173,7 +113,7 @@
     def _close(self) -> None:
         for server in self._servers:
             server.close()
-        self._messages.stop()
+        self._background.stop()
         self.records.stop()
         self.fleet.pool.close()
 
--- /dev/null
+++ b/cactusledge/gateway/background.py
@@ -0,0 +1,85 @@
+"""What a gateway does beside its requests."""
+
+import asyncio
+
+import structlog
+
+from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.parts import GatewayParts
+from cactusledge.records.client import RecordClient
+from cactusledge.records.entries import Member
+from cactusledge.records.group_finder import GroupFinder
+from cactusledge.records.group_objects import GroupObjects
+from cactusledge.records.load_exchange import LoadExchange
+from cactusledge.records.reachability import silent_data_centres
+from cactusledge.records.relays import Relays
+from cactusledge.records.transport import MessageServer
+
+UPKEEP_S = 0.5
+PARTITION_STEP_S = 0.1
+
+log = structlog.get_logger('gateway')
+
+
+class Background:
+    """Keeps connections, loads and what is believed of others up to date."""
+
+    def __init__(
+        self, parts: GatewayParts, fleet: Fleet, records: RecordClient
+    ) -> None:
+        """Builds the parts; nothing is opened yet."""
+        self._address = parts.peers
+        self._fleet = fleet
+        self._records = records
+        self._relays = Relays(
+            parts.instance,
+            Member(str(parts.peers), parts.data_centre),
+            records.peers,
+        )
+        self._load_exchange = LoadExchange(
+            parts.instance,
+            records.peers,
+            fleet.loads.own,
+            fleet.loads.take_others,
+        )
+        self._finder = GroupFinder(
+            records, parts.seeds, GroupObjects(parts.objects)
+        )
+        self._messages = MessageServer(self._relays.handle)
+
+    async def start(self) -> None:
+        """Opens the port for other gateways."""
+        await self._messages.start(self._address)
+
+    async def run(self) -> None:
+        """Works until it is cancelled."""
+        await asyncio.gather(
+            self._keep_up(),
+            self._watch_partitions(),
+            self._relays.run(),
+            self._load_exchange.run(),
+        )
+
+    def stop(self) -> None:
+        """Closes the port and its connections."""
+        self._messages.stop()
+
+    async def _watch_partitions(self) -> None:
+        """Compares what can be reached with what was in reach before."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self._records.note_quorum()
+            peers = self._records.peers
+            cut_off = silent_data_centres(peers.group, peers.direct_names())
+            if cut_off != self._fleet.partitions.cut_off:
+                log.warning(
+                    'gateway: data centres cut off', names=sorted(cut_off)
+                )
+            self._fleet.partitions.update(cut_off, loop.time())
+            await asyncio.sleep(PARTITION_STEP_S)
+
+    async def _keep_up(self) -> None:
+        while True:
+            self._fleet.pool.close_expired()
+            await self._finder.run()
+            await asyncio.sleep(UPKEEP_S)
--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -9,17 +9,15 @@
     ConfigurationFollower,
     DecodeConfiguration,
     DecodeReplica,
-    GroupFollower,
     ReplicaFollower,
 )
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.models import Address
 from cactusledge.objects.store import ObjectStore
 from cactusledge.objects.watcher import Watcher, WatchTarget
-from cactusledge.records.client import RecordClient
-from cactusledge.records.group_objects import GROUP_KIND
 
-WATCH_S = 10.0
+WATCH_S = 20.0
+PAUSE_S = 0.25
 
 
 class GatewayParts(NamedTuple):
@@ -40,10 +38,11 @@
     decode_replica: DecodeReplica
 
 
-def start_watchers(
-    parts: GatewayParts, gateway: Gateway, records: RecordClient
-) -> list[Watcher]:
-    """Starts to follow the configuration, the endpoints and the group."""
+def start_watchers(parts: GatewayParts, gateway: Gateway) -> list[Watcher]:
+    """Starts to follow the configuration and the endpoints.
+
+    The group is asked of the record stores, which follow it.
+    """
     followers: dict[str, Follower] = {
         parts.configuration_kind: ConfigurationFollower(
             gateway, parts.decode_configuration
@@ -51,13 +50,12 @@
         parts.endpoint_kind: ReplicaFollower(
             gateway.fleet, parts.decode_replica
         ),
-        GROUP_KIND: GroupFollower(records.take_group),
     }
     loop = asyncio.get_running_loop()
     watchers = [
         Watcher(
             parts.objects,
-            WatchTarget(kind, timeout_s=WATCH_S),
+            WatchTarget(kind, timeout_s=WATCH_S, pause_s=PAUSE_S),
             Feed(loop, follower),
         )
         for kind, follower in followers.items()
--- a/cactusledge/objects/exchange.py
+++ b/cactusledge/objects/exchange.py
@@ -1,5 +1,6 @@
 """One HTTP exchange with the platform, and what is known when it fails."""
 
+import socket
 import time
 from collections.abc import Sequence
 from typing import NamedTuple, NoReturn
@@ -17,6 +18,15 @@
 POOL_SIZE = 8  # idle connections kept for each address
 READ_BYTES = 65536
 CONNECT_TIMEOUT_S = 1.0
+# A watch waits for many seconds; probes find a connection that went silent.
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
+)
 NOT_SENT = (NewConnectionError, ConnectTimeoutError)
 
 
@@ -115,6 +125,7 @@
         address.port,
         maxsize=POOL_SIZE,
         retries=False,
+        socket_options=SOCKET_OPTIONS,
     )
 
 
--- a/cactusledge/objects/watcher.py
+++ b/cactusledge/objects/watcher.py
@@ -39,6 +39,7 @@
     kind: str
     prefix: str = ''
     timeout_s: float = WATCH_TIMEOUT_S
+    pause_s: float = 0  # after changes, so that the next ones come together
 
 
 class Watcher:
@@ -93,6 +94,7 @@
     def _watch_from(self, version: str) -> str:
         """Returns the version to watch from after one watch has ended."""
         target = self._target
+        has_changes = False
         events = self._store.watch(
             target.kind,
             version,
@@ -104,8 +106,11 @@
             self._failures = 0
             if event.type != BOOKMARK:
                 self._sink.on_event(event)
+                has_changes = True
             if self._stop.is_set():
                 break
+        if has_changes:
+            self._stop.wait(target.pause_s)
         return version
 
     def _fail(self, exc: StoreError) -> None:
--- /dev/null
+++ b/cactusledge/records/group_finder.py
@@ -0,0 +1,74 @@
+"""Finds the group of record stores, for a gateway that has lost it."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+
+import structlog
+
+from cactusledge.errors import StoreError
+from cactusledge.models import Address
+from cactusledge.records.client import RecordClient
+from cactusledge.records.group_objects import GroupObjects
+from cactusledge.records.messages import Ask, Status
+from cactusledge.records.transport import Peer
+
+CONNECT_S = 0.1
+ASK_TIMEOUT_S = 0.4
+READ_EVERY_S = 2.0  # of the platform, which counts each call
+
+log = structlog.get_logger('records')
+
+
+class GroupFinder:
+    """Asks the seeds, which may be stale, and the platform.
+
+    A group that is in use tells of its changes by itself: its members refuse
+    requests of an older generation.
+    """
+
+    def __init__(
+        self,
+        records: RecordClient,
+        seeds: Sequence[Address],
+        objects: GroupObjects,
+    ) -> None:
+        """Keeps whom to ask."""
+        self._records = records
+        self._seeds = seeds
+        self._objects = objects
+        self._read_s = float(0)  # when the platform was last asked
+
+    async def run(self) -> None:
+        """Looks for the group once, unless it is in reach."""
+        if self._records.has_quorum:
+            return
+        for address in self._seeds:
+            await self._ask(address)
+        now_s = time.monotonic()
+        if now_s - self._read_s >= READ_EVERY_S:
+            self._read_s = now_s
+            await self._read()
+
+    async def _ask(self, address: Address) -> None:
+        peer = Peer(f'seed {address}', address)
+        peer.start()
+        try:
+            await asyncio.sleep(CONNECT_S)
+            reply = await peer.call(Ask(0), ASK_TIMEOUT_S)
+        except (ConnectionError, TimeoutError):
+            log.info('records: seed not reached', address=str(address))
+            return
+        finally:
+            peer.stop()
+        if isinstance(reply, Status):
+            self._records.take_group(reply.group)
+
+    async def _read(self) -> None:
+        try:
+            published = await self._objects.read()
+        except StoreError as exc:
+            log.info('records: platform not usable', error=exc.message)
+            return
+        if published is not None:
+            self._records.take_group(published.group)
