--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -6,12 +6,14 @@
 
 import structlog
 
-from cactusledge.records import messages
+from cactusledge.records import entries, messages
+from cactusledge.records.gateway_messages import Hello, LoadReport
+from cactusledge.records.gateways import Gateways
 from cactusledge.records.log import RecordLog
 from cactusledge.records.membership import encode_group
 
 GROUP_FILE = 'group.json'
-ANY_GENERATION = (messages.Ask, messages.Announce)
+ANY_GENERATION = (messages.Ask, messages.Announce, Hello, LoadReport)
 
 Handle = Callable[[Any], Awaitable[messages.Body]]
 
@@ -25,10 +27,11 @@
         """Keeps the log; the group comes with `take_group`."""
         self.name = name
         self.log = record_log
-        self.group: messages.Group = messages.EMPTY_GROUP
+        self.group: entries.Group = entries.EMPTY_GROUP
         self.configuration = b''
         self.endpoints = b''
-        self.on_group: Callable[[messages.Group], object] = self.take_group
+        self._gateways = Gateways()
+        self.on_group: Callable[[entries.Group], object] = self.take_group
         self._handlers: Mapping[type, Handle] = MappingProxyType({
             messages.Reserve: self._reserve,
             messages.Append: self._append,
@@ -37,6 +40,8 @@
             messages.Pull: self._pull,
             messages.Ask: self._ask,
             messages.Announce: self._announce,
+            Hello: self._hello,
+            LoadReport: self._load,
         })
 
     @property
@@ -44,7 +49,7 @@
         """Whether this instance belongs to the group."""
         return self.name in self.group.members
 
-    def take_group(self, group: messages.Group) -> bool:
+    def take_group(self, group: entries.Group) -> bool:
         """Adopts a newer group; returns whether it was newer."""
         if group.generation <= self.group.generation:
             return False
@@ -121,6 +126,12 @@
         self.on_group(request.group)
         return messages.Appended()
 
+    async def _hello(self, request: Hello) -> messages.Body:
+        return self._gateways.greet(request)
+
+    async def _load(self, request: LoadReport) -> messages.Body:
+        return self._gateways.report(request)
+
     def _view(
         self,
         program_id: str,
