Bound a stop as a whole, also when a request hangs

Ruled out: the drain itself, whose polls end at its deadline. Change: the API gets what is left of the drain's deadline and its stop is waited for no longer; the hanging request is left to its thread.

--- a/cactusledge/api/server.py
+++ b/cactusledge/api/server.py
@@ -10,6 +10,7 @@
 
 SERVER_NAME = 'cactusledge'
 ACCEPT_QUEUE = 128
+JOIN_MARGIN_S = 1.0  # for the server's own threads to end
 
 
 class ServerLimits(NamedTuple):
@@ -61,7 +62,16 @@
         self._server.prepare()
         self._thread.start()
 
-    def stop(self) -> None:
-        """Stops after the requests in progress, and frees the port."""
-        self._server.stop()
-        self._thread.join()
+    def stop(self, timeout_s: float | None = None) -> None:
+        """Stops after the requests in progress, and frees the port.
+
+        Args:
+            timeout_s: Longest wait for these requests, that of the limits by
+                default. One that hangs longer is left to its thread.
+        """
+        if timeout_s is not None:
+            self._server.shutdown_timeout = timeout_s
+        # cheroot waits without a bound for a worker whose request hangs on.
+        stopping = threading.Thread(target=self._server.stop, daemon=True)
+        stopping.start()
+        stopping.join(self._server.shutdown_timeout + JOIN_MARGIN_S)
--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -79,6 +79,7 @@
 
         The API serves on while the balancer learns that this instance is not
         ready; calls of its programs are then forwarded to their next driver.
+        One deadline bounds the calls and the API's requests together.
         """
         log.info('Stopping.')
         self._ready.clear()
@@ -88,7 +89,7 @@
         deadline_s = time.monotonic() + shutdown.drain_timeout_s
         left = self._programs.logs.drain(deadline_s)
         self._peers.tick()
-        self._api.stop()
+        self._api.stop(max(0, deadline_s - time.monotonic()))
         self._stopping.set()
         self._timer.join(STOP_WAIT_S)
         self._stop_parts()
