Log each decision on a request, bound the lines, serve metrics

Cause: on-call engineers have only logs and metrics; a request left one line. Change: lines for the tokens asked for, each send with the loads that decided it, failed exchanges, the record and the end; a writer in a thread of its own leaves out routine lines past 500 a second or before a slow reader and counts them; counters, gauges and latency histograms on port 9464 of each process. Fields that nobody filled are gone from the stores' status.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -11,14 +11,14 @@
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.loads import Loads
+from cactusledge.gateway.pages import metrics_page, open_page, readiness_page
 from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.parts import GatewayParts, start_watchers
 from cactusledge.gateway.pool import ConnectionPool
-from cactusledge.gateway.readiness import Readiness
 from cactusledge.gateway.replicas import ReplicaList
-from cactusledge.models import Address
 from cactusledge.objects.watcher import Watcher
 from cactusledge.records.client import RecordClient
+from cactusledge.telemetry.metrics import Metrics
 
 BACKLOG = 512
 NOTICE_S = 2.6  # until the balancer has seen that this instance is not ready
@@ -41,6 +41,7 @@
             parts.dialect,
             parts.data_centre,
             Partitions(),
+            Metrics(),
         )
         self.records = RecordClient(parts.instance, parts.data_centre)
         self.gateway = Gateway(self.fleet, self.records)
@@ -73,27 +74,25 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
         loop.add_signal_handler(signal.SIGHUP, _note_reload)
         self._watchers = start_watchers(self._parts, self.gateway)
-        await self._listen(
-            self._parts.readiness, Readiness(lambda: self.is_ready)
-        )
-        await self._listen(self._parts.callers, self.gateway)
+        self._servers = [
+            await open_page(
+                self._parts.readiness, readiness_page(lambda: self.is_ready)
+            ),
+            await open_page(
+                self._parts.metrics, metrics_page(self.fleet.metrics)
+            ),
+            await loop.create_server(
+                lambda: ServerConnection(self.gateway),
+                self._parts.callers.host,
+                self._parts.callers.port,
+                backlog=BACKLOG,
+            ),
+        ]
         await self._background.start()
         gc.collect()
         gc.freeze()
         log.info('gateway: started', instance=self._parts.instance)
 
-    async def _listen(
-        self, address: Address, server: Readiness | Gateway
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        opened = await loop.create_server(
-            lambda: ServerConnection(server),
-            address.host,
-            address.port,
-            backlog=BACKLOG,
-        )
-        self._servers.append(opened)
-
     async def _drain(self) -> None:
         """Serves on until the balancer has noticed, then ends connections."""
         loop = asyncio.get_running_loop()
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -78,8 +78,15 @@
             self._fleet.partitions.update(cut_off, loop.time())
             await asyncio.sleep(PARTITION_STEP_S)
 
+    def _measure(self) -> None:
+        metrics = self._fleet.metrics
+        metrics.put('gateway_endpoints', len(self._fleet.replicas))
+        metrics.put('gateway_quorum', self._records.has_quorum)
+        metrics.put('records_generation', self._records.group.generation)
+
     async def _keep_up(self) -> None:
         while True:
             self._fleet.pool.close_expired()
+            self._measure()
             await self._finder.run()
             await asyncio.sleep(UPKEEP_S)
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -11,6 +11,7 @@
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
+from cactusledge.telemetry.metrics import Metrics
 
 
 class Fleet(NamedTuple):
@@ -22,6 +23,7 @@
     dialect: Dialect
     data_centre: str
     partitions: Partitions
+    metrics: Metrics
 
 
 class Call(NamedTuple):
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -26,6 +26,11 @@
 from cactusledge.records.client import RecordClient
 
 NOT_READY_RETRY_S = 0.2
+MS = 1000
+EXPECTED = frozenset((
+    http.HTTPStatus.PAYMENT_REQUIRED,
+    http.HTTPStatus.NOT_FOUND,
+))
 
 log = structlog.get_logger('gateway')
 
@@ -106,17 +111,30 @@
         outcome: Outcome,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
-        log.info(
+        took_s = now_s - request.received_s
+        kind = route.repeatability if route else 'none'
+        metrics = self.fleet.metrics
+        metrics.add(
+            'gateway_requests_total', kind=kind, status=str(outcome.status)
+        )
+        metrics.observe('gateway_request_seconds', took_s, kind=kind)
+        write = log.warning if is_failure(outcome) else log.info
+        write(
             'gateway: request ended',
             request_id=info.request_id,
             program_id=info.program_id,
             route=route.name if route else '',
             version=self.table.cfg.version if self.table else 0,
-            ms=round((now_s - request.received_s) * 1000, 1),
+            ms=round(took_s * MS, 1),
             **outcome._asdict(),
         )
 
 
+def is_failure(outcome: Outcome) -> bool:
+    """Returns whether a request ended without an endpoint's answer."""
+    return not outcome.endpoint_id and outcome.status not in EXPECTED
+
+
 def ends_s(request: Request, info: CallInfo, route: Route) -> float:
     """Returns when the caller or the route gives up, on the loop's clock."""
     limit_ms = route.timeout_ms
--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -27,6 +27,7 @@
     data_centre: str
     callers: Address
     readiness: Address
+    metrics: Address
     peers: Address  # for other gateways, which relay and are relayed
     seeds: tuple[Address, ...]  # record stores that may be asked at the start
     grace_s: float
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -6,6 +6,8 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
+import structlog
+
 from cactusledge.gateway.context import Call, Fleet
 from cactusledge.gateway.exchange import OpenExchange
 from cactusledge.gateway.http_client import EndpointConnection
@@ -18,6 +20,8 @@
 FIRST_PAUSE_MS = 20
 LONGEST_PAUSE_MS = 160
 
+log = structlog.get_logger('gateway')
+
 Choose = Callable[['Attempts'], Replica | None]
 
 
@@ -94,6 +98,16 @@
         self.offered.add(replica.endpoint_id)
         self._tried.add(replica.endpoint_id)
         load = self.fleet.loads.of(replica.endpoint_id)
+        log.info(
+            'gateway: request sent',
+            request_id=self.call.info.request_id,
+            endpoint_id=replica.endpoint_id,
+            endpoint_data_centre=replica.data_centre,
+            in_flight=load.in_flight,
+            in_flight_elsewhere=load.others_in_flight,
+            left_ms=round(self.call.left_ms()),
+            attempt=len(self.offered),
+        )
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         with self._open(replica, conn, answer):
@@ -103,6 +117,15 @@
                 answer,
             )
             end = await answer.ended
+        self.fleet.metrics.add('gateway_exchanges_total', end=end)
+        if end is not End.ANSWERED:
+            log.warning(
+                'gateway: exchange failed',
+                request_id=self.call.info.request_id,
+                endpoint_id=replica.endpoint_id,
+                end=end,
+                status=answer.head.status if answer.head else 0,
+            )
         if end is End.ANSWERED:
             took_ms = (loop.time() - started_s) * 1000
             load.succeeded(took_ms / answer.size, loop.time())
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -7,10 +7,13 @@
 
 import asyncio
 import http
+import time
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import NamedTuple
 
+import structlog
+
 from cactusledge.gateway.answers import pass_on, refuse
 from cactusledge.gateway.chains import (
     EMPTY_CHAIN,
@@ -30,11 +33,15 @@
 from cactusledge.records.quorum import Demand, Verdict
 from cactusledge.records.reservations import Grant, TurnStart
 
+MS = 1000
 UNSURE_RETRY_S = 0.25  # until the record stores may answer again
 BALANCER_S = 2.2  # until the balancer has turned to other instances
 BUSY_RETRY_S = 0.3  # until a full engine has room again
 
 
+log = structlog.get_logger('gateway')
+
+
 class Refusal(NamedTuple):
     """The answer to a turn that is not sent."""
 
@@ -97,6 +104,18 @@
         spent: '_Spent',
     ) -> Outcome:
         grant = await self._records.begin(start)
+        self._fleet.metrics.add('gateway_turns_total', verdict=grant.verdict)
+        log.info(
+            'gateway: tokens asked for',
+            request_id=call.info.request_id,
+            program_id=call.info.program_id,
+            parent_id=call.info.parent_id,
+            tokens=start.demand.tokens,
+            budget=start.demand.budget,
+            verdict=grant.verdict,
+            replies=grant.reason,
+            generation=self._records.group.generation,
+        )
         if grant.verdict is not Verdict.GRANTED:
             return self._refuse(call, grant)
         chain = join(grant.chain) if start.wants_chain else cached
@@ -190,7 +209,18 @@
             endpoint_id=sent.replica.endpoint_id,
             holders=(),  # chosen when it is recorded
         )
-        if not await self._records.record(turn):
+        started_s = time.monotonic()
+        is_durable = await self._records.record(turn)
+        took_s = time.monotonic() - started_s
+        self._fleet.metrics.observe('gateway_record_seconds', took_s)
+        log.info(
+            'gateway: turn recorded',
+            request_id=info.request_id,
+            is_durable=is_durable,
+            tokens=turn.tokens,
+            ms=round(took_s * MS, 1),
+        )
+        if not is_durable:
             return False
         stream.spent.is_recorded = True
         text = b''.join((stream.chain.text, call.request.body, response))
--- a/cactusledge/platform/__main__.py
+++ b/cactusledge/platform/__main__.py
@@ -8,6 +8,7 @@
 from cactusledge.platform.roles import ROLES
 from cactusledge.platform.settings import read_settings
 from cactusledge.status import ExitStatus
+from cactusledge.telemetry.log_writer import LogWriter
 from cactusledge.telemetry.logs import configure_logs
 
 
@@ -21,14 +22,16 @@
     except CactusledgeError as exc:
         sys.stderr.write(f'{exc.code}: {exc.message} {exc.remedy}\n')
         return ExitStatus.INVALID
+    writer = LogWriter(sys.stdout)
     configure_logs(
-        sys.stdout,
+        writer,
         log_format='json',
         level='info',
         instance=settings.instance,
         data_centre=settings.data_centre,
     )
     asyncio.run(ROLES[role](settings))
+    writer.close()
     return ExitStatus.OK
 
 
--- a/cactusledge/platform/roles.py
+++ b/cactusledge/platform/roles.py
@@ -22,6 +22,8 @@
 from cactusledge.platform.settings import PlatformSettings, invalid
 from cactusledge.records.app import StoreApplication, StoreParts
 
+METRICS_PORT = 9464  # as `metrics` in deploy/system.toml says
+
 Role = Callable[[PlatformSettings], Coroutine[Any, Any, None]]
 
 
@@ -56,6 +58,7 @@
         data_centre=settings.data_centre,
         callers=settings.callers,
         readiness=settings.readiness,
+        metrics=Address(settings.host, METRICS_PORT),
         peers=Address(settings.host, settings.peer_port),
         seeds=tuple(
             Address(seed.host, settings.peer_port) for seed in settings.seeds
@@ -86,6 +89,7 @@
         copies=settings.tolerated + 1,
         objects=objects,
         retirement=PlatformRetirement(objects, settings.instance),
+        metrics=Address(settings.host, METRICS_PORT),
     )
     await StoreApplication(parts).run()
 
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -10,6 +10,7 @@
 
 from cactusledge.gateway.feeds import Feed, Follower, Listing
 from cactusledge.gateway.followers import GroupFollower
+from cactusledge.gateway.pages import metrics_page, open_page
 from cactusledge.models import Address
 from cactusledge.objects.store import ObjectStore, StoredObject
 from cactusledge.objects.watcher import Watcher, WatchTarget
@@ -22,8 +23,10 @@
 from cactusledge.records.retiring import Retiring
 from cactusledge.records.store import GROUP_FILE, RecordStore
 from cactusledge.records.transport import MessageServer
+from cactusledge.telemetry.metrics import Metrics
 
 WATCH_S = 10.0
+MEASURE_S = 1.0
 
 log = structlog.get_logger('records')
 
@@ -51,6 +54,7 @@
     copies: int  # disks that a text stands on: one more than may be lost
     objects: ObjectStore
     retirement: Retirement
+    metrics: Address
 
 
 class StoreApplication:
@@ -70,6 +74,7 @@
             is_first_start=parts.is_first_start,
             copies=parts.copies,
         )
+        self._metrics = Metrics()
         self._server = MessageServer(self.store.handle)
         self._watchers: list[Watcher] = []
         self._tasks: list[asyncio.Future[None]] = []
@@ -89,8 +94,10 @@
         if known is not None:
             self.keeper.take_group(decode_group(known))
         await self._server.start(self._parts.address)
+        await open_page(self._parts.metrics, metrics_page(self._metrics))
         self._follow(loop)
         self._tasks.append(asyncio.ensure_future(self.keeper.run()))
+        self._tasks.append(asyncio.ensure_future(self._measure()))
         gc.collect()
         gc.freeze()
         log.info(
@@ -117,6 +124,16 @@
         log.info('records: emptied', entries=self.store.log.head)
         await loop.run_in_executor(None, lambda: report(is_done=True))
 
+    async def _measure(self) -> None:
+        """Keeps the gauges up to date until it is cancelled."""
+        while True:
+            identity = self.store.log.identity
+            group = self.store.group
+            self._metrics.put('records_entries', len(self.store.log.entries))
+            self._metrics.put('records_witness', identity.is_witness)
+            self._metrics.put('records_generation', group.generation)
+            await asyncio.sleep(MEASURE_S)
+
     def _follow(self, loop: asyncio.AbstractEventLoop) -> None:
         followers: dict[str, Follower] = {
             GROUP_KIND: GroupFollower(self.keeper.take_group),
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -107,8 +107,6 @@
     group: Group
     is_witness: bool
     log_id: str
-    configuration: bytes  # document as the platform sent it, b'' if unknown
-    endpoints: bytes  # document of the endpoints' list, b'' if unknown
 
 
 class Ping(Message, frozen=True):
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -28,8 +28,6 @@
         self.name = name
         self.log = record_log
         self.group: entries.Group = entries.EMPTY_GROUP
-        self.configuration = b''
-        self.endpoints = b''
         self._gateways = Gateways()
         self.on_group: Callable[[entries.Group], object] = self.take_group
         self._handlers: Mapping[type, Handle] = MappingProxyType({
@@ -118,8 +116,6 @@
             group=self.group,
             is_witness=self.log.identity.is_witness,
             log_id=self.log.identity.log_id,
-            configuration=self.configuration,
-            endpoints=self.endpoints,
         )
 
     async def _announce(self, request: messages.Announce) -> messages.Body:
--- /dev/null
+++ b/cactusledge/telemetry/log_writer.py
@@ -0,0 +1,95 @@
+"""Writes log lines without ever holding up the caller.
+
+Lines are handed to a thread. Past a budget of lines a second, and while the
+reader of the stream is slow, routine lines are left out and counted; warnings
+and errors are kept longest.
+"""
+
+import json
+import threading
+import time
+from collections import deque
+from typing import TextIO
+
+LINES_PER_S = 500.0
+BURST_LINES = 1000.0
+QUEUE_LINES = 4000
+URGENT_SHARE = 0.5  # of the queue, kept for warnings and errors
+URGENT_MARKS = ('"level": "warning"', '"level": "error"')
+
+
+class LogWriter:
+    """A stream for log lines; `print` writes to it and flushes it."""
+
+    def __init__(
+        self,
+        stream: TextIO,
+        lines_per_s: float = LINES_PER_S,
+        burst_lines: float = BURST_LINES,
+    ) -> None:
+        """Starts the thread that writes to the stream."""
+        self._stream = stream
+        self._lines_per_s = lines_per_s
+        self._burst_lines = burst_lines
+        self._left = burst_lines
+        self._refilled_s = time.monotonic()
+        self._pending = ''
+        self._queue: deque[str] = deque()
+        self._dropped = 0
+        self._has_lines = threading.Event()
+        thread = threading.Thread(target=self._run, daemon=True)
+        thread.start()
+
+    def write(self, text: str) -> int:
+        """Takes a part of a line."""
+        self._pending += text
+        return len(text)
+
+    def flush(self) -> None:
+        """Hands the line on, or counts it as left out."""
+        line = self._pending
+        self._pending = ''
+        if line and self._is_allowed(line):
+            self._queue.append(line)
+            self._has_lines.set()
+        elif line:
+            self._dropped += 1
+
+    def close(self, timeout_s: float = 1.0) -> None:
+        """Waits until the lines are written, for a while at most."""
+        ends_s = time.monotonic() + timeout_s
+        while self._queue and time.monotonic() < ends_s:
+            self._has_lines.set()
+            time.sleep(timeout_s / QUEUE_LINES)
+
+    def _is_allowed(self, line: str) -> bool:
+        is_urgent = any(mark in line for mark in URGENT_MARKS)
+        room = QUEUE_LINES if is_urgent else QUEUE_LINES * URGENT_SHARE
+        if len(self._queue) >= room:
+            return False
+        return self._take_from_budget() or is_urgent
+
+    def _take_from_budget(self) -> bool:
+        now_s = time.monotonic()
+        refill = (now_s - self._refilled_s) * self._lines_per_s
+        self._left = min(self._burst_lines, self._left + refill)
+        self._refilled_s = now_s
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+    def _run(self) -> None:
+        while self._has_lines.wait():
+            self._has_lines.clear()
+            self._write_all()
+
+    def _write_all(self) -> None:
+        while self._queue:
+            self._stream.write(self._queue.popleft())
+        dropped = self._dropped
+        self._dropped = 0
+        if dropped:
+            note = {'event': 'telemetry: lines left out', 'count': dropped}
+            self._stream.write(f'{json.dumps(note)}\n')
+        self._stream.flush()
--- a/cactusledge/telemetry/logs.py
+++ b/cactusledge/telemetry/logs.py
@@ -3,10 +3,12 @@
 import logging
 from collections.abc import Mapping, MutableMapping
 from types import MappingProxyType
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import structlog
 
+from cactusledge.telemetry.log_writer import LogWriter
+
 PREFIX_KEY = 'part'
 LEVELS: Mapping[str, int] = MappingProxyType({
     'debug': logging.DEBUG,
@@ -19,7 +21,7 @@
 
 
 def configure_logs(
-    stream: TextIO,
+    stream: TextIO | LogWriter,
     *,
     log_format: str,
     level: str,
@@ -39,7 +41,7 @@
             _RENDERERS[log_format],
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.PrintLoggerFactory(stream),
+        logger_factory=structlog.PrintLoggerFactory(cast('TextIO', stream)),
         cache_logger_on_first_use=False,
     )
 
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -85,4 +85,30 @@
     _gauge('platform_up', '1 while the platform answers.'),
     _gauge('peers_alive', 'Other instances believed alive.'),
     _gauge('config_generation', 'Generation of the configuration in force.'),
+    _counter(
+        'gateway_requests_total',
+        'Requests that the gateway has ended.',
+        'kind',
+        'status',
+    ),
+    _latency(
+        'gateway_request_seconds', 'Time until a request has ended.', 'kind'
+    ),
+    _counter(
+        'gateway_turns_total',
+        'Turns that asked for tokens, by the verdict.',
+        'verdict',
+    ),
+    _counter(
+        'gateway_exchanges_total',
+        'Exchanges with endpoints, by how they ended.',
+        'end',
+    ),
+    _latency('gateway_record_seconds', 'Time until a turn is durable.'),
+    _gauge('gateway_endpoints', 'Endpoints listed.'),
+    _gauge('gateway_quorum', '1 while a quorum of the stores is in reach.'),
+    _gauge('gateway_connections', 'Open connections of callers.'),
+    _gauge('records_generation', 'Generation of the group of stores.'),
+    _gauge('records_entries', 'Entries that a store holds.'),
+    _gauge('records_witness', '1 while a store has all it should know of.'),
 )
