--- a/cactusledge/cli/app.py
+++ b/cactusledge/cli/app.py
@@ -25,6 +25,7 @@
     'entry': 'cactusledge.cli.entry',
     'call': 'cactusledge.cli.call',
     'history': 'cactusledge.cli.history',
+    'explain': 'cactusledge.cli.explain',
     'hash-token': 'cactusledge.cli.hash_token',
     'settings-reference': 'cactusledge.cli.settings_reference',
 })
--- /dev/null
+++ b/cactusledge/cli/explain.py
@@ -0,0 +1,67 @@
+"""The `explain` command: the way of a request through the logs."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from cactusledge.cli.options import Format, OutputFormat, environment_of
+from cactusledge.cli.output import write_json, write_lines
+from cactusledge.environment import Environment
+from cactusledge.status import ExitStatus
+from cactusledge.telemetry.explaining import (
+    Explanation,
+    describe,
+    explain,
+    read_lines,
+)
+
+REMEDY = 'Give the logs of all instances, and look for lines left out.'
+
+RequestId = Annotated[str, typer.Argument(help='Id of the request.')]
+Logs = Annotated[
+    list[Path] | None,
+    typer.Argument(help='Log files; standard input without any.'),
+]
+
+
+def command(
+    ctx: typer.Context,
+    request_id: RequestId,
+    logs: Logs = None,
+    output: OutputFormat = Format.TEXT,
+) -> ExitStatus:
+    """Show the way of a request and the decision that ended it.
+
+    Example: cactusledge explain 9c41d07be2a35f68 front-1.log front-2.log
+    """
+    env = environment_of(ctx)
+    found = explain(read_lines(_texts(env, logs or [])), request_id)
+    if output is Format.JSON:
+        write_json(env, found._asdict())
+    else:
+        write_lines(env, _report(found))
+    return ExitStatus.OK if found.lines else ExitStatus.ERROR
+
+
+def _texts(env: Environment, logs: list[Path]) -> Iterator[str]:
+    if not logs:
+        yield from env.stdin
+    for path in logs:
+        with path.open(encoding='utf-8', errors='replace') as stream:
+            yield from stream
+
+
+def _report(found: Explanation) -> list[str]:
+    if not found.lines:
+        return [f'{found.request_id}: no line tells of it.', REMEDY]
+    lines = ['Believed before:']
+    lines.extend(f'  {describe(line)}' for line in found.context)
+    lines.append('The request:')
+    lines.extend(f'  {describe(line)}' for line in found.lines)
+    if found.decision is None:
+        lines.append('It has not ended in these logs.')
+    else:
+        lines.append(f'Ended by: {found.decision.get("reason", "")}')
+    return lines
--- /dev/null
+++ b/cactusledge/telemetry/explaining.py
@@ -0,0 +1,96 @@
+"""Puts the log lines of a request in order and names what ended it."""
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+LINE_START = '{'
+ENDED = 'gateway: request ended'
+REQUEST_KEYS = ('request_id', 'turn_id')
+CONTEXT_EVENTS = (
+    'data centres cut off',
+    'quorum lost',
+    'group adopted',
+    'configuration applied',
+    'endpoint gone',
+    'platform lost',
+    'platform regained',
+    'stopping',
+    'started',
+)
+HIDDEN = frozenset(('event', 'instance', 'level', 'timestamp', 'data_centre'))
+
+Line = Mapping[str, Any]
+
+
+class Explanation(NamedTuple):
+    """The way of a request."""
+
+    request_id: str
+    lines: tuple[Line, ...]  # in the order of their instance's log
+    context: tuple[Line, ...]  # what its instance believed just before
+    decision: Line | None  # the line that ended it
+
+
+def read_lines(texts: Iterable[str]) -> list[Line]:
+    """Returns the JSON lines; what stands before the brace is dropped."""
+    lines: list[Line] = []
+    for text in texts:
+        start = text.find(LINE_START)
+        if start < 0:
+            continue
+        try:
+            found = json.loads(text[start:])
+        except ValueError:
+            continue  # a torn line, or another program's
+        if isinstance(found, dict) and 'event' in found:
+            lines.append(found)
+    return lines
+
+
+def explain(lines: Iterable[Line], request_id: str) -> Explanation:
+    """Returns the way of a request through the logs.
+
+    Lines keep the order in which their instance wrote them: the time of day
+    may have jumped. Instances are put in the order of their first line.
+    """
+    by_instance: dict[str, list[Line]] = {}
+    for told in lines:
+        by_instance.setdefault(str(told.get('instance', '')), []).append(told)
+    own: list[Line] = []
+    context: list[Line] = []
+    for written in by_instance.values():
+        found = [line for line in written if is_about(line, request_id)]
+        own.extend(found)
+        if found:
+            context.extend(context_of(written, found[0]))
+    ended = [line for line in own if line['event'] == ENDED]
+    return Explanation(
+        request_id, tuple(own), tuple(context), ended[-1] if ended else None
+    )
+
+
+def is_about(line: Line, request_id: str) -> bool:
+    """Returns whether a line tells of the request."""
+    return any(line.get(key) == request_id for key in REQUEST_KEYS)
+
+
+def context_of(written: list[Line], first: Line) -> list[Line]:
+    """Returns the last word on each belief before a line."""
+    latest: dict[str, Line] = {}
+    for line in written:
+        if line is first:
+            break
+        for event in CONTEXT_EVENTS:
+            if event in line['event']:
+                latest[event] = line
+    return list(latest.values())
+
+
+def describe(line: Line) -> str:
+    """Returns a line for people: time, instance, event, fields."""
+    fields = ' '.join(
+        f'{name}={line[name]}' for name in sorted(line) if name not in HIDDEN
+    )
+    when = str(line.get('timestamp', ''))
+    return f'{when} {line.get("instance", "")} {line["event"]} {fields}'
--- /dev/null
+++ b/tests/gateway_support.py
@@ -0,0 +1,273 @@
+"""A gateway on loopback between raw callers and scripted endpoints."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.gateway import Gateway
+from cactusledge.gateway.http_server import ServerConnection
+from cactusledge.gateway.loads import Loads
+from cactusledge.gateway.messages import (
+    Configuration,
+    Engine,
+    Limits,
+    Repeatability,
+    Replica,
+    Route,
+    Service,
+    Share,
+)
+from cactusledge.gateway.partitions import Partitions
+from cactusledge.gateway.pool import ConnectionPool
+from cactusledge.gateway.replicas import ReplicaList
+from cactusledge.platform.headers import HeaderDialect
+from cactusledge.records.entries import EMPTY_GROUP
+from cactusledge.records.quorum import Verdict
+from cactusledge.records.reservations import Grant
+from cactusledge.telemetry.metrics import Metrics
+
+HOST = 'shop.example'
+SEAL = 'X-Cactusledge-Response-Seal: s'
+READ_S = 5.0
+
+
+class FakeRecords:
+    """Record stores that grant what a test says, and note what they get."""
+
+    def __init__(self):
+        self.grant = Grant(Verdict.GRANTED)
+        self.is_durable = True
+        self.has_quorum = True
+        self.lacks_quorum_s = 0
+        self.recorded = []
+        self.settled = []
+        self.group = EMPTY_GROUP
+
+    async def begin(self, start):
+        return self.grant
+
+    async def record(self, turn):
+        if self.is_durable:
+            self.recorded.append(turn)
+        return self.is_durable
+
+    def settle(self, program_id, turn_id, tokens):
+        self.settled.append((turn_id, tokens))
+
+
+class Endpoint:
+    """Answers each request by a function of its head; keeps the requests.
+
+    The function returns the bytes to send; with `closes` the connection ends
+    after them.
+    """
+
+    def __init__(self, reply, *, closes=False):
+        self.reply = reply
+        self.closes = closes
+        self.requests = []
+        self.left = asyncio.Event()
+        self.port = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await read_head(reader)
+                if not head:
+                    break
+                body = await reader.readexactly(length_of(head))
+                self.requests.append((head, body))
+                sent = self.reply(head)
+                if sent is None:
+                    await reader.read()
+                    self.left.set()
+                    break
+                writer.write(sent)
+                if self.closes:
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.left.set()
+        writer.close()
+
+
+async def read_head(reader):
+    """Returns the lines of a head, [] at the end of the stream."""
+    lines = []
+    line = await reader.readline()
+    while line.strip():
+        lines.append(line.decode().strip())
+        line = await reader.readline()
+    return lines
+
+
+def length_of(head):
+    """Returns the length of the body that follows."""
+    return int(field(head, 'content-length') or 0)
+
+
+def field(head, name):
+    """Returns a header's content, '' without it."""
+    for line in head[1:]:
+        found, _, content = line.partition(':')
+        if found.lower() == name:
+            return content.strip()
+    return ''
+
+
+def request_id(head):
+    """Returns the id of the request."""
+    return field(head, 'x-cactusledge-request-id')
+
+
+def reply_of(status, head, *headers, body=b''):
+    """Returns a whole answer to a request."""
+    lines = [
+        f'HTTP/1.1 {status} X',
+        f'X-Cactusledge-Request-Id: {request_id(head)}',
+        f'Content-Length: {len(body)}',
+        *headers,
+    ]
+    return b'%b\r\n\r\n%b' % ('\r\n'.join(lines).encode(), body)
+
+
+def answered(head):
+    """The answer of a sound endpoint."""
+    return reply_of(200, head, SEAL, body=b'done')
+
+
+def shed(head):
+    """The answer of a full endpoint, which did not run the request."""
+    return reply_of(503, head, 'X-Cactusledge-Not-Executed: 1')
+
+
+class Caller:
+    """Sends requests on one connection."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, path, *headers, body=b''):
+        lines = [
+            f'POST {path} HTTP/1.1',
+            f'Host: {HOST}',
+            'X-Cactusledge-Request-Id: r1',
+            f'Content-Length: {len(body)}',
+            *headers,
+        ]
+        head = '\r\n'.join(lines).encode()
+        self.writer.write(b'%b\r\n\r\n%b' % (head, body))
+
+    async def read(self):
+        """Returns the status, the head and the body of a whole answer."""
+        async with asyncio.timeout(READ_S):
+            head = await read_head(self.reader)
+            if not head:
+                return 0, [], b''
+            body = await self.reader.readexactly(length_of(head))
+        return int(head[0].split()[1]), head, body
+
+    async def read_all(self):
+        """Returns all bytes until the connection ends."""
+        async with asyncio.timeout(READ_S):
+            return await self.reader.read()
+
+
+def route(prefix, kind, **changes):
+    """Returns a route to the service."""
+    base = Route(
+        name=prefix,
+        host=HOST,
+        prefix=prefix,
+        repeatability=kind,
+        timeout_ms=2000,
+        target_latency_ms=100,
+        priority=0,
+        shares=(Share('svc', 1),),
+        max_attempts=2,
+        keeps_turns=False,
+        retention_s=60,
+    )
+    return base._replace(**changes)
+
+
+ROUTES = (
+    route('/safe/', Repeatability.IDEMPOTENT),
+    route('/once/', Repeatability.ONCE),
+    route('/short/', Repeatability.ONCE, timeout_ms=150),
+    route('/stream/', Repeatability.STREAM),
+    route('/turn/', Repeatability.STREAM, keeps_turns=True),
+)
+
+
+class Scene:
+    """A gateway, its endpoints and a way to call it."""
+
+    def __init__(self):
+        self.records = FakeRecords()
+        self.fleet = Fleet(
+            ReplicaList(),
+            Loads(),
+            ConnectionPool(HeaderDialect()),
+            HeaderDialect(),
+            'dc-a',
+            Partitions(),
+            Metrics(),
+        )
+        self.gateway = Gateway(self.fleet, self.records)
+        self.gateway.apply(
+            Configuration(1, ROUTES, (Service('svc', 9, Engine(18)),), Limits())
+        )
+        self.port = 0
+        self.callers = []
+
+    def close(self):
+        """Closes all connections."""
+        for caller in self.callers:
+            caller.writer.close()
+        self.fleet.pool.close()
+
+    async def call(self, path, *headers, body=b''):
+        """Sends one request on a connection of its own."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        caller = Caller(reader, writer)
+        self.callers.append(caller)
+        await caller.send(path, *headers, body=body)
+        return caller
+
+
+@asynccontextmanager
+async def scene_of(*endpoints):
+    """A scene with these endpoints; the nearest one comes first."""
+    scene = Scene()
+    loop = asyncio.get_running_loop()
+    servers = [await endpoint.start() for endpoint in endpoints]
+    for index, endpoint in enumerate(endpoints):
+        scene.fleet.replicas.put(
+            Replica(
+                f'e{index}',
+                'svc',
+                '127.0.0.1',
+                endpoint.port,
+                'dc-b' if index else 'dc-a',
+                4,
+                is_draining=False,
+                born_ms=1,
+            )
+        )
+        scene.fleet.loads.of(f'e{index}').latency_ms = 10 + 100 * index
+    listening = await loop.create_server(
+        lambda: ServerConnection(scene.gateway), '127.0.0.1', 0
+    )
+    scene.port = listening.sockets[0].getsockname()[1]
+    try:
+        yield scene
+    finally:
+        scene.close()
+        for server in (*servers, listening):
+            server.close()
--- /dev/null
+++ b/tests/test_gateway_path.py
@@ -0,0 +1,357 @@
+"""What callers and endpoints see of a gateway, with fault cases in tables."""
+
+import asyncio
+
+import pytest
+
+from cactusledge.records.quorum import Verdict
+from cactusledge.records.reservations import Grant
+from tests.gateway_support import (
+    SEAL,
+    Endpoint,
+    answered,
+    field,
+    reply_of,
+    scene_of,
+    shed,
+)
+
+pytestmark = pytest.mark.process
+
+OTHER_ID = 'X-Cactusledge-Request-Id: other'
+EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+
+
+def play(scenario, *endpoints):
+    """Runs a scenario with a gateway before these endpoints."""
+
+    async def scene():
+        async with scene_of(*endpoints) as found:
+            await scenario(found)
+
+    asyncio.run(scene())
+
+
+def truncated(head):
+    return answered(head)[:-2]
+
+
+def without_seal(head):
+    return reply_of(200, head, body=b'done')
+
+
+def of_another_request(head):
+    return answered(head).replace(b'Id: r1', b'Id: r0')
+
+
+def encoded(head):
+    return reply_of(200, head, SEAL, 'Content-Encoding: gzip', body=b'done')
+
+
+def no_http(head):
+    return b'\x00\x01 not an answer\r\n\r\n'
+
+
+def promise_without_a_word(head):
+    return reply_of(503, head, SEAL)
+
+
+def nothing(head):
+    return b''
+
+
+def stream(head):
+    chunk = b'%x\r\n%b\r\n0\r\n\r\n' % (len(EVENTS), EVENTS)
+    return (
+        reply_of(200, head, SEAL).replace(
+            b'Content-Length: 0', b'Transfer-Encoding: chunked'
+        )
+        + chunk
+    )
+
+
+def half_stream(head):
+    return stream(head)[:-20]
+
+
+BROKEN = (
+    truncated,
+    without_seal,
+    of_another_request,
+    encoded,
+    no_http,
+    promise_without_a_word,
+    nothing,
+)
+
+
+def test_answer_is_passed_on_unchanged():
+    async def scenario(scene):
+        caller = await scene.call('/once/x?q=1', body=b'ask')
+        status, head, body = await caller.read()
+        assert (status, body) == (200, b'done')
+        assert field(head, 'x-cactusledge-response-seal') == 's'
+        sent, asked = endpoint.requests[0]
+        assert sent[0] == 'POST /once/x?q=1 HTTP/1.1'
+        assert field(sent, 'x-cactusledge-expect-instance') == 'e0'
+        assert asked == b'ask'
+
+    endpoint = Endpoint(answered)
+    play(scenario, endpoint)
+
+
+@pytest.mark.parametrize('reply', BROKEN)
+def test_broken_answer_to_a_call_that_runs_once_is_no_promise(reply):
+    async def scenario(scene):
+        caller = await scene.call('/once/x')
+        status, head, body = await caller.read()
+        assert (status, body) == (502, b'')
+        assert not field(head, 'x-cactusledge-response-seal')
+        assert len(first.requests) == 1
+        assert not second.requests
+
+    first, second = Endpoint(reply, closes=True), Endpoint(answered)
+    play(scenario, first, second)
+
+
+@pytest.mark.parametrize('reply', BROKEN)
+def test_broken_answer_to_an_idempotent_call_is_asked_for_elsewhere(reply):
+    async def scenario(scene):
+        caller = await scene.call('/safe/x')
+        status, _, body = await caller.read()
+        assert (status, body) == (200, b'done')
+
+    play(scenario, Endpoint(reply, closes=True), Endpoint(answered))
+
+
+def test_refused_call_goes_to_another_endpoint():
+    async def scenario(scene):
+        caller = await scene.call('/once/x')
+        assert (await caller.read())[0] == 200
+        assert len(first.requests) == 1
+
+    first = Endpoint(shed)
+    play(scenario, first, Endpoint(answered))
+
+
+def test_call_that_all_refuse_is_told_when_to_come_back():
+    async def scenario(scene):
+        caller = await scene.call('/once/x', 'X-Cactusledge-Deadline-Ms: 300')
+        status, head, _ = await caller.read()
+        assert status == 503
+        assert float(field(head, 'retry-after')) > 0
+
+    play(scenario, Endpoint(shed), Endpoint(shed))
+
+
+def test_refused_call_is_offered_again_to_the_endpoint_that_has_room_now():
+    refused = []
+
+    def full_at_first(head):
+        refused.append(head)
+        return shed(head) if len(refused) < 3 else answered(head)
+
+    async def scenario(scene):
+        caller = await scene.call('/once/x')
+        assert (await caller.read())[0] == 200
+
+    play(scenario, Endpoint(full_at_first))
+
+
+def test_endpoint_that_takes_no_connection_is_passed_over():
+    async def scenario(scene):
+        gone = scene.fleet.replicas.find('e0')
+        scene.fleet.replicas.put(gone._replace(port=1))
+        caller = await scene.call('/once/x')
+        assert (await caller.read())[0] == 200
+
+    play(scenario, Endpoint(answered), Endpoint(answered))
+
+
+@pytest.mark.parametrize('status', [500, 504, 404])
+def test_failure_of_the_endpoint_is_its_answer(status):
+    async def scenario(scene):
+        caller = await scene.call('/once/x')
+        assert (await caller.read())[::2] == (status, b'no')
+
+    play(
+        scenario,
+        Endpoint(lambda head: reply_of(status, head, SEAL, body=b'no')),
+    )
+
+
+def test_extra_answer_reaches_nobody():
+    async def scenario(scene):
+        for _ in range(3):
+            caller = await scene.call('/once/x')
+            assert (await caller.read())[::2] == (200, b'done')
+            await asyncio.sleep(0.02)
+
+    endpoint = Endpoint(lambda head: answered(head) + of_another_request(head))
+    play(scenario, endpoint)
+
+
+def test_late_answer_to_another_request_is_skipped():
+    async def scenario(scene):
+        caller = await scene.call('/once/x')
+        assert (await caller.read())[::2] == (200, b'done')
+
+    late = Endpoint(lambda head: of_another_request(head) + answered(head))
+    play(scenario, late)
+
+
+def test_timeout_of_the_route_is_answered():
+    async def scenario(scene):
+        caller = await scene.call('/short/x')
+        assert (await caller.read())[0] == 504
+        await asyncio.wait_for(silent.left.wait(), 2)
+
+    silent = Endpoint(lambda head: None)
+    play(scenario, silent)
+
+
+def test_leaving_caller_cancels_its_request():
+    async def scenario(scene):
+        caller = await scene.call('/once/x')
+        while not silent.requests:
+            await asyncio.sleep(0.01)
+        caller.writer.close()
+        await asyncio.wait_for(silent.left.wait(), 2)
+
+    silent = Endpoint(lambda head: None)
+    play(scenario, silent)
+
+
+def test_unknown_route_and_no_configuration():
+    async def scenario(scene):
+        caller = await scene.call('/nowhere/x')
+        assert (await caller.read())[0] == 404
+        scene.gateway.table = None
+        caller = await scene.call('/once/x')
+        assert (await caller.read())[0] == 503
+
+    play(scenario)
+
+
+def test_request_inside_a_body_is_not_run():
+    async def scenario(scene):
+        inner = b'POST /once/evil HTTP/1.1\r\nHost: shop.example\r\n\r\n'
+        caller = await scene.call('/once/x', body=inner)
+        assert (await caller.read())[0] == 200
+        assert [asked for _, asked in endpoint.requests] == [inner]
+
+    endpoint = Endpoint(answered)
+    play(scenario, endpoint)
+
+
+@pytest.mark.parametrize(
+    'header',
+    ['Transfer-Encoding: chunked', 'Content-Length: 3'],
+)
+def test_request_with_two_lengths_is_refused(header):
+    async def scenario(scene):
+        caller = await scene.call('/once/x', header, body=b'0\r\n\r\n')
+        assert (await caller.read())[0] == 400
+        assert not endpoint.requests
+
+    endpoint = Endpoint(answered)
+    play(scenario, endpoint)
+
+
+def test_older_configuration_is_not_applied():
+    async def scenario(scene):
+        newer = scene.gateway.table.cfg._replace(version=5)
+        assert scene.gateway.apply(newer)
+        assert not scene.gateway.apply(newer._replace(version=4))
+
+    play(scenario)
+
+
+def test_stream_is_recorded_before_it_ends():
+    async def scenario(scene):
+        caller = await scene.call(
+            '/turn/x',
+            'Connection: close',
+            'X-Cactusledge-Program-Id: p',
+            'X-Cactusledge-Token-Usage: 9,90',
+            body=b'ask',
+        )
+        text = await caller.read_all()
+        assert EVENTS in text
+        assert text.endswith(b'0\r\n\r\n')
+        turn = scene.records.recorded[0]
+        assert (turn.turn_id, turn.tokens) == ('r1', 36)
+        assert not scene.records.settled
+
+    play(scenario, Endpoint(stream))
+
+
+def test_turn_that_is_not_durable_does_not_end_as_whole():
+    async def scenario(scene):
+        scene.records.is_durable = False
+        caller = await scene.call('/turn/x')
+        text = await caller.read_all()
+        assert EVENTS in text
+        assert not text.endswith(b'0\r\n\r\n')
+        assert scene.records.settled == [('r1', 36)]
+
+    play(scenario, Endpoint(stream))
+
+
+def test_broken_stream_settles_what_was_handed_out():
+    async def scenario(scene):
+        caller = await scene.call('/turn/x')
+        text = await caller.read_all()
+        assert not text.endswith(b'0\r\n\r\n')
+        assert scene.records.settled[0][1] <= 36
+        assert len(endpoint.requests) == 1
+
+    endpoint = Endpoint(half_stream, closes=True)
+    play(scenario, endpoint, Endpoint(stream))
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'status'),
+    [
+        (Verdict.SPENT, 402),
+        (Verdict.NO_PARENT, 404),
+        (Verdict.UNSURE, 503),
+    ],
+)
+def test_turn_that_is_not_granted_reaches_no_engine(verdict, status):
+    async def scenario(scene):
+        scene.records.grant = Grant(verdict)
+        caller = await scene.call('/turn/x')
+        assert (await caller.read())[0] == status
+        assert not endpoint.requests
+        assert scene.records.settled == [('r1', 0)]
+
+    endpoint = Endpoint(stream)
+    play(scenario, endpoint)
+
+
+def test_cut_off_gateway_sends_callers_elsewhere():
+    async def scenario(scene):
+        scene.records.grant = Grant(Verdict.UNSURE)
+        scene.records.has_quorum = False
+        caller = await scene.call('/turn/x')
+        _, head, _ = await caller.read()
+        assert field(head, 'connection') == 'close'
+        assert float(field(head, 'retry-after')) > 1
+        scene.records.lacks_quorum_s = 9
+        caller = await scene.call('/turn/x')
+        _, head, _ = await caller.read()
+        assert float(field(head, 'retry-after')) < 1
+
+    play(scenario)
+
+
+def test_stopping_gateway_serves_on_and_closes_kept_connections():
+    async def scenario(scene):
+        scene.gateway.is_closing = True
+        caller = await scene.call('/once/x')
+        status, head, _ = await caller.read()
+        assert (status, field(head, 'connection')) == (200, 'close')
+        assert not await caller.read_all()
+
+    play(scenario, Endpoint(answered))
