--- /dev/null
+++ b/tests/test_records_model.py
@@ -0,0 +1,136 @@
+"""Exhaustive check of the reservation: turns of one program that race.
+
+The search drives the product's own decisions through every order in which
+requests reach the stores and every subset of stores that answers in time. A
+reservation that arrives after its round has ended is left out: it only makes
+the others' sums larger.
+"""
+
+import functools
+from operator import itemgetter
+from typing import NamedTuple
+
+import pytest
+
+from cactusledge.records.entries import Member
+from cactusledge.records.membership import first_group
+from cactusledge.records.messages import ReserveReply
+from cactusledge.records.quorum import (
+    Demand,
+    Verdict,
+    decide,
+    is_exact,
+    quorum,
+)
+
+TURNS = ('t0', 't1', 't2')
+STORES = ('s0', 's1', 's2')
+GROUP = first_group(
+    {name: Member('10.0.0.1:1', name) for name in STORES}, copies=2
+)
+TOKENS = 1
+OPEN_PHASES = frozenset(('reserving', 'confirming'))
+BUDGET = 2  # holds two of the three turns
+
+
+class TurnState(NamedTuple):
+    """A turn on its way to a verdict."""
+
+    phase: str = 'reserving'  # reserving, confirming, granted, refused
+    views: tuple = ()  # (store, turns seen there) of the present round
+
+
+class World(NamedTuple):
+    """The stores' reservations and the turns."""
+
+    held: tuple  # per store: the turns whose reservation it holds
+    turns: tuple
+
+
+def successors(world, *, confirms):
+    """Yields every world that can come next."""
+    for index, turn in enumerate(world.turns):
+        yield from deliveries(world, index, turn)
+        if turn.phase in OPEN_PHASES:
+            yield from endings(world, index, turn, confirms=confirms)
+
+
+def deliveries(world, index, turn):
+    """A reservation or a query reaches a store, which answers."""
+    answered = dict(turn.views)
+    for place, store in enumerate(STORES):
+        if store in answered or turn.phase not in OPEN_PHASES:
+            continue
+        held = world.held[place]
+        if turn.phase == 'reserving':
+            held |= {TURNS[index]}
+        views = (*turn.views, (store, held))
+        yield replace(world, index, turn._replace(views=views), place, held)
+
+
+def endings(world, index, turn, *, confirms):
+    """The round ends, at any moment from a quorum on."""
+    if len(turn.views) < quorum(GROUP):
+        return
+    phase = 'refused'
+    if verdict_of(index, turn.views) is Verdict.GRANTED:
+        is_last = turn.phase == 'confirming' or not confirms
+        is_last = is_last or is_exact(len(turn.views), GROUP)
+        phase = 'granted' if is_last else 'confirming'
+    yield replace(world, index, turn._replace(phase=phase, views=()))
+
+
+@functools.cache
+def verdict_of(index, views):
+    replies = {
+        store: ReserveReply(
+            is_witness=True,
+            spent=dict.fromkeys(seen, (TOKENS, False)),
+            knows_parent=False,
+            chain=[],
+        )
+        for store, seen in views
+    }
+    demand = Demand(TURNS[index], TOKENS, BUDGET, '')
+    return decide(demand, replies, quorum(GROUP))
+
+
+def replace(world, index, turn, place=None, held=None):
+    """Returns the world with one turn, and perhaps one store, changed."""
+    turns = list(world.turns)
+    turns[index] = turn._replace(
+        views=tuple(sorted(turn.views, key=itemgetter(0)))
+    )
+    stores = list(world.held)
+    if place is not None:
+        stores[place] = held
+    return World(tuple(stores), tuple(turns))
+
+
+def search(*, confirms):
+    """Returns the number of worlds, and one that overdraws if there is."""
+    start = World((frozenset(),) * len(STORES), (TurnState(),) * len(TURNS))
+    seen = {start}
+    frontier = [start]
+    while frontier:
+        world = frontier.pop()
+        granted = sum(turn.phase == 'granted' for turn in world.turns)
+        if granted * TOKENS > BUDGET:
+            return len(seen), world
+        for found in successors(world, confirms=confirms):
+            if found not in seen:
+                seen.add(found)
+                frontier.append(found)
+    return len(seen), None
+
+
+@pytest.mark.timeout(600)
+def test_turns_that_race_do_not_overdraw():
+    count, overdrawn = search(confirms=True)
+    assert overdrawn is None
+    assert count > 10000
+
+
+def test_without_the_second_round_three_turns_overdraw():
+    _, overdrawn = search(confirms=False)
+    assert overdrawn is not None
