Give no work to an instance that is still starting

Cause: an instance joins its peers before it has listed the endpoints and read the configuration. Rendezvous hashing then names it at once as owner of logs and engine groups; it refuses what it owns with `no_endpoint`, or says that there is no such program.

Ruled out: the drain of the stopping instance (no call was cut, all three exit statuses 0), the leaving of endpoints (none left).

Change: an instance tells with its heartbeats whether it accepts work, which it does once it knows the endpoints and a configuration. Others choose it only then; it claims no log before.

--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -131,12 +131,22 @@
         return metrics.render()
 
     def _may_claim(self) -> bool:
-        """Returns whether the peers had time to say which logs they own."""
+        """Returns whether this instance can drive logs that nobody drives.
+
+        The peers had time to say which logs they own.
+        """
+        if not self._peers.neighbours.accepts:
+            return False
         is_alone = not self._peers.neighbours.others()
         waited_s = time.monotonic() - self._started_s
         has_seeds = bool(self._settings.peers.seeds)
         return not (has_seeds and is_alone) or waited_s > SETTLE_S
 
+    def _knows_enough(self) -> bool:
+        """Returns whether the endpoints and a configuration are known."""
+        generation = self._base.config.current().generation
+        return generation > 0 and self._routing.directory.is_listed
+
     def _stop_parts(self) -> None:
         self._peers.stop()
         self._routing.stop()
@@ -151,9 +161,10 @@
                 log.exception('Tick failed.')
 
     def _tick(self) -> None:
+        self._peers.neighbours.accepts = self._knows_enough()
         self._peers.tick()
         self._routing.tick()
-        if self._base.config.current().generation and self._may_claim():
+        if self._may_claim():
             self._programs.logs.tick()
             self._ready.set()
 
--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -12,10 +12,11 @@
 from cactusledge.peers.rendezvous import owner
 from cactusledge.peers.server import PeerServer
 from cactusledge.programs.neighbours import (
+    ACCEPTS_KEY,
+    NOT_ACCEPTING,
     Me,
     Neighbours,
     generation_of,
-    member_state,
 )
 from cactusledge.programs.peer_handler import EntryPeerHandler, HandlerParts
 from cactusledge.settings.peer_reports import reported_peers
@@ -48,7 +49,8 @@
         """Tells the peers what changed, and learns newer configurations."""
         generation = self.base.config.current().generation
         names = self.programs.table.names()
-        for key, data in member_state(names, generation).items():
+        state = self.neighbours.state(names, generation)
+        for key, data in state.items():
             self.membership.set_state(key, data)
         self.base.workers.submit(self.reporter.tick)
         newest = max(map(generation_of, self.membership.alive()), default=0)
@@ -102,6 +104,7 @@
             port=address.port,
             data_centre=base.data_centre,
             incarnation=time.time_ns() // NS_PER_MS,
+            state={ACCEPTS_KEY: NOT_ACCEPTING},
         ),
         peers.seeds,
         peers.heartbeat_interval_s,
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -147,7 +147,7 @@
     me = InstanceView(
         base.name,
         base.data_centre,
-        leaving=False,
+        takes_work=neighbours.takes_work,
         logs=table.names(),
     )
     count = base.settings.journal.logs_per_data_centre
--- a/cactusledge/endpoints/directory.py
+++ b/cactusledge/endpoints/directory.py
@@ -39,12 +39,19 @@
         self._listed: dict[str, Endpoint] = {}
         self._registry = EndpointRegistry()
         self._lock = threading.Lock()
+        self._is_listed = False
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether the live list has been read once."""
+        return self._is_listed
 
     def on_snapshot(self, listed: ObjectList) -> None:
         """Takes in the whole live list."""
         parsed = [parse_endpoint(one) for one in listed.items]
         self._listed = {one.name: one for one in parsed if one}
         self.refresh()
+        self._is_listed = True
 
     def on_event(self, event: WatchEvent) -> None:
         """Takes in a change of one object of the live list."""
--- a/cactusledge/programs/claims.py
+++ b/cactusledge/programs/claims.py
@@ -14,7 +14,7 @@
 
     name: str
     data_centre: str
-    leaving: bool
+    takes_work: bool  # neither leaving nor still starting
     logs: tuple[str, ...]  # that it says it owns
 
 
@@ -39,11 +39,11 @@
     owner goes to the instance that rendezvous hashing names, so that two
     instances seldom try at once; if they do, the platform lets one win.
     """
-    if me.leaving:
+    if not me.takes_work:
         return ()
     alive = [view for view in others if view.data_centre == me.data_centre]
     taken = {log for view in alive for log in view.logs}
-    candidates = [view.name for view in alive if not view.leaving]
+    candidates = [view.name for view in alive if view.takes_work]
     return tuple(
         log
         for log in logs
--- a/cactusledge/programs/neighbours.py
+++ b/cactusledge/programs/neighbours.py
@@ -13,6 +13,9 @@
 
 LOGS_KEY = 'logs'
 GENERATION_KEY = 'generation'
+ACCEPTS_KEY = 'accepts'
+ACCEPTING = b'1'
+NOT_ACCEPTING = b'0'
 SEPARATOR = ','
 
 
@@ -46,9 +49,15 @@
         self._choose = choose
         self._timeout_s = timeout_s
         self.leaving = False
+        self.accepts = False  # knows the endpoints and the configuration
         self._clients: dict[Address, PeerClient] = {}
         self._lock = threading.Lock()
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether this instance may own what it does not own yet."""
+        return self.accepts and not self.leaving
+
     def others(self) -> tuple[InstanceView, ...]:
         """Returns the other live instances of all data centres."""
         return tuple(_instance_view(one) for one in self._members())
@@ -61,6 +70,14 @@
             if one.data_centre == self._me.data_centre and not one.leaving
         ]
 
+    def state(self, logs: Iterable[str], generation: int) -> dict[str, bytes]:
+        """Returns what this instance tells of itself with its heartbeats."""
+        return {
+            LOGS_KEY: SEPARATOR.join(logs).encode(),
+            GENERATION_KEY: str(generation).encode(),
+            ACCEPTS_KEY: ACCEPTING if self.accepts else NOT_ACCEPTING,
+        }
+
     def owner_of_log(self, log: str) -> PeerClient | None:
         """Returns who drives a log, or who should take it over.
 
@@ -93,10 +110,11 @@
         candidates = {
             one.name: one
             for one in members
-            if one.data_centre == data_centre and not one.leaving
+            if one.data_centre == data_centre and _takes_work(one)
         }
         names = list(candidates)
-        if data_centre == self._me.data_centre and not self.leaving:
+        is_here = data_centre == self._me.data_centre
+        if is_here and self.takes_work:
             names.append(self._me.name)
         chosen = candidates.get(self._choose(key, names) or '')
         return self._client(chosen) if chosen else None
@@ -115,19 +133,22 @@
         return client
 
 
-def member_state(logs: Iterable[str], generation: int) -> dict[str, bytes]:
-    """Returns what an instance tells of itself with its heartbeats."""
-    return {
-        LOGS_KEY: SEPARATOR.join(logs).encode(),
-        GENERATION_KEY: str(generation).encode(),
-    }
-
-
 def generation_of(member: MemberView) -> int:
     """Returns the configuration generation that a member has in force."""
     return int((member.state or {}).get(GENERATION_KEY, b'0'))
 
 
+def _takes_work(member: MemberView) -> bool:
+    """Returns whether a member may own what it does not own yet.
+
+    One that has just started and does not know the endpoints or the
+    configuration would refuse all. An older version does not tell and is
+    believed to know them.
+    """
+    accepts = (member.state or {}).get(ACCEPTS_KEY, ACCEPTING)
+    return accepts == ACCEPTING and not member.leaving
+
+
 def _logs_of(member: MemberView) -> tuple[str, ...]:
     text = (member.state or {}).get(LOGS_KEY, b'').decode()
     return tuple(text.split(SEPARATOR)) if text else ()
@@ -137,6 +158,6 @@
     return InstanceView(
         member.name,
         member.data_centre,
-        member.leaving,
+        _takes_work(member),
         _logs_of(member),
     )
--- /dev/null
+++ b/tests/test_neighbours.py
@@ -0,0 +1,61 @@
+"""Who may own what nobody owns yet."""
+
+import pytest
+
+from cactusledge.peers.messages import MemberView
+from cactusledge.peers.rendezvous import owner
+from cactusledge.programs.neighbours import ACCEPTS_KEY, Me, Neighbours
+from cactusledge.routing.types import GroupKey
+
+KEYS = [GroupKey('bole', 'booking-agent', index) for index in range(20)]
+
+
+def member(name, **changes):
+    return MemberView(name, '127.0.0.1', 7000, 'bole', 1, **changes)
+
+
+@pytest.fixture
+def neighbours_of():
+    """Returns the neighbours of an instance, given the other members."""
+    opened = []
+
+    def build(*members):
+        found = Neighbours(Me('entry-1', 'bole'), lambda: members, owner, 1)
+        opened.append(found)
+        return found
+
+    yield build
+    for neighbours in opened:
+        neighbours.close()
+
+
+def is_chosen(neighbours):
+    """Returns whether another member owns any of the groups."""
+    return any(map(neighbours.owner_of_group, KEYS))
+
+
+@pytest.mark.parametrize(
+    ('changes', 'is_expected'),
+    [
+        ({'state': {ACCEPTS_KEY: b'1'}}, True),
+        ({'state': {ACCEPTS_KEY: b'0'}}, False),
+        ({'state': {}}, True),  # a version that does not tell
+        ({'state': {ACCEPTS_KEY: b'1'}, 'leaving': True}, False),
+    ],
+)
+def test_only_members_that_know_enough_are_chosen(
+    neighbours_of, changes, is_expected
+):
+    neighbours = neighbours_of(member('entry-2', **changes))
+    neighbours.accepts = True
+    assert is_chosen(neighbours) is is_expected
+    assert neighbours.others()[0].takes_work is is_expected
+
+
+def test_starting_instance_leaves_all_to_the_others(neighbours_of):
+    neighbours = neighbours_of(member('entry-2'))
+    assert all(map(neighbours.owner_of_group, KEYS))
+    assert neighbours.state((), 1)[ACCEPTS_KEY] == b'0'
+    neighbours.accepts = True
+    assert not all(map(neighbours.owner_of_group, KEYS))
+    assert neighbours.state((), 1)[ACCEPTS_KEY] == b'1'
