Let a refused write, a refused document and a lost disk cost no record

Change: a refused batch is written with the next one, what it left in the segment is cut off; documents end with a future; the group counts as adopted once it is on disk; replies to writes carry the disk's id and the ids of disks replaced in the last minute.

--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -14,14 +14,13 @@
 from cactusledge.models import Address
 from cactusledge.objects.store import ObjectStore, StoredObject
 from cactusledge.objects.watcher import Watcher, WatchTarget
-from cactusledge.records.disk import read_document
 from cactusledge.records.entries import Member
 from cactusledge.records.group_objects import GROUP_KIND, GroupObjects
 from cactusledge.records.keeper import GroupKeeper
+from cactusledge.records.kept_group import read_group
 from cactusledge.records.log import RecordLog
-from cactusledge.records.membership import decode_group
 from cactusledge.records.retiring import Retiring
-from cactusledge.records.store import GROUP_FILE, RecordStore
+from cactusledge.records.store import RecordStore
 from cactusledge.records.transport import MessageServer
 from cactusledge.telemetry.metrics import Metrics
 
@@ -90,9 +89,9 @@
         stop = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stop.set)
         loop.add_signal_handler(signal.SIGHUP, _note_reload)
-        known = read_document(self._parts.folder, GROUP_FILE)
+        known = read_group(self._parts.folder)
         if known is not None:
-            self.keeper.take_group(decode_group(known))
+            self.keeper.take_group(known)
         await self._server.start(self._parts.address)
         await open_page(self._parts.metrics, metrics_page(self._metrics))
         self._follow(loop)
--- a/cactusledge/records/catch_up.py
+++ b/cactusledge/records/catch_up.py
@@ -40,7 +40,7 @@
         sources = self._read.keys() & group.members.keys()
         needed = sources_needed(len(group.members))
         if self._store.is_member and len(sources) >= needed:
-            self._store.log.become_witness()
+            await self._store.log.become_witness()
             log.info(
                 'records: caught up',
                 sources=sorted(sources),
@@ -64,7 +64,7 @@
         head = None
         while head is None or position < head:
             pulled = await peer.call(
-                Pull(self._store.group.generation, log_id, position),
+                self._pull(log_id, position),
                 PULL_TIMEOUT_S,
             )
             if not isinstance(pulled, Pulled):
@@ -76,3 +76,12 @@
             if not pulled.is_witness:
                 return
         self._read[peer.name] = log_id
+
+    def _pull(self, log_id: str, position: int) -> Pull:
+        return Pull(
+            self._store.group.generation,
+            log_id,
+            position,
+            self._store.name,
+            self._store.log.identity.log_id,
+        )
--- a/cactusledge/records/disk.py
+++ b/cactusledge/records/disk.py
@@ -5,10 +5,12 @@
 import secrets
 import time
 from collections.abc import Callable, Mapping
+from io import FileIO
 from pathlib import Path
-from typing import Any, BinaryIO, NamedTuple
+from typing import Any, NamedTuple
 
 import pykka
+import structlog
 
 from cactusledge.records.segment import frame_all, parse_segment
 
@@ -17,6 +19,8 @@
 SEGMENT_BYTES = 8 * 1024 * 1024
 ID_BYTES = 8
 
+log = structlog.get_logger('records')
+
 
 class Identity(NamedTuple):
     """Which disk this is, and whether it once held all that it should."""
@@ -40,10 +44,11 @@
 
 
 class WriteDocument(NamedTuple):
-    """A small file to replace as a whole."""
+    """A small file to replace as a whole; `on_synced` as for a batch."""
 
     name: str
     content: Mapping[str, Any]
+    on_synced: Callable[[OSError | None], None]
 
 
 class DropBefore(NamedTuple):
@@ -95,6 +100,13 @@
     sync_folder(folder)
 
 
+def write_all(stream: FileIO, content: bytes) -> None:
+    """Writes all bytes to an unbuffered file; raises OSError."""
+    left = memoryview(content)
+    while left:
+        left = left[stream.write(left) :]
+
+
 def sync_folder(folder: Path) -> None:
     """Makes created, renamed and removed names durable."""
     descriptor = os.open(folder, os.O_RDONLY)
@@ -111,15 +123,15 @@
         """Keeps the folder; the first append opens a new segment."""
         super().__init__()
         self._folder = folder
-        self._stream: BinaryIO | None = None
-        self._written = 0
+        self._stream: FileIO | None = None
+        self._written = 0  # bytes of the segment that are synced
 
     def on_receive(self, message: Any) -> None:
-        """Carries out one message."""
+        """Carries out one message; an OSError is its sender's to handle."""
         if isinstance(message, AppendBatch):
             self._append(message)
         elif isinstance(message, WriteDocument):
-            write_document(self._folder, message.name, message.content)
+            self._write_document(message)
         else:
             self._drop(message.time_s)
 
@@ -132,19 +144,38 @@
         try:
             self._write(frame_all(batch.entries))
         except OSError as exc:
-            self._stream = None  # the next batch starts a new segment
+            self._undo()
             batch.on_synced(exc)
         else:
             batch.on_synced(None)
 
+    def _undo(self) -> None:
+        """Cuts off what a refused write has left; else starts a segment."""
+        stream = self._stream
+        if stream is None:
+            return
+        try:
+            stream.truncate(self._written)
+        except OSError as exc:
+            log.warning('records: segment given up', error=repr(exc))
+            self._stream = None
+            stream.close()
+
+    def _write_document(self, message: WriteDocument) -> None:
+        try:
+            write_document(self._folder, message.name, message.content)
+        except OSError as exc:
+            message.on_synced(exc)
+        else:
+            message.on_synced(None)
+
     def _write(self, content: bytes) -> None:
         if self._stream is None or self._written > SEGMENT_BYTES:
             self._open()
         stream = self._stream
         if stream is None:
             raise OSError('no segment is open')
-        stream.write(content)
-        stream.flush()
+        write_all(stream, content)
         os.fdatasync(stream.fileno())
         self._written += len(content)
 
@@ -153,11 +184,18 @@
             self._stream.close()
         name = f'{time.time_ns():020d}-{secrets.token_hex(2)}{SEGMENT_SUFFIX}'
         path = self._folder / name
-        self._stream = path.open('ab')
+        self._stream = path.open('ab', buffering=0)
         self._written = 0
         sync_folder(self._folder)
 
     def _drop(self, time_s: float) -> None:
+        """Removes old segments; what is left over goes the next time."""
+        try:
+            self._unlink_before(time_s)
+        except OSError as exc:
+            log.warning('records: old segments not removed', error=repr(exc))
+
+    def _unlink_before(self, time_s: float) -> None:
         for path in segments(self._folder)[:-1]:
             if path.stat().st_mtime < time_s:
                 path.unlink()
--- a/cactusledge/records/gateways.py
+++ b/cactusledge/records/gateways.py
@@ -34,7 +34,7 @@
         self._known: dict[str, tuple[Member, float]] = {}
         self._loads: dict[str, _Heard] = {}
 
-    def greet(self, hello: Hello) -> Neighbours:
+    async def greet(self, hello: Hello) -> Neighbours:
         """Notes a gateway; returns the others."""
         now_s = time.monotonic()
         self._known[hello.name] = (hello.gateway, now_s)
@@ -44,7 +44,7 @@
             if name != hello.name and now_s - heard_s < GATEWAY_KEPT_S
         })
 
-    def report(self, report: LoadReport) -> LoadSums:
+    async def report(self, report: LoadReport) -> LoadSums:
         """Notes a gateway's load; returns the sums of the others'."""
         now_s = time.monotonic()
         self._loads[report.name] = _Heard(report.in_flight, now_s)
--- a/cactusledge/records/keeper.py
+++ b/cactusledge/records/keeper.py
@@ -68,11 +68,13 @@
                 await self._step()
             except StoreError as exc:
                 log.info('records: platform not usable', error=exc.message)
+            except OSError as exc:
+                log.warning('records: disk refused', error=repr(exc))
             await asyncio.sleep(STEP_S)
 
     def take_group(self, group: Group) -> None:
         """Adopts a newer group and connects to its members."""
-        if self._store.take_group(group):
+        if self._store.kept_group.take(group):
             self.peers.take_group(group)
 
     async def leave(self) -> None:
@@ -90,6 +92,7 @@
 
     async def _step(self) -> None:
         self._store.log.expire(KEPT_S)
+        self._store.kept_group.keep()
         if not self._store.group.generation:
             await self._form()
             return
@@ -121,7 +124,7 @@
     async def _join(self) -> None:
         """Adds this store; what it does not hold yet it has to copy."""
         if self._store.log.identity.is_witness:
-            self._store.log.stop_witnessing()
+            await self._store.log.stop_witnessing()
             self._catch_up = CatchUp(self._store)
         published = await self._read()
         if published is not None and not self._store.is_member:
@@ -174,7 +177,7 @@
         return published
 
     async def _generations(self) -> dict[str, int]:
-        """Returns what the members that answer have adopted."""
+        """Returns what the members that answer have on their disks."""
         own = self._store.group
         replies = await asyncio.gather(
             *(
@@ -184,9 +187,10 @@
             return_exceptions=True,
         )
         adopted = {
-            reply.name: reply.group.generation
+            reply.name: reply.kept_generation
             for reply in replies
             if isinstance(reply, Status)
         }
-        adopted[self._store.name] = own.generation
+        kept = self._store.kept_group.kept_generation
+        adopted[self._store.name] = kept
         return adopted
--- /dev/null
+++ b/cactusledge/records/kept_group.py
@@ -0,0 +1,76 @@
+"""The group that a store has adopted, and whether its disk knows it."""
+
+import asyncio
+from functools import partial
+from pathlib import Path
+
+import structlog
+
+from cactusledge.records import entries
+from cactusledge.records.disk import read_document
+from cactusledge.records.log import RecordLog
+from cactusledge.records.membership import decode_group, encode_group
+
+GROUP_FILE = 'group.json'
+
+log = structlog.get_logger('records')
+
+
+class KeptGroup:
+    """Adopts newer groups only, and writes each one to the disk.
+
+    After a loss of power a store goes on with the group on its disk. So the
+    next change of the group has to wait for `kept_generation`, not for the
+    group in memory.
+    """
+
+    def __init__(self, name: str, record_log: RecordLog) -> None:
+        """Starts without a group."""
+        self.group: entries.Group = entries.EMPTY_GROUP
+        self.kept_generation = 0  # of the group on disk
+        self._name = name
+        self._log = record_log
+        self._writing = 0  # generation on its way to the disk
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this instance belongs to the group."""
+        return self._name in self.group.members
+
+    def take(self, group: entries.Group) -> bool:
+        """Adopts a newer group; returns whether it was newer."""
+        if group.generation <= self.group.generation:
+            return False
+        self.group = group
+        self.keep()
+        log.info(
+            'records: group adopted',
+            generation=group.generation,
+            members=sorted(group.members),
+            is_member=self.is_member,
+        )
+        return True
+
+    def keep(self) -> None:
+        """Has the group written, if it is not on disk or on its way."""
+        generation = self.group.generation
+        if generation in {self.kept_generation, self._writing}:
+            return
+        self._writing = generation
+        fut = self._log.write_document(GROUP_FILE, encode_group(self.group))
+        fut.add_done_callback(partial(self._on_written, generation))
+
+    def _on_written(self, generation: int, fut: 'asyncio.Future[None]') -> None:
+        exc = fut.exception()
+        if exc is None:
+            self.kept_generation = generation
+            return
+        log.warning('records: group not on disk', error=repr(exc))
+        if self._writing == generation:
+            self._writing = 0
+
+
+def read_group(folder: Path) -> entries.Group | None:
+    """Returns the group on disk, None if none was kept."""
+    document = read_document(folder, GROUP_FILE)
+    return None if document is None else decode_group(document)
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -3,7 +3,7 @@
 import asyncio
 import bisect
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -62,8 +62,8 @@
     async def append(self, entries: Sequence[Entry]) -> None:
         """Applies the entries and returns once they are on disk.
 
-        An entry that is already known was written before, perhaps a moment
-        ago; waiting for the current batch covers that.
+        An entry that is already known was written before, or belongs to the
+        current batch or to the next one, which is waited for.
 
         Raises:
             OSError: The disk refused; the entries are not durable.
@@ -102,21 +102,42 @@
         self._first += count
         self._actor.tell(DropBefore(time.time() - SEGMENT_SLACK * kept_s))
 
-    def become_witness(self) -> None:
-        """Notes on disk that everything which should be here is here."""
-        self._set_witness(is_witness=True)
+    async def become_witness(self) -> None:
+        """Notes on disk that everything which should be here is here.
 
-    def stop_witnessing(self) -> None:
-        """Notes on disk that something may be missing here."""
-        self._set_witness(is_witness=False)
+        Raises:
+            OSError: The disk refused; the store is no witness yet.
+        """
+        identity = self.identity._replace(is_witness=True)
+        await self.write_document(IDENTITY_FILE, identity._asdict())
+        self.identity = identity
 
-    def write_document(self, name: str, content: Mapping[str, Any]) -> None:
-        """Replaces a small file, in order with the appends."""
-        self._actor.tell(WriteDocument(name, content))
+    async def stop_witnessing(self) -> None:
+        """Notes on disk that something may be missing here.
 
-    def _set_witness(self, *, is_witness: bool) -> None:
-        self.identity = self.identity._replace(is_witness=is_witness)
-        self.write_document(IDENTITY_FILE, self.identity._asdict())
+        Raises:
+            OSError: The disk refused; after a restart the store would believe
+                that it is a witness.
+        """
+        self.identity = self.identity._replace(is_witness=False)
+        await self.write_document(IDENTITY_FILE, self.identity._asdict())
+
+    def write_document(
+        self, name: str, content: Mapping[str, Any]
+    ) -> 'asyncio.Future[None]':
+        """Replaces a small file, in order with the appends.
+
+        The future ends once the file is on disk, or with an OSError; the file
+        is then as it was.
+        """
+        loop = asyncio.get_running_loop()
+        fut: asyncio.Future[None] = loop.create_future()
+
+        def on_synced(exc: OSError | None) -> None:  # noqa: WPS430
+            loop.call_soon_threadsafe(settle, [fut], exc)
+
+        self._actor.tell(WriteDocument(name, content, on_synced))
+        return fut
 
     def _restore(self, encoded: bytes) -> None:
         try:
@@ -142,22 +163,34 @@
         self._is_syncing = True
 
         def on_synced(exc: OSError | None) -> None:  # noqa: WPS430
-            loop.call_soon_threadsafe(self._finish, waiting, exc)
+            loop.call_soon_threadsafe(self._finish, batch, waiting, exc)
 
         self._actor.tell(AppendBatch(batch, on_synced))
 
     def _finish(
         self,
+        batch: list[bytes],
         waiting: list[asyncio.Future[None]],
         exc: OSError | None,
     ) -> None:
+        """Ends a batch; one that was refused is written with the next."""
         self._is_syncing = False
-        for fut in waiting:
-            if fut.done():
-                continue
-            if exc is None:
-                fut.set_result(None)
-            else:
-                fut.set_exception(exc)
+        if exc is not None:
+            log.warning('records: disk refused', error=repr(exc))
+            self._collected = batch + self._collected
+        settle(waiting, exc)
         if self._waiting:
             self._sync()
+
+
+def settle(
+    waiting: Iterable[asyncio.Future[None]], exc: OSError | None
+) -> None:
+    """Ends the futures of those that still wait, with an error or not."""
+    for fut in waiting:
+        if fut.done():
+            continue
+        if exc is None:
+            fut.set_result(None)
+        else:
+            fut.set_exception(exc)
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -36,6 +36,9 @@
     spent: dict[str, tuple[int, bool]]  # turn -> (tokens, settled)
     knows_parent: bool
     chain: list[Turn]  # oldest first, perhaps without text; [] if unknown
+    log_id: str = ''  # of the disk that holds the reservation
+    # Store -> its present log, of those that lost a disk of late.
+    replaced: dict[str, str] = msgspec.field(default_factory=dict)
 
 
 class Append(Message, frozen=True):
@@ -48,6 +51,10 @@
 class Appended(Message, frozen=True):
     """The entries are on disk."""
 
+    log_id: str = ''  # of the disk that holds them
+    # Store -> its present log, of those that lost a disk of late.
+    replaced: dict[str, str] = msgspec.field(default_factory=dict)
+
 
 class Query(Message, frozen=True):
     """Asks for what a program has spent, and for a chain."""
@@ -75,8 +82,10 @@
     """Asks for a part of the log, to catch up; turns come without text."""
 
     generation: int
-    log_id: str  # '' at the first request
+    log_id: str  # of the log that is read, '' at the first request
     position: int
+    reader: str = ''  # the store that catches up
+    reader_log_id: str = ''  # of its own disk
 
 
 class Pulled(Message, frozen=True):
@@ -107,6 +116,7 @@
     group: Group
     is_witness: bool
     log_id: str
+    kept_generation: int = 0  # of the group on its disk
 
 
 class Ping(Message, frozen=True):
--- a/cactusledge/records/quorum.py
+++ b/cactusledge/records/quorum.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from typing import NamedTuple, Protocol, TypeVar
 
 from cactusledge.records.entries import Group
 from cactusledge.records.messages import ReserveReply
@@ -10,6 +10,21 @@
 Spent = dict[str, tuple[int, bool]]  # turn -> (tokens, settled)
 
 
+class Written(Protocol):
+    """A store's reply to a write."""
+
+    @property
+    def log_id(self) -> str:
+        """Which disk holds what was written."""
+
+    @property
+    def replaced(self) -> Mapping[str, str]:
+        """The logs of the stores that lost a disk of late."""
+
+
+ReplyType = TypeVar('ReplyType', bound=Written)
+
+
 class Verdict(enum.StrEnum):
     """What becomes of a turn that asked for tokens."""
 
@@ -61,6 +76,24 @@
     )
 
 
+def standing(replies: Mapping[str, ReplyType]) -> dict[str, ReplyType]:
+    """Returns the replies whose disk is not known to be lost.
+
+    A store that lost its disk reads the others' logs before it counts again.
+    A write that another store takes after it was read there would stand on
+    that other disk alone, though both stores have answered. The other one's
+    reply is later than the reading, so it tells of the new disk.
+    """
+    replaced: dict[str, str] = {}
+    for told in replies.values():
+        replaced.update(told.replaced)
+    return {
+        name: reply
+        for name, reply in replies.items()
+        if replaced.get(name, reply.log_id) == reply.log_id
+    }
+
+
 def decide(
     demand: Demand,
     replies: Mapping[str, ReserveReply],
--- a/cactusledge/records/round.py
+++ b/cactusledge/records/round.py
@@ -2,16 +2,15 @@
 
 import asyncio
 from collections.abc import Iterable, Sequence
-from typing import Generic, NamedTuple, TypeVar
+from typing import Generic, NamedTuple
 
 from cactusledge.records.links import Link
 from cactusledge.records.messages import Body, StaleGroup
+from cactusledge.records.quorum import ReplyType, standing
 from cactusledge.records.transport import Peer
 
 FULL_HOUSE_WAIT_S = 0.006  # for the last replies, once a quorum has answered
 
-ReplyType = TypeVar('ReplyType')
-
 
 class Ask(NamedTuple):
     """A prepared request to one member."""
@@ -30,8 +29,7 @@
 class Round(Generic[ReplyType]):
     """Collects replies until all are in, or a quorum and a short wait.
 
-    `replies` holds those of the type wanted; `stale` is the newest group that
-    a member told instead.
+    `stale` is the newest group that a member told instead of what is wanted.
     """
 
     def __init__(
@@ -41,7 +39,7 @@
         required: Iterable[str] = (),
     ) -> None:
         """Prepares a round that needs so many replies, some members' too."""
-        self.replies: dict[str, ReplyType] = {}
+        self._replies: dict[str, ReplyType] = {}
         self.stale: StaleGroup | None = None
         self._wanted = wanted
         self._needed = needed
@@ -51,12 +49,18 @@
         self._is_waiting = False
         self._settled: asyncio.Future[None] | None = None
 
+    @property
+    def replies(self) -> dict[str, ReplyType]:
+        """The replies that count, by member."""
+        return standing(self._replies)
+
     @property
     def is_enough(self) -> bool:
         """Whether a quorum and all required members have answered."""
-        if len(self.replies) < self._needed:
+        if len(self._replies) < self._needed:
             return False
-        return self._required <= self.replies.keys()
+        names = self.replies.keys()
+        return len(names) >= self._needed and self._required <= names
 
     async def run(
         self,
@@ -95,7 +99,7 @@
 
     def _sort(self, name: str, reply: Body) -> None:
         if isinstance(reply, self._wanted):
-            self.replies[name] = reply
+            self._replies[name] = reply
         elif isinstance(reply, StaleGroup):
             self.stale = reply
 
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -4,32 +4,29 @@
 from types import MappingProxyType
 from typing import Any
 
-import structlog
-
 from cactusledge.records import entries, messages
 from cactusledge.records.gateway_messages import Hello, LoadReport
 from cactusledge.records.gateways import Gateways
+from cactusledge.records.kept_group import KeptGroup
 from cactusledge.records.log import RecordLog
-from cactusledge.records.membership import encode_group
+from cactusledge.records.pullers import Pullers
 
-GROUP_FILE = 'group.json'
 ANY_GENERATION = (messages.Ask, messages.Announce, Hello, LoadReport)
 
 Handle = Callable[[Any], Awaitable[messages.Body]]
 
-log = structlog.get_logger('records')
-
 
 class RecordStore:
     """Serves its log to the members of the group it knows."""
 
     def __init__(self, name: str, record_log: RecordLog) -> None:
-        """Keeps the log; the group comes with `take_group`."""
+        """Keeps the log; the group comes with `kept_group.take`."""
         self.name = name
         self.log = record_log
-        self.group: entries.Group = entries.EMPTY_GROUP
+        self.kept_group = KeptGroup(name, record_log)
+        self._pullers = Pullers()
         self._gateways = Gateways()
-        self.on_group: Callable[[entries.Group], object] = self.take_group
+        self.on_group: Callable[[entries.Group], object] = self.kept_group.take
         self._handlers: Mapping[type, Handle] = MappingProxyType({
             messages.Reserve: self._reserve,
             messages.Append: self._append,
@@ -38,28 +35,19 @@
             messages.Pull: self._pull,
             messages.Ask: self._ask,
             messages.Announce: self._announce,
-            Hello: self._hello,
-            LoadReport: self._load,
+            Hello: self._gateways.greet,
+            LoadReport: self._gateways.report,
         })
 
+    @property
+    def group(self) -> entries.Group:
+        """The group that this store has adopted."""
+        return self.kept_group.group
+
     @property
     def is_member(self) -> bool:
         """Whether this instance belongs to the group."""
-        return self.name in self.group.members
-
-    def take_group(self, group: entries.Group) -> bool:
-        """Adopts a newer group; returns whether it was newer."""
-        if group.generation <= self.group.generation:
-            return False
-        self.group = group
-        self.log.write_document(GROUP_FILE, encode_group(group))
-        log.info(
-            'records: group adopted',
-            generation=group.generation,
-            members=sorted(group.members),
-            is_member=self.is_member,
-        )
-        return True
+        return self.kept_group.is_member
 
     async def handle(self, body: messages.Body) -> messages.Body:
         """Returns the reply to one message."""
@@ -82,7 +70,10 @@
 
     async def _append(self, request: messages.Append) -> messages.Body:
         await self.log.append(request.entries)
-        return messages.Appended()
+        return messages.Appended(
+            log_id=self.log.identity.log_id,
+            replaced=self._pullers.recent(),
+        )
 
     async def _query(self, request: messages.Query) -> messages.Body:
         return self._view(
@@ -101,6 +92,7 @@
     async def _pull(self, request: messages.Pull) -> messages.Body:
         identity = self.log.identity
         position = request.position
+        self._pullers.note(request.reader, request.reader_log_id)
         if request.log_id and request.log_id != identity.log_id:
             return messages.Failed('the log is another one than before')
         return messages.Pulled(
@@ -116,18 +108,13 @@
             group=self.group,
             is_witness=self.log.identity.is_witness,
             log_id=self.log.identity.log_id,
+            kept_generation=self.kept_group.kept_generation,
         )
 
     async def _announce(self, request: messages.Announce) -> messages.Body:
         self.on_group(request.group)
         return messages.Appended()
 
-    async def _hello(self, request: Hello) -> messages.Body:
-        return self._gateways.greet(request)
-
-    async def _load(self, request: LoadReport) -> messages.Body:
-        return self._gateways.report(request)
-
     def _view(
         self,
         program_id: str,
@@ -141,4 +128,6 @@
             spent=dict(state.spent(program_id)),
             knows_parent=parent_id in state.turns,
             chain=state.chain(parent_id) if wants_chain else [],
+            log_id=self.log.identity.log_id,
+            replaced=self._pullers.recent(),
         )
--- a/tests/test_records_disk.py
+++ b/tests/test_records_disk.py
@@ -108,7 +108,7 @@
 
 def test_caught_up_store_stays_a_witness_over_restarts(tmp_path):
     log = RecordLog(tmp_path, is_first_start=False)
-    log.become_witness()
+    asyncio.run(log.become_witness())
     log.stop()
     assert read_folder(tmp_path, is_first_start=False).identity.is_witness
 
