Wake up for a stop signal that another thread has received

Cause: the main thread waited for an event without a limit. The kernel hands a process's signal to any thread while the main one has a signal pending; the handler runs in the main thread, which a lock without a limit does not wake then.

Ruled out: a drain that hangs (it had not begun), the worker that cheroot joins (mended before).

The gateway is not concerned: asyncio's wakeup descriptor is written from any thread.

--- a/cactusledge/cli/entry.py
+++ b/cactusledge/cli/entry.py
@@ -12,6 +12,8 @@
 from cactusledge.settings.instance import load_settings
 from cactusledge.status import ExitStatus
 
+WAKE_S = 0.5
+
 SettingsPath = Annotated[
     Path,
     typer.Option('--settings', '-s', help='YAML file with the settings.'),
@@ -28,10 +30,31 @@
     """
     env = environment_of(ctx)
     app = Application(load_settings(settings, env.environ), env)
-    stopping = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stopping.set())
-    signal.signal(signal.SIGINT, lambda *_: stopping.set())
+    stop = StopSignal()
     app.start()
-    stopping.wait()
+    stop.wait()
     left = app.stop()
     return ExitStatus.ERROR if left else ExitStatus.OK
+
+
+class StopSignal:
+    """Waits for SIGTERM or SIGINT; to be built in the main thread."""
+
+    def __init__(self) -> None:
+        """Takes the two signals over."""
+        self._is_told = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._take)
+
+    def wait(self) -> None:
+        """Returns once the process has been told to stop.
+
+        The kernel may hand a signal to any thread, which does not wake the
+        main one; its handler runs there, so it wakes up from time to time.
+        """
+        is_told = False
+        while not is_told:
+            is_told = self._is_told.wait(WAKE_S)
+
+    def _take(self, *_: object) -> None:
+        self._is_told.set()
