Name the endpoint in the closing line of a lost answer

Cause: a 502 was told by the same function as a refusal that no endpoint has seen, so its line said no endpoint and 0 attempts; an on-call engineer had to find the line before it. A line about data centres with no names meant that all are in reach again.

Change: one function ends a call that may have run, and its outcome carries the endpoint and the attempts. Reach regained has an event of its own. Test: tests/test_gateway_path.py, failed before.

--- a/cactusledge/gateway/answers.py
+++ b/cactusledge/gateway/answers.py
@@ -1,9 +1,13 @@
 """Answers to callers: an endpoint's, passed on unchanged, or our own."""
 
+import http
+
 from cactusledge.gateway.context import Call, Fleet, Outcome
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.sending import Sent, status_of
 
+ANSWERED = 'answered'  # the reason of an endpoint's own answer
+
 
 def pass_on(fleet: Fleet, call: Call, sent: Sent, attempts: int) -> Outcome:
     """Passes a whole answer on."""
@@ -11,7 +15,14 @@
     head = sent.answer.head
     headers = fleet.dialect.response_headers(head.headers) if head else b''
     call.conn.answer(status, headers, sent.answer.body)
-    return Outcome(status, 'answered', sent.replica.endpoint_id, attempts)
+    return Outcome(status, ANSWERED, sent.replica.endpoint_id, attempts)
+
+
+def give_up(call: Call, sent: Sent | None, attempts: int) -> Outcome:
+    """Answers a call that may have run, without saying how it ended."""
+    outcome = refuse(call.conn, http.HTTPStatus.BAD_GATEWAY, 'answer broken')
+    endpoint_id = sent.replica.endpoint_id if sent else ''
+    return outcome._replace(endpoint_id=endpoint_id, attempts=attempts)
 
 
 def refuse(
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -1,6 +1,7 @@
 """What a gateway does beside its requests."""
 
 import asyncio
+from collections.abc import Collection
 
 import structlog
 
@@ -71,9 +72,7 @@
             peers = self._records.peers
             cut_off = silent_data_centres(peers.group, peers.direct_names())
             if cut_off != self._fleet.partitions.cut_off:
-                log.warning(
-                    'gateway: data centres cut off', names=sorted(cut_off)
-                )
+                log_reach(cut_off)
             self._fleet.partitions.update(cut_off, loop.time())
             await asyncio.sleep(PARTITION_STEP_S)
 
@@ -90,3 +89,11 @@
             self._measure()
             await self._finder.run()
             await asyncio.sleep(UPKEEP_S)
+
+
+def log_reach(cut_off: Collection[str]) -> None:
+    """Logs which data centres cannot be reached, or that all can be again."""
+    if cut_off:
+        log.warning('gateway: data centres cut off', names=sorted(cut_off))
+    else:
+        log.info('gateway: all data centres in reach')
--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -2,7 +2,7 @@
 
 import http
 
-from cactusledge.gateway.answers import pass_on, refuse
+from cactusledge.gateway.answers import give_up, pass_on, refuse
 from cactusledge.gateway.context import Call, Fleet, Outcome
 from cactusledge.gateway.messages import Repeatability, Replica
 from cactusledge.gateway.placement import choose_service
@@ -23,7 +23,7 @@
     if sent is not None and sent.end is End.ANSWERED:
         return pass_on(fleet, call, sent, len(attempts.offered))
     if sent is not None or may_have_run:
-        return refuse(call.conn, http.HTTPStatus.BAD_GATEWAY, 'answer broken')
+        return give_up(call, sent, len(attempts.offered))
     return refuse(
         call.conn,
         http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from cactusledge.gateway.answers import refuse
+from cactusledge.gateway.answers import ANSWERED, refuse
 from cactusledge.gateway.calls import serve_call
 from cactusledge.gateway.context import Call, Fleet, Outcome
 from cactusledge.gateway.http_server import ServerConnection
@@ -132,7 +132,7 @@
 
 def is_failure(outcome: Outcome) -> bool:
     """Returns whether a request ended without an endpoint's answer."""
-    return not outcome.endpoint_id and outcome.status not in EXPECTED
+    return outcome.reason != ANSWERED and outcome.status not in EXPECTED
 
 
 def ends_s(request: Request, info: CallInfo, route: Route) -> float:
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -14,7 +14,7 @@
 
 import structlog
 
-from cactusledge.gateway.answers import pass_on, refuse
+from cactusledge.gateway.answers import ANSWERED, give_up, pass_on, refuse
 from cactusledge.gateway.chains import (
     EMPTY_CHAIN,
     Chain,
@@ -186,13 +186,13 @@
                 call.conn.break_off()
                 return Outcome(0, 'turn not recorded', endpoint_id, attempts)
             call.conn.end_stream()
-            return Outcome(status_of(sent), 'answered', endpoint_id, attempts)
+            return Outcome(status_of(sent), ANSWERED, endpoint_id, attempts)
         if call.conn.has_head:
             call.conn.break_off()
             return Outcome(0, 'stream broken', endpoint_id, attempts)
         if sent.end is End.ANSWERED:
             return pass_on(self._fleet, call, sent, attempts)
-        return refuse(call.conn, http.HTTPStatus.BAD_GATEWAY, 'answer broken')
+        return give_up(call, sent, attempts)
 
     async def _keep(self, call: Call, stream: 'TurnStream', sent: Sent) -> bool:
         """Returns whether the turn's record is durable."""
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from cactusledge.records.quorum import Verdict
 from cactusledge.records.reservations import Grant
@@ -114,6 +115,20 @@
     play(scenario, first, second)
 
 
+def test_line_of_a_lost_answer_names_the_endpoint():
+    async def scenario(scene):
+        with capture_logs() as lines:
+            caller = await scene.call('/once/x')
+            await caller.read()
+        closing = lines[-1]
+        assert closing['event'] == 'gateway: request ended'
+        assert closing['endpoint_id'] == 'e0'
+        assert closing['attempts'] == 1
+        assert closing['log_level'] == 'warning'
+
+    play(scenario, Endpoint(BROKEN[0], closes=True))
+
+
 @pytest.mark.parametrize('reply', BROKEN)
 def test_broken_answer_to_an_idempotent_call_is_asked_for_elsewhere(reply):
     async def scenario(scene):
