Split the stores' transport; let stores not use the gateway's feeds

Feeds of watched objects belong to objects, the follower of the group to the records; their events are `platform: lost` and `platform: regained`. The metrics page of a store still uses the gateway's HTTP server.

Tests of records, gateway and adapter pass.

--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -12,9 +12,9 @@
 from cactusledge.records.group_finder import GroupFinder
 from cactusledge.records.group_objects import GroupObjects
 from cactusledge.records.load_exchange import LoadExchange
+from cactusledge.records.message_server import MessageServer
 from cactusledge.records.reachability import silent_data_centres
 from cactusledge.records.relays import Relays
-from cactusledge.records.transport import MessageServer
 
 UPKEEP_S = 0.5
 PARTITION_STEP_S = 0.1
--- a/cactusledge/gateway/followers.py
+++ b/cactusledge/gateway/followers.py
@@ -6,12 +6,10 @@
 import structlog
 
 from cactusledge.gateway.context import Fleet
-from cactusledge.gateway.feeds import Listing
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.messages import Configuration, Replica
+from cactusledge.objects.feeds import Listing
 from cactusledge.objects.store import StoredObject
-from cactusledge.records.entries import Group
-from cactusledge.records.membership import decode_group
 
 DecodeConfiguration = Callable[[StoredObject], Configuration | None]
 DecodeReplica = Callable[[StoredObject], Replica | None]
@@ -79,24 +77,3 @@
         """Takes the removal of an entry."""
         self._fleet.replicas.remove(name)
         log.info('gateway: endpoint gone', endpoint_id=name)
-
-
-class GroupFollower:
-    """Takes the group of record stores."""
-
-    def __init__(self, take_group: Callable[[Group], object]) -> None:
-        """Keeps whom to give the group."""
-        self._take_group = take_group
-
-    def take_list(self, listing: Listing) -> None:
-        """Takes a complete list."""
-        for stored in listing.listed.items:
-            self.take_object(stored)
-
-    def take_object(self, stored: StoredObject) -> None:
-        """Takes a new or changed object."""
-        self._take_group(decode_group(stored.body))
-
-    def take_removal(self, name: str) -> None:
-        """Keeps the group in force."""
-        log.warning('records: group removed, the last one stays')
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -8,7 +8,7 @@
 
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.messages import EndpointAnswer, Headers
-from cactusledge.records.transport import set_liveness
+from cactusledge.records.frames import set_liveness
 
 FIRST_FINAL_STATUS = 200
 
--- a/cactusledge/gateway/http_server.py
+++ b/cactusledge/gateway/http_server.py
@@ -12,7 +12,7 @@
 from cactusledge.gateway.messages import Limits, Request
 from cactusledge.gateway.request_parser import ParserTarget, RequestParser
 from cactusledge.gateway.responder import Responder
-from cactusledge.records.transport import set_liveness
+from cactusledge.records.frames import set_liveness
 
 IDLE_SLACK = 1.25  # callers reuse connections up to 0.8 of the idle timeout
 
--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from cactusledge.gateway.dialect import Dialect
-from cactusledge.gateway.feeds import Feed, Follower
 from cactusledge.gateway.followers import (
     ConfigurationFollower,
     DecodeConfiguration,
@@ -13,6 +12,7 @@
 )
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.models import Address
+from cactusledge.objects.feeds import Feed, Follower
 from cactusledge.objects.store import ObjectStore
 from cactusledge.objects.watcher import Watcher, WatchTarget
 
--- a/cactusledge/gateway/feeds.py
+++ b/cactusledge/objects/feeds.py
@@ -17,7 +17,7 @@
 
 OUTAGE_S = 1.0  # failures for this long may have let live entries lapse
 
-log = structlog.get_logger('gateway')
+log = structlog.get_logger('platform')
 
 
 class Listing(NamedTuple):
@@ -57,7 +57,7 @@
         self._failing_since_s = None
         away_s = time.monotonic() - since_s if since_s else 0
         if since_s:
-            log.info('gateway: platform regained', away_s=round(away_s, 2))
+            log.info('platform: regained', away_s=round(away_s, 2))
         listing = Listing(listed, away_s >= OUTAGE_S)
         self._call(self._follower.take_list, listing)
 
@@ -74,7 +74,7 @@
             return
         if self._failing_since_s is None:
             self._failing_since_s = time.monotonic()
-            log.warning('gateway: platform lost', error=exc.message)
+            log.warning('platform: lost', error=exc.message)
 
     def _call(self, take: Callable[..., None], *args: object) -> None:
         self._loop.call_soon_threadsafe(take, *args)
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -8,21 +8,21 @@
 
 import structlog
 
-from cactusledge.gateway.feeds import Feed, Follower, Listing
-from cactusledge.gateway.followers import GroupFollower
 from cactusledge.gateway.pages import metrics_page, open_page
 from cactusledge.models import Address
+from cactusledge.objects.feeds import Feed, Follower, Listing
 from cactusledge.objects.store import ObjectStore, StoredObject
 from cactusledge.objects.watcher import Watcher, WatchTarget
 from cactusledge.records.entries import Member
+from cactusledge.records.group_follower import GroupFollower
 from cactusledge.records.group_objects import GROUP_KIND, GroupObjects
 from cactusledge.records.keeper import GroupKeeper
 from cactusledge.records.kept_group import read_group
 from cactusledge.records.load_sharing import LoadSharing
 from cactusledge.records.log import RecordLog
+from cactusledge.records.message_server import MessageServer
 from cactusledge.records.retiring import Retiring
 from cactusledge.records.store import RecordStore
-from cactusledge.records.transport import MessageServer
 from cactusledge.telemetry.metrics import Metrics
 
 WATCH_S = 10.0
--- /dev/null
+++ b/cactusledge/records/frames.py
@@ -0,0 +1,90 @@
+"""Frames of the messages between instances, and the connections for them."""
+
+import asyncio
+import socket
+import struct
+
+import msgspec
+
+from cactusledge.records.entries import ENCODER
+from cactusledge.records.messages import ENVELOPE_DECODER, Body, Envelope
+
+LENGTH = struct.Struct('>I')
+LARGEST_FRAME_BYTES = 1 << 24
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+USER_TIMEOUT_MS = 2500
+
+
+def set_liveness(sock: socket.socket) -> None:
+    """Lets the kernel end a connection whose other side has gone silent."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def encode_frame(number: int, body: Body) -> bytes:
+    """Returns the bytes of one message."""
+    content = ENCODER.encode(Envelope(number, body))
+    return LENGTH.pack(len(content)) + content
+
+
+class FrameProtocol(asyncio.Protocol):
+    """Cuts the stream into frames and hands each one on."""
+
+    def __init__(self) -> None:
+        """Starts without a connection."""
+        self.transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the connection and sets its liveness probes."""
+        self.transport = transport  # type: ignore[assignment]
+        set_liveness(transport.get_extra_info('socket'))
+
+    def data_received(self, data: bytes) -> None:
+        """Hands on each frame that is whole."""
+        self._buffer += data
+        position = 0
+        while True:
+            end = self._frame_end(position)
+            if end is None:
+                break
+            start = position + LENGTH.size
+            self._take(bytes(self._buffer[start:end]))
+            position = end
+        if position:
+            self._buffer = self._buffer[position:]
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Takes a message; subclasses say what becomes of it."""
+        raise NotImplementedError
+
+    def close(self) -> None:
+        """Closes the connection, if there is one."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def _frame_end(self, position: int) -> int | None:
+        start = position + LENGTH.size
+        if len(self._buffer) < start:
+            return None
+        length = LENGTH.unpack_from(self._buffer, position)[0]
+        if length > LARGEST_FRAME_BYTES:
+            self.close()
+            return None
+        end = start + int(length)
+        return end if end <= len(self._buffer) else None
+
+    def _take(self, content: bytes) -> None:
+        try:
+            envelope = ENVELOPE_DECODER.decode(content)
+        except msgspec.MsgspecError:
+            self.close()
+            return
+        self.on_message(envelope)
--- a/cactusledge/records/group_finder.py
+++ b/cactusledge/records/group_finder.py
@@ -11,7 +11,7 @@
 from cactusledge.records.client import RecordClient
 from cactusledge.records.group_objects import GroupObjects
 from cactusledge.records.messages import Ask, Status
-from cactusledge.records.transport import Peer
+from cactusledge.records.peer import Peer
 
 CONNECT_S = 0.1
 ASK_TIMEOUT_S = 0.4
--- a/cactusledge/records/links.py
+++ b/cactusledge/records/links.py
@@ -5,9 +5,10 @@
 
 import msgspec
 
+from cactusledge.records.frames import LENGTH
 from cactusledge.records.gateway_messages import Relay, Relayed
 from cactusledge.records.messages import ENVELOPE_DECODER, Body
-from cactusledge.records.transport import LENGTH, Peer
+from cactusledge.records.peer import Peer
 
 
 class Link(Protocol):
--- /dev/null
+++ b/cactusledge/records/message_server.py
@@ -0,0 +1,81 @@
+"""Serves the messages of other instances over TCP, on asyncio."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from cactusledge.models import Address
+from cactusledge.records.frames import FrameProtocol, encode_frame
+from cactusledge.records.messages import Body, Envelope, Failed, Ping, Pong
+
+BACKLOG = 256  # connections waiting to be accepted
+
+Handler = Callable[[Body], Awaitable[Body]]
+
+
+class ServerProtocol(FrameProtocol):
+    """Serves one connection of a peer."""
+
+    def __init__(
+        self, handler: Handler, open_connections: set['ServerProtocol']
+    ) -> None:
+        """Keeps the handler; each request runs in a task of its own."""
+        super().__init__()
+        self._handler = handler
+        self._open = open_connections
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Notes the connection."""
+        super().connection_made(transport)
+        self._open.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forgets the connection."""
+        self._open.discard(self)
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Starts the request."""
+        task = asyncio.ensure_future(self._serve(envelope))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, envelope: Envelope) -> None:
+        if isinstance(envelope.body, Ping):
+            self._send(envelope.number, Pong())
+            return
+        try:
+            reply = await self._handler(envelope.body)
+        except Exception as exc:
+            reply = Failed(f'{type(exc).__name__}: {exc}')
+        self._send(envelope.number, reply)
+
+    def _send(self, number: int, body: Body) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(encode_frame(number, body))
+
+
+class MessageServer:
+    """Listens for peers."""
+
+    def __init__(self, handler: Handler) -> None:
+        """Keeps the handler of all connections."""
+        self._handler = handler
+        self._open: set[ServerProtocol] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: Address) -> None:
+        """Opens the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._protocol, address.host, address.port, backlog=BACKLOG
+        )
+
+    def stop(self) -> None:
+        """Closes the port and all connections."""
+        if self._server is not None:
+            self._server.close()
+        for protocol in tuple(self._open):
+            protocol.close()
+
+    def _protocol(self) -> ServerProtocol:
+        return ServerProtocol(self._handler, self._open)
--- /dev/null
+++ b/cactusledge/records/peer.py
@@ -0,0 +1,150 @@
+"""A connection to another instance, kept up and watched for silence."""
+
+import asyncio
+import contextlib
+import itertools
+
+import structlog
+
+from cactusledge.models import Address
+from cactusledge.records.frames import FrameProtocol, encode_frame
+from cactusledge.records.messages import Body, Envelope, Ping
+
+CONNECT_TIMEOUT_S = 0.6
+RECONNECT_S = 0.3
+HEARTBEAT_S = 0.15
+USELESS_TRIES = 3
+SILENT_STEPS = 4  # heartbeats without a sign of life
+
+log = structlog.get_logger('records')
+
+
+class ClientProtocol(FrameProtocol):
+    """The caller's side of one connection."""
+
+    def __init__(self) -> None:
+        """Starts without requests."""
+        super().__init__()
+        self.pending: dict[int, asyncio.Future[Body]] = {}
+        self.silent_steps = 0  # heartbeats since anything was received
+
+    def data_received(self, data: bytes) -> None:
+        """Takes any bytes as a sign of life."""
+        self.silent_steps = 0
+        super().data_received(data)
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Hands the reply to its request; a late one is dropped."""
+        fut = self.pending.pop(envelope.number, None)
+        if fut is not None and not fut.done():
+            fut.set_result(envelope.body)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails the requests without a reply."""
+        self.transport = None
+        for fut in self.pending.values():
+            if not fut.done():
+                fut.set_exception(ConnectionError('connection lost'))
+        self.pending.clear()
+
+
+class Peer:
+    """Connection to another instance, made anew whenever it is lost."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, name: str, address: Address) -> None:
+        """Keeps the address; `start` connects."""
+        self.name = name
+        self.address = address
+        self._protocol: ClientProtocol | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._failed_tries = 0  # to connect, in a row
+
+    @property
+    def is_useless(self) -> bool:
+        """Whether several tries to connect have failed in a row."""
+        return self._failed_tries >= USELESS_TRIES
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection is open, as far as is known."""
+        protocol = self._protocol
+        return protocol is not None and protocol.transport is not None
+
+    def start(self) -> None:
+        """Connects, and again after each loss."""
+        if self._task is None:
+            self._task = asyncio.ensure_future(self._keep_connected())
+
+    def stop(self) -> None:
+        """Closes the connection for good."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+        self.drop()
+
+    def drop(self) -> None:
+        """Gives the connection up; the next one is made at once."""
+        protocol = self._protocol
+        if protocol is not None and protocol.transport is not None:
+            protocol.transport.abort()
+
+    @classmethod
+    def prepare(cls, body: Body) -> tuple[int, bytes]:
+        """Returns a request's number and bytes, to send to several peers."""
+        number = next(cls._numbers)
+        return number, encode_frame(number, body)
+
+    def send(self, number: int, content: bytes) -> asyncio.Future[Body]:
+        """Sends a prepared request; the future fails with the connection."""
+        fut: asyncio.Future[Body] = asyncio.get_running_loop().create_future()
+        protocol = self._protocol
+        if protocol is None or protocol.transport is None:
+            fut.set_exception(ConnectionError(f'{self.name} not connected'))
+            return fut
+        protocol.pending[number] = fut
+        protocol.transport.write(content)
+        return fut
+
+    async def call(self, body: Body, timeout_s: float) -> Body:
+        """Returns the reply.
+
+        Raises:
+            ConnectionError: There is no connection, or it was lost.
+            TimeoutError: No reply came in time.
+        """
+        number, content = self.prepare(body)
+        async with asyncio.timeout(timeout_s):
+            return await self.send(number, content)
+
+    async def _keep_connected(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            self._failed_tries += 1
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    opened = await loop.create_connection(
+                        ClientProtocol, self.address.host, self.address.port
+                    )
+                    self._protocol = opened[1]
+                    self._failed_tries = 0
+            await self._beat()
+            await asyncio.sleep(RECONNECT_S)
+
+    async def _beat(self) -> None:
+        """Pings while the connection lasts; gives up a silent one.
+
+        Steps are counted, not time: a process that was paused finds what has
+        arrived meanwhile before it counts the next step.
+        """
+        protocol = self._protocol
+        while protocol is not None and protocol.transport is not None:
+            if protocol.silent_steps >= SILENT_STEPS:
+                log.info('records: connection silent', peer=self.name)
+                self.drop()
+                return
+            if protocol.silent_steps:
+                protocol.transport.write(self.prepare(Ping())[1])
+            protocol.silent_steps += 1
+            await asyncio.sleep(HEARTBEAT_S)
--- a/cactusledge/records/peers.py
+++ b/cactusledge/records/peers.py
@@ -4,8 +4,8 @@
 from cactusledge.records.entries import EMPTY_GROUP, Group, Member
 from cactusledge.records.holders import rank
 from cactusledge.records.links import Detour, Link
+from cactusledge.records.peer import Peer
 from cactusledge.records.quorum import is_quorum
-from cactusledge.records.transport import Peer
 
 
 class GroupPeers:
--- a/cactusledge/records/relays.py
+++ b/cactusledge/records/relays.py
@@ -16,8 +16,8 @@
     Relay,
     Relayed,
 )
+from cactusledge.records.peer import Peer
 from cactusledge.records.peers import GroupPeers
-from cactusledge.records.transport import Peer
 
 STEP_S = 0.25
 HELLO_STEPS = 12  # steps between two greetings
--- a/cactusledge/records/round.py
+++ b/cactusledge/records/round.py
@@ -6,8 +6,8 @@
 
 from cactusledge.records.links import Link
 from cactusledge.records.messages import Body, StaleGroup
+from cactusledge.records.peer import Peer
 from cactusledge.records.quorum import ReplyType, standing
-from cactusledge.records.transport import Peer
 
 FULL_HOUSE_WAIT_S = 0.006  # for the last replies, once a quorum has answered
 
--- a/cactusledge/telemetry/explaining.py
+++ b/cactusledge/telemetry/explaining.py
@@ -9,12 +9,13 @@
 REQUEST_KEYS = ('request_id', 'turn_id')
 CONTEXT_EVENTS = (
     'data centres cut off',
+    'data centres in reach',
     'quorum lost',
     'group adopted',
     'configuration applied',
     'endpoint gone',
-    'platform lost',
-    'platform regained',
+    'platform: lost',
+    'platform: regained',
     'stopping',
     'started',
 )
--- a/tests/records_support.py
+++ b/tests/records_support.py
@@ -12,10 +12,10 @@
 from cactusledge.records.group_objects import GroupObjects
 from cactusledge.records.keeper import GroupKeeper
 from cactusledge.records.log import RecordLog
+from cactusledge.records.message_server import MessageServer
 from cactusledge.records.quorum import Demand
 from cactusledge.records.reservations import TurnStart
 from cactusledge.records.store import RecordStore
-from cactusledge.records.transport import MessageServer
 
 WAIT_S = 8.0
 STEP_S = 0.02
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -120,11 +120,11 @@
         with capture_logs() as lines:
             caller = await scene.call('/once/x')
             await caller.read()
-        closing = lines[-1]
-        assert closing['event'] == 'gateway: request ended'
-        assert closing['endpoint_id'] == 'e0'
-        assert closing['attempts'] == 1
-        assert closing['log_level'] == 'warning'
+            closing = lines[-1]
+            assert closing['event'] == 'gateway: request ended'
+            assert closing['endpoint_id'] == 'e0'
+            assert closing['attempts'] == 1
+            assert closing['log_level'] == 'warning'
 
     play(scenario, Endpoint(BROKEN[0], closes=True))
 
--- a/tests/test_records_relays.py
+++ b/tests/test_records_relays.py
@@ -13,9 +13,10 @@
 from cactusledge.records import keeper
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Member, Turn
+from cactusledge.records.message_server import MessageServer
+from cactusledge.records.peer import Peer
 from cactusledge.records.quorum import Verdict
 from cactusledge.records.relays import Relays
-from cactusledge.records.transport import MessageServer, Peer
 from tests.records_support import cluster_of, free_port, start_of, until
 
 pytestmark = pytest.mark.process
