Count an endpoint's own errors against it

Ruled out: sending such a turn again (it has run), ejecting for any single error (a plain service answers some calls with 500; a moving average weighs one among many little).

Change: the share of own errors, forgotten within about 10 s, is weighed when an endpoint is chosen. A 504 does not count: it tells of the deadline that the request came with. Tests in tests/test_gateway_parts.py, failed before.

--- a/benchmarks/capacity_members.py
+++ b/benchmarks/capacity_members.py
@@ -56,7 +56,7 @@
     def change(self, generation: int) -> None:
         """Has all members tell of a new generation."""
         for name, state in self._states.items():
-            entries = member_state((), generation)
+            entries = member_state((), generation, accepts=True)
             version = state.me.version + 1
             me = state.me._replace(version=version, state=entries)
             self._states[name] = state._replace(me=me)
@@ -99,7 +99,7 @@
 
 def _view(number: int) -> MemberView:
     centre = f'data-centre-{number % DATA_CENTRES}'
-    state = member_state((f'{centre}-0',), 1)
+    state = member_state((f'{centre}-0',), 1, accepts=True)
     return MemberView(
         f'{centre}-{number}', '10.0.0.1', 1, centre, time.time_ns(), state=state
     )
--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -17,6 +17,7 @@
     Me,
     Neighbours,
     generation_of,
+    member_state,
 )
 from cactusledge.programs.peer_handler import EntryPeerHandler, HandlerParts
 from cactusledge.settings.peer_reports import reported_peers
@@ -59,7 +60,8 @@
         """Tells the peers of this instance's logs and generation."""
         generation = self.base.config.current().generation
         names = self.programs.table.names()
-        state = self.neighbours.state(names, generation)
+        accepts = self.neighbours.accepts
+        state = member_state(names, generation, accepts=accepts)
         for key, data in state.items():
             self.membership.set_state(key, data)
 
--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -1,5 +1,6 @@
 """Serves calls of plain services: one whole answer for one request."""
 
+import asyncio
 import http
 
 from cactusledge.gateway.answers import give_up, pass_on, refuse
@@ -51,4 +52,9 @@
 
 def _choose(attempts: Attempts) -> Replica | None:
     fleet = attempts.fleet
-    return choose_service(attempts.candidates(), fleet.loads, fleet.data_centre)
+    return choose_service(
+        attempts.candidates(),
+        fleet.loads,
+        fleet.data_centre,
+        asyncio.get_running_loop().time(),
+    )
--- a/cactusledge/gateway/loads.py
+++ b/cactusledge/gateway/loads.py
@@ -12,6 +12,8 @@
 FIRST_LATENCY_MS = 20.0
 FIRST_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
+ERROR_WEIGHT = 0.3  # of the newest answer in the share of errors
+FORGET_ERRORS_S = 10.0
 SLOW_SHARE = 1.5  # times the usual latency that count as usual
 FORGET_S = 3.0  # until a slow endpoint is tried again
 GONE_KEPT = 200  # endpoints that are not listed
@@ -29,6 +31,8 @@
         self.latency_ms = float(FIRST_LATENCY_MS)  # a unit of work
         self._measured_s = float(0)  # when it was last measured
         self.failures = 0  # in a row
+        self._errors = float(0)  # share of answers, moving average
+        self._judged_s = float(0)  # when an answer was last judged
         self.ejected_until_s = float(0)
         self._parts: OrderedDict[str, int] = OrderedDict()  # tokens by id
 
@@ -49,6 +53,17 @@
         excess_ms = max(0, self.latency_ms - SLOW_SHARE * usual_ms)
         return excess_ms * math.exp(-age_s / FORGET_S)
 
+    def judge(self, now_s: float, *, is_error: bool) -> None:
+        """Takes in whether an answer was an error of the endpoint's own."""
+        known = self.error_share(now_s)
+        self._errors = known + ERROR_WEIGHT * (is_error - known)
+        self._judged_s = now_s
+
+    def error_share(self, now_s: float) -> float:
+        """Returns the share of answers that were errors, forgotten in time."""
+        age_s = max(0, now_s - self._judged_s)
+        return self._errors * math.exp(-age_s / FORGET_ERRORS_S)
+
     def failed(self, now_s: float) -> None:
         """Takes a failure; the endpoint is avoided for a while."""
         self.failures += 1
--- a/cactusledge/gateway/placement.py
+++ b/cactusledge/gateway/placement.py
@@ -9,6 +9,7 @@
 
 READ_TOKENS_PER_MS = 160.0  # prompt tokens that an engine reads
 DELAYED_SHARE = 0.5  # of the requests on an engine that wait for a chunk
+FAILURE_MS = 2000.0  # what an error of the endpoint costs the caller
 QUEUE_MS = 350.0  # until a full engine frees all of its slots once
 CROWDING_MS = 30.0  # added to a turn by an engine that is nearly full
 TURN_UNITS = 18  # units of work of a usual turn
@@ -33,6 +34,7 @@
             reading_ms(load.missing_tokens(parts), load.total)
             + wait_ms(load.total, replica.slots)
             + TURN_UNITS * load.excess_ms(usual_ms, now_s)
+            + FAILURE_MS * load.error_share(now_s)
             + REMOTE_MS * (replica.data_centre != here)
             + JITTER_MS * random.random()
         )
@@ -44,6 +46,7 @@
     candidates: Sequence[Replica],
     loads: Loads,
     here: str,
+    now_s: float,
 ) -> Replica | None:
     """Returns the replica of a plain service expected to answer first."""
 
@@ -51,7 +54,8 @@
         load = loads.of(replica.endpoint_id)
         remote = REMOTE_SHARE * (replica.data_centre != here)
         queued = load.total / max(1, replica.slots)
-        return load.latency_ms * (1 + remote + queued) + random.random()
+        busy_ms = load.latency_ms * (1 + remote + queued)
+        return busy_ms + FAILURE_MS * load.error_share(now_s) + random.random()
 
     return min(candidates, key=cost_ms, default=None)
 
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -1,6 +1,7 @@
 """Sends a call to endpoints until one has answered it or may have run it."""
 
 import asyncio
+import http
 import random
 from collections.abc import Callable, Generator
 from contextlib import contextmanager
@@ -128,7 +129,10 @@
             )
         if end is End.ANSWERED:
             took_ms = (loop.time() - started_s) * 1000
-            load.succeeded(took_ms / answer.size, loop.time())
+            is_error = is_own_error(answer)
+            load.judge(loop.time(), is_error=is_error)
+            if not is_error:
+                load.succeeded(took_ms / answer.size, loop.time())
         elif end is End.BROKEN:
             self._failed(replica)
         return Sent(replica, answer, end)
@@ -182,6 +186,16 @@
         self.fleet.loads.of(replica.endpoint_id).failed(now_s)
 
 
+def is_own_error(answer: WholeAnswer) -> bool:
+    """Returns whether an endpoint answered that it has failed.
+
+    A 504 tells of the deadline that the request came with.
+    """
+    status = answer.head.status if answer.head else 0
+    is_late = status == http.HTTPStatus.GATEWAY_TIMEOUT
+    return status >= http.HTTPStatus.INTERNAL_SERVER_ERROR and not is_late
+
+
 def status_of(sent: Sent) -> int:
     """Returns the endpoint's status, 0 if there was none."""
     return sent.answer.head.status if sent.answer.head else 0
--- a/cactusledge/programs/neighbours.py
+++ b/cactusledge/programs/neighbours.py
@@ -70,14 +70,6 @@
             if one.data_centre == self._me.data_centre and not one.leaving
         ]
 
-    def state(self, logs: Iterable[str], generation: int) -> dict[str, bytes]:
-        """Returns what this instance tells of itself with its heartbeats."""
-        return {
-            LOGS_KEY: SEPARATOR.join(logs).encode(),
-            GENERATION_KEY: str(generation).encode(),
-            ACCEPTS_KEY: ACCEPTING if self.accepts else NOT_ACCEPTING,
-        }
-
     def owner_of_log(self, log: str) -> PeerClient | None:
         """Returns who drives a log, or who should take it over.
 
@@ -133,6 +125,17 @@
         return client
 
 
+def member_state(
+    logs: Iterable[str], generation: int, *, accepts: bool
+) -> dict[str, bytes]:
+    """Returns what an instance tells of itself with its heartbeats."""
+    return {
+        LOGS_KEY: SEPARATOR.join(logs).encode(),
+        GENERATION_KEY: str(generation).encode(),
+        ACCEPTS_KEY: ACCEPTING if accepts else NOT_ACCEPTING,
+    }
+
+
 def generation_of(member: MemberView) -> int:
     """Returns the configuration generation that a member has in force."""
     return int((member.state or {}).get(GENERATION_KEY, b'0'))
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -178,11 +178,33 @@
         loads.of('slow').succeeded(400, 0)
         loads.of('sound').succeeded(20, 0)
     found = choose_service(
-        (replica('slow'), replica('sound', 'dc-b')), loads, HERE
+        (replica('slow'), replica('sound', 'dc-b')), loads, HERE, 0
     )
     assert found.endpoint_id == 'sound'
 
 
+def test_replica_that_fails_at_once_does_not_draw_the_load():
+    """The pattern: errors come fast, so the replica looks idle and quick."""
+    loads = Loads()
+    failing, sound = replica('failing'), replica('sound')
+    loads.of('failing').judge(0, is_error=True)
+    loads.of('sound').in_flight = 3
+    for choose in (
+        lambda now_s: choose_service((failing, sound), loads, HERE, now_s),
+        lambda now_s: choose_engine((failing, sound), loads, (), HERE, now_s),
+    ):
+        assert choose(0.1) == sound
+        assert choose(60) == failing
+
+
+def test_one_error_among_many_answers_weighs_little():
+    load = Loads().of('e')
+    load.judge(0, is_error=True)
+    for _ in range(20):
+        load.judge(0, is_error=False)
+    assert round(load.error_share(0), 2) == 0
+
+
 def test_failed_endpoint_is_avoided_while_others_are_left():
     loads = Loads()
     loads.of('e1').failed(now_s=10)
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -4,7 +4,12 @@
 
 from cactusledge.peers.messages import MemberView
 from cactusledge.peers.rendezvous import owner
-from cactusledge.programs.neighbours import ACCEPTS_KEY, Me, Neighbours
+from cactusledge.programs.neighbours import (
+    ACCEPTS_KEY,
+    Me,
+    Neighbours,
+    member_state,
+)
 from cactusledge.routing.types import GroupKey
 
 KEYS = [GroupKey('bole', 'booking-agent', index) for index in range(20)]
@@ -55,7 +60,10 @@
 def test_starting_instance_leaves_all_to_the_others(neighbours_of):
     neighbours = neighbours_of(member('entry-2'))
     assert all(map(neighbours.owner_of_group, KEYS))
-    assert neighbours.state((), 1)[ACCEPTS_KEY] == b'0'
     neighbours.accepts = True
     assert not all(map(neighbours.owner_of_group, KEYS))
-    assert neighbours.state((), 1)[ACCEPTS_KEY] == b'1'
+
+
+@pytest.mark.parametrize(('accepts', 'told'), [(False, b'0'), (True, b'1')])
+def test_instance_tells_whether_it_accepts_work(accepts, told):
+    assert member_state((), 1, accepts=accepts)[ACCEPTS_KEY] == told
