--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -12,6 +12,8 @@
 from cactusledge.peers.rendezvous import owner
 from cactusledge.peers.server import PeerServer
 from cactusledge.programs.neighbours import (
+    ACCEPTS_KEY,
+    NOT_ACCEPTING,
     Me,
     Neighbours,
     generation_of,
@@ -46,16 +48,23 @@
 
     def tick(self) -> None:
         """Tells the peers what changed, and learns newer configurations."""
+        self.announce()
         generation = self.base.config.current().generation
-        names = self.programs.table.names()
-        for key, data in member_state(names, generation).items():
-            self.membership.set_state(key, data)
         self.base.workers.submit(self.reporter.tick)
         newest = max(map(generation_of, self.membership.alive()), default=0)
         if newest > generation:
             self.base.config.hint(newest)
             self.base.workers.submit(self._fetch_config, generation)
 
+    def announce(self) -> None:
+        """Tells the peers of this instance's logs and generation."""
+        generation = self.base.config.current().generation
+        names = self.programs.table.names()
+        accepts = self.neighbours.accepts
+        state = member_state(names, generation, accepts=accepts)
+        for key, data in state.items():
+            self.membership.set_state(key, data)
+
     def leave(self) -> None:
         """Tells the peers that this instance takes no new work."""
         self.neighbours.leaving = True
@@ -102,6 +111,7 @@
             port=address.port,
             data_centre=base.data_centre,
             incarnation=time.time_ns() // NS_PER_MS,
+            state={ACCEPTS_KEY: NOT_ACCEPTING},
         ),
         peers.seeds,
         peers.heartbeat_interval_s,
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -1,6 +1,7 @@
 """What a gateway does beside its requests."""
 
 import asyncio
+from collections.abc import Collection
 
 import structlog
 
@@ -11,9 +12,9 @@
 from cactusledge.records.group_finder import GroupFinder
 from cactusledge.records.group_objects import GroupObjects
 from cactusledge.records.load_exchange import LoadExchange
+from cactusledge.records.message_server import MessageServer
 from cactusledge.records.reachability import silent_data_centres
 from cactusledge.records.relays import Relays
-from cactusledge.records.transport import MessageServer
 
 UPKEEP_S = 0.5
 PARTITION_STEP_S = 0.1
@@ -39,8 +40,7 @@
         self._load_exchange = LoadExchange(
             parts.instance,
             records.peers,
-            fleet.loads.own,
-            fleet.loads.take_others,
+            fleet.loads,
         )
         self._finder = GroupFinder(
             records, parts.seeds, GroupObjects(parts.objects)
@@ -72,9 +72,7 @@
             peers = self._records.peers
             cut_off = silent_data_centres(peers.group, peers.direct_names())
             if cut_off != self._fleet.partitions.cut_off:
-                log.warning(
-                    'gateway: data centres cut off', names=sorted(cut_off)
-                )
+                log_reach(cut_off)
             self._fleet.partitions.update(cut_off, loop.time())
             await asyncio.sleep(PARTITION_STEP_S)
 
@@ -87,6 +85,15 @@
     async def _keep_up(self) -> None:
         while True:
             self._fleet.pool.close_expired()
+            self._fleet.loads.keep_only(self._fleet.replicas.ids())
             self._measure()
             await self._finder.run()
             await asyncio.sleep(UPKEEP_S)
+
+
+def log_reach(cut_off: Collection[str]) -> None:
+    """Logs which data centres cannot be reached, or that all can be again."""
+    if cut_off:
+        log.warning('gateway: data centres cut off', names=sorted(cut_off))
+    else:
+        log.info('gateway: all data centres in reach')
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -14,7 +14,7 @@
 
 import structlog
 
-from cactusledge.gateway.answers import pass_on, refuse
+from cactusledge.gateway.answers import ANSWERED, give_up, pass_on, refuse
 from cactusledge.gateway.chains import (
     EMPTY_CHAIN,
     Chain,
@@ -152,9 +152,8 @@
         found = await attempts.connect(stream.choose)
         while found is not None:
             replica, conn = found
-            answer = stream.new_answer(self._fleet)
-            load = self._fleet.loads.of(replica.endpoint_id)
-            load.learn_parts(call.info.parts)
+            answer = stream.new_answer(self._fleet, replica)
+            self._fleet.loads.at(replica).learn_parts(call.info.parts)
             try:
                 sent = await attempts.exchange(replica, conn, answer, body)
             finally:
@@ -187,13 +186,13 @@
                 call.conn.break_off()
                 return Outcome(0, 'turn not recorded', endpoint_id, attempts)
             call.conn.end_stream()
-            return Outcome(status_of(sent), 'answered', endpoint_id, attempts)
+            return Outcome(status_of(sent), ANSWERED, endpoint_id, attempts)
         if call.conn.has_head:
             call.conn.break_off()
             return Outcome(0, 'stream broken', endpoint_id, attempts)
         if sent.end is End.ANSWERED:
             return pass_on(self._fleet, call, sent, attempts)
-        return refuse(call.conn, http.HTTPStatus.BAD_GATEWAY, 'answer broken')
+        return give_up(call, sent, attempts)
 
     async def _keep(self, call: Call, stream: 'TurnStream', sent: Sent) -> bool:
         """Returns whether the turn's record is durable."""
@@ -249,19 +248,26 @@
     def choose(self, attempts: Attempts) -> Replica | None:
         """Returns the engine to send the turn to."""
         fleet = attempts.fleet
+        candidates = attempts.candidates()
+        parts = self.call.info.parts
+        for replica in candidates:
+            if replica.endpoint_id == self.chain.endpoint_id:
+                fleet.loads.at(replica).learn_parts(parts)
         return choose_engine(
-            attempts.candidates(),
+            candidates,
             fleet.loads,
-            self.call.info.parts,
+            parts,
             fleet.data_centre,
             asyncio.get_running_loop().time(),
         )
 
-    def new_answer(self, fleet: Fleet) -> StreamAnswer:
+    def new_answer(self, fleet: Fleet, replica: Replica) -> StreamAnswer:
         """Returns a receiver that passes the events on to the caller."""
         conn = self.call.conn
+        parts = self.call.info.parts
 
         def on_start(answer: EndpointAnswer) -> None:  # noqa: WPS430
+            fleet.loads.note_read(replica, parts)
             headers = fleet.dialect.response_headers(answer.headers)
             conn.begin_stream(answer.status, headers)
 
