Test the segments against losses of power, write by write

A file that remembers what it was told since its last sync stands in for the segment; a loss of power keeps, drops or tears each of those writes by itself (hypothesis draws which), after batches of which the disk refuses some. What was told durable is read back from every such file, and nothing else but what was written. A torn document leaves the one before.

It passes when a refused write is not cut off: what such a write leaves is known entries, which do no harm. No change of the product.

--- /dev/null
+++ b/tests/test_records_power_loss.py
@@ -0,0 +1,150 @@
+"""Losses of power: each unsynced write is kept, dropped or torn by itself.
+
+The disk's actor runs on a file that remembers what was written since its last
+sync. A loss of power at any step leaves a file that holds what was synced,
+and of each later write any part or nothing; see the page on the platform's
+disks. What was told as durable has to be read back from every such file.
+"""
+
+import errno
+import itertools
+import tempfile
+from collections import Counter
+from contextlib import contextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cactusledge.records import disk
+
+ENTRY = st.binary(min_size=1, max_size=40)
+BATCHES = st.lists(st.lists(ENTRY, min_size=1, max_size=4), max_size=6)
+KEPT, DROPPED, TORN = 'kept', 'dropped', 'torn'
+
+
+class Write(NamedTuple):
+    """A write since the last sync."""
+
+    offset: int
+    content: bytes
+
+
+class ForgetfulFile:
+    """A segment whose unsynced writes a loss of power may undo."""
+
+    def __init__(self, path):
+        self.path = path
+        self.refuses = False  # the next sync fails, as on a full disk
+        self._synced = b''
+        self._content = b''
+        self._writes = []
+
+    def write(self, content):
+        self._writes.append(Write(len(self._content), bytes(content)))
+        self._content += bytes(content)
+        return len(content)
+
+    def truncate(self, size):
+        self._content = self._content[:size]
+
+    def fileno(self):
+        return self
+
+    def sync(self):
+        if self.refuses:
+            self.refuses = False
+            raise OSError(errno.ENOSPC, 'no space left on device')
+        self._synced = self._content
+        self._writes = []
+
+    def close(self):
+        """Leaves what was written as it is."""
+
+    def lose_power(self, draw):
+        """Puts on disk what a loss of power might leave."""
+        found = self._synced
+        for write in self._writes:
+            fate = draw(st.sampled_from((KEPT, DROPPED, TORN)))
+            content = write.content
+            if fate == TORN:
+                content = content[: draw(st.integers(0, len(content)))]
+            if fate == DROPPED:
+                continue
+            end = write.offset + len(content)
+            gap = bytes(max(0, write.offset - len(found)))
+            found = found[: write.offset] + gap + content + found[end:]
+        self.path.write_bytes(found)
+
+
+class Segments:
+    """Opens forgetful files in place of segments."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.files = []
+
+    @property
+    def last(self):
+        return self.files[-1]
+
+    def open_for(self, actor):
+        path = self.folder / f'{len(self.files):020d}.log'
+        self.files.append(ForgetfulFile(path))
+        actor._stream = self.last
+        actor._written = 0
+
+
+@contextmanager
+def forgetful_disk():
+    """A folder of a store, in which segments are forgetful files."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        pytest.MonkeyPatch.context() as patch,
+    ):
+        found = Segments(Path(folder))
+        disk.read_folder(found.folder, is_first_start=True)
+        patch.setattr(disk.os, 'fdatasync', ForgetfulFile.sync)
+        patch.setattr(
+            disk.DiskActor, '_open', lambda actor: found.open_for(actor)
+        )
+        yield found
+
+
+def append(actor, batch):
+    """Writes a batch; returns whether it was told durable."""
+    told = []
+    actor._append(disk.AppendBatch(list(batch), told.append))
+    return told == [None]
+
+
+@given(batches=BATCHES, data=st.data())
+def test_told_entries_outlive_a_loss_of_power(batches, data):
+    with forgetful_disk() as segments:
+        actor = disk.DiskActor(segments.folder)
+        durable = []
+        for batch in batches:
+            if segments.files:
+                segments.last.refuses = data.draw(st.booleans())
+            if append(actor, batch):
+                durable.extend(batch)
+        unsynced = data.draw(st.lists(ENTRY, max_size=3))
+        if segments.files:
+            segments.last.write(disk.frame_all(unsynced))
+        for segment in segments.files:
+            segment.lose_power(data.draw)
+        left = disk.read_folder(segments.folder, is_first_start=False).entries
+    written = [*unsynced, *itertools.chain.from_iterable(batches)]
+    assert not Counter(durable) - Counter(left)
+    assert not Counter(left) - Counter(written)
+
+
+@pytest.mark.parametrize('left_bytes', range(0, 60, 7))
+def test_torn_document_leaves_the_one_before(tmp_path, left_bytes):
+    before = disk.read_folder(tmp_path, is_first_start=True).identity
+    content = (tmp_path / disk.IDENTITY_FILE).read_bytes()
+    torn = tmp_path / f'{disk.IDENTITY_FILE}.new'
+    torn.write_bytes(content[:left_bytes])
+    assert disk.read_folder(tmp_path, is_first_start=False).identity == before
