Let writes of the fake disk fail half-way too

A write that the disk refuses may leave a part of itself. With that, the test of power losses fails when the disk's actor does not cut such a part off: whatever is synced behind a torn frame is not read back. No change of the product.

--- a/tests/test_records_power_loss.py
+++ b/tests/test_records_power_loss.py
@@ -23,6 +23,11 @@
 ENTRY = st.binary(min_size=1, max_size=40)
 BATCHES = st.lists(st.lists(ENTRY, min_size=1, max_size=4), max_size=6)
 KEPT, DROPPED, TORN = 'kept', 'dropped', 'torn'
+WRITE, SYNC = 'write', 'sync'
+
+
+def no_space():
+    return OSError(errno.ENOSPC, 'no space left on device')
 
 
 class Write(NamedTuple):
@@ -37,12 +42,17 @@
 
     def __init__(self, path):
         self.path = path
-        self.refuses = False  # the next sync fails, as on a full disk
+        self.refuses = ''  # what fails next, as on a full disk
+        self.room = 0  # bytes that a write which fails leaves
         self._synced = b''
         self._content = b''
         self._writes = []
 
     def write(self, content):
+        if self.refuses == WRITE:
+            self.refuses = ''
+            self.write(content[: self.room])
+            raise no_space()
         self._writes.append(Write(len(self._content), bytes(content)))
         self._content += bytes(content)
         return len(content)
@@ -54,9 +64,9 @@
         return self
 
     def sync(self):
-        if self.refuses:
-            self.refuses = False
-            raise OSError(errno.ENOSPC, 'no space left on device')
+        if self.refuses == SYNC:
+            self.refuses = ''
+            raise no_space()
         self._synced = self._content
         self._writes = []
 
@@ -120,21 +130,34 @@
     return told == [None]
 
 
+def trouble(segments, draw):
+    """Has the next write or sync of the present segment fail, or neither."""
+    if segments.files:
+        segments.last.refuses = draw(st.sampled_from(('', WRITE, SYNC)))
+        segments.last.room = draw(st.integers(0, 20))
+
+
+def lose_power(segments, draw):
+    """Cuts the power during a write; returns what was being written."""
+    unsynced = draw(st.lists(ENTRY, max_size=3))
+    if segments.files:
+        segments.last.refuses = ''
+        segments.last.write(disk.frame_all(unsynced))
+    for segment in segments.files:
+        segment.lose_power(draw)
+    return unsynced
+
+
 @given(batches=BATCHES, data=st.data())
 def test_told_entries_outlive_a_loss_of_power(batches, data):
     with forgetful_disk() as segments:
         actor = disk.DiskActor(segments.folder)
         durable = []
         for batch in batches:
-            if segments.files:
-                segments.last.refuses = data.draw(st.booleans())
+            trouble(segments, data.draw)
             if append(actor, batch):
                 durable.extend(batch)
-        unsynced = data.draw(st.lists(ENTRY, max_size=3))
-        if segments.files:
-            segments.last.write(disk.frame_all(unsynced))
-        for segment in segments.files:
-            segment.lose_power(data.draw)
+        unsynced = lose_power(segments, data.draw)
         left = disk.read_folder(segments.folder, is_first_start=False).entries
     written = [*unsynced, *itertools.chain.from_iterable(batches)]
     assert not Counter(durable) - Counter(left)
