Open a segment again after its opening was refused

Cause, found by reading after the soak's full disks: the last segment was closed and kept as the present one while the next could not be opened. What was then cut off was a closed file, whose ValueError ended the disk's actor; every later write of that store waited for ever. The test hangs on the code before and passes now.

--- a/cactusledge/records/disk.py
+++ b/cactusledge/records/disk.py
@@ -180,8 +180,10 @@
         self._written += len(content)
 
     def _open(self) -> None:
-        if self._stream is not None:
-            self._stream.close()
+        stream = self._stream
+        self._stream = None  # also if the next segment cannot be opened
+        if stream is not None:
+            stream.close()
         name = f'{time.time_ns():020d}-{secrets.token_hex(2)}{SEGMENT_SUFFIX}'
         path = self._folder / name
         self._stream = path.open('ab', buffering=0)
--- a/tests/test_records_bad_disk.py
+++ b/tests/test_records_bad_disk.py
@@ -83,7 +83,7 @@
     assert len(found.entries) == 2
 
 
-def no_space(actor, content):
+def no_space(*_, **__):
     raise OSError(errno.ENOSPC, 'no space left on device')
 
 
@@ -144,3 +144,22 @@
             await until(lambda: node.is_witness)
 
     asyncio.run(scene())
+
+
+def test_segment_that_cannot_be_opened_is_opened_the_next_time(
+    tmp_path, monkeypatch
+):
+    """The disk has no room for a new file when the last segment is full."""
+    monkeypatch.setattr(disk, 'SEGMENT_BYTES', 1)
+
+    async def scene():
+        log = RecordLog(tmp_path, is_first_start=False)
+        await log.append((turn('t1'),))
+        with monkeypatch.context() as patch:
+            patch.setattr(disk.Path, 'open', no_space)
+            await refuse(log, turn('t2'))
+        await log.append((turn('t3'),))
+        log.stop()
+
+    asyncio.run(scene())
+    assert kept_turns(tmp_path) == {'t1', 't2', 't3'}
