Let a gateway that starts without the platform ask another one

Change: after a second without them it asks the other gateways, which the record stores name to it, for what they believe, the nearest first, and goes on with the platform's own lists once these come. A configuration is applied only if it is newer. A gateway greets the stores every step until it knows of another one. One function asks an instance once; the finder of the group uses it too.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -45,7 +45,7 @@
         )
         self.records = RecordClient(parts.instance, parts.data_centre)
         self.gateway = Gateway(self.fleet, self.records)
-        self._background = Background(parts, self.fleet, self.records)
+        self._background = Background(parts, self.gateway, self.records)
         self._watchers: list[Watcher] = []
         self._servers: list[asyncio.Server] = []
         self._stop_asked = asyncio.Event()
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -5,7 +5,8 @@
 
 import structlog
 
-from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.beliefs import BeliefExchange
+from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Member
@@ -26,10 +27,11 @@
     """Keeps connections, loads and what is believed of others up to date."""
 
     def __init__(
-        self, parts: GatewayParts, fleet: Fleet, records: RecordClient
+        self, parts: GatewayParts, gateway: Gateway, records: RecordClient
     ) -> None:
         """Builds the parts; nothing is opened yet."""
         self._address = parts.peers
+        fleet = gateway.fleet
         self._fleet = fleet
         self._records = records
         self._relays = Relays(
@@ -45,7 +47,8 @@
         self._finder = GroupFinder(
             records, parts.seeds, GroupObjects(parts.objects)
         )
-        self._messages = MessageServer(self._relays.handle)
+        self._beliefs = BeliefExchange(gateway, self._relays)
+        self._messages = MessageServer(self._beliefs.handle)
 
     async def start(self) -> None:
         """Opens the port for other gateways."""
@@ -88,6 +91,7 @@
             self._fleet.loads.keep_only(self._fleet.replicas.ids())
             self._measure()
             await self._finder.run()
+            await self._beliefs.run(asyncio.get_running_loop().time())
             await asyncio.sleep(UPKEEP_S)
 
 
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -76,6 +76,16 @@
     names: list[str]
 
 
+class AskBeliefs(Message, frozen=True):
+    """Asks a gateway for its configuration and endpoints."""
+
+
+class Beliefs(Message, frozen=True):
+    """What a gateway believes; the gateways' own encoding."""
+
+    content: bytes
+
+
 class Relay(Message, frozen=True):
     """Asks a gateway to pass a request on to a store."""
 
--- a/cactusledge/records/group_finder.py
+++ b/cactusledge/records/group_finder.py
@@ -1,6 +1,5 @@
 """Finds the group of record stores, for a gateway that has lost it."""
 
-import asyncio
 import time
 from collections.abc import Sequence
 
@@ -11,9 +10,8 @@
 from cactusledge.records.client import RecordClient
 from cactusledge.records.group_objects import GroupObjects
 from cactusledge.records.messages import Ask, Status
-from cactusledge.records.peer import Peer
+from cactusledge.records.peer import ask_once
 
-CONNECT_S = 0.1
 ASK_TIMEOUT_S = 0.4
 READ_EVERY_S = 2.0  # of the platform, which counts each call
 
@@ -51,16 +49,11 @@
             await self._read()
 
     async def _ask(self, address: Address) -> None:
-        peer = Peer(f'seed {address}', address)
-        peer.start()
         try:
-            await asyncio.sleep(CONNECT_S)
-            reply = await peer.call(Ask(0), ASK_TIMEOUT_S)
+            reply = await ask_once(address, Ask(0), ASK_TIMEOUT_S)
         except (ConnectionError, TimeoutError):
             log.info('records: seed not reached', address=str(address))
             return
-        finally:
-            peer.stop()
         if isinstance(reply, Status):
             self._records.take_group(reply.group)
 
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -26,7 +26,7 @@
     is_witness: bool  # whether what it does not know does not exist
     spent: dict[str, tuple[int, bool]]  # turn -> (tokens, settled)
     knows_parent: bool
-    chain: list[Turn]  # oldest first, perhaps without text; [] if unknown
+    chain: list[Turn]  # oldest first, as far back as it is known
     log_id: str = ''  # of the disk that holds the reservation
     # Store -> its present log, of those that lost a disk of late.
     replaced: dict[str, str] = msgspec.field(default_factory=dict)
@@ -142,6 +142,7 @@
     | gateways.LoadReport
     | gateways.ShareLoads
     | gateways.AskReach
+    | gateways.AskBeliefs
     | gateways.Relay
     | Ping
 )
@@ -156,6 +157,7 @@
     | gateways.LoadSums
     | gateways.ReadNews
     | gateways.Reach
+    | gateways.Beliefs
     | gateways.Relayed
     | Pong
     | Failed
--- a/cactusledge/records/peer.py
+++ b/cactusledge/records/peer.py
@@ -10,6 +10,7 @@
 from cactusledge.records.frames import FrameProtocol, encode_frame
 from cactusledge.records.messages import Body, Envelope, Ping
 
+CONNECT_S = 0.1  # for a connection that is used once
 CONNECT_TIMEOUT_S = 0.6
 RECONNECT_S = 0.3
 HEARTBEAT_S = 0.15
@@ -148,3 +149,19 @@
                 protocol.transport.write(self.prepare(Ping())[1])
             protocol.silent_steps += 1
             await asyncio.sleep(HEARTBEAT_S)
+
+
+async def ask_once(address: Address, body: Body, timeout_s: float) -> Body:
+    """Returns the reply of an instance to which no connection is kept.
+
+    Raises:
+        ConnectionError: It was not reached soon enough.
+        TimeoutError: No reply came in time.
+    """
+    peer = Peer(str(address), address)
+    peer.start()
+    try:
+        await asyncio.sleep(CONNECT_S)
+        return await peer.call(body, timeout_s)
+    finally:
+        peer.stop()
--- a/cactusledge/records/peers.py
+++ b/cactusledge/records/peers.py
@@ -94,7 +94,12 @@
         return member is not None and member.data_centre == self.data_centre
 
     def _connect(self, name: str, member: Member) -> None:
-        host, _, port = member.address.rpartition(':')
-        peer = Peer(name, Address(host, int(port)))
+        peer = Peer(name, address_of(member))
         peer.start()
         self._peers[name] = peer
+
+
+def address_of(member: Member) -> Address:
+    """Returns where an instance takes messages."""
+    host, _, port = member.address.rpartition(':')
+    return Address(host, int(port))
--- a/cactusledge/records/relays.py
+++ b/cactusledge/records/relays.py
@@ -17,7 +17,7 @@
     Relayed,
 )
 from cactusledge.records.peer import Peer
-from cactusledge.records.peers import GroupPeers
+from cactusledge.records.peers import GroupPeers, address_of
 
 STEP_S = 0.25
 HELLO_STEPS = 12  # steps between two greetings
@@ -44,6 +44,10 @@
         """Whether there are gateways to ask."""
         return bool(self._gateways)
 
+    def neighbours(self) -> list[Address]:
+        """Returns the other gateways, near ones first."""
+        return [address_of(self._gateways[name]) for name in self._near_first()]
+
     async def handle(self, body: messages.Body) -> messages.Body:
         """Serves another gateway."""
         if isinstance(body, AskReach):
@@ -56,7 +60,7 @@
         """Greets the stores, and looks for a way while they are lost."""
         step = 0
         while True:
-            if not step % HELLO_STEPS:
+            if not step % HELLO_STEPS or not self._gateways:
                 await self._greet()
             if self._peers.has_direct_quorum:
                 self._forget_candidates()
@@ -111,21 +115,22 @@
     def _connect_candidates(self) -> None:
         """Connects to some gateways, those of other data centres last."""
         self._drop_useless()
-        near_first = sorted(
+        for name in self._near_first():
+            if len(self._candidates) >= CANDIDATES:
+                return
+            if name not in self._candidates:
+                peer = Peer(name, address_of(self._gateways[name]))
+                peer.start()
+                self._candidates[name] = peer
+
+    def _near_first(self) -> list[str]:
+        return sorted(
             self._gateways,
             key=lambda name: (
                 self._gateways[name].data_centre != self._me.data_centre,
                 name,
             ),
         )
-        for name in near_first:
-            if len(self._candidates) >= CANDIDATES:
-                return
-            if name not in self._candidates:
-                host, _, port = self._gateways[name].address.rpartition(':')
-                peer = Peer(name, Address(host, int(port)))
-                peer.start()
-                self._candidates[name] = peer
 
     def _drop_useless(self) -> None:
         """Makes room for others in place of what can not be reached."""
