Read a chain of which every store lacks a turn

Stores told a chain only if they knew all of it. A chain of several turns, of which each store lacked another one, was told by none: its program got 503 until its end, though every turn stood on three disks of four with its text on two.

Ruled out: lost texts (the play lists who has them), a group of another generation, a connection that was missing.

Change: a store tells a chain back to the first turn that it does not know; the gateway puts the parts together and asks on as long as that brings something new.

--- /dev/null
+++ b/cactusledge/records/chain_reading.py
@@ -0,0 +1,54 @@
+"""Puts a chain together from the parts that several stores know; pure."""
+
+from collections.abc import Iterable
+
+from cactusledge.records.entries import Turn
+
+
+class ChainReading:
+    """What is known so far of the chain that ends with a turn."""
+
+    def __init__(self, last_id: str) -> None:
+        """Starts with nothing but the id of the last turn."""
+        self._last_id = last_id
+        self._turns: dict[str, Turn] = {}
+
+    @property
+    def unknown(self) -> str:
+        """The youngest turn that is not known yet, '' if all are."""
+        turn_id = self._last_id
+        while turn_id in self._turns:
+            turn_id = self._turns[turn_id].parent_id
+        return turn_id
+
+    def is_whole(self) -> bool:
+        """Returns whether every turn is known with its text."""
+        return not self.unknown and not self.textless()
+
+    def textless(self) -> list[str]:
+        """Returns the turns that are known without their text."""
+        return [
+            turn_id
+            for turn_id, turn in self._turns.items()
+            if not turn.has_text
+        ]
+
+    def take(self, turns: Iterable[Turn]) -> bool:
+        """Takes turns of a store; returns whether they told something new."""
+        has_news = False
+        for turn in turns:
+            known = self._turns.get(turn.turn_id)
+            if known is None or (turn.has_text and not known.has_text):
+                self._turns[turn.turn_id] = turn
+                has_news = True
+        return has_news
+
+    def chain(self) -> tuple[Turn, ...]:
+        """Returns the chain as far back as it is known, oldest first."""
+        found: list[Turn] = []
+        turn = self._turns.get(self._last_id)
+        while turn is not None:
+            found.append(turn)
+            turn = self._turns.get(turn.parent_id)
+        found.reverse()
+        return tuple(found)
--- a/cactusledge/records/reservations.py
+++ b/cactusledge/records/reservations.py
@@ -7,6 +7,7 @@
 import structlog
 
 from cactusledge.records import entries, messages
+from cactusledge.records.chain_reading import ChainReading
 from cactusledge.records.links import Link
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.quorum import (
@@ -110,7 +111,13 @@
         Of two turns that reserve at once, at least the one whose first round
         ended last sees the other here.
         """
-        replies = await self._ask_all(self._query(start, wants_chain=False))
+        query = messages.Query(
+            self._peers.group.generation,
+            start.program_id,
+            start.demand.parent_id,
+            wants_chain=False,
+        )
+        replies = await self._ask_all(query)
         return decide(start.demand, replies, quorum(self._peers.group))
 
     async def _ask_all(
@@ -126,18 +133,39 @@
         return collected.replies
 
     async def _read_chain(self, start: TurnStart) -> tuple[entries.Turn, ...]:
-        """Reads the chain, from the nearest stores that have its texts."""
-        query = self._query(start, wants_chain=True)
-        chain: dict[str, entries.Turn] = {}
-        for peer in self._peers.nearest_first():
-            missing = [key for key, turn in chain.items() if not turn.has_text]
-            if chain and not missing:
-                break
-            request = self._fetch(missing) if missing else query
-            for turn in await self._turns_of(peer, request):
-                chain[turn.turn_id] = turn
-        is_whole = all(found.has_text for found in chain.values())
-        return tuple(chain.values()) if is_whole else ()
+        """Reads the chain, from the nearest stores that have its parts.
+
+        Stores are asked once more as long as that brings something new.
+        """
+        reading = ChainReading(start.demand.parent_id)
+        has_news = True
+        while has_news and not reading.is_whole():
+            has_news = False
+            for peer in self._peers.nearest_first():
+                if await self._read_from(peer, start, reading):
+                    has_news = True
+                if reading.is_whole():
+                    break
+        return reading.chain() if reading.is_whole() else ()
+
+    async def _read_from(
+        self, peer: Link, start: TurnStart, reading: ChainReading
+    ) -> bool:
+        """Asks a store for what is missing; returns whether it had some."""
+        has_news = False
+        if reading.unknown:
+            query = messages.Query(
+                self._peers.group.generation,
+                start.program_id,
+                reading.unknown,
+                wants_chain=True,
+            )
+            has_news = reading.take(await self._turns_of(peer, query))
+        if reading.textless():
+            request = self._fetch(reading.textless())
+            turns = await self._turns_of(peer, request)
+            has_news = reading.take(turns) or has_news
+        return has_news
 
     async def _turns_of(
         self, peer: Link, request: messages.Query | messages.Fetch
@@ -156,11 +184,3 @@
 
     def _fetch(self, turn_ids: list[str]) -> messages.Fetch:
         return messages.Fetch(self._peers.group.generation, turn_ids)
-
-    def _query(self, start: TurnStart, *, wants_chain: bool) -> messages.Query:
-        return messages.Query(
-            self._peers.group.generation,
-            start.program_id,
-            start.demand.parent_id,
-            wants_chain,
-        )
--- a/cactusledge/records/state.py
+++ b/cactusledge/records/state.py
@@ -29,15 +29,15 @@
     def chain(self, turn_id: str) -> list[Turn]:
         """Returns the chain that ends with a turn, oldest first.
 
-        Empty if a part of it is not known; texts may be missing.
+        It begins behind the first turn that is not known here; a record
+        stands on a majority, so each store may lack another one. Texts may
+        be missing.
         """
         chain: list[Turn] = []
-        while turn_id:
-            turn = self.turns.get(turn_id)
-            if turn is None:
-                return []
+        turn = self.turns.get(turn_id)
+        while turn is not None:
             chain.append(turn)
-            turn_id = turn.parent_id
+            turn = self.turns.get(turn.parent_id)
         chain.reverse()
         return chain
 
--- a/tests/test_records_cluster.py
+++ b/tests/test_records_cluster.py
@@ -194,3 +194,27 @@
         assert await verdict(cluster, 't3', tokens=60) is Verdict.SPENT
 
     play(3, scenario)
+
+
+@pytest.mark.parametrize('size', [3, 4])
+def test_chain_of_which_every_store_lacks_a_turn_is_read(play, size):
+    """Each store was down while one of the turns was recorded."""
+
+    async def scenario(cluster):
+        parent_id = ''
+        for index, name in enumerate(tuple(cluster.nodes)):
+            node = cluster.nodes[name]
+            await node.kill()
+            await until(lambda: len(cluster.client.peers.connected()) < size)
+            assert await cluster.client.record(turn(f't{index}', parent_id))
+            await node.start()
+            await until(lambda: len(cluster.client.peers.connected()) == size)
+            parent_id = f't{index}'
+        for index, node in enumerate(cluster.nodes.values()):
+            assert f't{index}' not in node.store.log.state.turns
+        grant = await cluster.client.begin(start_of('next', parent_id))
+        assert grant.verdict is Verdict.GRANTED
+        found = [one.turn_id for one in grant.chain]
+        assert found == [f't{index}' for index in range(size)]
+
+    play(size, scenario)
