Soak the record stores with troubles drawn from a seed

`make soak` plays 50 seeds, each with kills, lost disks, full disks, added stores and a platform that does not answer, under six programs; what callers were told is checked against what the stores tell in the end.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Tests of faults that are known and listed with their cause; see KNOWN-RED.txt.
 KNOWN_RED := $(shell sed -n 's/^test: /--deselect=/p' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: test demo lint model bench path load capacity clean
+.PHONY: test soak demo lint model bench path load capacity clean
 
 $(STAMP): requirements/run.txt requirements/dev.txt
 	test -x $(PY) || python3 -m venv .venv
@@ -14,6 +14,10 @@
 test: $(STAMP)
 	$(PY) -m pytest -n 6 --dist worksteal $(KNOWN_RED)
 
+# Random troubles on the record stores; takes a few minutes.
+soak: $(STAMP)
+	$(PY) -m tests.soak --seeds 50
+
 demo: $(STAMP)
 	$(PY) -m examples.demo
 
--- a/tests/records_support.py
+++ b/tests/records_support.py
@@ -1,11 +1,13 @@
 """Record stores in one event loop, with folders that can be lost."""
 
 import asyncio
+
 import shutil
 import socket
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
+from cactusledge.errors import StoreError
 from cactusledge.models import Address
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Member
@@ -19,6 +21,7 @@
 
 WAIT_S = 8.0
 STEP_S = 0.02
+FOLLOW_S = 0.5
 
 
 def free_port():
@@ -48,7 +51,7 @@
         self.keeper = None
         self._objects = objects
         self._server = None
-        self._task = None
+        self._tasks = ()
 
     async def start(self, *, is_first_start=False):
         log = RecordLog(self.folder, is_first_start=is_first_start)
@@ -62,10 +65,14 @@
         )
         self._server = MessageServer(self.store.handle)
         await self._server.start(self.address)
-        self._task = asyncio.ensure_future(self.keeper.run())
+        self._tasks = tuple(
+            asyncio.ensure_future(work)
+            for work in (self.keeper.run(), self._follow())
+        )
 
     async def kill(self):
-        self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
         self._server.stop()
         self.keeper.peers.stop()
         self.store.log.stop()
@@ -78,6 +85,15 @@
     def is_witness(self):
         return self.store.log.identity.is_witness
 
+    async def _follow(self):
+        """Stands in for the store's watch of the published group."""
+        while True:
+            await asyncio.sleep(FOLLOW_S)
+            with suppress(StoreError):
+                published = await GroupObjects(self._objects).read()
+                if published is not None:
+                    self.keeper.take_group(published.group)
+
 
 class Cluster:
     """A group of stores and one client."""
