--- a/cactusledge/cli/app.py
+++ b/cactusledge/cli/app.py
@@ -9,11 +9,13 @@
 from collections.abc import Callable, Mapping
 from importlib import import_module
 from types import MappingProxyType
-from typing import Any
+from typing import Annotated, Any
 
 import typer
 from typer.core import TyperGroup
 
+from cactusledge import __version__
+from cactusledge.environment import PROGRAM_NAME
 from cactusledge.status import ExitStatus
 
 # A command's name and the module that holds its `command` function.
@@ -68,8 +70,25 @@
 )
 
 
+def _print_version(*, is_asked: bool) -> None:
+    if is_asked:
+        typer.echo(f'{PROGRAM_NAME} {__version__}')
+        raise typer.Exit
+
+
 @app.callback()
-def _root() -> None:
+def _root(
+    *,
+    version: Annotated[
+        bool,
+        typer.Option(
+            '--version',
+            help='Print the version.',
+            is_eager=True,
+            callback=lambda is_asked: _print_version(is_asked=is_asked),
+        ),
+    ] = False,
+) -> None:
     """Keeps the group a group, whatever the number of its commands."""
 
 
--- a/tests/records_support.py
+++ b/tests/records_support.py
@@ -1,7 +1,6 @@
 """Record stores in one event loop, with folders that can be lost."""
 
 import asyncio
-
 import shutil
 import socket
 from contextlib import asynccontextmanager, suppress
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cactusledge import __version__
 from cactusledge.cli import app as cli
 from cactusledge.cli.fetching import InstanceUnreachableError
 from cactusledge.settings.configuration import hash_token
@@ -168,3 +169,7 @@
         sleep=lambda pause_s: store.put('instancestatuses', 'a', body),
     )
     assert waited.status is ExitStatus.OK
+
+
+def test_version_is_printed(run):
+    assert run('--version').out == f'cactusledge {__version__}\n'
--- a/tests/test_records_bad_disk.py
+++ b/tests/test_records_bad_disk.py
@@ -83,7 +83,7 @@
     assert len(found.entries) == 2
 
 
-def no_space(*_, **__):
+def no_space(*_args, **_options):
     raise OSError(errno.ENOSPC, 'no space left on device')
 
 
