Name the endpoint, the attempts and the first event in every closing line

Cause, from eight failed requests looked up in their logs: a timeout and a caller that left said no endpoint and 0 attempts, no line told when the first event came, and `explain` ended with "answered" for an endpoint's own 500.

Change: a request's progress is kept beside it and told by its closing line, however it ends; outcomes and the functions that end a call no longer carry it. Tests in tests/test_gateway_path.py and tests/test_explain.py failed before.

--- a/cactusledge/cli/explain.py
+++ b/cactusledge/cli/explain.py
@@ -12,6 +12,7 @@
 from cactusledge.status import ExitStatus
 from cactusledge.telemetry.explaining import (
     Explanation,
+    cause,
     describe,
     explain,
     read_lines,
@@ -63,5 +64,5 @@
     if found.decision is None:
         lines.append('It has not ended in these logs.')
     else:
-        lines.append(f'Ended by: {found.decision.get("reason", "")}')
+        lines.append(f'Ended by: {cause(found.decision)}')
     return lines
--- a/cactusledge/gateway/answers.py
+++ b/cactusledge/gateway/answers.py
@@ -9,20 +9,18 @@
 ANSWERED = 'answered'  # the reason of an endpoint's own answer
 
 
-def pass_on(fleet: Fleet, call: Call, sent: Sent, attempts: int) -> Outcome:
+def pass_on(fleet: Fleet, call: Call, sent: Sent) -> Outcome:
     """Passes a whole answer on."""
     status = status_of(sent)
     head = sent.answer.head
     headers = fleet.dialect.response_headers(head.headers) if head else b''
     call.conn.answer(status, headers, sent.answer.body)
-    return Outcome(status, ANSWERED, sent.replica.endpoint_id, attempts)
+    return Outcome(status, ANSWERED)
 
 
-def give_up(call: Call, sent: Sent | None, attempts: int) -> Outcome:
+def give_up(call: Call) -> Outcome:
     """Answers a call that may have run, without saying how it ended."""
-    outcome = refuse(call.conn, http.HTTPStatus.BAD_GATEWAY, 'answer broken')
-    endpoint_id = sent.replica.endpoint_id if sent else ''
-    return outcome._replace(endpoint_id=endpoint_id, attempts=attempts)
+    return refuse(call.conn, http.HTTPStatus.BAD_GATEWAY, 'answer broken')
 
 
 def refuse(
--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -22,9 +22,9 @@
         may_have_run = may_have_run or sent.end is End.BROKEN
         sent = await _attempt(attempts)
     if sent is not None and sent.end is End.ANSWERED:
-        return pass_on(fleet, call, sent, len(attempts.offered))
+        return pass_on(fleet, call, sent)
     if sent is not None or may_have_run:
-        return give_up(call, sent, len(attempts.offered))
+        return give_up(call)
     return refuse(
         call.conn,
         http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -26,6 +26,15 @@
     metrics: Metrics
 
 
+class Progress:
+    """How far a request has come; its closing line tells."""
+
+    def __init__(self) -> None:
+        """Starts before the first attempt."""
+        self.offered: list[str] = []  # endpoints that it was sent to, in order
+        self.first_event_ms: float | None = None  # since it was received
+
+
 class Call(NamedTuple):
     """One request on its way."""
 
@@ -35,6 +44,7 @@
     table: RouteTable
     conn: Responder
     ends_s: float  # when the caller or the route gives up; loop's clock
+    progress: Progress
 
     def left_ms(self) -> float:
         """Returns the time that is left."""
@@ -52,6 +62,4 @@
 
     status: int  # 0 for a connection that was closed
     reason: str
-    endpoint_id: str = ''
-    attempts: int = 0
     retry_after_s: float | None = None
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -9,7 +9,7 @@
 
 from cactusledge.gateway.answers import ANSWERED, refuse
 from cactusledge.gateway.calls import serve_call
-from cactusledge.gateway.context import Call, Fleet, Outcome
+from cactusledge.gateway.context import Call, Fleet, Outcome, Progress
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.messages import (
     CallInfo,
@@ -63,10 +63,13 @@
         table = self.table
         route = table.find(info.host, info.path) if table else None
         outcome = Outcome(0, 'caller left')
+        progress = Progress()
         try:
-            outcome = await self._dispatch(request, info, conn, table, route)
+            outcome = await self._dispatch(
+                request, info, conn, table, route, progress
+            )
         finally:
-            self._log(request, info, route, outcome)
+            self._log(request, info, route, outcome, progress)
 
     async def _dispatch(
         self,
@@ -75,6 +78,7 @@
         conn: Responder,
         table: RouteTable | None,
         route: Route | None,
+        progress: Progress,
     ) -> Outcome:
         if table is None:
             return refuse(
@@ -86,7 +90,13 @@
         if route is None:
             return refuse(conn, http.HTTPStatus.NOT_FOUND, 'no route')
         call = Call(
-            request, info, route, table, conn, ends_s(request, info, route)
+            request,
+            info,
+            route,
+            table,
+            conn,
+            ends_s(request, info, route),
+            progress,
         )
         return await self._serve_in_time(call)
 
@@ -109,6 +119,7 @@
         info: CallInfo,
         route: Route | None,
         outcome: Outcome,
+        progress: Progress,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
         took_s = now_s - request.received_s
@@ -126,6 +137,9 @@
             route=route.name if route else '',
             version=self.table.cfg.version if self.table else 0,
             ms=round(took_s * MS, 1),
+            first_event_ms=progress.first_event_ms,
+            endpoint_id=progress.offered[-1] if progress.offered else '',
+            attempts=len(progress.offered),
             **outcome._asdict(),
         )
 
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -98,6 +98,7 @@
         """
         self.offered.add(replica.endpoint_id)
         self._tried.add(replica.endpoint_id)
+        self.call.progress.offered.append(replica.endpoint_id)
         load = self.fleet.loads.of(replica.endpoint_id)
         log.info(
             'gateway: request sent',
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -159,9 +159,7 @@
             finally:
                 stream.count(answer)
             if sent.end is not End.NOT_RUN:
-                return await self._end(
-                    call, stream, sent, len(attempts.offered)
-                )
+                return await self._end(call, stream, sent)
             found = await attempts.connect(stream.choose)
         return refuse(
             call.conn,
@@ -175,24 +173,22 @@
         call: Call,
         stream: 'TurnStream',
         sent: Sent,
-        attempts: int,
     ) -> Outcome:
         """Ends the caller's answer as the engine's has ended."""
-        endpoint_id = sent.replica.endpoint_id
         if succeeded(sent):
             if call.route.keeps_turns and not await self._keep(
                 call, stream, sent
             ):
                 call.conn.break_off()
-                return Outcome(0, 'turn not recorded', endpoint_id, attempts)
+                return Outcome(0, 'turn not recorded')
             call.conn.end_stream()
-            return Outcome(status_of(sent), ANSWERED, endpoint_id, attempts)
+            return Outcome(status_of(sent), ANSWERED)
         if call.conn.has_head:
             call.conn.break_off()
-            return Outcome(0, 'stream broken', endpoint_id, attempts)
+            return Outcome(0, 'stream broken')
         if sent.end is End.ANSWERED:
-            return pass_on(self._fleet, call, sent, attempts)
-        return give_up(call, sent, attempts)
+            return pass_on(self._fleet, call, sent)
+        return give_up(call)
 
     async def _keep(self, call: Call, stream: 'TurnStream', sent: Sent) -> bool:
         """Returns whether the turn's record is durable."""
@@ -267,6 +263,7 @@
         parts = self.call.info.parts
 
         def on_start(answer: EndpointAnswer) -> None:  # noqa: WPS430
+            self.call.progress.first_event_ms = round(self.call.age_ms(), 1)
             fleet.loads.note_read(replica, parts)
             headers = fleet.dialect.response_headers(answer.headers)
             conn.begin_stream(answer.status, headers)
--- a/cactusledge/telemetry/explaining.py
+++ b/cactusledge/telemetry/explaining.py
@@ -6,6 +6,7 @@
 
 LINE_START = '{'
 ENDED = 'gateway: request ended'
+ANSWERED = 'answered'  # the reason of an endpoint's own answer
 REQUEST_KEYS = ('request_id', 'turn_id')
 CONTEXT_EVENTS = (
     'data centres cut off',
@@ -95,3 +96,12 @@
     )
     when = str(line.get('timestamp', ''))
     return f'{when} {line.get("instance", "")} {line["event"]} {fields}'
+
+
+def cause(decision: Line) -> str:
+    """Returns what ended a request, in words."""
+    reason = str(decision.get('reason', ''))
+    if reason != ANSWERED:
+        return reason
+    endpoint_id = decision.get('endpoint_id', '')
+    return f'status {decision.get("status", "")} from endpoint {endpoint_id}'
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -40,6 +40,15 @@
         reason='answer broken',
     ),
 )
+ENDPOINT_FAILED = (
+    line(
+        'gateway: request ended',
+        request_id='r1',
+        status=500,
+        reason='answered',
+        endpoint_id='e1',
+    ),
+)
 OUT_OF_BUDGET = (
     line(
         'gateway: tokens asked for',
@@ -76,6 +85,7 @@
         (REFUSED, 'unsure: no quorum connected'),
         (ANSWER_LOST, 'answer broken'),
         (OUT_OF_BUDGET, 'spent: 4 of 4 stores'),
+        (ENDPOINT_FAILED, 'status 500 from endpoint e1'),
     ],
 )
 def test_decision_that_ended_the_request_is_named(explain, lines, reason):
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -129,6 +129,21 @@
     play(scenario, Endpoint(BROKEN[0], closes=True))
 
 
+def test_line_of_a_late_answer_names_the_endpoint():
+    async def scenario(scene):
+        with capture_logs() as lines:
+            caller = await scene.call('/short/x')
+            status, _, _ = await caller.read()
+            closing = lines[-1]
+            assert status == closing['status'] == 504
+            assert closing['reason'] == 'timeout'
+            assert closing['endpoint_id'] == 'e0'
+            assert closing['attempts'] == 1
+            assert closing['first_event_ms'] is None
+
+    play(scenario, Endpoint(lambda head: None))
+
+
 @pytest.mark.parametrize('reply', BROKEN)
 def test_broken_answer_to_an_idempotent_call_is_asked_for_elsewhere(reply):
     async def scenario(scene):
