Measure the gateway's own cost on the loopback

`python -m benchmarks.gateway_path` (make gateway-path): turns of 14 events through a gateway, three record stores and a stand-in of an engine, each in a process of its own.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Tests of faults that are known and listed with their cause; see KNOWN-RED.txt.
 KNOWN_RED := $(shell sed -n 's/^test: /--deselect=/p' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: test soak demo lint model bench path load capacity clean
+.PHONY: test soak demo lint model bench path gateway-path load capacity clean
 
 $(STAMP): requirements/run.txt requirements/dev.txt
 	test -x $(PY) || python3 -m venv .venv
@@ -37,6 +37,9 @@
 path: $(STAMP)
 	$(PY) -m benchmarks.path_cost
 
+gateway-path: $(STAMP)
+	$(PY) -m benchmarks.gateway_path
+
 load: $(STAMP)
 	$(PY) -m benchmarks.load
 
