Bound what a gateway remembers to have told; name errors after what failed

Cause, found reading the diff: the set of read parts that others know of grew with every sub-agent, since these share their parent's session. It keeps 4,096 now, and as many that wait to be told. A step of the group's keeper that ended with an error of the network was logged as a refusal of the disk; two errors of the exchange of loads had no line.

--- a/cactusledge/gateway/loads.py
+++ b/cactusledge/gateway/loads.py
@@ -1,7 +1,7 @@
 """What this instance knows of each endpoint's load and health."""
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from cactusledge.gateway.messages import PromptPart, Replica
@@ -17,6 +17,7 @@
 SLOW_SHARE = 1.5  # times the usual latency that count as usual
 FORGET_S = 3.0  # until a slow endpoint is tried again
 GONE_KEPT = 200  # endpoints that are not listed
+TOLD_KEPT = 4096  # read parts that others know of
 PARTS_KEPT = 400  # prompt parts remembered for an endpoint
 
 
@@ -102,8 +103,8 @@
     def __init__(self) -> None:
         """Starts without endpoints."""
         self._loads: dict[str, EndpointLoad] = {}
-        self._told: set[Key] = set()
-        self._news: list[ReadPart] = []
+        self._told: OrderedDict[Key, None] = OrderedDict()
+        self._news: deque[ReadPart] = deque(maxlen=TOLD_KEPT)
 
     def of(self, endpoint_id: str) -> EndpointLoad:
         """Returns the load of an endpoint."""
@@ -142,13 +143,13 @@
         for part in parts[:-1]:
             read = ReadPart(replica.endpoint_id, replica.born_ms, *part)
             if key_of(read) not in self._told:
-                self._told.add(key_of(read))
+                self._keep_told(read)
                 self._news.append(read)
 
     def take_news(self) -> list[ReadPart]:
         """Returns the shared parts read since the last call."""
-        news = self._news
-        self._news = []
+        news = list(self._news)
+        self._news.clear()
         return news
 
     def give_back(self, read: Iterable[ReadPart]) -> None:
@@ -158,7 +159,7 @@
     def learn(self, read: Iterable[ReadPart]) -> None:
         """Takes what endpoints have read for other instances."""
         for part in read:
-            self._told.add(key_of(part))
+            self._keep_told(part)
             load = self.of(part.endpoint_id)
             load.begin_lifetime(part.born_ms)
             if load.born_ms == part.born_ms:
@@ -176,4 +177,9 @@
             for endpoint_id, load in self._loads.items()
             if load.in_flight or endpoint_id in endpoint_ids
         }
-        self._told = {key for key in self._told if key[0] in self._loads}
+
+    def _keep_told(self, part: ReadPart) -> None:
+        """Notes what need not be told; the oldest are told once more."""
+        self._told[key_of(part)] = None
+        if len(self._told) > TOLD_KEPT:
+            self._told.popitem(last=False)
--- a/cactusledge/records/keeper.py
+++ b/cactusledge/records/keeper.py
@@ -69,7 +69,7 @@
             except StoreError as exc:
                 log.info('records: platform not usable', error=exc.message)
             except OSError as exc:
-                log.warning('records: disk refused', error=repr(exc))
+                log.warning('records: step not done', error=repr(exc))
             await asyncio.sleep(STEP_S)
 
     def take_group(self, group: Group) -> None:
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Protocol
 
+import structlog
+
 from cactusledge.records.gateway_messages import (
     LoadReport,
     LoadSums,
@@ -17,6 +19,8 @@
 ENTRY_S = 0.003  # added for an endpoint, so that the bytes a second stay few
 TIMEOUT_S = 0.2
 
+log = structlog.get_logger('records')
+
 
 class LoadBook(Protocol):
     """What a gateway knows of the endpoints."""
@@ -68,7 +72,10 @@
         report = LoadReport(self._name, self._book.own(), read, *place)
         try:
             await self._ask(nearest, report)
-        except (ConnectionError, TimeoutError):
+        except (ConnectionError, TimeoutError) as exc:
+            log.debug(
+                'records: loads not told', store=nearest.name, error=repr(exc)
+            )
             self._book.give_back(read)  # for the next store to hear
 
     async def _ask(self, link: Link, report: LoadReport) -> None:
--- a/cactusledge/records/load_sharing.py
+++ b/cactusledge/records/load_sharing.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import structlog
+
 from cactusledge.records.gateway_messages import ReadNews, ShareLoads
 from cactusledge.records.links import Link
 from cactusledge.records.peers import GroupPeers
@@ -12,6 +14,8 @@
 ENTRY_S = 0.003  # added for an endpoint, so that the bytes a second stay few
 TIMEOUT_S = 0.3
 
+log = structlog.get_logger('records')
+
 
 class LoadSharing:
     """Each store tells each other one, and learns what that one has heard."""
@@ -35,8 +39,12 @@
         request = ShareLoads(self._store.name, sums, *place)
         try:
             reply = await link.call(request, TIMEOUT_S)
-        except (ConnectionError, TimeoutError):
-            return  # told again in the next step; sums are short-lived
+        except (ConnectionError, TimeoutError) as exc:
+            # Told again in the next step; the sums are short-lived.
+            log.debug(
+                'records: loads not told', store=link.name, error=repr(exc)
+            )
+            return
         if isinstance(reply, ReadNews):
             self._places[link.name] = Place(reply.epoch, reply.position)
             self._store.gateways.learn(reply.read)
--- a/tests/test_gateway_read_parts.py
+++ b/tests/test_gateway_read_parts.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from cactusledge.gateway.loads import GONE_KEPT, Loads
+from cactusledge.gateway.loads import GONE_KEPT, TOLD_KEPT, Loads
 from cactusledge.gateway.messages import PromptPart, Replica
 from cactusledge.gateway.placement import choose_engine
 from cactusledge.records.gateway_messages import (
@@ -146,3 +146,13 @@
     assert near.in_flight == {'e': 5}
     assert far.in_flight == {'e': 7}
     assert far.read == [read('e')]
+
+
+def test_what_was_told_stays_bounded():
+    """The pattern: each sub-agent shares its parent's session."""
+    loads = Loads()
+    for index in range(TOLD_KEPT + 10):
+        own = PromptPart(f'own-{index}', 10)
+        loads.note_read(engine('e'), (SHARED, PromptPart(f's{index}', 10), own))
+    assert len(loads.take_news()) == TOLD_KEPT
+    assert len(loads._told) == TOLD_KEPT
