--- a/tests/soak.py
+++ b/tests/soak.py
@@ -12,29 +12,33 @@
 """
 
 import asyncio
-import errno
 import logging
 import random
 import tempfile
-from collections import Counter
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import NamedTuple
 
-import pytest
 import structlog
 import typer
 
-from cactusledge.records import disk, keeper
+from cactusledge.records import keeper
 from cactusledge.records.client import RecordClient
-from cactusledge.records.entries import Turn
-from cactusledge.records.quorum import Demand, Verdict
-from cactusledge.records.reservations import TurnStart
+from cactusledge.records.quorum import Verdict
 from tests.conftest import FakeStore
 from tests.records_support import cluster_of, until
+from tests.soak_support import (
+    Books,
+    Told,
+    full_disks,
+    has_text,
+    is_settled,
+    replaced,
+    start_of,
+    state_of,
+    turn_of,
+)
 
 PROGRAMS = 6
-BUDGET = 300
 LARGEST_TURN = 20  # tokens
 PLAY_S = 4.0
 CALM_S = 20.0  # for all stores to be witnesses again
@@ -43,47 +47,6 @@
 RECORDED, SETTLED = 70, 90  # of 100 turns; the rest is left reserved
 
 
-class Told(NamedTuple):
-    """A turn that a caller knows as durable."""
-
-    turn_id: str
-    parent_id: str
-    program_id: str
-
-
-class Books:
-    """What the callers know, and the promises broken so far."""
-
-    def __init__(self):
-        self.told = {}
-        self.handed = Counter()  # tokens by program
-        self.held = Counter()  # tokens that a store may still count
-        self.broken = []
-        self.verdicts = Counter()
-
-    def take(self, start, grant):
-        """Checks a verdict."""
-        self.verdicts[grant.verdict.value] += 1
-        demand, program_id = start.demand, start.program_id
-        if grant.verdict is Verdict.NO_PARENT:
-            self._expect(demand.parent_id not in self.told, 'denied', demand)
-        may_hold = self.held[program_id] + demand.tokens
-        if grant.verdict is Verdict.SPENT:
-            self._expect(may_hold > BUDGET, 'refused early', demand)
-        self.held[program_id] += demand.tokens
-
-    def hand_out(self, start, tokens):
-        """Counts what a turn has handed to its caller."""
-        program_id = start.program_id
-        self.handed[program_id] += tokens
-        total = self.handed[program_id]
-        self._expect(total <= BUDGET, 'overdrawn', (program_id, total))
-
-    def _expect(self, holds, promise, what):
-        if not holds:
-            self.broken.append((promise, what))
-
-
 class Soak:
     """One play of a seed."""
 
@@ -243,75 +206,6 @@
                 self.books.broken.append(('texts', self._holders(told)))
 
 
-def is_settled(node, group):
-    """Whether a store has all that it should have in a group."""
-    peers = node.keeper.peers.connected()
-    if node.store.group != group or len(peers) < len(group.members) - 1:
-        return False
-    is_restored = node.keeper._restorer._checked is node.store.group
-    return node.is_witness and is_restored
-
-
-def has_text(node, turn_id):
-    """Whether a store has the text of a turn."""
-    turn = node.store.log.state.turns.get(turn_id)
-    return turn is not None and turn.has_text
-
-
-def state_of(node):
-    """Returns what keeps a store from being settled."""
-    group = node.store.group
-    return {
-        'store': node.name,
-        'group': (group.generation, sorted(group.members)),
-        'kept_generation': node.store.kept_group.kept_generation,
-        'is_witness': node.is_witness,
-        'is_restored': node.keeper._restorer._checked is group,
-        'peers': sorted(peer.name for peer in node.keeper.peers.connected()),
-    }
-
-
-def full_disks(folders):
-    """Lets the disks of the folders in the set refuse writes."""
-    write = disk.DiskActor._write
-
-    def refuse_or_write(actor, content):
-        if actor._folder in folders:
-            raise OSError(errno.ENOSPC, 'no space left on device')
-        write(actor, content)
-
-    return replaced(disk.DiskActor, '_write', refuse_or_write)
-
-
-@contextmanager
-def replaced(owner, name, found):
-    """Replaces an attribute for the time of a `with` block."""
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(owner, name, found)
-        yield
-
-
-def start_of(program_id, turn_id, parent_id, tokens):
-    demand = Demand(turn_id, tokens, BUDGET, parent_id)
-    return TurnStart(demand, program_id, wants_chain=False)
-
-
-def turn_of(start, tokens):
-    """Returns the record of a turn; its text is its id."""
-    demand = start.demand
-    text = demand.turn_id.encode()
-    return Turn(
-        demand.turn_id,
-        demand.parent_id,
-        start.program_id,
-        text,
-        text,
-        tokens,
-        'engine-1',
-        (),
-    )
-
-
 @asynccontextmanager
 async def soaked(seed):
     """A cluster of three stores in a folder of its own."""
