Write the search of the tests' models once

Cause, found reading the whole change: the loop that searches every world stood four times, in the models of reservations, lost disks, racing reservations with a lost disk, and changes of the group.

Change: tests/model_search.py has it; each model says its first world, what can come next and what is bad. No bound, order or expectation changes; the product is not touched.

--- a/tests/test_records_budget_wipe_model.py
+++ b/tests/test_records_budget_wipe_model.py
@@ -17,6 +17,7 @@
 from cactusledge.records.entries import Member
 from cactusledge.records.membership import first_group, sources_needed
 from cactusledge.records.messages import ReserveReply
+from tests.model_search import search
 
 TURNS = ('t0', 't1')
 PLACES = (0, 1, 2)
@@ -169,33 +170,28 @@
     return world._replace(turns=tuple(turns))
 
 
-def search(counted):
+def play(counted):
     """Returns the number of worlds, and one that overdraws if there is."""
-    seen = {World()}
-    frontier = [World()]
-    while frontier:
-        world = frontier.pop()
-        if all(turn.phase == 'granted' for turn in world.turns):
-            return len(seen), world
-        for found in successors(world, counted):
-            if found not in seen:
-                seen.add(found)
-                frontier.append(found)
-    return len(seen), None
+    follow = functools.partial(successors, counted=counted)
+    return search(World(), follow, is_overdrawn)
+
+
+def is_overdrawn(world):
+    return all(turn.phase == 'granted' for turn in world.turns)
 
 
 @pytest.mark.timeout(600)
 def test_turns_that_race_with_a_lost_disk_do_not_overdraw():
-    count, overdrawn = search(quorum.standing)
+    count, overdrawn = play(quorum.standing)
     assert overdrawn is None
     assert count > 10000
 
 
 def test_if_an_empty_store_counted_as_a_witness_two_turns_overdraw():
-    _, overdrawn = search(believing)
+    _, overdrawn = play(believing)
     assert overdrawn is not None
 
 
 def test_without_the_check_of_disks_two_turns_overdraw():
-    _, overdrawn = search(dict)
+    _, overdrawn = play(dict)
     assert overdrawn is not None
--- a/tests/test_records_membership_model.py
+++ b/tests/test_records_membership_model.py
@@ -21,6 +21,7 @@
     without_member,
 )
 from cactusledge.records.quorum import majority
+from tests.model_search import search
 
 MEMBER = Member('10.0.0.1:1', 'here')
 FIRST = first_group(dict.fromkeys(('s0', 's1', 's2'), MEMBER), copies=2)
@@ -119,34 +120,25 @@
     return has_both and len(serving[0] | serving[1]) >= sum(needed)
 
 
-def search(*, counts_kept):
+def play(*, counts_kept):
     """Returns the number of worlds, and one that is split if there is."""
-    seen = {World()}
-    frontier = [World()]
-    while frontier:
-        world = frontier.pop()
-        if is_split(world):
-            return len(seen), world
-        for found in successors(world, counts_kept=counts_kept):
-            if found not in seen:
-                seen.add(found)
-                frontier.append(found)
-    return len(seen), None
+    follow = functools.partial(successors, counts_kept=counts_kept)
+    return search(World(), follow, is_split)
 
 
 @pytest.mark.timeout(300)
 def test_generations_in_use_at_once_share_a_store():
-    count, split = search(counts_kept=True)
+    count, split = play(counts_kept=True)
     assert split is None
     assert count > 10000
 
 
 def test_without_waiting_for_the_disks_the_group_splits():
-    _, split = search(counts_kept=False)
+    _, split = play(counts_kept=False)
     assert split is not None
 
 
 def test_without_waiting_for_adoption_the_group_splits(monkeypatch):
     monkeypatch.setattr(f'{__name__}.may_change', lambda *_: True)
-    _, split = search(counts_kept=True)
+    _, split = play(counts_kept=True)
     assert split is not None
--- a/tests/test_records_model.py
+++ b/tests/test_records_model.py
@@ -22,6 +22,7 @@
     is_exact,
     quorum,
 )
+from tests.model_search import search
 
 TURNS = ('t0', 't1', 't2')
 STORES = ('s0', 's1', 's2')
@@ -107,30 +108,25 @@
     return World(tuple(stores), tuple(turns))
 
 
-def search(*, confirms):
+def play(*, confirms):
     """Returns the number of worlds, and one that overdraws if there is."""
     start = World((frozenset(),) * len(STORES), (TurnState(),) * len(TURNS))
-    seen = {start}
-    frontier = [start]
-    while frontier:
-        world = frontier.pop()
-        granted = sum(turn.phase == 'granted' for turn in world.turns)
-        if granted * TOKENS > BUDGET:
-            return len(seen), world
-        for found in successors(world, confirms=confirms):
-            if found not in seen:
-                seen.add(found)
-                frontier.append(found)
-    return len(seen), None
+    follow = functools.partial(successors, confirms=confirms)
+    return search(start, follow, is_overdrawn)
+
+
+def is_overdrawn(world):
+    granted = sum(turn.phase == 'granted' for turn in world.turns)
+    return granted * TOKENS > BUDGET
 
 
 @pytest.mark.timeout(600)
 def test_turns_that_race_do_not_overdraw():
-    count, overdrawn = search(confirms=True)
+    count, overdrawn = play(confirms=True)
     assert overdrawn is None
     assert count > 10000
 
 
 def test_without_the_second_round_three_turns_overdraw():
-    _, overdrawn = search(confirms=False)
+    _, overdrawn = play(confirms=False)
     assert overdrawn is not None
--- a/tests/test_records_wipe_model.py
+++ b/tests/test_records_wipe_model.py
@@ -8,6 +8,7 @@
 its disk never does.
 """
 
+import functools
 from typing import NamedTuple
 
 import pytest
@@ -15,6 +16,7 @@
 from cactusledge.records import quorum
 from cactusledge.records.membership import sources_needed
 from cactusledge.records.messages import Appended
+from tests.model_search import search
 
 WIPES = 2
 
@@ -127,30 +129,20 @@
     return held < quorum.majority(len(world.stores))
 
 
-def search(size, counted):
+def play(size, counted):
     """Returns the number of worlds, and one that loses if there is."""
-    start = World((Store(),) * size)
-    seen = {start}
-    frontier = [start]
-    while frontier:
-        world = frontier.pop()
-        if is_lost(world):
-            return len(seen), world
-        for found in successors(world, counted):
-            if found not in seen:
-                seen.add(found)
-                frontier.append(found)
-    return len(seen), None
+    follow = functools.partial(successors, counted=counted)
+    return search(World((Store(),) * size), follow, is_lost)
 
 
 @pytest.mark.timeout(300)
 def test_told_record_outlives_disks_lost_in_turn():
-    count, lost = search(3, quorum.standing)
+    count, lost = play(3, quorum.standing)
     assert lost is None
     assert count > 1000
 
 
 @pytest.mark.parametrize('size', [3, 4])
 def test_without_the_check_of_disks_a_record_is_lost(size):
-    _, lost = search(size, lambda replies: replies)
+    _, lost = play(size, lambda replies: replies)
     assert lost is not None
