Reserve tokens for budgets on every route, and resume streams

Cause: TurnServer reserved tokens only on routes that keep history.

Ruled out: the sums at the stores (tests/test_records_model.py holds), and settlement; the reservation was never sent.

Change: what a turn needs from the stores is decided by turn_needs from the route and the request, each part by itself. Budget without history reserves and settles; history without budget asks the stores only for its parent; with neither, the stores are not involved. A request without a program pays alone.

Resumable streams are forwarded by whole events and continue on another engine after the last one, under the head of the first; without a first event they start again elsewhere. Other repeatable calls that an endpoint answers with its own error go to one that was not contacted yet. A recorded turn that names an earlier request's event gets a 503, as its record would lack events.

Also: a number that is not finite, and a prompt part with a superscript digit, raised in the gateway; both count as missing now.

The test of ungranted turns sends a budget now, since only such a turn reserves anything.

--- a/benchmarks/gateway_dialect.py
+++ b/benchmarks/gateway_dialect.py
@@ -4,6 +4,7 @@
     CallInfo,
     EndpointAnswer,
     Headers,
+    Outgoing,
     PromptPart,
     Replica,
     Request,
@@ -37,22 +38,22 @@
             prompt_tokens=SHARED.tokens + SESSION_TOKENS,
             max_tokens=MOST_TOKENS,
             parts=(SHARED, PromptPart(session, SESSION_TOKENS)),
+            last_event_id='',
         )
 
     def request_headers(
         self,
-        request: Request,
+        outgoing: Outgoing,
         replica: Replica,
         deadline_ms: float,
-        body_bytes: int,
     ) -> bytes:
         """Returns the header lines to send to an endpoint, with the last."""
-        request_id = dict(request.headers)[REQUEST_ID]
+        request_id = dict(outgoing.request.headers)[REQUEST_ID]
         return b'Host: %b\r\n%b: %b\r\nContent-Length: %d\r\n\r\n' % (
             replica.host.encode(),
             REQUEST_ID,
             request_id,
-            body_bytes,
+            len(outgoing.body),
         )
 
     def read_answer(self, status: int, headers: Headers) -> EndpointAnswer:
--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -9,7 +9,7 @@
     refuse,
 )
 from cactusledge.gateway.context import Call, Fleet, Outcome
-from cactusledge.gateway.messages import Repeatability, Replica
+from cactusledge.gateway.messages import Outgoing, Replica
 from cactusledge.gateway.placement import choose_service
 from cactusledge.gateway.sending import Attempts, ExchangeResult
 from cactusledge.gateway.sinks import BufferedAnswer, ExchangeEnd
@@ -20,28 +20,17 @@
 async def serve_call(fleet: Fleet, call: Call, service: str) -> Outcome:
     """Serves a call; responds 502 if it is unknown whether the call ran."""
     attempts = Attempts(fleet, call, service)
-    may_have_run = False
-    result = await _attempt(attempts)
-    while result is not None and _is_repeated(call, result):
-        may_have_run = may_have_run or result.end is ExchangeEnd.BROKEN
-        result = await _attempt(attempts)
-    if result is not None and result.end is ExchangeEnd.ANSWERED:
+    result = await attempts.repeat(lambda: _attempt(attempts))
+    if result is None:
+        return refuse(
+            call.conn,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            f'refused by {len(attempts.contacted)} endpoints',
+            BUSY_RETRY_S,
+        )
+    if result.end is ExchangeEnd.ANSWERED:
         return forward_answer(fleet, call, result)
-    if result is not None or may_have_run:
-        return answer_unknown_outcome(call)
-    return refuse(
-        call.conn,
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        f'refused by {len(attempts.contacted)} endpoints',
-        BUSY_RETRY_S,
-    )
-
-
-def _is_repeated(call: Call, result: ExchangeResult) -> bool:
-    """Returns whether the call may be retried."""
-    if result.end is ExchangeEnd.BROKEN:
-        return call.route.repeatability is Repeatability.IDEMPOTENT
-    return result.end is ExchangeEnd.NOT_RUN
+    return answer_unknown_outcome(call)
 
 
 async def _attempt(attempts: Attempts) -> ExchangeResult | None:
@@ -50,8 +39,9 @@
     if found is None:
         return None
     replica, conn = found
-    body = attempts.call.request.body
-    return await attempts.exchange(replica, conn, BufferedAnswer(), body)
+    request = attempts.call.request
+    outgoing = Outgoing(request, request.body)
+    return await attempts.exchange(replica, conn, BufferedAnswer(), outgoing)
 
 
 def _choose(attempts: Attempts) -> Replica | None:
--- a/cactusledge/gateway/dialect.py
+++ b/cactusledge/gateway/dialect.py
@@ -6,6 +6,7 @@
     CallInfo,
     EndpointAnswer,
     Headers,
+    Outgoing,
     Replica,
     Request,
 )
@@ -19,10 +20,9 @@
 
     def request_headers(
         self,
-        request: Request,
+        outgoing: Outgoing,
         replica: Replica,
         deadline_ms: float,
-        body_bytes: int,
     ) -> bytes:
         """Returns the header block to send to an endpoint.
 
--- a/cactusledge/gateway/events.py
+++ b/cactusledge/gateway/events.py
@@ -1,8 +1,32 @@
-"""Parses event streams (`text/event-stream`) for the turn records."""
+"""Parses event streams (`text/event-stream`)."""
 
 BLANK_LINE = b'\n\n'
+BLANK_LINES = (BLANK_LINE, b'\r\n\r\n')
 LINE_FEED = b'\n'
 DATA_FIELD = b'data:'
+ID_FIELD = b'id:'
+
+
+class EventSplitter:
+    """Cuts a stream, which arrives in arbitrary parts, into whole events."""
+
+    def __init__(self) -> None:
+        """Starts before the first event."""
+        self.last_event_id = ''  # of the last whole event, '' before it
+        self._partial = b''
+
+    def feed(self, part: bytes) -> bytes:
+        """Returns the whole events up to this part; keeps the rest."""
+        received = self._partial + part
+        end = max(end_after(received, blank) for blank in BLANK_LINES)
+        self._partial = received[end:]
+        whole = received[:end]
+        self.last_event_id = last_id(whole) or self.last_event_id
+        return whole
+
+    def discard_partial(self) -> None:
+        """Drops an event that broke off; the next part begins a new one."""
+        self._partial = b''
 
 
 def count_events(stream: bytes) -> int:
@@ -31,3 +55,17 @@
         if line.startswith(DATA_FIELD)
     ]
     return LINE_FEED.join(lines) if lines else None
+
+
+def end_after(stream: bytes, separator: bytes) -> int:
+    """Returns the position after the last separator, 0 if there is none."""
+    found = stream.rfind(separator)
+    return 0 if found < 0 else found + len(separator)
+
+
+def last_id(events: bytes) -> str:
+    """Returns the id of the last event that has one, '' if none has."""
+    for line in reversed(events.splitlines()):
+        if line.startswith(ID_FIELD):
+            return line.removeprefix(ID_FIELD).strip().decode('latin-1')
+    return ''
--- a/cactusledge/gateway/messages.py
+++ b/cactusledge/gateway/messages.py
@@ -11,7 +11,7 @@
 
     IDEMPOTENT = 'idempotent'  # may run more than once
     ONCE = 'once'  # runs at most once
-    STREAM = 'stream'  # an event stream, runs at most once
+    STREAM = 'stream'  # an event stream, runs once unless it is resumable
 
 
 class Share(NamedTuple):
@@ -35,6 +35,14 @@
     max_attempts: int
     keeps_turns: bool  # turns are recorded; requests carry only new input
     retention_s: float
+    is_resumable: bool = False  # a broken stream may continue elsewhere
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request that may already have run can be sent again."""
+        return self.is_resumable or (
+            self.repeatability is Repeatability.IDEMPOTENT
+        )
 
 
 class Engine(NamedTuple):
@@ -106,6 +114,14 @@
     received_s: float  # event loop clock
 
 
+class Outgoing(NamedTuple):
+    """A caller's request as it is sent to an endpoint."""
+
+    request: Request
+    body: bytes  # replaces the request's own
+    resume_after: str = ''  # event id; replaces the caller's, '' keeps it
+
+
 class PromptPart(NamedTuple):
     """A part of a prompt that other prompts may share."""
 
@@ -127,6 +143,7 @@
     prompt_tokens: int
     max_tokens: int
     parts: tuple[PromptPart, ...]  # of the prompt, in order
+    last_event_id: str  # the stream continues after it, '' from the start
 
 
 class EndpointAnswer(NamedTuple):
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -3,7 +3,7 @@
 import asyncio
 import http
 import random
-from collections.abc import Callable, Generator
+from collections.abc import Awaitable, Callable, Generator
 from contextlib import contextmanager
 from typing import NamedTuple
 
@@ -12,7 +12,7 @@
 from cactusledge.gateway.context import Call, Fleet
 from cactusledge.gateway.exchange import OpenExchange
 from cactusledge.gateway.http_client import EndpointConnection
-from cactusledge.gateway.messages import Replica
+from cactusledge.gateway.messages import Outgoing, Replica
 from cactusledge.gateway.placement import healthy
 from cactusledge.gateway.pool import EndpointUnreachableError
 from cactusledge.gateway.sinks import BufferedAnswer, ExchangeEnd, is_success
@@ -24,6 +24,7 @@
 log = structlog.get_logger('gateway')
 
 Choose = Callable[['Attempts'], Replica | None]
+Attempt = Callable[[], Awaitable['ExchangeResult | None']]
 
 
 class ExchangeResult(NamedTuple):
@@ -89,7 +90,7 @@
         replica: Replica,
         conn: EndpointConnection,
         answer: BufferedAnswer,
-        body: bytes,
+        outgoing: Outgoing,
     ) -> ExchangeResult:
         """Sends the request and waits for the end of its response.
 
@@ -109,12 +110,13 @@
             in_flight_elsewhere=load.remote_in_flight,
             left_ms=round(self.call.remaining_ms()),
             attempt=len(self.contacted),
+            resume_after=outgoing.resume_after,
         )
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         with self._open(replica, conn, answer):
             conn.send(
-                self._encode(replica, body),
+                self._encode(replica, outgoing),
                 self.call.info.request_id,
                 answer,
             )
@@ -138,6 +140,35 @@
             self._record_failure(replica)
         return ExchangeResult(replica, answer, end)
 
+    async def repeat(self, attempt: Attempt) -> ExchangeResult | None:
+        """Attempts the call until it is answered or may not be repeated.
+
+        Returns the last result after which the call may have run, None if no
+        endpoint has run it.
+        """
+        failed: ExchangeResult | None = None
+        result = await attempt()
+        while result is not None and self._should_repeat(result):
+            failed = failed if result.end is ExchangeEnd.NOT_RUN else result
+            result = await attempt()
+        return result or failed
+
+    def _should_repeat(self, result: ExchangeResult) -> bool:
+        """Returns whether the call is sent to another endpoint.
+
+        An endpoint's own error is retried only on an endpoint not contacted
+        yet, as the call itself may be what fails.
+        """
+        route = self.call.route
+        if result.end is ExchangeEnd.ANSWERED:
+            has_more = len(self.contacted) < route.max_attempts
+            return (
+                route.may_repeat
+                and has_more
+                and is_endpoint_error(result.answer)
+            )
+        return result.end is ExchangeEnd.NOT_RUN or route.may_repeat
+
     async def _next_pass(self) -> bool:
         """Backs off and returns True while the retry window is open."""
         total_ms = self.call.age_ms() + self.call.remaining_ms()
@@ -172,17 +203,17 @@
             if not answer.ended.done() or answer.ended.cancelled():
                 conn.abort()
 
-    def _encode(self, replica: Replica, body: bytes) -> bytes:
-        request = self.call.request
+    def _encode(self, replica: Replica, outgoing: Outgoing) -> bytes:
+        request = outgoing.request
         return b''.join((
             request.method,
             b' ',
             request.target,
             b' HTTP/1.1\r\n',
             self.fleet.dialect.request_headers(
-                request, replica, self.call.remaining_ms(), len(body)
+                outgoing, replica, self.call.remaining_ms()
             ),
-            body,
+            outgoing.body,
         ))
 
     def _record_failure(self, replica: Replica) -> None:
--- /dev/null
+++ b/cactusledge/gateway/turn_stream.py
@@ -0,0 +1,90 @@
+"""One turn being streamed to its caller, from one or more engines."""
+
+import asyncio
+
+from cactusledge.gateway.chains import EMPTY_CHAIN, Chain
+from cactusledge.gateway.context import Call, Fleet
+from cactusledge.gateway.events import EventSplitter, count_events
+from cactusledge.gateway.messages import EndpointAnswer, Outgoing, Replica
+from cactusledge.gateway.placement import choose_engine
+from cactusledge.gateway.sending import Attempts
+from cactusledge.gateway.sinks import StreamAnswer
+
+
+class TurnStream:
+    """The stream of one turn, and the tokens that its caller has received.
+
+    A resumable stream is forwarded by whole events, so that another engine can
+    continue it after the last one. The caller keeps the head of the first
+    engine that answered.
+    """
+
+    def __init__(self, call: Call, tokens_per_event: int) -> None:
+        """Starts before the first attempt, without a chain."""
+        self.call = call
+        self.chain: Chain = EMPTY_CHAIN
+        self.is_recorded = False
+        self._tokens_per_event = tokens_per_event
+        self._splitter = EventSplitter()
+        self._delivered: list[bytes] = []
+
+    @property
+    def delivered(self) -> bytes:
+        """The events sent to the caller so far."""
+        return b''.join(self._delivered)
+
+    @property
+    def tokens(self) -> int:
+        """The tokens sent to the caller; a partial event counts in full."""
+        return count_events(self.delivered) * self._tokens_per_event
+
+    def outgoing(self) -> Outgoing:
+        """Returns the request for the next engine."""
+        request = self.call.request
+        return Outgoing(
+            request,
+            self.chain.text + request.body,
+            resume_after=self._splitter.last_event_id,
+        )
+
+    def choose(self, attempts: Attempts) -> Replica | None:
+        """Returns the engine to send the turn to."""
+        fleet = attempts.fleet
+        candidates = attempts.candidates()
+        parts = self.call.info.parts
+        for replica in candidates:
+            if replica.endpoint_id == self.chain.endpoint_id:
+                fleet.loads.at(replica).add_cached_parts(parts)
+        return choose_engine(
+            candidates,
+            fleet.loads,
+            parts,
+            fleet.data_centre,
+            asyncio.get_running_loop().time(),
+        )
+
+    def new_answer(self, fleet: Fleet, replica: Replica) -> StreamAnswer:
+        """Returns a sink that forwards the events to the caller."""
+        parts = self.call.info.parts
+        self._splitter.discard_partial()
+
+        def on_start(answer: EndpointAnswer) -> None:  # noqa: WPS430
+            fleet.loads.record_read(replica, parts)
+            self._begin(fleet, answer)
+
+        return StreamAnswer(on_start, self._forward)
+
+    def _begin(self, fleet: Fleet, answer: EndpointAnswer) -> None:
+        conn = self.call.conn
+        if conn.has_head:
+            return
+        self.call.progress.first_event_ms = round(self.call.age_ms(), 1)
+        headers = fleet.dialect.response_headers(answer.headers)
+        conn.begin_stream(answer.status, headers)
+
+    def _forward(self, part: bytes) -> None:
+        if self.call.route.is_resumable:
+            part = self._splitter.feed(part)
+        if part:
+            self._delivered.append(part)
+            self.call.conn.write_chunk(part)
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -1,11 +1,11 @@
-"""Serves turns of agent programs: event streams with recorded history.
+"""Serves turns of agent programs: event streams of model engines.
 
-A turn's tokens are reserved before it is sent, and its record is durable
-before its response ends. A turn is sent again only if the engine states that
-it did not run it.
+The tokens of a turn with a budget are reserved before it is sent. On a route
+that keeps history, the turn's record is durable before its response ends. A
+turn is sent again if the engine states that it did not run it; a resumable one
+also continues on another engine after a failure.
 """
 
-import asyncio
 import http
 import time
 from collections.abc import Mapping
@@ -20,24 +20,18 @@
     forward_answer,
     refuse,
 )
-from cactusledge.gateway.chains import (
-    EMPTY_CHAIN,
-    Chain,
-    ChainCache,
-    compress,
-    join,
-)
+from cactusledge.gateway.chains import Chain, ChainCache, compress, join
 from cactusledge.gateway.context import Call, Fleet, Outcome
-from cactusledge.gateway.events import count_events, event_data
-from cactusledge.gateway.messages import EndpointAnswer, Replica
-from cactusledge.gateway.placement import choose_engine
+from cactusledge.gateway.events import event_data
 from cactusledge.gateway.sending import (
     Attempts,
     ExchangeResult,
     is_successful,
     status_of,
 )
-from cactusledge.gateway.sinks import ExchangeEnd, StreamAnswer
+from cactusledge.gateway.sinks import ExchangeEnd
+from cactusledge.gateway.turn_needs import TurnNeeds, account_of, needs_of
+from cactusledge.gateway.turn_stream import TurnStream
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Turn
 from cactusledge.records.quorum import Demand, Verdict
@@ -69,7 +63,7 @@
 
 
 class TurnServer:
-    """Serves event streams; records turns if the route keeps them."""
+    """Serves event streams with what each needs from the record stores."""
 
     def __init__(self, fleet: Fleet, records: RecordClient) -> None:
         """Stores the endpoints and the record client."""
@@ -79,59 +73,60 @@
 
     async def serve(self, call: Call, service: str) -> Outcome:
         """Serves one turn."""
-        if not call.route.keeps_turns:
-            stream = TurnStream(call, EMPTY_CHAIN, 0)
-            return await self._send(call, service, stream)
-        return await self._serve_recorded(call, service)
-
-    async def _serve_recorded(self, call: Call, service: str) -> Outcome:
         info = call.info
-        cached = self._chains.get(info.parent_id) or EMPTY_CHAIN
-        start = TurnStart(
-            Demand(
-                info.request_id, info.max_tokens, info.budget, info.parent_id
-            ),
-            info.program_id,
-            wants_chain=bool(info.parent_id) and cached is EMPTY_CHAIN,
-        )
-        usage = _TurnUsage()
-        try:
-            return await self._reserve_and_send(
-                call, service, start, cached, usage
+        needs = needs_of(call.route, info)
+        if needs.has_history and info.last_event_id:
+            # The record would lack the events of the earlier request.
+            return refuse(
+                call.conn,
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'a recorded turn cannot continue another request',
             )
+        stream = TurnStream(call, self._tokens_per_event(call, service))
+        try:
+            return await self._serve_stream(call, service, stream, needs)
         finally:
-            if not usage.is_recorded:
+            if not stream.is_recorded and (needs.has_budget or stream.tokens):
                 self._records.settle(
-                    info.program_id, info.request_id, usage.tokens
+                    account_of(info), info.request_id, stream.tokens
                 )
 
-    async def _reserve_and_send(
-        self,
-        call: Call,
-        service: str,
-        start: TurnStart,
-        cached: Chain,
-        usage: '_TurnUsage',
+    async def _serve_stream(
+        self, call: Call, service: str, stream: TurnStream, needs: TurnNeeds
     ) -> Outcome:
+        if needs.involves_stores:
+            grant = await self._begin(call, stream, needs)
+            if grant.verdict is not Verdict.GRANTED:
+                return self._refuse(call, grant)
+        return await self._send(call, service, stream)
+
+    async def _begin(
+        self, call: Call, stream: TurnStream, needs: TurnNeeds
+    ) -> Grant:
+        """Reserves the turn's tokens and sets the stream's chain."""
+        info = call.info
+        parent_id = info.parent_id if needs.has_history else ''
+        cached = self._chains.get(parent_id)
+        start = TurnStart(
+            Demand(info.request_id, info.max_tokens, info.budget, parent_id),
+            account_of(info),
+            wants_chain=bool(parent_id) and cached is None,
+        )
         grant = await self._records.begin(start)
         self._fleet.metrics.add('gateway_turns_total', verdict=grant.verdict)
         log.info(
             'gateway: tokens asked for',
-            request_id=call.info.request_id,
-            program_id=call.info.program_id,
-            parent_id=call.info.parent_id,
+            request_id=info.request_id,
+            program_id=info.program_id,
+            parent_id=info.parent_id,
             tokens=start.demand.tokens,
             budget=start.demand.budget,
             verdict=grant.verdict,
             replies=grant.reason,
             generation=self._records.group.generation,
         )
-        if grant.verdict is not Verdict.GRANTED:
-            return self._refuse(call, grant)
-        chain = join(grant.chain) if start.wants_chain else cached
-        stream = TurnStream(call, chain, self._tokens_per_event(call, service))
-        stream.usage = usage
-        return await self._send(call, service, stream)
+        stream.chain = cached or join(grant.chain)
+        return grant
 
     def _refuse(self, call: Call, grant: Grant) -> Outcome:
         """Responds to a turn that was not granted.
@@ -159,33 +154,35 @@
         return found.engine.tokens_per_event
 
     async def _send(
-        self, call: Call, service: str, stream: 'TurnStream'
+        self, call: Call, service: str, stream: TurnStream
     ) -> Outcome:
         attempts = Attempts(self._fleet, call, service)
-        body = stream.chain.text + call.request.body
+        result = await attempts.repeat(lambda: self._attempt(attempts, stream))
+        if result is None:
+            return refuse(
+                call.conn,
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                f'refused by {len(attempts.contacted)} engines',
+                BUSY_RETRY_S,
+            )
+        return await self._end(call, stream, result)
+
+    async def _attempt(
+        self, attempts: Attempts, stream: TurnStream
+    ) -> ExchangeResult | None:
+        """Returns the result of one attempt, None if no engine is left."""
         found = await attempts.connect(stream.choose)
-        while found is not None:
-            replica, conn = found
-            answer = stream.new_answer(self._fleet, replica)
-            self._fleet.loads.at(replica).add_cached_parts(call.info.parts)
-            try:
-                result = await attempts.exchange(replica, conn, answer, body)
-            finally:
-                stream.count(answer)
-            if result.end is not ExchangeEnd.NOT_RUN:
-                return await self._end(call, stream, result)
-            found = await attempts.connect(stream.choose)
-        return refuse(
-            call.conn,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            f'refused by {len(attempts.contacted)} engines',
-            BUSY_RETRY_S,
-        )
+        if found is None:
+            return None
+        replica, conn = found
+        answer = stream.new_answer(self._fleet, replica)
+        self._fleet.loads.at(replica).add_cached_parts(attempts.call.info.parts)
+        return await attempts.exchange(replica, conn, answer, stream.outgoing())
 
     async def _end(
         self,
         call: Call,
-        stream: 'TurnStream',
+        stream: TurnStream,
         result: ExchangeResult,
     ) -> Outcome:
         """Ends the caller's response according to the engine's."""
@@ -205,18 +202,18 @@
         return answer_unknown_outcome(call)
 
     async def _record(
-        self, call: Call, stream: 'TurnStream', result: ExchangeResult
+        self, call: Call, stream: TurnStream, result: ExchangeResult
     ) -> bool:
         """Records the turn; returns whether the record is durable."""
         info = call.info
-        response = event_data(result.answer.body)
+        response = event_data(stream.delivered)
         turn = Turn(
             turn_id=info.request_id,
             parent_id=info.parent_id,
-            program_id=info.program_id,
+            program_id=account_of(info),
             request=compress(call.request.body),
             response=compress(response),
-            tokens=stream.usage.tokens,
+            tokens=stream.tokens,
             endpoint_id=result.replica.endpoint_id,
             holders=(),  # chosen by the record client
         )
@@ -233,63 +230,9 @@
         )
         if not is_durable:
             return False
-        stream.usage.is_recorded = True
+        stream.is_recorded = True
         text = b''.join((stream.chain.text, call.request.body, response))
         self._chains.put(
             info.request_id, Chain(text, result.replica.endpoint_id)
         )
         return True
-
-
-class _TurnUsage:
-    """The tokens that a turn has delivered, and if they are recorded."""
-
-    def __init__(self) -> None:
-        self.tokens = 0
-        self.is_recorded = False
-
-
-class TurnStream:
-    """One turn being served: its call, its chain and its token usage."""
-
-    def __init__(self, call: Call, chain: Chain, tokens_per_event: int) -> None:
-        """Starts before the first attempt."""
-        self.call = call
-        self.chain = chain
-        self.usage = _TurnUsage()
-        self._tokens_per_event = tokens_per_event
-
-    def choose(self, attempts: Attempts) -> Replica | None:
-        """Returns the engine to send the turn to."""
-        fleet = attempts.fleet
-        candidates = attempts.candidates()
-        parts = self.call.info.parts
-        for replica in candidates:
-            if replica.endpoint_id == self.chain.endpoint_id:
-                fleet.loads.at(replica).add_cached_parts(parts)
-        return choose_engine(
-            candidates,
-            fleet.loads,
-            parts,
-            fleet.data_centre,
-            asyncio.get_running_loop().time(),
-        )
-
-    def new_answer(self, fleet: Fleet, replica: Replica) -> StreamAnswer:
-        """Returns a sink that forwards the events to the caller."""
-        conn = self.call.conn
-        parts = self.call.info.parts
-
-        def on_start(answer: EndpointAnswer) -> None:  # noqa: WPS430
-            self.call.progress.first_event_ms = round(self.call.age_ms(), 1)
-            fleet.loads.record_read(replica, parts)
-            headers = fleet.dialect.response_headers(answer.headers)
-            conn.begin_stream(answer.status, headers)
-
-        return StreamAnswer(on_start, conn.write_chunk)
-
-    def count(self, answer: StreamAnswer) -> None:
-        """Adds the tokens that an attempt has delivered to the caller."""
-        if answer.has_started:
-            events = count_events(answer.body)
-            self.usage.tokens += events * self._tokens_per_event
--- a/cactusledge/platform/documents.py
+++ b/cactusledge/platform/documents.py
@@ -92,6 +92,7 @@
         max_attempts=int(spec.get('max_attempts', DEFAULT_ATTEMPTS)),
         keeps_turns=bool(spec.get('retain_context', False)),
         retention_s=float(spec.get('retention_s', 0)),
+        is_resumable=bool(spec.get('resumable', False)),
     )
 
 
--- a/cactusledge/platform/headers.py
+++ b/cactusledge/platform/headers.py
@@ -1,5 +1,6 @@
 """Parses and writes platform headers; implements `gateway.dialect.Dialect`."""
 
+import math
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
@@ -7,6 +8,7 @@
     CallInfo,
     EndpointAnswer,
     Headers,
+    Outgoing,
     PromptPart,
     Replica,
     Request,
@@ -26,6 +28,7 @@
 EXPECT_INSTANCE = b'x-cactusledge-expect-instance'  # an endpoint's id
 RESPONSE_SEAL = b'x-cactusledge-response-seal'  # MAC over an endpoint's answer
 NOT_EXECUTED = b'x-cactusledge-not-executed'
+LAST_EVENT_ID = b'last-event-id'  # a stream continues after this event
 
 # Another endpoint now has the address; the request did not run.
 MISDIRECTED_REQUEST = 421
@@ -79,17 +82,20 @@
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             parts=parse_prompt_parts(by_name.get(PROMPT_PARTS, b'')),
+            last_event_id=header_text(by_name, LAST_EVENT_ID),
         )
 
     def request_headers(
         self,
-        request: Request,
+        outgoing: Outgoing,
         replica: Replica,
         deadline_ms: float,
-        body_bytes: int,
     ) -> bytes:
         """Returns the headers for an endpoint, up to the final empty line."""
+        request = outgoing.request
         dropped = NOT_FORWARDED | connection_options(request.headers)
+        if outgoing.resume_after:
+            dropped |= {LAST_EVENT_ID}
         lines = [
             b'%b: %b\r\n' % header
             for header in request.headers
@@ -99,8 +105,10 @@
             f'X-Cactusledge-Deadline-Ms: {max(1, int(deadline_ms))}\r\n'
             f'X-Cactusledge-Expect-Instance: {replica.endpoint_id}\r\n'.encode()
         )
-        if body_bytes or request.method in BODY_METHODS:
-            lines.append(b'Content-Length: %d\r\n' % body_bytes)
+        if outgoing.resume_after:
+            lines.append(f'Last-Event-Id: {outgoing.resume_after}\r\n'.encode())
+        if outgoing.body or request.method in BODY_METHODS:
+            lines.append(b'Content-Length: %d\r\n' % len(outgoing.body))
         lines.append(b'\r\n')
         return b''.join(lines)
 
@@ -152,11 +160,12 @@
 
 
 def parse_number(content: bytes | None) -> float | None:
-    """Parses a number; returns None if it is missing or invalid."""
+    """Parses a number; None if it is missing, invalid or not finite."""
     try:
-        return float(content) if content else None
+        parsed = float(content) if content else None
     except ValueError:
         return None
+    return parsed if parsed is not None and math.isfinite(parsed) else None
 
 
 def parse_integer(content: bytes | None) -> int | None:
@@ -176,7 +185,7 @@
     parts: list[PromptPart] = []
     for entry in content.decode('latin-1').split(','):
         part_id, _, tokens = entry.strip().partition(':')
-        if part_id and tokens.isdigit():
+        if part_id and tokens.isdecimal():
             parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
 
--- a/cactusledge/records/reservations.py
+++ b/cactusledge/records/reservations.py
@@ -32,6 +32,11 @@
     program_id: str
     wants_chain: bool
 
+    @property
+    def is_free(self) -> bool:
+        """Whether the stores have nothing to decide: no budget, no parent."""
+        return self.demand.budget is None and not self.demand.parent_id
+
 
 class Grant(NamedTuple):
     """The verdict, and the chain if it was requested and read."""
@@ -87,21 +92,16 @@
             return Grant(Verdict.UNSURE, reason='group changed twice')
 
     async def _reserve(self, start: TurnStart) -> Grant:
+        if start.is_free:
+            return Grant(Verdict.GRANTED, reason='nothing to reserve')
         group = self._peers.group
-        request = messages.Reserve(
-            generation=group.generation,
-            entry=entries.Reserved(
-                start.program_id,
-                start.demand.turn_id,
-                start.demand.tokens,
-            ),
-            parent_id=start.demand.parent_id,
+        has_budget = start.demand.budget is not None
+        replies = await self._ask_all(
+            self._reservation(start) if has_budget else self._query(start)
         )
-        replies = await self._ask_all(request)
         verdict = decide(start.demand, replies, quorum(group))
-        if verdict is Verdict.GRANTED and not is_complete_round(
-            len(replies), group
-        ):
+        is_final = not has_budget or is_complete_round(len(replies), group)
+        if verdict is Verdict.GRANTED and not is_final:
             verdict = await self._confirm(start)
         return Grant(
             verdict, reason=f'{len(replies)} of {len(group.members)} stores'
@@ -113,14 +113,24 @@
         Of two concurrent reservations, at least the one whose first round
         ended last sees the other here.
         """
-        query = messages.Query(
+        replies = await self._ask_all(self._query(start))
+        return decide(start.demand, replies, quorum(self._peers.group))
+
+    def _reservation(self, start: TurnStart) -> messages.Reserve:
+        entry = entries.Reserved(
+            start.program_id, start.demand.turn_id, start.demand.tokens
+        )
+        return messages.Reserve(
+            self._peers.group.generation, entry, start.demand.parent_id
+        )
+
+    def _query(self, start: TurnStart) -> messages.Query:
+        return messages.Query(
             self._peers.group.generation,
             start.program_id,
             start.demand.parent_id,
             wants_chain=False,
         )
-        replies = await self._ask_all(query)
-        return decide(start.demand, replies, quorum(self._peers.group))
 
     async def _ask_all(
         self, request: messages.Reserve | messages.Query
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -21,9 +21,11 @@
 from cactusledge.gateway.pool import ConnectionPool
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.platform.headers import HeaderDialect
-from cactusledge.records.entries import EMPTY_GROUP
-from cactusledge.records.quorum import Verdict
+from cactusledge.records.entries import EMPTY_GROUP, Reserved, Settled
+from cactusledge.records.messages import ReserveReply
+from cactusledge.records.quorum import Verdict, decide
 from cactusledge.records.reservations import Grant
+from cactusledge.records.state import RecordState
 from cactusledge.telemetry.metrics import Metrics
 
 HOST = 'shop.example'
@@ -55,6 +57,37 @@
         self.settled.append((turn_id, tokens))
 
 
+class LedgerRecords(FakeRecords):
+    """Stub of the record client that decides like a single store."""
+
+    def __init__(self):
+        super().__init__()
+        self.state = RecordState()
+
+    async def begin(self, start):
+        if start.demand.budget is not None:
+            self.state.apply(
+                Reserved(
+                    start.program_id, start.demand.turn_id, start.demand.tokens
+                )
+            )
+        reply = ReserveReply(
+            is_witness=True,
+            spent=dict(self.state.spent(start.program_id)),
+            knows_parent=start.demand.parent_id in self.state.turns,
+            chain=[],
+        )
+        return Grant(decide(start.demand, {'store': reply}, needed=1))
+
+    async def record(self, turn):
+        self.state.apply(turn)
+        return await super().record(turn)
+
+    def settle(self, program_id, turn_id, tokens):
+        super().settle(program_id, turn_id, tokens)
+        self.state.apply(Settled(program_id, turn_id, tokens))
+
+
 class Endpoint:
     """Scripted endpoint: `reply` maps a request head to a response.
 
@@ -149,15 +182,16 @@
 class Caller:
     """Sends requests on one connection."""
 
-    def __init__(self, reader, writer):
+    def __init__(self, reader, writer, request_id='r1'):
         self.reader = reader
         self.writer = writer
+        self.request_id = request_id
 
     async def send(self, path, *headers, body=b''):
         lines = [
             f'POST {path} HTTP/1.1',
             f'Host: {HOST}',
-            'X-Cactusledge-Request-Id: r1',
+            f'X-Cactusledge-Request-Id: {self.request_id}',
             f'Content-Length: {len(body)}',
             *headers,
         ]
@@ -203,14 +237,21 @@
     route('/short/', Repeatability.ONCE, timeout_ms=150),
     route('/stream/', Repeatability.STREAM),
     route('/turn/', Repeatability.STREAM, keeps_turns=True),
+    route('/resumable/', Repeatability.STREAM, is_resumable=True),
+    route(
+        '/resumable-turn/',
+        Repeatability.STREAM,
+        keeps_turns=True,
+        is_resumable=True,
+    ),
 )
 
 
 class GatewayHarness:
     """A gateway, its endpoints and a way to call it."""
 
-    def __init__(self):
-        self.records = FakeRecords()
+    def __init__(self, records=None):
+        self.records = records or FakeRecords()
         self.fleet = Fleet(
             ReplicaList(),
             Loads(),
@@ -233,19 +274,19 @@
             caller.writer.close()
         self.fleet.pool.close()
 
-    async def call(self, path, *headers, body=b''):
+    async def call(self, path, *headers, body=b'', request_id='r1'):
         """Sends one request on a new connection."""
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
-        caller = Caller(reader, writer)
+        caller = Caller(reader, writer, request_id)
         self.callers.append(caller)
         await caller.send(path, *headers, body=body)
         return caller
 
 
 @asynccontextmanager
-async def running_gateway(*endpoints):
+async def running_gateway(*endpoints, records=None):
     """Starts a gateway with these endpoints; the first one is preferred."""
-    harness = GatewayHarness()
+    harness = GatewayHarness(records)
     loop = asyncio.get_running_loop()
     servers = [await endpoint.start() for endpoint in endpoints]
     for index, endpoint in enumerate(endpoints):
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -64,7 +64,7 @@
 
 def call_info(**changes):
     base = CallInfo(
-        'r1', 'shop.example', '/a/', None, '', None, None, '', 0, 0, ()
+        'r1', 'shop.example', '/a/', None, '', None, None, '', 0, 0, (), ''
     )
     return base._replace(**changes)
 
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -351,7 +351,7 @@
 def test_turn_that_is_not_granted_reaches_no_engine(verdict, status):
     async def scenario(harness):
         harness.records.grant = Grant(verdict)
-        caller = await harness.call('/turn/x')
+        caller = await harness.call('/turn/x', 'X-Cactusledge-Token-Budget: 9')
         assert (await caller.read())[0] == status
         assert not endpoint.requests
         assert harness.records.settled == [('r1', 0)]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,7 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cactusledge.gateway.messages import Repeatability, Replica, Request
+from cactusledge.gateway.messages import (
+    Outgoing,
+    Repeatability,
+    Replica,
+    Request,
+)
 from cactusledge.models import Address
 from cactusledge.objects.store import StoredObject
 from cactusledge.platform.documents import (
@@ -108,24 +113,22 @@
 
 
 def test_hop_by_hop_and_reserved_headers_are_not_forwarded():
+    asked = request(
+        (b'Host', b'shop.example'),
+        (b'X-Cactusledge-Request-Id', b'r1'),
+        (b'X-Cactusledge-Kv-Hold', b'h'),
+        (b'X-Cactusledge-Pin-Ms', b'9'),
+        (b'X-Cactusledge-Kv-Backup', b'b'),
+        (b'X-Cactusledge-Expect-Instance', b'i-9'),
+        (b'X-Cactusledge-Deadline-Ms', b'4000'),
+        (b'Kv-From', b'f'),
+        (b'Connection', b'close, X-Hop'),
+        (b'X-Hop', b'1'),
+        (b'Transfer-Encoding', b'chunked'),
+        (b'X-Other', b'kept'),
+    )
     sent = HeaderDialect().request_headers(
-        request(
-            (b'Host', b'shop.example'),
-            (b'X-Cactusledge-Request-Id', b'r1'),
-            (b'X-Cactusledge-Kv-Hold', b'h'),
-            (b'X-Cactusledge-Pin-Ms', b'9'),
-            (b'X-Cactusledge-Kv-Backup', b'b'),
-            (b'X-Cactusledge-Expect-Instance', b'i-9'),
-            (b'X-Cactusledge-Deadline-Ms', b'4000'),
-            (b'Kv-From', b'f'),
-            (b'Connection', b'close, X-Hop'),
-            (b'X-Hop', b'1'),
-            (b'Transfer-Encoding', b'chunked'),
-            (b'X-Other', b'kept'),
-        ),
-        REPLICA,
-        deadline_ms=1500.7,
-        body_bytes=4,
+        Outgoing(asked, b'body'), REPLICA, deadline_ms=1500.7
     )
     assert sent == (
         b'Host: shop.example\r\n'
@@ -156,6 +159,51 @@
     )
     assert [part.tokens for part in info.parts] == [800, 410]
     assert info.deadline_ms is None
+    assert not info.last_event_id
+
+
+@pytest.mark.parametrize('content', [b'inf', b'nan', b'-inf', b'x', b''])
+def test_number_that_is_not_finite_counts_as_missing(content):
+    info = HeaderDialect().read_call(
+        request(
+            (b'X-Cactusledge-Token-Budget', content),
+            (b'X-Cactusledge-Deadline-Ms', content),
+            (b'X-Cactusledge-Token-Usage', content),
+        )
+    )
+    assert (info.budget, info.deadline_ms, info.max_tokens) == (None, None, 0)
+
+
+def test_prompt_part_with_a_superscript_digit_is_skipped():
+    info = HeaderDialect().read_call(
+        request((b'X-Cactusledge-Prompt-Prefix', b'5c1e:8\xb2,91bd:410'))
+    )
+    assert [part.part_id for part in info.parts] == ['91bd']
+
+
+def test_resumed_request_names_the_last_event_received():
+    asked = request((b'Host', b'h'), (b'Last-Event-Id', b'3'))
+    sent = [
+        HeaderDialect().request_headers(outgoing, REPLICA, deadline_ms=9)
+        for outgoing in (Outgoing(asked, b''), Outgoing(asked, b'', '7'))
+    ]
+    assert b'Last-Event-Id: 3\r\n' in sent[0]
+    assert b'Last-Event-Id: 7\r\n' in sent[1]
+    assert b'Last-Event-Id: 3' not in sent[1]
+
+
+def test_resumable_route_may_repeat():
+    cfg = decode_configuration(
+        stored(
+            'main',
+            {
+                'version': 7,
+                'routes': [ROUTE, {**ROUTE, 'resumable': True}],
+                'services': [],
+            },
+        )
+    )
+    assert [route.may_repeat for route in cfg.routes] == [False, True]
 
 
 @given(st.lists(st.tuples(st.binary(max_size=30), st.binary(max_size=30))))
--- a/tests/test_records_cluster.py
+++ b/tests/test_records_cluster.py
@@ -62,6 +62,22 @@
     run_scenario(3, scenario)
 
 
+def test_turn_without_a_budget_reserves_nothing(run_scenario):
+    async def scenario(cluster):
+        assert await verdict(cluster, 't1', budget=None) is Verdict.GRANTED
+        assert await cluster.client.record(turn('t1'))
+        grant = await cluster.client.begin(turn_start('t2', 't1', budget=None))
+        assert grant.verdict is Verdict.GRANTED
+        assert [found.turn_id for found in grant.chain] == ['t1']
+        assert await verdict(cluster, 't3', 'none', budget=None) is (
+            Verdict.NO_PARENT
+        )
+        for node in cluster.nodes.values():
+            assert node.store.log.state.spent('p').keys() <= {'t1'}
+
+    run_scenario(3, scenario)
+
+
 def test_unknown_turn_is_reported_missing_only_with_a_quorum(run_scenario):
     async def scenario(cluster):
         assert await verdict(cluster, 't2', 'none') is Verdict.NO_PARENT
