Split the record stores into shards, and watch one store a data centre

Cause: all stores formed one group, so each reservation and record went to every store: with 24 stores 24 messages each and 13 synced replies, and each gateway sent heartbeats every 0.15 s to all of them.

Ruled out: a write quorum drawn by hash for each program within one group, since every change of membership would move quorums; an owner of each shard, since it cannot serve while it is down.

Change: at the first start the stores are dealt to as many shards as tolerate what may be lost with one member to spare, so deployments of up to 11 stores keep one group. A program's shard follows from its id. Each shard is a group as before; all groups are in one published object. A request names its shard, so that a store that was replaced and joined another shard does not count for a gateway with an old table. 404 needs the answer of every shard. Gateways watch one store of each data centre closely and check its neighbours when it is lost; loads are exchanged through the first shard. The number of shards is fixed when they are formed.

A gateway is ready while it reaches half of the shards; a member that does not confirm a record in time is checked at once.

--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -73,7 +73,9 @@
         while True:
             self._records.update_quorum_state()
             peers = self._records.peers
-            unreachable = silent_data_centres(peers.group, peers.direct_names())
+            unreachable = silent_data_centres(
+                peers.members, peers.direct_names()
+            )
             if unreachable != self._fleet.partitions.unreachable:
                 log_reachability(unreachable)
             self._fleet.partitions.update(unreachable, loop.time())
@@ -83,7 +85,10 @@
         metrics = self._fleet.metrics
         metrics.put('gateway_endpoints', len(self._fleet.replicas))
         metrics.put('gateway_quorum', self._records.has_quorum)
-        metrics.put('records_generation', self._records.group.generation)
+        for shard, peers in self._records.peers.by_shard.items():
+            metrics.put(
+                'records_generation', peers.group.generation, shard=str(shard)
+            )
 
     async def _maintain(self) -> None:
         while True:
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -35,7 +35,8 @@
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Turn
 from cactusledge.records.quorum import Demand, Verdict
-from cactusledge.records.reservations import Grant, TurnStart
+from cactusledge.records.reservations import Grant
+from cactusledge.records.turn_start import TurnStart
 
 MS = 1000
 UNSURE_RETRY_S = 0.25  # for the record stores to answer again
@@ -114,6 +115,7 @@
         )
         grant = await self._records.begin(start)
         self._fleet.metrics.add('gateway_turns_total', verdict=grant.verdict)
+        group = self._records.group_of(start.program_id)
         log.info(
             'gateway: tokens asked for',
             request_id=info.request_id,
@@ -123,7 +125,8 @@
             budget=start.demand.budget,
             verdict=grant.verdict,
             replies=grant.reason,
-            generation=self._records.group.generation,
+            shard=group.shard,
+            generation=group.generation,
         )
         stream.chain = cached or join(grant.chain)
         return grant
--- a/cactusledge/records/adopted_group.py
+++ b/cactusledge/records/adopted_group.py
@@ -17,8 +17,9 @@
 
 
 class AdoptedGroup:
-    """Adopts newer groups only, and writes each one to disk.
+    """Adopts newer groups of its shard only, and writes each one to disk.
 
+    A store that is no member and keeps no records may change to another shard.
     After a power loss a store continues with the group on its disk. The next
     change of the group therefore has to wait for `durable_generation`, not
     for the group in memory.
@@ -39,13 +40,17 @@
 
     def adopt(self, group: entries.Group) -> bool:
         """Adopts the group if it is newer; returns whether it was."""
-        if group.generation <= self.group.generation:
+        if not self._may_adopt(group):
             return False
+        if group.shard != self.group.shard:
+            self.durable_generation = 0
+            self._generation_in_flight = 0
         self.group = group
         self.persist()
         log.info(
             'records: group adopted',
             generation=group.generation,
+            shard=group.shard,
             members=sorted(group.members),
             is_member=self.is_member,
         )
@@ -58,15 +63,25 @@
             return
         self._generation_in_flight = generation
         fut = self._log.write_document(GROUP_FILE, encode_group(self.group))
-        fut.add_done_callback(partial(self._on_written, generation))
+        fut.add_done_callback(partial(self._on_written, self.group))
+
+    def _may_adopt(self, group: entries.Group) -> bool:
+        own = self.group
+        if group.shard == own.shard or not own.generation:
+            return group.generation > own.generation
+        return not self.is_member and not self._log.head
 
-    def _on_written(self, generation: int, fut: 'asyncio.Future[None]') -> None:
+    def _on_written(
+        self, group: entries.Group, fut: 'asyncio.Future[None]'
+    ) -> None:
+        if group.shard != self.group.shard:
+            return
         exc = fut.exception()
         if exc is None:
-            self.durable_generation = generation
+            self.durable_generation = group.generation
             return
         log.warning('records: writing the group failed', error=repr(exc))
-        if self._generation_in_flight == generation:
+        if self._generation_in_flight == group.generation:
             self._generation_in_flight = 0
 
 
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -141,7 +141,7 @@
 
     def _start_watchers(self, loop: asyncio.AbstractEventLoop) -> None:
         followers: dict[str, Follower] = {
-            GROUP_KIND: GroupFollower(self.group_manager.adopt_group),
+            GROUP_KIND: GroupFollower(self.group_manager.adopt_table),
             self._parts.retirement.kind: RetirementFollower(self),
         }
         for kind, follower in followers.items():
--- a/cactusledge/records/catch_up.py
+++ b/cactusledge/records/catch_up.py
@@ -84,4 +84,5 @@
             position,
             self._store.name,
             self._store.log.identity.log_id,
+            self._store.group.shard,
         )
--- a/cactusledge/records/draining.py
+++ b/cactusledge/records/draining.py
@@ -93,4 +93,5 @@
                 entries_for_store.append(turn)
             else:
                 entries_for_store.append(entry)
-        return Append(self._store.group.generation, entries_for_store)
+        group = self._store.group
+        return Append(group.generation, entries_for_store, group.shard)
--- a/cactusledge/records/entries.py
+++ b/cactusledge/records/entries.py
@@ -60,7 +60,7 @@
 
 
 class Group(Message, frozen=True):
-    """The instances that hold the records.
+    """The instances that hold the records of one shard.
 
     Consecutive generations differ in one member, so that a majority of one
     meets every majority of the next.
@@ -70,6 +70,8 @@
     members: dict[str, Member]  # by instance name
     target_size: int  # dead members are removed only above this size
     copies: int  # instances that keep each turn's text
+    shard: int = 0
+    shards: int = 1  # of the whole system
 
 
 EMPTY_GROUP = Group(generation=0, members={}, target_size=0, copies=1)
--- a/cactusledge/records/group_finder.py
+++ b/cactusledge/records/group_finder.py
@@ -1,4 +1,4 @@
-"""Finds the group of record stores for a gateway without a quorum."""
+"""Finds the groups of record stores for a gateway without a quorum."""
 
 import time
 from collections.abc import Sequence
@@ -21,7 +21,7 @@
 class GroupFinder:
     """Asks the seed addresses, which may be stale, and the platform.
 
-    It only has to run while there is no quorum: members of a group in use
+    It only has to run while a quorum is missing: members of a group in use
     refuse requests of an older generation, and so report the newer group.
     """
 
@@ -38,8 +38,8 @@
         self._last_read_s = float(0)  # when the platform was last read
 
     async def run(self) -> None:
-        """Looks for the group once, unless a quorum can be reached."""
-        if self._records.has_quorum:
+        """Looks for the groups once, unless each has a quorum in reach."""
+        if self._records.has_all_quorums:
             return
         for address in self._seeds:
             await self._ask_seed(address)
@@ -55,7 +55,8 @@
             log.info('records: seed unreachable', address=str(address))
             return
         if isinstance(reply, Status):
-            self._records.adopt_group(reply.group)
+            for group in (reply.group, *reply.groups):
+                self._records.adopt_group(group)
 
     async def _read_platform(self) -> None:
         try:
@@ -64,4 +65,5 @@
             log.info('records: platform unavailable', error=exc.message)
             return
         if published is not None:
-            self._records.adopt_group(published.group)
+            for group in published.table.groups:
+                self._records.adopt_group(group)
--- a/cactusledge/records/group_follower.py
+++ b/cactusledge/records/group_follower.py
@@ -1,4 +1,4 @@
-"""Follows the published group of record stores."""
+"""Follows the published groups of record stores."""
 
 from collections.abc import Callable
 
@@ -6,27 +6,26 @@
 
 from cactusledge.objects.feeds import Listing
 from cactusledge.objects.store import StoredObject
-from cactusledge.records.entries import Group
-from cactusledge.records.membership import decode_group
+from cactusledge.records.shards import ShardTable, decode_table
 
 log = structlog.get_logger('records')
 
 
 class GroupFollower:
-    """Passes each published group to a callback."""
+    """Passes each published table of groups to a callback."""
 
-    def __init__(self, adopt_group: Callable[[Group], object]) -> None:
+    def __init__(self, adopt_table: Callable[[ShardTable], object]) -> None:
         """Stores the callback."""
-        self._take_group = adopt_group
+        self._adopt_table = adopt_table
 
     def handle_list(self, listing: Listing) -> None:
-        """Adopts the group of a complete list."""
+        """Adopts the groups of a complete list."""
         for stored in listing.listed.items:
             self.handle_object(stored)
 
     def handle_object(self, stored: StoredObject) -> None:
-        """Adopts a new or changed group."""
-        self._take_group(decode_group(stored.body))
+        """Adopts new or changed groups."""
+        self._adopt_table(decode_table(stored.body))
 
     def handle_removal(self, name: str) -> None:
         """Logs the removal; the adopted group stays in force."""
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 
 import structlog
 
 from cactusledge.errors import StoreError
 from cactusledge.records.catch_up import CatchUp
 from cactusledge.records.entries import Group, Member
-from cactusledge.records.group_objects import GroupObjects, PublishedGroup
+from cactusledge.records.group_objects import GroupObjects, PublishedTable
+from cactusledge.records.links import Link
 from cactusledge.records.membership import (
-    first_group,
+    is_first,
     may_change,
     removable_member,
     with_member,
@@ -19,6 +21,7 @@
 from cactusledge.records.messages import Announce, Ask, Status
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.reachability import ConnectionLosses
+from cactusledge.records.shards import ShardTable, form_table, own_group
 from cactusledge.records.store import RecordStore
 from cactusledge.records.text_restorer import TextRestorer
 
@@ -79,12 +82,20 @@
         if self._store.adopted_group.adopt(group):
             self.peers.adopt_group(group)
 
+    def adopt_table(self, table: ShardTable) -> None:
+        """Adopts this store's own group, or the one that it has to join."""
+        self._store.known_groups = table.groups
+        kept = self._store.group if self._has_shard() else None
+        self.adopt_group(own_group(table, self._store.name, self._member, kept))
+
     async def leave(self) -> None:
         """Removes this store from the group; raises StoreError."""
         published = await self._read_published()
         if published is not None and self._store.is_member:
             group = without_member(
-                published.group, self._store.name, lowers_target=True
+                published.table.group(self._store.group.shard),
+                self._store.name,
+                lowers_target=True,
             )
             await self._publish_change(published, group)
 
@@ -107,9 +118,9 @@
         await self._remove_dead_member()
 
     async def _form_group(self) -> None:
-        """Forms the first group at the first start of the whole system.
+        """Forms the first groups at the first start of the whole system.
 
-        Every store registers; the first one by name publishes the group.
+        Every store registers; the first one by name publishes the groups.
         """
         await self._read_published()
         if self._store.group.generation or not self._is_first_start:
@@ -122,12 +133,12 @@
         members = await self._objects.registered()
         if self._store.name != min(members, default=''):
             return
-        group = first_group(members, self._copies)
-        if await self._objects.create(group):
-            self.adopt_group(group)
+        table = form_table(members, self._copies)
+        if await self._objects.create(table):
+            self.adopt_table(table)
 
     async def _join_group(self) -> None:
-        """Adds this store to the group.
+        """Adds this store to the group of its shard.
 
         It may lack entries written while it was no member, so it stops being
         a witness until it has caught up.
@@ -137,56 +148,55 @@
             self._catch_up = CatchUp(self._store)
         published = await self._read_published()
         if published is not None and not self._store.is_member:
-            group = with_member(published.group, self._store.name, self._member)
+            group = with_member(
+                published.table.group(self._store.group.shard),
+                self._store.name,
+                self._member,
+            )
             await self._publish_change(published, group)
 
     async def _remove_dead_member(self) -> None:
         group = self._store.group
         name = removable_member(group, self._losses.update(self.peers))
-        if name is None or not self._is_coordinator():
+        reachable = {peer.name for peer in self.peers.connected()}
+        if name is None or not is_first(self._store.name, group, reachable):
             return
         published = await self._read_published()
-        if published is not None and published.group == group:
+        if published is not None and published.table.group_of(name) == group:
             changed = without_member(group, name, lowers_target=False)
             await self._publish_change(published, changed)
 
-    def _is_coordinator(self) -> bool:
-        """Whether this is the first by name of the reachable members."""
-        reachable = [peer.name for peer in self.peers.connected()]
-        return self._store.is_member and self._store.name <= min(
-            reachable, default=self._store.name
-        )
-
     async def _publish_change(
-        self, published: PublishedGroup, group: Group
+        self, published: PublishedTable, group: Group
     ) -> None:
         """Publishes the next group if a majority has adopted the last one."""
-        if not may_change(published.group, await self._adopted_generations()):
+        last = published.table.group(group.shard)
+        if not may_change(last, await self._adopted_generations()):
             return
         if await self._objects.replace(published, group):
             log.info(
                 'records: group changed',
                 generation=group.generation,
+                shard=group.shard,
                 members=sorted(group.members),
             )
-            await self._announce(group)
-
-    async def _announce(self, group: Group) -> None:
-        """Adopts the group and sends it to the old and the new members."""
-        told = set(self.peers.all())
-        self.adopt_group(group)
-        told.update(self.peers.all())
-        await asyncio.gather(
-            *(peer.call(Announce(group), ASK_TIMEOUT_S) for peer in told),
-            return_exceptions=True,
-        )
+            told = set(self.peers.all())
+            self.adopt_group(group)
+            await announce(group, told.union(self.peers.all()))
 
-    async def _read_published(self) -> PublishedGroup | None:
+    async def _read_published(self) -> PublishedTable | None:
         published = await self._objects.read()
         if published is not None:
-            self.adopt_group(published.group)
+            self.adopt_table(published.table)
         return published
 
+    def _has_shard(self) -> bool:
+        """Whether this store is in its shard or keeps records of it."""
+        group = self._store.group
+        return bool(group.generation) and (
+            self._store.is_member or self._store.log.head > 0
+        )
+
     async def _adopted_generations(self) -> dict[str, int]:
         """Returns the generation on disk of each member that answers."""
         own = self._store.group
@@ -205,3 +215,11 @@
         durable = self._store.adopted_group.durable_generation
         adopted[self._store.name] = durable
         return adopted
+
+
+async def announce(group: Group, links: Iterable[Link]) -> None:
+    """Sends a changed group to its old and new members, as far as possible."""
+    await asyncio.gather(
+        *(link.call(Announce(group), ASK_TIMEOUT_S) for link in links),
+        return_exceptions=True,
+    )
--- a/cactusledge/records/group_objects.py
+++ b/cactusledge/records/group_objects.py
@@ -1,4 +1,4 @@
-"""Reads and updates the group of record stores at the platform."""
+"""Reads and updates the groups of record stores at the platform."""
 
 import asyncio
 from collections.abc import Callable, Mapping
@@ -9,7 +9,11 @@
 from cactusledge.errors import StoreConflictError, StoreNotFoundError
 from cactusledge.objects.store import ObjectStore
 from cactusledge.records.entries import Group, Member
-from cactusledge.records.membership import decode_group, encode_group
+from cactusledge.records.shards import (
+    ShardTable,
+    decode_table,
+    encode_table,
+)
 
 GROUP_KIND = 'record-groups'
 GROUP_NAME = 'main'
@@ -20,15 +24,18 @@
 log = structlog.get_logger('records')
 
 
-class PublishedGroup(NamedTuple):
-    """The group and the version of its object at the platform."""
+class PublishedTable(NamedTuple):
+    """The groups of all shards, and the version of their object."""
 
-    group: Group
+    table: ShardTable
     version: str
 
 
 class GroupObjects:
-    """Reads the group, and changes it by conditional updates.
+    """Reads the shards' groups, and changes them by conditional updates.
+
+    All groups are in one object, so that they are formed at once and a front
+    learns of all of them by one call.
 
     All methods raise StoreError while the platform is unavailable.
     """
@@ -37,19 +44,19 @@
         """Stores the client; its blocking calls run in threads."""
         self._objects = objects
 
-    async def read(self) -> PublishedGroup | None:
-        """Returns the group, None if it has not been formed yet."""
+    async def read(self) -> PublishedTable | None:
+        """Returns the groups, None if they have not been formed yet."""
         try:
             stored = await run_in_thread(
                 lambda: self._objects.read(GROUP_KIND, GROUP_NAME)
             )
         except StoreNotFoundError:
             return None
-        return PublishedGroup(decode_group(stored.body), stored.version)
+        return PublishedTable(decode_table(stored.body), stored.version)
 
-    async def create(self, group: Group) -> bool:
-        """Publishes the first group; returns False if there is one already."""
-        body = encode_group(group)
+    async def create(self, table: ShardTable) -> bool:
+        """Publishes the first groups; returns False if there are any."""
+        body = encode_table(table)
         try:
             await run_in_thread(
                 lambda: self._objects.create(GROUP_KIND, GROUP_NAME, body)
@@ -58,9 +65,12 @@
             return False
         return True
 
-    async def replace(self, published: PublishedGroup, group: Group) -> bool:
-        """Publishes the next group; returns False if another one came first."""
-        body = encode_group(group)
+    async def replace(self, published: PublishedTable, group: Group) -> bool:
+        """Publishes a shard's next group.
+
+        Returns False if another change, of any shard, came first.
+        """
+        body = encode_table(published.table.with_group(group))
         try:
             await run_in_thread(
                 lambda: self._objects.update(
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -12,8 +12,8 @@
     ReadPart,
 )
 from cactusledge.records.links import Link
-from cactusledge.records.peers import GroupPeers
 from cactusledge.records.read_parts import ListPosition
+from cactusledge.records.store_peers import StorePeers
 
 EXCHANGE_INTERVAL_S = 0.1
 INTERVAL_PER_ENDPOINT_S = 0.003  # to limit the bytes sent per second
@@ -50,7 +50,7 @@
     def __init__(
         self,
         name: str,
-        peers: GroupPeers,
+        peers: StorePeers,
         tracker: LoadTracker,
     ) -> None:
         """Prepares the exchange; `run` starts it."""
--- a/cactusledge/records/load_sharing.py
+++ b/cactusledge/records/load_sharing.py
@@ -18,7 +18,10 @@
 
 
 class LoadSharing:
-    """Sends this store's load sums to the others; receives their read parts."""
+    """Sends this store's load sums to the others; receives their read parts.
+
+    Gateways report to the first shard only, so other stores share nothing.
+    """
 
     def __init__(self, store: RecordStore, peers: GroupPeers) -> None:
         """Prepares the sharing; `run` starts it."""
@@ -30,7 +33,8 @@
         """Shares loads until it is cancelled."""
         while True:
             sums = self._store.gateways.local_sums()
-            links = self._peers.connected()
+            is_first = not self._store.group.shard
+            links = self._peers.connected() if is_first else ()
             await asyncio.gather(*(self._tell(link, sums) for link in links))
             await asyncio.sleep(
                 max(SHARE_INTERVAL_S, len(sums) * INTERVAL_PER_ENDPOINT_S)
--- a/cactusledge/records/membership.py
+++ b/cactusledge/records/membership.py
@@ -5,7 +5,7 @@
 therefore differ in one member, and their majorities intersect.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import msgspec
 
@@ -41,7 +41,27 @@
     target = group.target_size
     if lowers_target:
         target = min(target, len(members))
-    return Group(group.generation + 1, members, target, group.copies)
+    return msgspec.structs.replace(
+        group,
+        generation=group.generation + 1,
+        members=members,
+        target_size=target,
+    )
+
+
+def is_for(group: Group, shard: int, generation: int) -> bool:
+    """Returns whether a store of a group handles a request.
+
+    A store that has no group yet handles any.
+
+    Args:
+        group: The store's group.
+        shard: The shard that the sender asks.
+        generation: The sender's group of that shard.
+    """
+    if not group.generation:
+        return True
+    return shard == group.shard and generation >= group.generation
 
 
 def may_change(group: Group, generations: Mapping[str, int]) -> bool:
@@ -79,6 +99,11 @@
     return max(dead, key=lambda name: unreachable_s[name])
 
 
+def is_first(name: str, group: Group, reachable: Collection[str]) -> bool:
+    """Returns whether a member is the first by name of the reachable ones."""
+    return name in group.members and name <= min(reachable, default=name)
+
+
 def sources_needed(size: int) -> int:
     """Returns how many other witnesses a store has to read in full.
 
@@ -99,6 +124,8 @@
         {name: Member(*member) for name, member in members.items()},
         int(str(document['target_size'])),
         int(str(document['copies'])),
+        int(str(document.get('shard', 0))),
+        int(str(document.get('shards', 1))),
     )
 
 
@@ -112,4 +139,6 @@
         },
         'target_size': group.target_size,
         'copies': group.copies,
+        'shard': group.shard,
+        'shards': group.shards,
     }
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -18,6 +18,7 @@
     generation: int
     entry: Reserved
     parent_id: str
+    shard: int = 0  # of the group that has the generation
 
 
 class ReserveReply(Message, frozen=True):
@@ -37,6 +38,7 @@
 
     generation: int
     entries: list[Entry]
+    shard: int = 0
 
 
 class Appended(Message, frozen=True):
@@ -54,6 +56,7 @@
     program_id: str
     parent_id: str
     wants_chain: bool
+    shard: int = 0
 
 
 class Fetch(Message, frozen=True):
@@ -61,6 +64,7 @@
 
     generation: int
     turn_ids: list[str]
+    shard: int = 0
 
 
 class Fetched(Message, frozen=True):
@@ -77,6 +81,7 @@
     position: int
     reader: str = ''  # the store that catches up
     reader_log_id: str = ''  # of the reader's own disk
+    shard: int = 0
 
 
 class Pulled(Message, frozen=True):
@@ -89,7 +94,10 @@
 
 
 class StaleGroup(Message, frozen=True):
-    """Refuses a request, unexecuted, as the sender's group is outdated."""
+    """Refuses a request, unexecuted: it is not for this store's group.
+
+    The sender's group is outdated, or the store belongs to another shard.
+    """
 
     group: Group
 
@@ -108,6 +116,8 @@
     is_witness: bool
     log_id: str
     durable_generation: int = 0  # of the group on its disk
+    # The groups of all shards, as far as this store knows them.
+    groups: list[Group] = msgspec.field(default_factory=list)
 
 
 class Ping(Message, frozen=True):
--- a/cactusledge/records/peer.py
+++ b/cactusledge/records/peer.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+from collections.abc import Callable
 
 import structlog
 
@@ -14,6 +15,8 @@
 CONNECT_TIMEOUT_S = 0.6
 RECONNECT_DELAY_S = 0.3
 HEARTBEAT_INTERVAL_S = 0.15
+IDLE_INTERVAL_S = 0.9  # between heartbeats of connections not watched
+CHECK_TIMEOUT_S = 0.3
 MAX_FAILED_CONNECTS = 3
 MAX_SILENT_HEARTBEATS = 4  # without any bytes received
 
@@ -21,17 +24,31 @@
 
 
 class ClientProtocol(FrameProtocol):
-    """The client side of one connection."""
+    """The client side of one connection; sends heartbeats while it is open.
 
-    def __init__(self) -> None:
+    Heartbeats are counted, not time: a process that was paused handles the
+    bytes received meanwhile before it counts the next heartbeat.
+    """
+
+    def __init__(self, peer: 'Peer') -> None:
         """Starts without pending requests."""
         super().__init__()
         self.pending: dict[int, asyncio.Future[Body]] = {}
-        self.silent_heartbeats = 0  # since bytes were last received
+        self.closed: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._peer = peer
+        self._silent_heartbeats = 0  # since bytes were last received
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts the heartbeats."""
+        super().connection_made(transport)
+        self._beat()
 
     def data_received(self, data: bytes) -> None:
         """Handles received bytes, any of which show that the peer is alive."""
-        self.silent_heartbeats = 0
+        self._silent_heartbeats = 0
         super().data_received(data)
 
     def on_message(self, envelope: Envelope) -> None:
@@ -43,10 +60,50 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the requests without a reply."""
         self.transport = None
+        if self._timer is not None:
+            self._timer.cancel()
         for fut in self.pending.values():
             if not fut.done():
                 fut.set_exception(ConnectionError('connection lost'))
         self.pending.clear()
+        if not self.closed.done():
+            self.closed.set_result(None)
+        self._peer.on_lost(self._peer)
+
+    def check(self) -> None:
+        """Pings the peer; aborts the connection if it stays silent."""
+        if self.transport is not None:
+            self._silent_heartbeats = max(1, self._silent_heartbeats)
+            self.transport.write(Peer.prepare(Ping())[1])
+            asyncio.get_running_loop().call_later(
+                CHECK_TIMEOUT_S, self._abort_if_silent
+            )
+
+    def _beat(self) -> None:
+        """Pings a silent peer; aborts the connection after several pings."""
+        if self.transport is None:
+            return
+        if self._silent_heartbeats >= MAX_SILENT_HEARTBEATS:
+            self._abort_silent()
+            return
+        if self._silent_heartbeats:
+            self.transport.write(Peer.prepare(Ping())[1])
+        self._silent_heartbeats += 1
+        self._timer = asyncio.get_running_loop().call_later(
+            self._peer.heartbeat_interval_s, self._beat
+        )
+
+    def _abort_if_silent(self) -> None:
+        if self._silent_heartbeats:
+            self._abort_silent()
+
+    def _abort_silent(self) -> None:
+        if self.transport is not None:
+            log.info(
+                'records: no data from peer, connection aborted',
+                peer=self._peer.name,
+            )
+            self.transport.abort()
 
 
 class Peer:
@@ -61,12 +118,19 @@
         self._protocol: ClientProtocol | None = None
         self._task: asyncio.Task[None] | None = None
         self._failed_connects = 0  # in a row
+        self.is_watched = True  # its loss has to be noticed soon
+        self.on_lost: Callable[[Peer], object] = ignore_loss
 
     @property
     def is_unreachable(self) -> bool:
         """Whether several attempts to connect have failed in a row."""
         return self._failed_connects >= MAX_FAILED_CONNECTS
 
+    @property
+    def heartbeat_interval_s(self) -> float:
+        """How long the connection may be idle before a heartbeat."""
+        return HEARTBEAT_INTERVAL_S if self.is_watched else IDLE_INTERVAL_S
+
     @property
     def is_connected(self) -> bool:
         """Whether the connection is open, as far as is known."""
@@ -91,6 +155,11 @@
         if protocol is not None and protocol.transport is not None:
             protocol.transport.abort()
 
+    def check(self) -> None:
+        """Aborts the connection unless the peer replies within a short time."""
+        if self._protocol is not None:
+            self._protocol.check()
+
     @classmethod
     def prepare(cls, body: Body) -> tuple[int, bytes]:
         """Returns a request's number and frame, to send to several peers."""
@@ -119,6 +188,9 @@
         async with asyncio.timeout(timeout_s):
             return await self.send(number, content)
 
+    def _make_protocol(self) -> ClientProtocol:
+        return ClientProtocol(self)
+
     async def _keep_connected(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -126,32 +198,19 @@
             with contextlib.suppress(OSError, TimeoutError):
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     opened = await loop.create_connection(
-                        ClientProtocol, self.address.host, self.address.port
+                        self._make_protocol,
+                        self.address.host,
+                        self.address.port,
                     )
                     self._protocol = opened[1]
                     self._failed_connects = 0
-            await self._send_heartbeats()
+            if self._protocol is not None:
+                await self._protocol.closed
             await asyncio.sleep(RECONNECT_DELAY_S)
 
-    async def _send_heartbeats(self) -> None:
-        """Pings while the connection is open; aborts a silent one.
 
-        Heartbeats are counted, not time: a process that was paused handles
-        the bytes received meanwhile before it counts the next heartbeat.
-        """
-        protocol = self._protocol
-        while protocol is not None and protocol.transport is not None:
-            if protocol.silent_heartbeats >= MAX_SILENT_HEARTBEATS:
-                log.info(
-                    'records: no data from peer, connection aborted',
-                    peer=self.name,
-                )
-                self.drop()
-                return
-            if protocol.silent_heartbeats:
-                protocol.transport.write(self.prepare(Ping())[1])
-            protocol.silent_heartbeats += 1
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+def ignore_loss(peer: Peer) -> None:
+    """The default for `Peer.on_lost`."""
 
 
 async def call_once(address: Address, body: Body, timeout_s: float) -> Body:
--- a/cactusledge/records/peers.py
+++ b/cactusledge/records/peers.py
@@ -1,5 +1,7 @@
 """Connections to the members of the group."""
 
+from collections.abc import Collection
+
 from cactusledge.models import Address
 from cactusledge.records.entries import EMPTY_GROUP, Group, Member
 from cactusledge.records.holders import rank
@@ -11,13 +13,18 @@
 class GroupPeers:
     """Connections to all members of the group except this instance."""
 
-    def __init__(self, instance: str, data_centre: str) -> None:
-        """Starts without a group."""
+    def __init__(
+        self,
+        instance: str,
+        data_centre: str,
+        relay_route: RelayRoute | None = None,
+    ) -> None:
+        """Starts without a group; connections of several may share a relay."""
         self.group: Group = EMPTY_GROUP
         self._instance = instance
         self.data_centre = data_centre
         self._peers: dict[str, Peer] = {}
-        self.relay_route = RelayRoute()
+        self.relay_route = relay_route or RelayRoute()
 
     @property
     def has_quorum(self) -> bool:
@@ -30,8 +37,12 @@
         return is_quorum(len(self.direct_names()), self.group)
 
     def adopt_group(self, group: Group) -> bool:
-        """Adopts a newer group; returns whether it was newer."""
-        if group.generation <= self.group.generation:
+        """Adopts a newer group or that of another shard.
+
+        Returns whether it was one.
+        """
+        is_older = group.generation <= self.group.generation
+        if is_older and group.shard == self.group.shard:
             return False
         self.group = group
         for peer in tuple(self._peers.values()):
@@ -102,6 +113,14 @@
         self._peers[name] = peer
 
 
+def check_silent(peers: GroupPeers, replied: Collection[str]) -> None:
+    """Checks the connections to the members that did not reply."""
+    for name in peers.names().difference(replied):
+        peer = peers.direct(name)
+        if peer is not None:
+            peer.check()
+
+
 def address_of(member: Member) -> Address:
     """Returns the address at which an instance accepts messages."""
     host, _, port = member.address.rpartition(':')
--- a/cactusledge/records/reachability.py
+++ b/cactusledge/records/reachability.py
@@ -1,9 +1,9 @@
 """Tracks which members of a group are unreachable, and since when."""
 
 import time
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
-from cactusledge.records.entries import Group
+from cactusledge.records.entries import Member
 from cactusledge.records.peers import GroupPeers
 
 
@@ -25,14 +25,13 @@
 
 
 def silent_data_centres(
-    group: Group, reached: Collection[str]
+    members: Mapping[str, Member], reached: Collection[str]
 ) -> frozenset[str]:
     """Returns the data centres none of whose members is reached.
 
     If no member is reached at all, this instance is cut off or all stores are
     down. That says nothing about single data centres, so none is returned.
     """
-    members = group.members
     all_centres = {member.data_centre for member in members.values()}
     reached_centres = {
         member.data_centre
--- a/cactusledge/records/relays.py
+++ b/cactusledge/records/relays.py
@@ -17,7 +17,8 @@
     Relayed,
 )
 from cactusledge.records.peer import Peer
-from cactusledge.records.peers import GroupPeers, address_of
+from cactusledge.records.peers import address_of
+from cactusledge.records.store_peers import StorePeers
 
 CHECK_INTERVAL_S = 0.25
 HELLO_INTERVAL_STEPS = 12  # check intervals between two hellos
@@ -31,7 +32,7 @@
 class Relays:
     """Forwards other gateways' requests, and finds a relay for this one."""
 
-    def __init__(self, name: str, member: Member, peers: GroupPeers) -> None:
+    def __init__(self, name: str, member: Member, peers: StorePeers) -> None:
         """Prepares the relays; `run` starts the search for one."""
         self._name = name
         self._member = member
--- a/cactusledge/records/round.py
+++ b/cactusledge/records/round.py
@@ -4,10 +4,15 @@
 from collections.abc import Iterable, Sequence
 from typing import Generic, NamedTuple
 
+from cactusledge.records.entries import Group
 from cactusledge.records.links import Link
 from cactusledge.records.messages import Body, StaleGroup
 from cactusledge.records.peer import Peer
-from cactusledge.records.quorum import ReplyType, replies_on_current_disks
+from cactusledge.records.quorum import (
+    ReplyType,
+    quorum,
+    replies_on_current_disks,
+)
 
 LATE_REPLIES_WAIT_S = 0.006  # for more replies after a quorum
 
@@ -31,26 +36,28 @@
 class Round(Generic[ReplyType]):
     """Collects replies until all arrived or a short wait after a quorum.
 
-    `stale` is the last `StaleGroup` reply, if any member sent one.
+    `stale` is the reply with the newest group, if any member refused with one
+    that is newer than the group asked.
     """
 
     def __init__(
         self,
         wanted: type[ReplyType],
-        needed: int,
+        group: Group,
         required: Iterable[str] = (),
     ) -> None:
         """Prepares a round.
 
         Args:
             wanted: The type of the replies that count.
-            needed: How many of them are a quorum.
+            group: The group that is asked; a quorum of it has to reply.
             required: Members whose replies are needed as well.
         """
         self._replies: dict[str, ReplyType] = {}
         self.stale: StaleGroup | None = None
         self._wanted = wanted
-        self._needed = needed
+        self._group = group
+        self._needed = quorum(group)
         self._required = frozenset(required)
         self._outstanding = 0
         self._wait_s = LATE_REPLIES_WAIT_S
@@ -108,9 +115,15 @@
     def _sort_reply(self, name: str, reply: Body) -> None:
         if isinstance(reply, self._wanted):
             self._replies[name] = reply
-        elif isinstance(reply, StaleGroup):
+        elif isinstance(reply, StaleGroup) and self._is_newer(reply.group):
             self.stale = reply
 
+    def _is_newer(self, group: Group) -> bool:
+        """Whether this is a newer group of the same shard than any before."""
+        known = self.stale.group if self.stale else self._group
+        is_same = group.shard == self._group.shard
+        return is_same and group.generation > known.generation
+
     def _finish(self) -> None:
         if self._finished is not None and not self._finished.done():
             self._finished.set_result(None)
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -14,6 +14,8 @@
 from cactusledge.records.gateways import GatewayRegistry
 from cactusledge.records.log import RecordLog
 from cactusledge.records.log_readers import LogReaders
+from cactusledge.records.membership import is_for
+from cactusledge.records.shards import newer_groups
 
 ANY_GENERATION = (
     messages.Ask,
@@ -36,6 +38,8 @@
         self.adopted_group = AdoptedGroup(name, record_log)
         self._log_readers = LogReaders()
         self.gateways = GatewayRegistry()
+        # Of all shards, as published at the platform; may lag behind.
+        self.known_groups: tuple[entries.Group, ...] = ()
         self.on_announced_group: Callable[[entries.Group], object] = (
             self.adopted_group.adopt
         )
@@ -63,10 +67,12 @@
         return self.adopted_group.is_member
 
     async def handle(self, body: messages.Body) -> messages.Body:
-        """Returns the reply to a message; refuses stale generations."""
-        generation = getattr(body, 'generation', 0)
-        is_stale = generation < self.group.generation
-        if is_stale and not isinstance(body, ANY_GENERATION):
+        """Returns the reply to a message; refuses those for other groups."""
+        if not isinstance(body, ANY_GENERATION) and not is_for(
+            self.group,
+            getattr(body, 'shard', 0),
+            getattr(body, 'generation', 0),
+        ):
             return messages.StaleGroup(self.group)
         handler = self._handlers.get(type(body))
         if handler is None:
@@ -124,6 +130,7 @@
             is_witness=self.log.identity.is_witness,
             log_id=self.log.identity.log_id,
             durable_generation=self.adopted_group.durable_generation,
+            groups=list(newer_groups(self.known_groups, (self.group,))),
         )
 
     async def _announce(self, request: messages.Announce) -> messages.Body:
--- a/cactusledge/records/text_restorer.py
+++ b/cactusledge/records/text_restorer.py
@@ -59,7 +59,8 @@
         for peer in self._peers.nearest_first():
             if not wanted or not peer.is_connected:
                 return
-            request = Fetch(self._store.group.generation, wanted)
+            group = self._store.group
+            request = Fetch(group.generation, wanted, group.shard)
             try:
                 reply = await peer.call(request, FETCH_TIMEOUT_S)
             except (ConnectionError, TimeoutError) as exc:
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -43,7 +43,9 @@
         self.quorum_lost_for_s = 0
         self.recorded = []
         self.settled = []
-        self.group = EMPTY_GROUP
+
+    def group_of(self, program_id):
+        return EMPTY_GROUP
 
     async def begin(self, start):
         return self.grant
--- a/tests/records_support.py
+++ b/tests/records_support.py
@@ -15,8 +15,8 @@
 from cactusledge.records.log import RecordLog
 from cactusledge.records.message_server import MessageServer
 from cactusledge.records.quorum import Demand
-from cactusledge.records.reservations import TurnStart
 from cactusledge.records.store import RecordStore
+from cactusledge.records.turn_start import TurnStart
 
 WAIT_S = 8.0
 POLL_INTERVAL_S = 0.02
@@ -91,7 +91,7 @@
             with suppress(StoreError):
                 published = await GroupObjects(self._objects).read()
                 if published is not None:
-                    self.group_manager.adopt_group(published.group)
+                    self.group_manager.adopt_table(published.table)
 
 
 class Cluster:
@@ -112,18 +112,27 @@
     async def form(self, size):
         for index in range(size):
             await self.add(f'store-{index}', is_first_start=True)
-        await wait_until(lambda: len(self.group_at('store-0').members) == size)
+        await wait_until(lambda: self.member_count() == size)
         await self.connect()
 
+    def member_count(self):
+        """Returns the number of stores that belong to their own group."""
+        return sum(node.store.is_member for node in self.nodes.values())
+
+    def nodes_of(self, shard):
+        """Returns the stores that have adopted the group of a shard."""
+        return [
+            node
+            for node in self.nodes.values()
+            if node.store.group.shard == shard
+        ]
+
     def group_at(self, name):
         return self.nodes[name].store.group
 
     async def connect(self):
-        newest = max(
-            (node.store.group for node in self.nodes.values()),
-            key=lambda group: group.generation,
-        )
-        self.client.adopt_group(newest)
+        for node in self.nodes.values():
+            self.client.adopt_group(node.store.group)
         await wait_until(lambda: self.client.has_quorum)
 
     async def stop(self):
--- a/tests/soak_support.py
+++ b/tests/soak_support.py
@@ -10,7 +10,7 @@
 from cactusledge.records import disk
 from cactusledge.records.entries import Turn
 from cactusledge.records.quorum import Demand, Verdict
-from cactusledge.records.reservations import TurnStart
+from cactusledge.records.turn_start import TurnStart
 
 BUDGET = 300  # tokens per program
 
--- a/tests/test_gateway_partitions.py
+++ b/tests/test_gateway_partitions.py
@@ -11,7 +11,6 @@
 from cactusledge.gateway.messages import Repeatability, Replica
 from cactusledge.gateway.partitions import SILENCE_TIMEOUT_S, Partitions
 from cactusledge.records.entries import Member
-from cactusledge.records.membership import first_group
 from cactusledge.records.reachability import silent_data_centres
 
 
@@ -89,8 +88,7 @@
         'a2': Member('10.0.0.2:1', 'dc-a'),
         'b1': Member('10.0.0.3:1', 'dc-b'),
     }
-    group = first_group(members, copies=2)
-    assert silent_data_centres(group, reached) == silent
+    assert silent_data_centres(members, reached) == silent
 
 
 def test_only_repeatable_requests_may_be_abandoned():
--- a/tests/test_records_cluster.py
+++ b/tests/test_records_cluster.py
@@ -162,7 +162,7 @@
         assert len(cluster.group_at('store-0').members) == 4
         grant = await cluster.client.begin(turn_start('t2', 't1'))
         assert grant.verdict is Verdict.GRANTED
-        assert cluster.client.group.generation == 2
+        assert cluster.client.group_of('p').generation == 2
 
     run_scenario(3, scenario)
 
--- /dev/null
+++ b/tests/test_records_shard_cluster.py
@@ -0,0 +1,145 @@
+"""Two shards of record stores on loopback: losses, growth, lost quorums."""
+
+import asyncio
+
+import pytest
+
+from cactusledge.records import group_manager
+from cactusledge.records.entries import Turn
+from cactusledge.records.quorum import Demand, Verdict
+from cactusledge.records.shards import shard_of
+from cactusledge.records.turn_start import TurnStart
+from tests.records_support import cluster_of, wait_until
+
+pytestmark = pytest.mark.process
+
+STORES = 8  # with two copies of each text: two shards of four stores
+SHARDS = 2
+PROGRAMS = tuple(f'p{number}' for number in range(6))
+
+
+@pytest.fixture(autouse=True)
+def _short_formation_delay(monkeypatch):
+    monkeypatch.setattr(group_manager, 'FORMATION_DELAY_S', 0.5)
+
+
+@pytest.fixture
+def run_scenario(tmp_path, store):
+    """Returns a function that runs a scenario in a cluster of two shards."""
+
+    def run(scenario):
+        async def run_in_cluster():
+            async with cluster_of(STORES, tmp_path, store) as cluster:
+                await scenario(cluster)
+
+        asyncio.run(run_in_cluster())
+
+    return run
+
+
+def start_of(program_id, turn_id, parent_id=''):
+    """Returns the start of a turn with a budget."""
+    demand = Demand(turn_id, 10, 100, parent_id)
+    return TurnStart(demand, program_id, wants_chain=bool(parent_id))
+
+
+def shards_kept_by(node):
+    """Returns the shards of the programs that a store has records of."""
+    return {shard_of(key, SHARDS) for key in node.store.log.state.spending}
+
+
+async def take_turn(cluster, program_id, number):
+    """Reserves and records the next turn of a program; returns its chain."""
+    parent_id = f'{program_id}-{number - 1}' if number else ''
+    turn_id = f'{program_id}-{number}'
+    grant = await cluster.client.begin(start_of(program_id, turn_id, parent_id))
+    assert grant.verdict is Verdict.GRANTED, grant
+    turn = Turn(turn_id, parent_id, program_id, b'in', b'out', 10, 'e', ())
+    assert await cluster.client.record(turn)
+    return [found.turn_id for found in grant.chain]
+
+
+async def take_turns(cluster, number):
+    """Takes the next turn of each program; checks that its chain is whole."""
+    for program_id in PROGRAMS:
+        chain = await take_turn(cluster, program_id, number)
+        assert chain == [f'{program_id}-{index}' for index in range(number)]
+
+
+def test_each_program_is_kept_by_one_shard(run_scenario):
+    async def scenario(cluster):
+        assert {len(cluster.nodes_of(shard)) for shard in range(SHARDS)} == {4}
+        await take_turns(cluster, 0)
+        await take_turns(cluster, 1)
+        for node in cluster.nodes.values():
+            assert shards_kept_by(node) <= {node.store.group.shard}
+
+    run_scenario(scenario)
+
+
+def test_each_shard_survives_the_loss_of_a_disk(run_scenario):
+    async def scenario(cluster):
+        await take_turns(cluster, 0)
+        lost = [cluster.nodes_of(shard)[0] for shard in range(SHARDS)]
+        for node in lost:
+            await node.kill()
+            node.wipe()
+        await take_turns(cluster, 1)
+        for node in lost:
+            await node.start()
+        await wait_until(lambda: all(each.is_witness for each in lost))
+        await take_turns(cluster, 2)
+        assert [shards_kept_by(node) for node in lost] == [{0}, {1}]
+        assert [node.store.group.shard for node in lost] == [0, 1]
+
+    run_scenario(scenario)
+
+
+def test_added_stores_join_different_shards(run_scenario):
+    async def scenario(cluster):
+        await take_turns(cluster, 0)
+        added = [await cluster.add(f'new-{index}') for index in range(SHARDS)]
+        await wait_until(lambda: all(node.is_witness for node in added))
+        assert {node.store.group.shard for node in added} == {0, 1}
+        await take_turns(cluster, 1)
+        for shard in range(SHARDS):
+            group = cluster.client.peers.by_shard[shard].group
+            assert len(group.members) == 5
+
+    run_scenario(scenario)
+
+
+def test_shard_without_a_quorum_stops_only_its_own_programs(run_scenario):
+    async def scenario(cluster):
+        await take_turns(cluster, 0)
+        for node in cluster.nodes_of(1)[:2]:
+            await node.kill()
+        await wait_until(lambda: not cluster.client.has_all_quorums)
+        assert cluster.client.has_quorum
+        for program_id in PROGRAMS:
+            grant = await cluster.client.begin(
+                start_of(program_id, f'{program_id}-1', f'{program_id}-0')
+            )
+            is_served = shard_of(program_id, SHARDS) == 0
+            assert (grant.verdict is Verdict.GRANTED) == is_served
+
+    run_scenario(scenario)
+
+
+def test_turn_is_unknown_only_if_no_shard_may_know_it(run_scenario):
+    async def scenario(cluster):
+        await take_turns(cluster, 0)
+        first, second = (
+            next(name for name in PROGRAMS if shard_of(name, SHARDS) == shard)
+            for shard in range(SHARDS)
+        )
+        missing = await cluster.client.begin(start_of(first, 't', 'none'))
+        assert missing.verdict is Verdict.NO_PARENT
+        foreign = start_of(first, 't', f'{second}-0')
+        assert (await cluster.client.begin(foreign)).verdict is Verdict.UNSURE
+        for node in cluster.nodes_of(1)[:2]:
+            await node.kill()
+        unsure = await cluster.client.begin(start_of(first, 't', 'none'))
+        assert unsure.verdict is Verdict.UNSURE
+
+    run_scenario(scenario)
