Ask callers back sooner after a restart of all instances

Cause: a gateway that has just started told callers to return after 2.2 s, the time in which the balancer leaves a cut-off data centre.

Ruled out: the configuration and the endpoints, there within 15 ms of the start; the group, adopted 0.3 s after it.

Connections are attempted for 0.3 s each, 0.15 s apart.

--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -23,6 +23,7 @@
 from cactusledge.gateway.chains import Chain, ChainCache, compress, join
 from cactusledge.gateway.context import Call, Fleet, Outcome
 from cactusledge.gateway.events import event_data
+from cactusledge.gateway.retry_times import UNSURE_RETRY_S, quorum_retry_s
 from cactusledge.gateway.sending import (
     Attempts,
     ExchangeResult,
@@ -39,8 +40,6 @@
 from cactusledge.records.turn_start import TurnStart
 
 MS = 1000
-UNSURE_RETRY_S = 0.25  # for the record stores to answer again
-BALANCER_FAILOVER_S = 2.2  # for the balancer to switch to other instances
 BUSY_RETRY_S = 0.3  # for a full engine to have a free slot
 
 
@@ -134,14 +133,16 @@
     def _refuse(self, call: Call, grant: Grant) -> Outcome:
         """Responds to a turn that was not granted.
 
-        Without a quorum the connection is closed, and callers are told to retry
-        once the balancer has switched to other instances.
+        Without a quorum the connection is closed, so that the caller's next
+        attempt can reach another instance.
         """
         refusal = REFUSALS[grant.verdict]
         retry_after_s = refusal.retry_after_s
         if grant.verdict is Verdict.UNSURE and not self._records.has_quorum:
-            left_s = BALANCER_FAILOVER_S - self._records.quorum_lost_for_s
-            retry_after_s = max(UNSURE_RETRY_S, left_s)
+            retry_after_s = quorum_retry_s(
+                self._records.quorum_lost_for_s,
+                was_connected=self._records.was_connected,
+            )
             call.conn.keeps_alive = False
         return refuse(
             call.conn,
--- a/cactusledge/records/client.py
+++ b/cactusledge/records/client.py
@@ -24,6 +24,7 @@
         self._shards: dict[int, ShardClient] = {}
         self._count = 1
         self._quorum_lost_at_s: float | None = None
+        self.was_connected = False  # a quorum has been in reach
 
     @property
     def peers(self) -> StorePeers:
@@ -66,6 +67,7 @@
     def update_quorum_state(self) -> None:
         """Updates the time of a lost quorum; has to be called regularly."""
         if self.has_quorum:
+            self.was_connected = True
             self._quorum_lost_at_s = None
         elif self._quorum_lost_at_s is None:
             self._quorum_lost_at_s = time.monotonic()
--- a/cactusledge/records/peer.py
+++ b/cactusledge/records/peer.py
@@ -12,8 +12,8 @@
 from cactusledge.records.messages import Body, Envelope, Ping
 
 CONNECT_WAIT_S = 0.1  # time for `call_once` to connect
-CONNECT_TIMEOUT_S = 0.6
-RECONNECT_DELAY_S = 0.3
+CONNECT_TIMEOUT_S = 0.3
+RECONNECT_DELAY_S = 0.15
 HEARTBEAT_INTERVAL_S = 0.15
 IDLE_INTERVAL_S = 0.9  # between heartbeats of connections not watched
 CHECK_TIMEOUT_S = 0.3
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -41,6 +41,7 @@
         self.is_durable = True
         self.has_quorum = True
         self.quorum_lost_for_s = 0
+        self.was_connected = True
         self.recorded = []
         self.settled = []
 
