Leave an endpoint that stays silent on a call that may be repeated

Ruled out: endpoints that were slow; others answered the same calls at once.

Change: a repeatable call leaves an endpoint that sends nothing for four latency targets, or 20 times its recent latency, at most half of the time left, if another endpoint may still be contacted.

Test: tests/test_gateway_silence.py; without the change the two repeatable routes answer 504.

--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -15,6 +15,7 @@
 from cactusledge.gateway.messages import Outgoing, Replica
 from cactusledge.gateway.placement import healthy
 from cactusledge.gateway.pool import EndpointUnreachableError
+from cactusledge.gateway.silence import silence_limit_s
 from cactusledge.gateway.sinks import BufferedAnswer, ExchangeEnd, is_success
 
 RETRY_WINDOW_SHARE = 0.35  # of a call's time; refusals are retried within it
@@ -120,7 +121,7 @@
                 self.call.info.request_id,
                 answer,
             )
-            end = await answer.ended
+            end = await self._end_of(replica, conn, answer)
         self.fleet.metrics.add('gateway_exchanges_total', end=end)
         if end is not ExchangeEnd.ANSWERED:
             log.warning(
@@ -169,6 +170,35 @@
             )
         return result.end is ExchangeEnd.NOT_RUN or route.may_repeat
 
+    async def _end_of(
+        self,
+        replica: Replica,
+        conn: EndpointConnection,
+        answer: BufferedAnswer,
+    ) -> ExchangeEnd:
+        """Waits for the end; abandons an endpoint that has fallen silent.
+
+        Its answer may be lost. Only a call that may be repeated is abandoned,
+        and only while another endpoint can take it.
+        """
+        route = self.call.route
+        has_more = len(self.contacted) < route.max_attempts
+        if not route.may_repeat or not has_more or not self.candidates():
+            return await answer.ended
+        limit_s = silence_limit_s(
+            route.target_latency_ms,
+            self.fleet.loads.of(replica.endpoint_id).latency_ms,
+            self.call.remaining_ms(),
+        )
+        while not answer.ended.done():
+            now_s = asyncio.get_running_loop().time()
+            left_s = conn.last_received_s + limit_s - now_s
+            if left_s <= 0:
+                conn.abandon()
+            else:
+                await asyncio.wait((answer.ended,), timeout=left_s)
+        return answer.ended.result()
+
     async def _next_pass(self) -> bool:
         """Backs off and returns True while the retry window is open."""
         total_ms = self.call.age_ms() + self.call.remaining_ms()
