Label the generation of each shard, and log background tasks that fail

Cause: the change to shards set the gauge records_generation with a label that its declaration lacked. The error ended the gateway's maintenance loop after its first group, without a line: idle connections were not closed any more and the groups not looked for.

Change: the gauge has the label; an error of the background loops is logged.

Test: tests/test_records_shard_cluster.py::test_gauges_show_the_generation_of_ each_shard fails without the label (ValueError: No label names were set).

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from cactusledge.gateway.background import BackgroundTasks
+from cactusledge.gateway.background import BackgroundTasks, log_failure
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
@@ -69,6 +69,7 @@
         """Serves until SIGTERM, then drains within the grace period."""
         await self._start()
         maintenance = asyncio.ensure_future(self._background.run())
+        maintenance.add_done_callback(log_failure)
         await self._stop_requested.wait()
         await self._drain()
         maintenance.cancel()
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -6,6 +6,7 @@
 import structlog
 
 from cactusledge.gateway.bootstrap import PeerBootstrap
+from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.records.client import RecordClient
@@ -83,25 +84,32 @@
             self._fleet.partitions.update(unreachable, loop.time())
             await asyncio.sleep(PARTITION_CHECK_INTERVAL_S)
 
-    def _update_gauges(self) -> None:
-        metrics = self._fleet.metrics
-        metrics.put('gateway_endpoints', len(self._fleet.replicas))
-        metrics.put('gateway_quorum', self._records.has_quorum)
-        for shard, peers in self._records.peers.by_shard.items():
-            metrics.put(
-                'records_generation', peers.group.generation, shard=str(shard)
-            )
-
     async def _maintain(self) -> None:
         while True:
             self._fleet.pool.close_expired()
             self._fleet.loads.prune(self._fleet.replicas.ids())
-            self._update_gauges()
+            update_gauges(self._fleet, self._records)
             await self._finder.run()
             await self._bootstrap.run(asyncio.get_running_loop().time())
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
 
+def update_gauges(fleet: Fleet, records: RecordClient) -> None:
+    """Sets the gauges of what this gateway knows."""
+    fleet.metrics.put('gateway_endpoints', len(fleet.replicas))
+    fleet.metrics.put('gateway_quorum', records.has_quorum)
+    for shard, peers in records.peers.by_shard.items():
+        fleet.metrics.put(
+            'records_generation', peers.group.generation, shard=str(shard)
+        )
+
+
+def log_failure(task: 'asyncio.Future[None]') -> None:
+    """Logs a background loop that has ended with an error."""
+    if not task.cancelled() and task.exception() is not None:
+        log.error('gateway: background task failed', exc_info=task.exception())
+
+
 def log_reachability(unreachable: Collection[str]) -> None:
     """Logs the unreachable data centres, or that all are reachable again."""
     if unreachable:
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -136,7 +136,9 @@
             group = self.store.group
             self._metrics.put('records_entries', len(self.store.log.entries))
             self._metrics.put('records_witness', identity.is_witness)
-            self._metrics.put('records_generation', group.generation)
+            self._metrics.put(
+                'records_generation', group.generation, shard=str(group.shard)
+            )
             await asyncio.sleep(GAUGE_INTERVAL_S)
 
     def _start_watchers(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/tests/test_records_shard_cluster.py
+++ b/tests/test_records_shard_cluster.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from cactusledge.gateway.background import update_gauges
 from cactusledge.records import group_manager
 from cactusledge.records.entries import Turn
 from cactusledge.records.quorum import Demand, Verdict
 from cactusledge.records.shards import shard_of
 from cactusledge.records.turn_start import TurnStart
+from tests.gateway_support import GatewayHarness
 from tests.records_support import cluster_of, wait_until
 
 pytestmark = pytest.mark.process
@@ -77,6 +79,19 @@
     run_scenario(scenario)
 
 
+def test_gauges_show_the_generation_of_each_shard(run_scenario):
+    async def scenario(cluster):
+        harness = GatewayHarness()
+        update_gauges(harness.fleet, cluster.client)
+        generations = [
+            harness.fleet.metrics.sample('records_generation', shard=shard)
+            for shard in ('0', '1')
+        ]
+        assert generations == [1, 1]
+
+    run_scenario(scenario)
+
+
 def test_each_shard_survives_the_loss_of_a_disk(run_scenario):
     async def scenario(cluster):
         await take_turns(cluster, 0)
