--- a/benchmarks/capacity_history.py
+++ b/benchmarks/capacity_history.py
@@ -8,7 +8,7 @@
 from benchmarks.capacity_configuration import timed
 from benchmarks.capacity_feeder import Feeder
 from benchmarks.capacity_series import Series
-from cactusledge.programs.prompt import history_messages, prompt_text
+from cactusledge.programs.calls.prompt import history_messages, prompt_text
 from cactusledge.protocol import records as rec
 from cactusledge.protocol.state import ProgramState
 from cactusledge.routing.prefix import prefix_chain
--- a/benchmarks/capacity_journal.py
+++ b/benchmarks/capacity_journal.py
@@ -16,8 +16,9 @@
 from cactusledge.models import Address
 from cactusledge.objects.client import HttpObjectStore
 from cactusledge.objects.store import StoredObject
-from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
-from cactusledge.programs.takeover import take_over
+from cactusledge.programs.journal.options import WriterOptions
+from cactusledge.programs.journal.takeover import take_over
+from cactusledge.programs.journal.writer import JournalWriter
 from standins.deployment import Deployment
 from standins.ports import LOOPBACK
 
--- a/benchmarks/capacity_members.py
+++ b/benchmarks/capacity_members.py
@@ -14,7 +14,7 @@
 from cactusledge.peers.messages import Heartbeat, MemberView
 from cactusledge.peers.thrift import ttypes
 from cactusledge.peers.transport import new_protocol
-from cactusledge.programs.peer_directory import member_state
+from cactusledge.programs.logs.peer_directory import member_state
 
 SIZES = (8, 48, 195, 390)
 DATA_CENTRES = 8
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -11,7 +11,7 @@
 from typing import Any, NamedTuple
 
 from cactusledge.models import Answer, CallKind, CallSpec, Outcome
-from cactusledge.programs.takeover import TakeoverOptions, take_over
+from cactusledge.programs.journal.takeover import TakeoverOptions, take_over
 from cactusledge.protocol import calls, ring
 from cactusledge.protocol import records as rec
 from cactusledge.protocol.held import split_batches
--- a/cactusledge/api/events.py
+++ b/cactusledge/api/events.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from cactusledge.models import Answer
-from cactusledge.programs.call_stream import CallEvent, CallStream
+from cactusledge.programs.calls.stream import CallEvent, CallStream
 
 KEEP_ALIVE = b': waiting\n\n'
 
--- a/cactusledge/api/handlers.py
+++ b/cactusledge/api/handlers.py
@@ -24,7 +24,7 @@
 )
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.models import CallKind, Outcome
-from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.calls.stream import CallStream
 from cactusledge.programs.views import CallArgs, OpenArgs, ProgramView
 from cactusledge.telemetry.metrics import Metrics
 from cactusledge.telemetry.traces import Traces
--- a/cactusledge/api/service.py
+++ b/cactusledge/api/service.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Any, Protocol
 
-from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.calls.stream import CallStream
 from cactusledge.programs.views import (
     CallArgs,
     HistoryEntry,
--- a/cactusledge/application.py
+++ b/cactusledge/application.py
@@ -15,7 +15,7 @@
 from cactusledge.environment import Environment
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.peers.rendezvous import owner
-from cactusledge.programs.claims import ClaimGate
+from cactusledge.programs.logs.claims import ClaimGate
 from cactusledge.settings.sections import InstanceSettings
 from cactusledge.telemetry.logs import get_logger
 
--- a/cactusledge/assembly/peers.py
+++ b/cactusledge/assembly/peers.py
@@ -11,7 +11,7 @@
 from cactusledge.peers.messages import MemberView
 from cactusledge.peers.rendezvous import owner
 from cactusledge.peers.server import PeerServer
-from cactusledge.programs.peer_directory import (
+from cactusledge.programs.logs.peer_directory import (
     ACCEPTS_KEY,
     NOT_ACCEPTING,
     InstanceIdentity,
@@ -19,7 +19,7 @@
     generation_of,
     member_state,
 )
-from cactusledge.programs.peer_handler import (
+from cactusledge.programs.peers.handler import (
     HandlerDependencies,
     InstancePeerHandler,
 )
--- a/cactusledge/assembly/programs.py
+++ b/cactusledge/assembly/programs.py
@@ -7,23 +7,23 @@
 from cactusledge.assembly.base import Base
 from cactusledge.assembly.routing import RoutingPart
 from cactusledge.assembly.work_pool import build_work_pool
-from cactusledge.programs.call_stream import CallStream
-from cactusledge.programs.claims import (
+from cactusledge.programs.calls.fenced import FencedCallRetrier
+from cactusledge.programs.calls.stream import CallStream
+from cactusledge.programs.ids import log_names
+from cactusledge.programs.journal.durability import CommitWait
+from cactusledge.programs.journal.held import HeldStore, PeerHeldRecords
+from cactusledge.programs.local_programs import LocalPrograms
+from cactusledge.programs.logs.claims import (
     ChooseInstance,
     ClaimBackoff,
     InstanceView,
     logs_to_claim,
 )
-from cactusledge.programs.durability import CommitWait
-from cactusledge.programs.fenced_calls import FencedCallRetrier
-from cactusledge.programs.held import HeldStore, PeerHeldRecords
-from cactusledge.programs.ids import log_names
-from cactusledge.programs.local_programs import LocalPrograms
-from cactusledge.programs.log_opener import OpenerDependencies, StoreLogOpener
-from cactusledge.programs.logs import LogManager, LogTable
-from cactusledge.programs.peer_directory import PeerDirectory
-from cactusledge.programs.remote import PeerPrograms
-from cactusledge.programs.router import (
+from cactusledge.programs.logs.opener import OpenerDependencies, StoreLogOpener
+from cactusledge.programs.logs.owned import LogManager, LogTable
+from cactusledge.programs.logs.peer_directory import PeerDirectory
+from cactusledge.programs.peers.remote import PeerPrograms
+from cactusledge.programs.peers.router import (
     HomeLogs,
     ProgramRouter,
     RemotePrograms,
--- a/cactusledge/assembly/routing.py
+++ b/cactusledge/assembly/routing.py
@@ -10,16 +10,16 @@
 from cactusledge.endpoints.pools import ConnectionPools
 from cactusledge.models import CallKind, Endpoint
 from cactusledge.objects.watcher import Watcher, WatchTarget
-from cactusledge.programs.engine_groups import EngineGroups
-from cactusledge.programs.engine_maintenance import (
+from cactusledge.programs.calls.service_balancers import ServiceBalancers
+from cactusledge.programs.engines.events import ProgramEventNotifier
+from cactusledge.programs.engines.grants import GrantManager, GrantRouter
+from cactusledge.programs.engines.groups import EngineGroups
+from cactusledge.programs.engines.leases import LeaseManager
+from cactusledge.programs.engines.maintenance import (
     EngineMaintenance,
     MaintenanceDependencies,
 )
-from cactusledge.programs.grants import GrantManager, GrantRouter
-from cactusledge.programs.leases import LeaseManager
-from cactusledge.programs.peer_directory import PeerDirectory
-from cactusledge.programs.program_events import ProgramEventNotifier
-from cactusledge.programs.service_balancers import ServiceBalancers
+from cactusledge.programs.logs.peer_directory import PeerDirectory
 from cactusledge.routing.client import DispatcherClient, Ticker
 from cactusledge.routing.dispatcher import Dispatcher
 from cactusledge.routing.policy import LATENCY_FIRST
--- a/cactusledge/assembly/work_pool.py
+++ b/cactusledge/assembly/work_pool.py
@@ -7,13 +7,13 @@
 from cactusledge.endpoints.engine import EngineClient
 from cactusledge.endpoints.service import ServiceClient
 from cactusledge.models import CallKind, CallSpec
-from cactusledge.programs.durability import CommitWait
-from cactusledge.programs.fenced_calls import FencedCallRetrier
-from cactusledge.programs.model_sender import ModelSender
-from cactusledge.programs.runner import CallRunner
-from cactusledge.programs.sending import Sender
-from cactusledge.programs.service_sender import ServiceSender
-from cactusledge.programs.work import WorkPool
+from cactusledge.programs.calls.fenced import FencedCallRetrier
+from cactusledge.programs.calls.model_sender import ModelSender
+from cactusledge.programs.calls.runner import CallRunner
+from cactusledge.programs.calls.sending import Sender
+from cactusledge.programs.calls.service_sender import ServiceSender
+from cactusledge.programs.calls.work import WorkPool
+from cactusledge.programs.journal.durability import CommitWait
 from cactusledge.settings.configuration import Operation
 
 
--- /dev/null
+++ b/cactusledge/programs/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the calls of programs, from the intent to the recorded answer."""
--- a/cactusledge/programs/fenced_calls.py
+++ b/cactusledge/programs/calls/fenced.py
@@ -6,10 +6,10 @@
 
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import Answer
-from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.calls.sending import failed_answer
+from cactusledge.programs.calls.stream import CallStream
+from cactusledge.programs.calls.tasks import CallTask
 from cactusledge.programs.errors import program_moved_error
-from cactusledge.programs.sending import failed_answer
-from cactusledge.programs.tasks import CallTask
 from cactusledge.programs.views import CallArgs
 
 MIN_FOLLOW_S = 5.0
--- a/cactusledge/programs/launch.py
+++ b/cactusledge/programs/calls/launch.py
@@ -6,8 +6,9 @@
 import pykka
 
 from cactusledge.models import CallSpec
-from cactusledge.programs.call_spec import running_call_spec
-from cactusledge.programs.call_stream import CallStream, JoinedStream
+from cactusledge.programs.calls.spec import running_call_spec
+from cactusledge.programs.calls.stream import CallStream, JoinedStream
+from cactusledge.programs.calls.tasks import CallTask, DriverContext
 from cactusledge.programs.errors import (
     PLATFORM_RETRY_S,
     MovingError,
@@ -15,7 +16,6 @@
     platform_down_error,
 )
 from cactusledge.programs.ledger import Ledger
-from cactusledge.programs.tasks import CallTask, DriverContext
 from cactusledge.protocol import calls as protocol
 from cactusledge.protocol.state import ProgramState
 from cactusledge.settings.configuration import Program
--- a/cactusledge/programs/model_sender.py
+++ b/cactusledge/programs/calls/model_sender.py
@@ -13,8 +13,8 @@
 from cactusledge.endpoints.errors import EndpointError, EndpointFailedError
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import Answer, CallSpec, Endpoint, Outcome
-from cactusledge.programs.prompt import history_messages
-from cactusledge.programs.sending import (
+from cactusledge.programs.calls.prompt import history_messages
+from cactusledge.programs.calls.sending import (
     MAX_ATTEMPTS,
     Lease,
     LeaseScope,
@@ -24,7 +24,7 @@
     failed_answer,
     may_retry,
 )
-from cactusledge.programs.tasks import CallTask, Headers
+from cactusledge.programs.calls.tasks import CallTask, Headers
 from cactusledge.telemetry.traces import Traces
 
 CANCEL_TIMEOUT_S = 1.0
--- a/cactusledge/programs/runner.py
+++ b/cactusledge/programs/calls/runner.py
@@ -9,10 +9,10 @@
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.models import Answer, CallKind, Outcome
 from cactusledge.programs import messages as msg
+from cactusledge.programs.calls.fenced import FencedCallRetrier
+from cactusledge.programs.calls.sending import Sender, SendResult, failed_answer
+from cactusledge.programs.calls.tasks import CallTask
 from cactusledge.programs.errors import platform_down_error
-from cactusledge.programs.fenced_calls import FencedCallRetrier
-from cactusledge.programs.sending import Sender, SendResult, failed_answer
-from cactusledge.programs.tasks import CallTask
 from cactusledge.protocol.errors import FencedError
 from cactusledge.telemetry.logs import get_logger
 from cactusledge.telemetry.metrics import Metrics
--- a/cactusledge/programs/sending.py
+++ b/cactusledge/programs/calls/sending.py
@@ -7,7 +7,7 @@
 from cactusledge.endpoints.errors import EndpointError, EndpointRejectedError
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import Answer, CallSpec, Endpoint, Outcome, Usage
-from cactusledge.programs.tasks import CallTask, Headers
+from cactusledge.programs.calls.tasks import CallTask, Headers
 
 MAX_ATTEMPTS = 4
 
--- a/cactusledge/programs/service_sender.py
+++ b/cactusledge/programs/calls/service_sender.py
@@ -11,7 +11,7 @@
 from cactusledge.endpoints.service import ServiceAnswer, ServiceClient
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import Answer, CallSpec, Outcome
-from cactusledge.programs.sending import (
+from cactusledge.programs.calls.sending import (
     MAX_ATTEMPTS,
     Lease,
     LeaseScope,
@@ -19,7 +19,7 @@
     SendResult,
     may_retry,
 )
-from cactusledge.programs.tasks import CallTask, Headers
+from cactusledge.programs.calls.tasks import CallTask, Headers
 from cactusledge.settings.configuration import Operation
 from cactusledge.telemetry.traces import Traces
 
--- a/cactusledge/programs/call_spec.py
+++ b/cactusledge/programs/calls/spec.py
@@ -5,8 +5,8 @@
 from typing import Any, NamedTuple
 
 from cactusledge.models import CallKind, CallSpec
+from cactusledge.programs.calls.prompt import max_prompt_tokens
 from cactusledge.programs.errors import InvalidCallError, NotAllowedError
-from cactusledge.programs.prompt import max_prompt_tokens
 from cactusledge.programs.views import CallArgs
 from cactusledge.protocol.calls import decode_body
 from cactusledge.protocol.state import CallState, ProgramState
--- a/cactusledge/programs/tasks.py
+++ b/cactusledge/programs/calls/tasks.py
@@ -6,8 +6,8 @@
 import pykka
 
 from cactusledge.models import CallSpec
-from cactusledge.programs.call_stream import CallStream
-from cactusledge.programs.sink import RecordSink
+from cactusledge.programs.calls.stream import CallStream
+from cactusledge.programs.journal.sink import RecordSink
 from cactusledge.protocol.state import ProgramState
 from cactusledge.settings.configuration import Configuration, Program
 
--- a/cactusledge/programs/work.py
+++ b/cactusledge/programs/calls/work.py
@@ -12,9 +12,9 @@
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import Endpoint
 from cactusledge.programs import messages as msg
-from cactusledge.programs.leases import EndpointSource
-from cactusledge.programs.runner import CallRunner
-from cactusledge.programs.tasks import CallTask, ReleaseTask
+from cactusledge.programs.calls.runner import CallRunner
+from cactusledge.programs.calls.tasks import CallTask, ReleaseTask
+from cactusledge.programs.engines.leases import EndpointSource
 from cactusledge.protocol.state import ANY_ENDPOINT
 from cactusledge.settings.configuration import Program
 from cactusledge.telemetry.logs import get_logger
--- a/cactusledge/programs/driver.py
+++ b/cactusledge/programs/driver.py
@@ -7,14 +7,14 @@
 import pykka
 
 from cactusledge.programs import messages as msg
-from cactusledge.programs.call_spec import SpecInput, build_spec
-from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.calls.launch import Launcher, PreparedCall
+from cactusledge.programs.calls.spec import SpecInput, build_spec
+from cactusledge.programs.calls.stream import CallStream
+from cactusledge.programs.calls.tasks import DriverContext
 from cactusledge.programs.errors import StoppingError, no_such_program_error
-from cactusledge.programs.launch import Launcher, PreparedCall
 from cactusledge.programs.ledger import Ledger
 from cactusledge.programs.opening import check_opening, opened_record
 from cactusledge.programs.program_cleanup import ProgramCleanup
-from cactusledge.programs.tasks import DriverContext
 from cactusledge.programs.views import (
     HistoryEntry,
     ProgramView,
--- /dev/null
+++ b/cactusledge/programs/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Obtains engines for calls and maintains their groups."""
--- a/cactusledge/programs/program_events.py
+++ b/cactusledge/programs/engines/events.py
@@ -8,7 +8,7 @@
 from cactusledge.errors import CactusledgeError
 from cactusledge.peers.client import PeerClient
 from cactusledge.peers.messages import ProgramEvent, ProgramEventKind
-from cactusledge.programs.tasks import CallTask
+from cactusledge.programs.calls.tasks import CallTask
 from cactusledge.routing.client import DispatcherClient
 from cactusledge.routing.pauses import PauseEstimates
 from cactusledge.routing.types import GroupKey
--- a/cactusledge/programs/leases.py
+++ b/cactusledge/programs/engines/leases.py
@@ -8,10 +8,10 @@
 from cactusledge.endpoints.errors import EndpointNotRunError
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.models import CallKind, Endpoint, Usage
-from cactusledge.programs.engine_groups import EngineGroups
-from cactusledge.programs.grants import AcquiredGrant, GrantSource
-from cactusledge.programs.prompt import common_chunks, prompt_text
-from cactusledge.programs.sending import Lease, LeaseReport, ModelRequest
+from cactusledge.programs.calls.prompt import common_chunks, prompt_text
+from cactusledge.programs.calls.sending import Lease, LeaseReport, ModelRequest
+from cactusledge.programs.engines.grants import AcquiredGrant, GrantSource
+from cactusledge.programs.engines.groups import EngineGroups
 from cactusledge.routing.errors import OverloadedError
 from cactusledge.routing.prefix import estimate_tokens, prefix_chain
 from cactusledge.routing.types import GroupKey, Job, JobResult
--- /dev/null
+++ b/cactusledge/programs/journal/__init__.py
@@ -0,0 +1,1 @@
+"""Writes the journal logs that keep the history of programs."""
--- a/cactusledge/programs/journal_actor.py
+++ b/cactusledge/programs/journal/actor.py
@@ -10,13 +10,14 @@
 import pykka
 
 from cactusledge.errors import CactusledgeError
-from cactusledge.programs.journal_io import SlotAccess
-from cactusledge.programs.journal_jobs import JobRunner, RetryDelay
-from cactusledge.programs.journal_queue import (
+from cactusledge.programs.journal.jobs import JobRunner, RetryDelay
+from cactusledge.programs.journal.options import WriterOptions
+from cactusledge.programs.journal.queue import (
     CommitQueue,
     Entry,
     PendingEntries,
 )
+from cactusledge.programs.journal.slot_access import SlotAccess
 from cactusledge.protocol import journal
 from cactusledge.protocol import journal_types as msg
 from cactusledge.protocol.errors import (
@@ -30,8 +31,7 @@
 from cactusledge.protocol.ring import MAX_DATA_BYTES
 
 if TYPE_CHECKING:
-    from cactusledge.programs.journal_writer import WriterOptions
-    from cactusledge.programs.takeover import TakenLog
+    from cactusledge.programs.journal.takeover import TakenLog
 
 
 class WriterStatus:
@@ -83,7 +83,7 @@
         taken: 'TakenLog',
         slots: SlotAccess,
         executor: Executor,
-        options: 'WriterOptions',
+        options: WriterOptions,
         status: WriterStatus,
         pending: PendingEntries,
     ) -> None:
--- a/cactusledge/programs/takeover.py
+++ b/cactusledge/programs/journal/takeover.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
-from cactusledge.programs.journal_io import SlotAccess
-from cactusledge.programs.ring_access import (
+from cactusledge.programs.journal.ring_access import (
     read_ring,
     takeover_unavailable_error,
 )
+from cactusledge.programs.journal.slot_access import SlotAccess
 from cactusledge.protocol import journal, ring
 from cactusledge.protocol import journal_types as msg
 from cactusledge.protocol import records as rec
--- a/cactusledge/programs/journal_writer.py
+++ b/cactusledge/programs/journal/writer.py
@@ -9,24 +9,23 @@
 """
 
 import contextlib
-import random
 import threading
-import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from concurrent.futures import Executor
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import pykka
 
-from cactusledge.programs.journal_actor import (
+from cactusledge.programs.journal.actor import (
     Close,
     FlushDue,
     JournalActor,
     Submit,
     WriterStatus,
 )
-from cactusledge.programs.journal_io import SlotAccess
-from cactusledge.programs.journal_queue import OnDone, PendingEntries
+from cactusledge.programs.journal.options import WriterOptions
+from cactusledge.programs.journal.queue import OnDone, PendingEntries
+from cactusledge.programs.journal.slot_access import SlotAccess
 from cactusledge.protocol.errors import JournalFullError, JournalStoppedError
 from cactusledge.protocol.journal import FULL_RETRY_S
 from cactusledge.protocol.log_index import check_size
@@ -34,19 +33,7 @@
 
 if TYPE_CHECKING:
     from cactusledge.objects.store import ObjectStore
-    from cactusledge.programs.takeover import TakenLog
-
-
-class WriterOptions(NamedTuple):
-    """Settings of a journal writer."""
-
-    commit_interval_s: float = 0.01
-    retry_base_s: float = 0.05
-    retry_cap_s: float = 2.0
-    max_waiting_bytes: int = 8_000_000
-    jitter: Callable[[], float] = random.random  # in [0, 1)
-    now_s: Callable[[], float] = time.time
-    monotonic_s: Callable[[], float] = time.monotonic
+    from cactusledge.programs.journal.takeover import TakenLog
 
 
 class JournalWriter:
--- a/cactusledge/programs/ledger.py
+++ b/cactusledge/programs/ledger.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from cactusledge.programs.errors import no_such_program_error
-from cactusledge.programs.sink import RecordSink
+from cactusledge.programs.journal.sink import RecordSink
 from cactusledge.protocol import budget, calls
 from cactusledge.protocol.program import apply
 from cactusledge.protocol.records import Opened, ProgramRecord
--- a/cactusledge/programs/local_programs.py
+++ b/cactusledge/programs/local_programs.py
@@ -5,11 +5,11 @@
 import pykka
 
 from cactusledge.programs import messages as msg
-from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.calls.runner import Durability
+from cactusledge.programs.calls.stream import CallStream
 from cactusledge.programs.errors import NoDriverError, NoSuchProgramError
 from cactusledge.programs.ids import log_of
-from cactusledge.programs.logs import LogTable
-from cactusledge.programs.runner import Durability
+from cactusledge.programs.logs.owned import LogTable
 from cactusledge.programs.views import (
     CallArgs,
     HistoryEntry,
--- a/cactusledge/programs/log_opener.py
+++ b/cactusledge/programs/logs/opener.py
@@ -9,11 +9,12 @@
 from typing import Any, NamedTuple, Protocol
 
 from cactusledge.objects.store import ObjectStore
+from cactusledge.programs.calls.tasks import DriverContext, DriverWork
 from cactusledge.programs.driver import LogDriver
-from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
-from cactusledge.programs.logs import OwnedLog
-from cactusledge.programs.takeover import TakeoverOptions, take_over
-from cactusledge.programs.tasks import DriverContext, DriverWork
+from cactusledge.programs.journal.options import WriterOptions
+from cactusledge.programs.journal.takeover import TakeoverOptions, take_over
+from cactusledge.programs.journal.writer import JournalWriter
+from cactusledge.programs.logs.owned import OwnedLog
 from cactusledge.protocol.errors import FencedError
 from cactusledge.protocol.records import ProgramRecord
 from cactusledge.settings.configuration import Configuration
--- a/cactusledge/programs/logs.py
+++ b/cactusledge/programs/logs/owned.py
@@ -10,7 +10,7 @@
 
 from cactusledge.errors import CactusledgeError
 from cactusledge.programs import messages as msg
-from cactusledge.programs.claims import ClaimBackoff, next_backoff
+from cactusledge.programs.logs.claims import ClaimBackoff, next_backoff
 from cactusledge.telemetry.logs import get_logger
 
 DRIVER_TIMEOUT_S = 10.0
--- a/cactusledge/programs/peer_directory.py
+++ b/cactusledge/programs/logs/peer_directory.py
@@ -7,8 +7,8 @@
 from cactusledge.models import Address
 from cactusledge.peers.client import PeerClient
 from cactusledge.peers.messages import MemberView
-from cactusledge.programs.claims import ChooseInstance, InstanceView
 from cactusledge.programs.ids import data_centre_of
+from cactusledge.programs.logs.claims import ChooseInstance, InstanceView
 from cactusledge.routing.types import GroupKey
 
 LOGS_KEY = 'logs'
--- /dev/null
+++ b/cactusledge/programs/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Reaches programs that other instances drive, and serves their requests."""
--- a/cactusledge/programs/forwarded_calls.py
+++ b/cactusledge/programs/peers/forwarded_calls.py
@@ -7,8 +7,8 @@
 
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.peers.messages import EventBatch
-from cactusledge.programs.call_stream import CallStream
-from cactusledge.programs.remote import encode_event
+from cactusledge.programs.calls.stream import CallStream
+from cactusledge.programs.peers.remote import encode_event
 
 MAX_CALLS = 4096
 RETENTION_S = 120.0
--- a/cactusledge/programs/peer_handler.py
+++ b/cactusledge/programs/peers/handler.py
@@ -8,13 +8,13 @@
 
 from cactusledge.errors import CactusledgeError, ErrorCode
 from cactusledge.peers import messages as peer
-from cactusledge.programs.call_stream import CallStream
-from cactusledge.programs.forwarded_calls import ForwardedCalls
-from cactusledge.programs.grants import GrantManager
-from cactusledge.programs.held import HeldStore
+from cactusledge.programs.calls.stream import CallStream
+from cactusledge.programs.engines.events import handle_event
+from cactusledge.programs.engines.grants import GrantManager
 from cactusledge.programs.ids import log_of
+from cactusledge.programs.journal.held import HeldStore
 from cactusledge.programs.local_programs import LocalPrograms
-from cactusledge.programs.program_events import handle_event
+from cactusledge.programs.peers.forwarded_calls import ForwardedCalls
 from cactusledge.programs.views import CallArgs, HistoryEntry, OpenArgs
 from cactusledge.routing.client import DispatcherClient
 from cactusledge.settings.follower import ConfigFollower
--- a/cactusledge/programs/remote.py
+++ b/cactusledge/programs/peers/remote.py
@@ -13,7 +13,7 @@
 from cactusledge.peers import messages as peer
 from cactusledge.peers.client import PeerClient
 from cactusledge.peers.errors import PeerAnswerLostError, PeerUnreachableError
-from cactusledge.programs.call_stream import CallStream, TextChunk
+from cactusledge.programs.calls.stream import CallStream, TextChunk
 from cactusledge.programs.errors import NoDriverError, no_such_program_error
 from cactusledge.programs.views import (
     CallArgs,
--- a/cactusledge/programs/router.py
+++ b/cactusledge/programs/peers/router.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol, TypeVar
 
-from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.calls.stream import CallStream
 from cactusledge.programs.errors import NoDriverError, driver_unreachable_error
 from cactusledge.programs.ids import (
     child_program_id,
--- a/cactusledge/programs/program_cleanup.py
+++ b/cactusledge/programs/program_cleanup.py
@@ -5,8 +5,8 @@
 import pykka
 
 from cactusledge.programs import messages as msg
+from cactusledge.programs.calls.tasks import DriverContext, ReleaseTask
 from cactusledge.programs.ledger import Ledger
-from cactusledge.programs.tasks import DriverContext, ReleaseTask
 from cactusledge.protocol import calls as protocol
 from cactusledge.protocol.state import ProgramState
 
--- a/tests/api_support.py
+++ b/tests/api_support.py
@@ -6,7 +6,7 @@
 from cactusledge.api.handlers import ApiContext
 from cactusledge.api.server import ApiServer, ServerLimits
 from cactusledge.models import Address, Answer, Outcome
-from cactusledge.programs.call_stream import CallStream
+from cactusledge.programs.calls.stream import CallStream
 from cactusledge.programs.views import HistoryEntry, ProgramView
 from cactusledge.telemetry.metrics import Metrics
 from cactusledge.telemetry.traces import Traces
--- a/tests/test_call_stream.py
+++ b/tests/test_call_stream.py
@@ -5,14 +5,14 @@
 import pytest
 
 from cactusledge.models import Answer, CallKind, CallSpec, Outcome
-from cactusledge.programs.call_stream import (
+from cactusledge.programs.calls.fenced import FencedCallRetrier
+from cactusledge.programs.calls.stream import (
     CallStream,
     JoinedStream,
     TextChunk,
 )
+from cactusledge.programs.calls.tasks import CallTask
 from cactusledge.programs.errors import platform_down_error
-from cactusledge.programs.fenced_calls import FencedCallRetrier
-from cactusledge.programs.tasks import CallTask
 from cactusledge.protocol.program import replay
 from cactusledge.protocol.records import Opened
 from cactusledge.settings.configuration import Program
--- a/tests/test_claim_gate.py
+++ b/tests/test_claim_gate.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cactusledge.programs.claims import SEED_WAIT_S, ClaimGate
+from cactusledge.programs.logs.claims import SEED_WAIT_S, ClaimGate
 
 INTERVAL_S = 1.0
 
--- a/tests/test_engine_groups.py
+++ b/tests/test_engine_groups.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cactusledge.models import Address, CallKind, Endpoint
-from cactusledge.programs.engine_groups import EngineGroups, policy_of
+from cactusledge.programs.engines.groups import EngineGroups, policy_of
 from cactusledge.routing.policy import CACHE_FIRST, LATENCY_FIRST
 from cactusledge.settings.configuration import Configuration, Program, Weights
 
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -5,7 +5,7 @@
 
 from cactusledge.errors import CactusledgeError
 from cactusledge.peers.errors import PeerUnreachableError
-from cactusledge.programs.grants import GrantRouter
+from cactusledge.programs.engines.grants import GrantRouter
 from cactusledge.routing.errors import OverloadedError, stopping_error
 from cactusledge.routing.types import Grant, GroupKey, Job
 
--- a/tests/test_held_records.py
+++ b/tests/test_held_records.py
@@ -4,7 +4,7 @@
 
 from cactusledge.peers.errors import PeerUnreachableError
 from cactusledge.peers.messages import HeldBatch
-from cactusledge.programs.held import HeldStore, PeerHeldRecords
+from cactusledge.programs.journal.held import HeldStore, PeerHeldRecords
 from cactusledge.protocol.records import Ended, Opened
 
 OPENED = Opened('bole-0.ab', 0, b'', 'a', 'itinerary', 10, '', 0, 60, 10)
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -10,8 +10,9 @@
 
 from cactusledge.errors import StoreUnavailableError
 from cactusledge.models import Answer, CallKind, CallSpec, Outcome
-from cactusledge.programs.journal_writer import JournalWriter, WriterOptions
-from cactusledge.programs.takeover import TakeoverOptions, take_over
+from cactusledge.programs.journal.options import WriterOptions
+from cactusledge.programs.journal.takeover import TakeoverOptions, take_over
+from cactusledge.programs.journal.writer import JournalWriter
 from cactusledge.protocol import calls
 from cactusledge.protocol import records as rec
 from cactusledge.protocol.errors import (
--- a/tests/test_local_programs.py
+++ b/tests/test_local_programs.py
@@ -3,10 +3,10 @@
 import pykka
 import pytest
 
-from cactusledge.programs.durability import CommitWait
 from cactusledge.programs.errors import NoDriverError, no_such_program_error
+from cactusledge.programs.journal.durability import CommitWait
 from cactusledge.programs.local_programs import LocalPrograms
-from cactusledge.programs.logs import LogTable, OwnedLog
+from cactusledge.programs.logs.owned import LogTable, OwnedLog
 from cactusledge.protocol.errors import FencedError
 
 PROGRAM_ID = 'bole-0.ab'
--- a/tests/test_peer_directory.py
+++ b/tests/test_peer_directory.py
@@ -4,7 +4,7 @@
 
 from cactusledge.peers.messages import MemberView
 from cactusledge.peers.rendezvous import owner
-from cactusledge.programs.peer_directory import (
+from cactusledge.programs.logs.peer_directory import (
     ACCEPTS_KEY,
     InstanceIdentity,
     PeerDirectory,
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -10,11 +10,11 @@
 from cactusledge.endpoints.service import ServiceClient
 from cactusledge.errors import CactusledgeError
 from cactusledge.models import Address, CallKind, CallSpec, Endpoint, Outcome
-from cactusledge.programs.call_stream import CallStream
-from cactusledge.programs.model_sender import ModelSender
-from cactusledge.programs.sending import Lease
-from cactusledge.programs.service_sender import ServiceSender
-from cactusledge.programs.tasks import CallTask
+from cactusledge.programs.calls.model_sender import ModelSender
+from cactusledge.programs.calls.sending import Lease
+from cactusledge.programs.calls.service_sender import ServiceSender
+from cactusledge.programs.calls.stream import CallStream
+from cactusledge.programs.calls.tasks import CallTask
 from cactusledge.protocol.program import replay
 from cactusledge.protocol.records import Opened
 from cactusledge.settings.configuration import Operation, Program
