Do not leave a silent endpoint when little time is left

Change: an endpoint is left only if four latency targets, or 20 times its recent latency, leave half of the time for another one.

--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -181,15 +181,9 @@
         Its answer may be lost. Only a call that may be repeated is abandoned,
         and only while another endpoint can take it.
         """
-        route = self.call.route
-        has_more = len(self.contacted) < route.max_attempts
-        if not route.may_repeat or not has_more or not self.candidates():
+        limit_s = self._silence_limit_s(replica)
+        if limit_s is None:
             return await answer.ended
-        limit_s = silence_limit_s(
-            route.target_latency_ms,
-            self.fleet.loads.of(replica.endpoint_id).latency_ms,
-            self.call.remaining_ms(),
-        )
         while not answer.ended.done():
             now_s = asyncio.get_running_loop().time()
             left_s = conn.last_received_s + limit_s - now_s
@@ -199,6 +193,18 @@
                 await asyncio.wait((answer.ended,), timeout=left_s)
         return answer.ended.result()
 
+    def _silence_limit_s(self, replica: Replica) -> float | None:
+        """Returns how long the endpoint may be silent, None for any time."""
+        route = self.call.route
+        has_more = len(self.contacted) < route.max_attempts
+        if not route.may_repeat or not has_more or not self.candidates():
+            return None
+        return silence_limit_s(
+            route.target_latency_ms,
+            self.fleet.loads.of(replica.endpoint_id).latency_ms,
+            self.call.remaining_ms(),
+        )
+
     async def _next_pass(self) -> bool:
         """Backs off and returns True while the retry window is open."""
         total_ms = self.call.age_ms() + self.call.remaining_ms()
--- a/cactusledge/gateway/silence.py
+++ b/cactusledge/gateway/silence.py
@@ -12,13 +12,17 @@
 
 def silence_limit_s(
     target_latency_ms: float, latency_ms: float, remaining_ms: float
-) -> float:
+) -> float | None:
     """Returns the time without any data after which to try elsewhere.
 
+    None if too little time would be left for another endpoint.
+
     Args:
         target_latency_ms: The route's latency target.
         latency_ms: The endpoint's recent latency per unit of work.
         remaining_ms: Time left until the call's deadline.
     """
     usual_ms = max(TARGETS * target_latency_ms, LATENCIES * latency_ms)
-    return min(usual_ms, REMAINING_SHARE * remaining_ms) / 1000
+    if usual_ms > REMAINING_SHARE * remaining_ms:
+        return None
+    return usual_ms / 1000
