Let readers of a log skip its expired entries

Cause: once all entries of a log had expired, a reader got no entries for a position below its head, and a store that caught up or drained asked for the same position for ever.

Change: a part of the log comes with the position after it; readers go on from there. An older store sends no position, and its parts are counted as before.

Test: test_expired_entries_are_skipped_by_a_reader fails before.

--- a/cactusledge/records/catch_up.py
+++ b/cactusledge/records/catch_up.py
@@ -71,7 +71,7 @@
                 return
             await self._store.log.append(pulled.entries)
             log_id = pulled.log_id
-            position += len(pulled.entries)
+            position = pulled.end or position + len(pulled.entries)
             head = pulled.head if head is None else head
             if not pulled.is_witness:
                 return
--- a/cactusledge/records/draining.py
+++ b/cactusledge/records/draining.py
@@ -54,10 +54,10 @@
     async def _push(self) -> None:
         """Sends the remaining entries, up to a batch that is not accepted."""
         while self._pushed_entries < self._store.log.head:
-            entries = self._store.log.pull(self._pushed_entries)[:PUSH_ENTRIES]
-            if not await self._is_accepted(entries):
+            part = self._store.log.pull(self._pushed_entries, PUSH_ENTRIES)
+            if not await self._is_accepted(part.entries):
                 return
-            self._pushed_entries += len(entries)
+            self._pushed_entries = part.end
 
     async def _is_accepted(self, entries: list[Entry]) -> bool:
         """Returns whether all reachable stores, and a majority, accepted."""
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 import pykka
@@ -29,6 +29,13 @@
 log = structlog.get_logger('records')
 
 
+class LogPart(NamedTuple):
+    """Entries of a log, and the position of the next one."""
+
+    entries: list[Entry]
+    end: int
+
+
 class RecordLog:
     """Applies entries at once and reports when they are on disk.
 
@@ -78,10 +85,14 @@
             self._sync()
         await fut
 
-    def pull(self, position: int) -> list[Entry]:
-        """Returns entries from a position on; turns come without text."""
+    def pull(self, position: int, most: int = PULL_ENTRIES) -> LogPart:
+        """Returns entries from a position on; turns come without text.
+
+        Expired entries are skipped.
+        """
         start = max(0, position - self._first_position)
-        return self.entries[start : start + PULL_ENTRIES]
+        entries = self.entries[start : start + most]
+        return LogPart(entries, self._first_position + start + len(entries))
 
     def expire(self, retention_s: float) -> None:
         """Drops older entries, and segments that hold only older entries.
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -91,6 +91,7 @@
     entries: list[Entry]
     head: int  # position after its last entry
     is_witness: bool
+    end: int = 0  # position after these entries, 0 from an older store
 
 
 class StaleGroup(Message, frozen=True):
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -116,11 +116,13 @@
             return messages.Failed(
                 'the log id has changed since the first request'
             )
+        part = self.log.pull(position)
         return messages.Pulled(
             log_id=identity.log_id,
-            entries=self.log.pull(position),
+            entries=part.entries,
             head=self.log.head,
             is_witness=identity.is_witness,
+            end=part.end,
         )
 
     async def _ask(self, request: messages.Ask) -> messages.Body:
--- a/tests/test_records_disk.py
+++ b/tests/test_records_disk.py
@@ -127,3 +127,23 @@
     assert not state.apply(Reserved('p', 't1', 40))
     assert not state.apply(Settled('p', 't1', 9))
     assert state.spent('p') == {'t1': (3, True)}
+
+
+def test_expired_entries_are_skipped_by_a_reader(tmp_path):
+    """A store that caught up from such a log asked for its start for ever."""
+
+    async def scenario():
+        log = RecordLog(tmp_path, is_first_start=True)
+        await log.append([turn('t1'), turn('t2')])
+        log.expire(-1)
+        assert log.head == 2
+        assert log.pull(0).end == 2
+        await log.append([turn('t3')])
+        part = log.pull(0)
+        assert ([found.turn_id for found in part.entries], part.end) == (
+            ['t3'],
+            3,
+        )
+        log.stop()
+
+    asyncio.run(scenario())
