Bound what gateways are told of each other, and spare calls at a restart

Cause: each gateway registered with every store every 3 s and got the full list of gateways back.

Change: a gateway registers with the three nearest stores of the first shard and is told of eight gateways of its data centre and eight elsewhere. The seeds are asked at once, and the platform only if none of them knows a group or the groups stay out of reach. Replies with a chain leave out the spending.

--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -24,7 +24,7 @@
 
 
 class Neighbours(Message, frozen=True):
-    """The other gateways that registered with a store recently."""
+    """Some of the gateways that registered with a store recently."""
 
     gateways: dict[str, Member]
 
--- a/cactusledge/records/gateways.py
+++ b/cactusledge/records/gateways.py
@@ -5,7 +5,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from cactusledge.records.entries import Member
@@ -18,10 +18,12 @@
     ReadPart,
     ShareLoads,
 )
+from cactusledge.records.holders import rank
 from cactusledge.records.read_parts import ListPosition, ReadParts
 
 GATEWAY_TTL_S = 10.0  # since a gateway last registered
 LOAD_TTL_S = 1.5  # since a load was last reported
+MAX_NEIGHBOURS = 8  # in the data centre of the gateway, and as many elsewhere
 
 
 class _ReportedLoad(NamedTuple):
@@ -42,14 +44,15 @@
         self._read_parts = ReadParts()
 
     async def register(self, hello: Hello) -> Neighbours:
-        """Registers a gateway; returns the others."""
+        """Registers a gateway; returns some of the others."""
         now_s = time.monotonic()
         self._known[hello.name] = (hello.gateway, now_s)
-        return Neighbours({
+        others = {
             name: gateway
             for name, (gateway, reported_s) in self._known.items()
             if name != hello.name and now_s - reported_s < GATEWAY_TTL_S
-        })
+        }
+        return Neighbours(choose_neighbours(hello, others))
 
     async def report(self, report: LoadReport) -> LoadSums:
         """Stores a gateway's load; returns the others' sums and read parts."""
@@ -84,6 +87,27 @@
         self._read_parts.add(read)
 
 
+def choose_neighbours(
+    hello: Hello, others: Mapping[str, Member]
+) -> dict[str, Member]:
+    """Returns the gateways that a gateway is told of.
+
+    A few of its own data centre and a few of others, so that the replies do
+    not grow with the fleet; each gateway is told of different ones.
+    """
+    ordered = sorted(others, key=lambda name: rank(hello.name, name))
+    chosen: dict[str, Member] = {}
+    for is_local in (True, False):
+        found = [
+            name
+            for name in ordered
+            if is_local
+            == (others[name].data_centre == hello.gateway.data_centre)
+        ]
+        chosen.update((name, others[name]) for name in found[:MAX_NEIGHBOURS])
+    return chosen
+
+
 def sum_loads(loads: Iterable[_ReportedLoad], now_s: float) -> dict[str, int]:
     """Returns the sums by endpoint of loads that have not expired."""
     sums: Counter[str] = Counter()
--- a/cactusledge/records/group_finder.py
+++ b/cactusledge/records/group_finder.py
@@ -1,5 +1,6 @@
 """Finds the groups of record stores for a gateway without a quorum."""
 
+import asyncio
 import time
 from collections.abc import Sequence
 
@@ -31,32 +32,41 @@
         seeds: Sequence[Address],
         objects: GroupObjects,
     ) -> None:
-        """Starts without having read the platform."""
+        """Starts without a search."""
         self._records = records
         self._seeds = seeds
         self._objects = objects
+        self._began_s: float | None = None  # when the present search began
         self._last_read_s = float(0)  # when the platform was last read
 
     async def run(self) -> None:
         """Looks for the groups once, unless each has a quorum in reach."""
         if self._records.has_all_quorums:
+            self._began_s = None
             return
-        for address in self._seeds:
-            await self._ask_seed(address)
         now_s = time.monotonic()
+        if self._began_s is None:
+            self._began_s = now_s
+        answers = await asyncio.gather(*map(self._ask_seed, self._seeds))
+        is_recent = now_s - self._began_s < PLATFORM_READ_INTERVAL_S
+        if any(answers) and is_recent:
+            return  # the connections are being opened
         if now_s - self._last_read_s >= PLATFORM_READ_INTERVAL_S:
             self._last_read_s = now_s
             await self._read_platform()
 
-    async def _ask_seed(self, address: Address) -> None:
+    async def _ask_seed(self, address: Address) -> bool:
+        """Adopts the groups that a seed knows; returns whether it answered."""
         try:
             reply = await call_once(address, Ask(0), ASK_TIMEOUT_S)
         except (ConnectionError, TimeoutError):
             log.info('records: seed unreachable', address=str(address))
-            return
-        if isinstance(reply, Status):
-            for group in (reply.group, *reply.groups):
-                self._records.adopt_group(group)
+            return False
+        if not isinstance(reply, Status) or not reply.group.generation:
+            return False
+        for group in (reply.group, *reply.groups):
+            self._records.adopt_group(group)
+        return True
 
     async def _read_platform(self) -> None:
         try:
--- a/cactusledge/records/relays.py
+++ b/cactusledge/records/relays.py
@@ -88,10 +88,7 @@
 
     async def _send_hello(self) -> None:
         hello = Hello(self._name, self._member)
-        for name in self._peers.registries():
-            peer = self._peers.direct(name)
-            if peer is None:
-                continue
+        for peer in self._peers.registries():
             with contextlib.suppress(ConnectionError, TimeoutError):
                 reply = await peer.call(hello, CALL_TIMEOUT_S)
                 if isinstance(reply, Neighbours):
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -149,7 +149,7 @@
         state = self.log.state
         return messages.ReserveReply(
             is_witness=self.log.identity.is_witness,
-            spent=dict(state.spent(program_id)),
+            spent={} if wants_chain else dict(state.spent(program_id)),
             knows_parent=parent_id in state.turns,
             chain=state.chain(parent_id) if wants_chain else [],
             log_id=self.log.identity.log_id,
--- a/cactusledge/records/store_peers.py
+++ b/cactusledge/records/store_peers.py
@@ -9,6 +9,8 @@
 from cactusledge.records.peer import Peer
 from cactusledge.records.peers import GroupPeers
 
+REGISTRIES = 3  # stores that a gateway registers with
+
 
 class StorePeers:
     """Connections by shard; one store of each data centre is watched.
@@ -82,14 +84,17 @@
             *(peers.direct_names() for peers in self.by_shard.values())
         )
 
-    def registries(self) -> frozenset[str]:
-        """Returns the reachable stores that gateways register with.
+    def registries(self) -> list[Peer]:
+        """Returns the reachable stores that this gateway registers with.
 
-        Those of the first shard, or all if none of them is reachable.
+        The nearest of the first shard, or all if none of it is reachable.
         """
-        first = self.by_shard.get(0)
-        names = frozenset() if first is None else first.direct_names()
-        return names or self.direct_names()
+        nearest = [self.direct(link.name) for link in self.nearest_first()]
+        open_peers = [peer for peer in nearest if peer and peer.is_connected]
+        if open_peers:
+            return open_peers[:REGISTRIES]
+        everywhere = map(self.direct, self.direct_names())
+        return [peer for peer in everywhere if peer is not None]
 
     def connected(self) -> tuple[Link, ...]:
         """Returns the links that are open, as far as is known."""
