Tell starting gateways of all shards, also from a store's disk

Cause: a store that has just started knows its own group from its disk, and the others only once its watch has listed them. A gateway that asked such seeds took the answer for complete and left the platform alone for 2 s, so programs of the other shards were refused after a restart of all instances.

Change: the platform is read unless the groups of all shards are known; a store keeps the table of shards on its disk, as a hint for gateways that ask while the platform is down.

Tests: test_platform_is_read_at_once_if_no_seed_knows_all_groups fails before for a seed with one group; test_store_keeps_the_groups_of_all_shards_on_disk.

--- a/cactusledge/records/adopted_group.py
+++ b/cactusledge/records/adopted_group.py
@@ -10,8 +10,10 @@
 from cactusledge.records.disk import read_document
 from cactusledge.records.log import RecordLog
 from cactusledge.records.membership import decode_group, encode_group
+from cactusledge.records.shards import ShardTable, decode_table, encode_table
 
 GROUP_FILE = 'group.json'
+TABLE_FILE = 'shards.json'
 
 log = structlog.get_logger('records')
 
@@ -65,6 +67,14 @@
         fut = self._log.write_document(GROUP_FILE, encode_group(self.group))
         fut.add_done_callback(partial(self._on_written, self.group))
 
+    def persist_table(self, table: ShardTable) -> None:
+        """Starts writing the groups of all shards, for gateways that ask.
+
+        Only a hint: they may be outdated, and a failed write is not repeated.
+        """
+        fut = self._log.write_document(TABLE_FILE, encode_table(table))
+        fut.add_done_callback(log_failed_write)
+
     def _may_adopt(self, group: entries.Group) -> bool:
         own = self.group
         if group.shard == own.shard or not own.generation:
@@ -85,6 +95,21 @@
             self._generation_in_flight = 0
 
 
+def log_failed_write(fut: 'asyncio.Future[None]') -> None:
+    """Logs that the groups of all shards could not be written."""
+    if fut.exception() is not None:
+        log.warning(
+            'records: writing the shard table failed',
+            error=repr(fut.exception()),
+        )
+
+
+def read_table(folder: Path) -> ShardTable:
+    """Returns the groups of all shards on disk, none if there are none."""
+    document = read_document(folder, TABLE_FILE)
+    return ShardTable(()) if document is None else decode_table(document)
+
+
 def read_group(folder: Path) -> entries.Group | None:
     """Returns the group on disk, None if there is none."""
     document = read_document(folder, GROUP_FILE)
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -13,7 +13,7 @@
 from cactusledge.objects.feeds import Feed, Follower, Listing
 from cactusledge.objects.store import ObjectStore, StoredObject
 from cactusledge.objects.watcher import Watcher, WatchTarget
-from cactusledge.records.adopted_group import read_group
+from cactusledge.records.adopted_group import read_group, read_table
 from cactusledge.records.draining import StoreDrain
 from cactusledge.records.entries import Member
 from cactusledge.records.group_follower import GroupFollower
@@ -93,6 +93,7 @@
         known = read_group(self._parts.folder)
         if known is not None:
             self.group_manager.adopt_group(known)
+        self.store.known_groups = read_table(self._parts.folder).groups
         await self._server.start(self._parts.address)
         await open_page(self._parts.metrics, metrics_page(self._metrics))
         self._start_watchers(loop)
--- a/cactusledge/records/client.py
+++ b/cactusledge/records/client.py
@@ -45,6 +45,11 @@
         """Whether there is a quorum, and no sign yet that it will be lost."""
         return self.has_quorum and not self._peers.is_cut_off
 
+    @property
+    def knows_all_groups(self) -> bool:
+        """Whether the group of every shard is known."""
+        return len(self._peers.by_shard) == self._count
+
     @property
     def has_all_quorums(self) -> bool:
         """Whether every shard is known and can be reached."""
--- a/cactusledge/records/group_finder.py
+++ b/cactusledge/records/group_finder.py
@@ -47,26 +47,24 @@
         now_s = time.monotonic()
         if self._began_s is None:
             self._began_s = now_s
-        answers = await asyncio.gather(*map(self._ask_seed, self._seeds))
+        await asyncio.gather(*map(self._ask_seed, self._seeds))
         is_recent = now_s - self._began_s < PLATFORM_READ_INTERVAL_S
-        if any(answers) and is_recent:
+        if self._records.knows_all_groups and is_recent:
             return  # the connections are being opened
         if now_s - self._last_read_s >= PLATFORM_READ_INTERVAL_S:
             self._last_read_s = now_s
             await self._read_platform()
 
-    async def _ask_seed(self, address: Address) -> bool:
-        """Adopts the groups that a seed knows; returns whether it answered."""
+    async def _ask_seed(self, address: Address) -> None:
+        """Adopts the groups that a seed knows."""
         try:
             reply = await call_once(address, Ask(0), ASK_TIMEOUT_S)
         except (ConnectionError, TimeoutError):
             log.info('records: seed unreachable', address=str(address))
-            return False
-        if not isinstance(reply, Status) or not reply.group.generation:
-            return False
-        for group in (reply.group, *reply.groups):
-            self._records.adopt_group(group)
-        return True
+            return
+        if isinstance(reply, Status):
+            for group in (reply.group, *reply.groups):
+                self._records.adopt_group(group)
 
     async def _read_platform(self) -> None:
         try:
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -84,7 +84,9 @@
 
     def adopt_table(self, table: ShardTable) -> None:
         """Adopts this store's own group, or the one that it has to join."""
-        self._store.known_groups = table.groups
+        if table.groups != self._store.known_groups:
+            self._store.known_groups = table.groups
+            self._store.adopted_group.persist_table(table)
         kept = self._store.group if self._has_shard() else None
         self.adopt_group(own_group(table, self._store.name, self._member, kept))
 
--- a/tests/test_records_group_finder.py
+++ b/tests/test_records_group_finder.py
@@ -31,8 +31,13 @@
     def __init__(self):
         self.adopted = set()
 
+    @property
+    def knows_all_groups(self):
+        return len(self.adopted) == len(TABLE.groups)
+
     def adopt_group(self, group):
-        self.adopted.add(group.shard)
+        if group.generation:
+            self.adopted.add(group.shard)
 
 
 class FakeObjects:
@@ -46,8 +51,8 @@
         return PublishedTable(TABLE, '1')
 
 
-def status_of(group):
-    return Status('s00', group, True, 'log', groups=list(TABLE.groups))
+def status_of(group, groups=TABLE.groups):
+    return Status('s00', group, True, 'log', groups=list(groups))
 
 
 @pytest.fixture
@@ -79,8 +84,15 @@
     assert not objects.reads
 
 
-@pytest.mark.parametrize('answer', [None, status_of(EMPTY_GROUP)])
-def test_platform_is_read_at_once_if_no_seed_knows_a_group(find, answer):
+@pytest.mark.parametrize(
+    'answer',
+    [
+        None,
+        status_of(EMPTY_GROUP, ()),
+        status_of(TABLE.group(1), TABLE.groups[1:]),
+    ],
+)
+def test_platform_is_read_at_once_if_no_seed_knows_all_groups(find, answer):
     client, objects = find(answer, rounds=3)
     assert client.adopted == {0, 1}
     assert objects.reads == 1
--- a/tests/test_records_shard_cluster.py
+++ b/tests/test_records_shard_cluster.py
@@ -6,6 +6,7 @@
 
 from cactusledge.gateway.background import update_gauges
 from cactusledge.records import group_manager
+from cactusledge.records.adopted_group import read_table
 from cactusledge.records.entries import Turn
 from cactusledge.records.quorum import Demand, Verdict
 from cactusledge.records.shards import shard_of
@@ -92,6 +93,16 @@
     run_scenario(scenario)
 
 
+def test_store_keeps_the_groups_of_all_shards_on_disk(run_scenario):
+    async def scenario(cluster):
+        node = cluster.nodes['store-0']
+        await node.kill()
+        kept = read_table(node.folder).groups
+        assert [group.shard for group in kept] == [0, 1]
+
+    run_scenario(scenario)
+
+
 def test_each_shard_survives_the_loss_of_a_disk(run_scenario):
     async def scenario(cluster):
         await take_turns(cluster, 0)
