--- a/tests/test_gateway_turn_budget.py
+++ b/tests/test_gateway_turn_budget.py
@@ -16,11 +16,11 @@
 from cactusledge.records.messages import ReserveReply
 from cactusledge.records.quorum import Demand, Verdict, decide
 from cactusledge.records.state import RecordState
+from tests.fakes_records import LedgerRecords
 from tests.gateway_support import (
     ROUTES,
     SEAL,
     Endpoint,
-    LedgerRecords,
     overloaded,
     reply_of,
     running_gateway,
