Serve new programs that continue a turn of another shard

Ruled out: lost disks (both wiped stores were witnesses again 0.3 s after their start, with all texts), the maintenance loop, unknown groups.

Change: the part of a chain that the program's own shard lacks is read from the others; the turn and its tokens stay in the program's own shard. 404 only if no shard sent the chain and all deny the parent. A refusal no longer waits for the chain that is being read.

--- a/cactusledge/records/chain_reader.py
+++ b/cactusledge/records/chain_reader.py
@@ -1,6 +1,6 @@
-"""Reads the chain of a turn from the members of a group."""
+"""Reads the chain of a turn from the record stores."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import structlog
 
@@ -16,40 +16,57 @@
 
 
 class ChainReader:
-    """Assembles chains, as each store may lack different turns."""
+    """Assembles chains, as each store may lack different turns.
 
-    def __init__(self, peers: GroupPeers) -> None:
-        """Keeps the connections to the group."""
-        self._peers = peers
+    A program may continue a turn of another one, so a part of its chain may
+    be in another shard.
+    """
+
+    def __init__(self, shards: Callable[[], Iterable[GroupPeers]]) -> None:
+        """Stores what returns the shards to read, the program's own first."""
+        self._shards = shards
 
     async def read(self, start: TurnStart) -> tuple[entries.Turn, ...]:
-        """Reads the chain from the stores, the nearest first.
+        """Returns the chain, oldest first; () if a part cannot be read."""
+        assembly = ChainAssembly(start.demand.parent_id)
+        for peers in self._shards():
+            await self._read_shard(peers, start, assembly)
+            if assembly.is_complete():
+                return assembly.chain()
+        return ()
+
+    async def _read_shard(
+        self, peers: GroupPeers, start: TurnStart, assembly: ChainAssembly
+    ) -> None:
+        """Reads from the stores of one shard, the nearest first.
 
         The stores are asked again as long as a pass yields new turns.
         """
-        assembly = ChainAssembly(start.demand.parent_id)
         has_new_turns = True
         while has_new_turns and not assembly.is_complete():
             has_new_turns = False
-            for peer in self._peers.nearest_first():
-                if await self._read_from(peer, start, assembly):
+            for peer in peers.nearest_first():
+                if await self._read_from(peer, peers.group, start, assembly):
                     has_new_turns = True
                 if assembly.is_complete():
                     break
-        return assembly.chain() if assembly.is_complete() else ()
 
     async def _read_from(
-        self, peer: Link, start: TurnStart, assembly: ChainAssembly
+        self,
+        peer: Link,
+        group: entries.Group,
+        start: TurnStart,
+        assembly: ChainAssembly,
     ) -> bool:
         """Requests missing turns and text; returns whether any arrived."""
         has_new_turns = False
         if assembly.youngest_missing:
-            query = chain_query(
-                self._peers.group, start, assembly.youngest_missing
-            )
+            query = chain_query(group, start, assembly.youngest_missing)
             has_new_turns = assembly.add(await self._request_turns(peer, query))
         if assembly.missing_text():
-            request = self._fetch(assembly.missing_text())
+            request = messages.Fetch(
+                group.generation, assembly.missing_text(), group.shard
+            )
             turns = await self._request_turns(peer, request)
             has_new_turns = assembly.add(turns) or has_new_turns
         return has_new_turns
@@ -70,7 +87,3 @@
         if isinstance(reply, messages.ReserveReply):
             return reply.chain
         return reply.turns if isinstance(reply, messages.Fetched) else ()
-
-    def _fetch(self, turn_ids: list[str]) -> messages.Fetch:
-        group = self._peers.group
-        return messages.Fetch(group.generation, turn_ids, group.shard)
--- a/cactusledge/records/client.py
+++ b/cactusledge/records/client.py
@@ -1,7 +1,10 @@
 """Client of the record stores: sends each program to its shard."""
 
+from functools import partial
+
 import structlog
 
+from cactusledge.records.chain_reader import ChainReader
 from cactusledge.records.entries import EMPTY_GROUP, Group, Turn
 from cactusledge.records.quorum import Verdict
 from cactusledge.records.quorum_state import QuorumState
@@ -70,7 +73,9 @@
         self._count = group.shards
         if group.shard not in self._shards:
             self._shards[group.shard] = ShardClient(
-                self._peers.by_shard[group.shard], self.adopt_group
+                self._peers.by_shard[group.shard],
+                ChainReader(partial(self._peers.own_first, group.shard)),
+                self.adopt_group,
             )
         log.info(
             'records: group adopted',
@@ -89,6 +94,8 @@
         if shard is None:
             return Grant(Verdict.UNSURE, reason='no group of this shard known')
         grant = await shard.begin(start)
+        if grant.verdict is Verdict.NO_PARENT and self._count > 1:
+            grant = await shard.begin_elsewhere(start)
         if grant.verdict is Verdict.NO_PARENT and self._count > 1:
             return await self._check_other_shards(start, grant)
         return grant
@@ -110,11 +117,7 @@
     async def _check_other_shards(
         self, start: TurnStart, missing: Grant
     ) -> Grant:
-        """Returns whether a turn is certainly in no shard.
-
-        A parent of another program may be in another shard, where its chain is
-        not read: such a turn is refused, but not as unknown.
-        """
+        """Returns whether the parent is certainly in no shard, or unsure."""
         own = shard_of(start.program_id, self._count)
         for number in range(self._count):
             shard = self._shards.get(number)
--- a/cactusledge/records/reservations.py
+++ b/cactusledge/records/reservations.py
@@ -35,12 +35,15 @@
     """Reserves the tokens of turns at the members of the group."""
 
     def __init__(
-        self, peers: GroupPeers, adopt_group: Callable[[entries.Group], object]
+        self,
+        peers: GroupPeers,
+        chains: ChainReader,
+        adopt_group: Callable[[entries.Group], object],
     ) -> None:
         """Keeps the connections to the group, and what takes newer groups."""
         self._peers = peers
         self._adopt_group = adopt_group
-        self._chains = ChainReader(peers)
+        self._chains = chains
 
     async def begin(self, start: TurnStart) -> Grant:
         """Reserves a turn's tokens and reads its chain."""
@@ -77,8 +80,11 @@
         except StaleGroupError:
             reading.cancel()
             raise
+        if grant.verdict is not Verdict.GRANTED:
+            reading.cancel()
+            return grant
         chain = await reading
-        if grant.verdict is Verdict.GRANTED and not chain:
+        if not chain:
             return Grant(Verdict.UNSURE, reason='chain not readable')
         return grant._replace(chain=chain)
 
--- a/cactusledge/records/shard_client.py
+++ b/cactusledge/records/shard_client.py
@@ -7,8 +7,10 @@
 import structlog
 
 from cactusledge.records import entries, messages
+from cactusledge.records.chain_reader import ChainReader
 from cactusledge.records.holders import choose_holders
 from cactusledge.records.peers import GroupPeers, check_silent
+from cactusledge.records.quorum import Verdict
 from cactusledge.records.reservations import (
     ROUND_TIMEOUT_S,
     Grant,
@@ -28,12 +30,16 @@
     """A gateway's client of one shard."""
 
     def __init__(
-        self, peers: GroupPeers, adopt_group: Callable[[entries.Group], object]
+        self,
+        peers: GroupPeers,
+        chains: ChainReader,
+        adopt_group: Callable[[entries.Group], object],
     ) -> None:
         """Stores the connections, and what takes newer groups."""
         self._peers = peers
         self._adopt_group = adopt_group
-        self._reservations = Reservations(peers, adopt_group)
+        self._chains = chains
+        self._reservations = Reservations(peers, chains, adopt_group)
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -45,6 +51,21 @@
         """Reserves a turn's tokens and reads its chain."""
         return await self._reservations.begin(start)
 
+    async def begin_elsewhere(self, start: TurnStart) -> Grant:
+        """Reserves a turn whose parent may be in another shard.
+
+        The verdict is NO_PARENT if its chain cannot be read there, and a chain
+        that the gateway has already needs not be read.
+        """
+        chain = await self._chains.read(start) if start.wants_chain else ()
+        if start.wants_chain and not chain:
+            return Grant(Verdict.NO_PARENT, reason='no shard sent the chain')
+        demand = start.demand._replace(parent_id='')
+        grant = await self._reservations.begin(
+            start._replace(demand=demand, wants_chain=False)
+        )
+        return grant._replace(chain=chain)
+
     async def lacks_turn(self, start: TurnStart) -> bool:
         """Returns whether this shard certainly lacks the turn to continue."""
         return await self._reservations.lacks_parent(start)
--- a/cactusledge/records/store_peers.py
+++ b/cactusledge/records/store_peers.py
@@ -74,10 +74,6 @@
                 return peer
         return None
 
-    def names(self) -> frozenset[str]:
-        """Returns the names of all stores."""
-        return frozenset(self.members)
-
     def direct_names(self) -> frozenset[str]:
         """Returns the names of the stores with an open direct connection."""
         return frozenset().union(
@@ -112,6 +108,13 @@
         first = self.by_shard.get(0)
         return [] if first is None else first.nearest_first()
 
+    def own_first(self, shard: int) -> list[GroupPeers]:
+        """Returns the connections to a shard, then those to the others."""
+        return sorted(
+            self.by_shard.values(),
+            key=lambda peers: peers.group.shard != shard,
+        )
+
     def stop(self) -> None:
         """Closes all connections."""
         for peers in self.by_shard.values():
