Log how each answer ended: framing, connection, last event

Decisions are unchanged: the connection hands the sink what it saw instead of a flag, and the sink decides as before.

--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import NamedTuple
 
+from cactusledge.gateway.answer_end import AnswerEnd
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import CallInfo, Request, Route
@@ -33,6 +34,7 @@
         """Starts before the first attempt."""
         self.contacted: list[str] = []  # endpoint ids, in order of the attempts
         self.first_event_ms: float | None = None  # since it was received
+        self.answer_end: AnswerEnd | None = None  # of the last attempt
 
 
 class Call(NamedTuple):
--- a/cactusledge/gateway/events.py
+++ b/cactusledge/gateway/events.py
@@ -1,5 +1,7 @@
 """Parses event streams (`text/event-stream`)."""
 
+import enum
+
 BLANK_LINE = b'\n\n'
 BLANK_LINES = (BLANK_LINE, b'\r\n\r\n')
 LINE_FEED = b'\n'
@@ -7,6 +9,23 @@
 ID_FIELD = b'id:'
 
 
+class StreamPosition(enum.StrEnum):
+    """Where in an event stream its last byte is."""
+
+    BEFORE = 'before'  # no event has begun
+    INSIDE = 'inside'  # an event has begun and not ended
+    AFTER = 'after'  # the last event has ended
+
+
+def position_of(stream: bytes) -> StreamPosition:
+    """Returns where a stream stopped."""
+    if not stream:
+        return StreamPosition.BEFORE
+    if stream.endswith(BLANK_LINES):
+        return StreamPosition.AFTER
+    return StreamPosition.INSIDE
+
+
 class EventSplitter:
     """Cuts a stream, which arrives in arbitrary parts, into whole events."""
 
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from cactusledge.gateway.answer_end import end_fields
 from cactusledge.gateway.answers import ANSWERED, refuse
 from cactusledge.gateway.calls import serve_call
 from cactusledge.gateway.context import Call, Fleet, Outcome, Progress
@@ -140,6 +141,7 @@
             first_event_ms=progress.first_event_ms,
             endpoint_id=progress.contacted[-1] if progress.contacted else '',
             attempts=len(progress.contacted),
+            **end_fields(progress.answer_end),
             **outcome._asdict(),
         )
 
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -6,6 +6,12 @@
 
 import httptools
 
+from cactusledge.gateway.answer_end import (
+    Framing,
+    Transfer,
+    TransferEnd,
+    framing_of,
+)
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.messages import EndpointAnswer, Headers
 from cactusledge.records.frames import set_socket_options
@@ -22,7 +28,7 @@
     def on_body(self, body: bytes) -> None:
         """Takes a part of the body."""
 
-    def on_end(self, *, is_complete: bool) -> None:
+    def on_end(self, transfer: Transfer) -> None:
         """Handles the end of the response; called once."""
 
 
@@ -43,8 +49,7 @@
         self._request_id = ''
         self._sink: AnswerSink | None = None
         self._is_skipping = False
-        self._has_head = False
-        self._has_framing = False
+        self._framing = Framing.NONE
         self._idle_s: float | None = None
         self.last_received_s = float(0)  # loop clock
 
@@ -58,10 +63,10 @@
         """Sends a request; the response goes to the sink."""
         self._request_id = request_id
         self._sink = sink
-        self._has_head = False
+        self._framing = Framing.NONE
         self.last_received_s = asyncio.get_running_loop().time()
         if self._transport is None:
-            self._end(is_complete=False)
+            self._end(TransferEnd.RESET)
             return
         self._transport.write(content)
 
@@ -90,17 +95,15 @@
             self.abandon()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Ends the response; a close completes one without a length."""
+        """Ends the response that is in progress, if any."""
         self._transport = None
-        ends_by_close = self._has_head and not self._has_framing
-        self._end(is_complete=ends_by_close and exc is None)
+        self._end(TransferEnd.CLOSED if exc is None else TransferEnd.RESET)
 
     # httptools callbacks
 
     def on_message_begin(self) -> None:
         """Starts a response; an unsolicited one closes the connection."""
         self._headers = []
-        self._has_framing = False
         self._is_skipping = False
         if self._sink is None:
             self.abort()
@@ -108,8 +111,6 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects one header."""
         self._headers.append((name, value))
-        if name.lower() in {b'content-length', b'transfer-encoding'}:
-            self._has_framing = True
 
     def on_headers_complete(self) -> None:
         """Handles the head; skips a late response to another request."""
@@ -123,7 +124,7 @@
         if answer.request_id and answer.request_id != self._request_id:
             self._is_skipping = True
             return
-        self._has_head = True
+        self._framing = framing_of(self._headers)
         sink.on_head(answer)
 
     def on_body(self, body: bytes) -> None:
@@ -135,8 +136,9 @@
         """Ends the response and returns the connection for reuse."""
         if self._is_skipping:
             return
-        keeps_alive = self._parser.should_keep_alive() and self._has_framing
-        self._end(is_complete=True)
+        has_framing = self._framing is not Framing.NONE
+        keeps_alive = self._parser.should_keep_alive() and has_framing
+        self._end(TransferEnd.FRAMED)
         if keeps_alive and self.is_open:
             self._on_idle(self, self._idle_s)
         elif self._transport is not None:
@@ -144,12 +146,12 @@
 
     def abandon(self) -> None:
         """Ends the response as broken and closes the connection."""
-        self._end(is_complete=False)
+        self._end(TransferEnd.ABANDONED)
         if self._transport is not None:
             self._transport.abort()
 
-    def _end(self, *, is_complete: bool) -> None:
+    def _end(self, end: TransferEnd) -> None:
         sink = self._sink
         self._sink = None
         if sink is not None:
-            sink.on_end(is_complete=is_complete)
+            sink.on_end(Transfer(self._framing, end))
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from cactusledge.gateway.answer_end import end_fields
 from cactusledge.gateway.context import Call, Fleet
 from cactusledge.gateway.exchange import OpenExchange
 from cactusledge.gateway.http_client import EndpointConnection
@@ -122,7 +123,11 @@
                 answer,
             )
             end = await self._end_of(replica, conn, answer)
+        self.call.progress.answer_end = answer.seen_end
         self.fleet.metrics.add('gateway_exchanges_total', end=end)
+        self.fleet.metrics.add(
+            'gateway_answer_ends_total', 1, **end_fields(answer.seen_end)
+        )
         if end is not ExchangeEnd.ANSWERED:
             log.warning(
                 'gateway: exchange failed',
@@ -130,6 +135,7 @@
                 endpoint_id=replica.endpoint_id,
                 end=end,
                 status=answer.head.status if answer.head else 0,
+                **end_fields(answer.seen_end),
             )
         if end is ExchangeEnd.ANSWERED:
             took_ms = (loop.time() - started_s) * 1000
--- a/cactusledge/gateway/sinks.py
+++ b/cactusledge/gateway/sinks.py
@@ -4,7 +4,17 @@
 import enum
 from collections.abc import Callable
 
-from cactusledge.gateway.events import count_events
+from cactusledge.gateway.answer_end import (
+    AnswerEnd,
+    Framing,
+    Transfer,
+    TransferEnd,
+)
+from cactusledge.gateway.events import (
+    StreamPosition,
+    count_events,
+    position_of,
+)
 from cactusledge.gateway.messages import EndpointAnswer
 
 FIRST_SUCCESS = 200
@@ -44,6 +54,8 @@
     def __init__(self) -> None:
         """Starts empty."""
         self.head: EndpointAnswer | None = None
+        self.is_event_stream = False
+        self.seen_end: AnswerEnd | None = None  # None until it has ended
         self.ended: asyncio.Future[ExchangeEnd] = (
             asyncio.get_running_loop().create_future()
         )
@@ -59,6 +71,11 @@
         """The part of the body received so far."""
         return b''.join(self._parts)
 
+    @property
+    def position(self) -> StreamPosition | None:
+        """Where an event stream has arrived, None for other answers."""
+        return position_of(self.body) if self.is_event_stream else None
+
     def on_head(self, answer: EndpointAnswer) -> None:
         """Stores the head."""
         self.head = answer
@@ -67,9 +84,14 @@
         """Appends a part of the body."""
         self._parts.append(body)
 
-    def on_end(self, *, is_complete: bool) -> None:
+    def on_end(self, transfer: Transfer) -> None:
         """Resolves `ended`."""
+        self.seen_end = AnswerEnd(transfer, self.position)
         if not self.ended.done():
+            is_complete = transfer.end is TransferEnd.FRAMED or transfer == (
+                Framing.NONE,
+                TransferEnd.CLOSED,
+            )
             self.ended.set_result(end_of(self.head, is_complete=is_complete))
 
 
@@ -112,6 +134,7 @@
         super().on_head(answer)
         if is_success(answer.status) and is_valid_answer(answer):
             self.has_started = True
+            self.is_event_stream = True
             self._on_start(answer)
 
     def on_body(self, body: bytes) -> None:
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -104,6 +104,13 @@
         'Exchanges with endpoints, by how they ended.',
         'end',
     ),
+    _counter(
+        'gateway_answer_ends_total',
+        'Ends of answers: framing, end of the transfer, state of the stream.',
+        'framing',
+        'transfer_end',
+        'last_event',
+    ),
     _latency('gateway_record_seconds', 'Time until a turn is durable.'),
     _gauge('gateway_endpoints', 'Endpoints listed.'),
     _gauge('gateway_quorum', '1 while a quorum of the stores is in reach.'),
