--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -1,7 +1,12 @@
 """Test harness: a gateway on loopback, raw callers, scripted endpoints."""
 
 import asyncio
+import socket
+import struct
 from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import httptools
 
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.gateway import Gateway
@@ -27,19 +32,23 @@
 HOST = 'shop.example'
 SEAL = 'X-Cactusledge-Response-Seal: s'
 READ_S = 5.0
+READ_BYTES = 65536
+RESET_AFTER_S = 0.05  # for the response to be read first
+RESET_AT_CLOSE = struct.pack('ii', 1, 0)  # linger for no time
 
 
 class Endpoint:
     """Scripted endpoint: `reply` maps a request head to a response.
 
     `reply` returns the bytes to send, or None to leave the request without a
-    response. `closes` closes the connection after the response. All requests
-    are kept in `requests`.
+    response. `closes` closes the connection after the response, `resets` makes
+    it fail instead. All requests are kept in `requests`.
     """
 
-    def __init__(self, reply, *, closes=False):
+    def __init__(self, reply, *, closes=False, resets=False):
         self.reply = reply
         self.closes = closes
+        self.resets = resets
         self.requests = []
         self.left = asyncio.Event()
         self.port = 0
@@ -51,24 +60,36 @@
 
     async def _serve(self, reader, writer):
         try:
-            while True:
-                head = await read_head(reader)
-                if not head:
-                    break
-                body = await reader.readexactly(length_of(head))
-                self.requests.append((head, body))
-                sent = self.reply(head)
-                if sent is None:
-                    await reader.read()
-                    self.left.set()
-                    break
-                writer.write(sent)
-                if self.closes:
-                    break
+            while await self._answer_next(reader, writer):
+                continue
         except (ConnectionError, asyncio.IncompleteReadError):
             self.left.set()
         writer.close()
 
+    async def _answer_next(self, reader, writer):
+        """Answers one request; returns whether another one may follow."""
+        head = await read_head(reader)
+        if not head:
+            return False
+        body = await reader.readexactly(length_of(head))
+        self.requests.append((head, body))
+        sent = self.reply(head)
+        if sent is None:
+            await reader.read()
+            self.left.set()
+            return False
+        writer.write(sent)
+        if self.resets:
+            await self._reset(writer)
+        return not (self.closes or self.resets)
+
+    async def _reset(self, writer):
+        """Makes the connection fail once the response has gone out."""
+        await writer.drain()
+        await asyncio.sleep(RESET_AFTER_S)
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
 
 async def read_head(reader):
     """Returns the lines of a message head, [] at the end of the stream."""
@@ -120,6 +141,47 @@
     return reply_of(503, head, 'X-Cactusledge-Not-Executed: 1')
 
 
+def unframed(head, body):
+    """A response with neither a length nor chunks; ends by a close."""
+    empty = reply_of(200, head, SEAL)
+    return empty.replace(b'Content-Length: 0\r\n', b'') + body
+
+
+def chunked(head, body, *, is_whole=True):
+    """A response in one chunk, with or without the last chunk."""
+    sent = reply_of(200, head, SEAL).replace(
+        b'Content-Length: 0', b'Transfer-Encoding: chunked'
+    )
+    last = b'0\r\n\r\n' if is_whole else b''
+    return b'%b%x\r\n%b\r\n%b' % (sent, len(body), body, last)
+
+
+class Seen(NamedTuple):
+    """A response as a caller sees it."""
+
+    end: str  # 'complete', 'unproven' (ended by a close) or 'broken'
+    body: bytes
+
+
+class _Collector:
+    """Receives what a parser of responses reports."""
+
+    def __init__(self):
+        self.body = b''
+        self.has_framing = False
+        self.is_complete = False
+
+    def on_header(self, name, _):
+        if name.lower() in {b'content-length', b'transfer-encoding'}:
+            self.has_framing = True
+
+    def on_body(self, body):
+        self.body += body
+
+    def on_message_complete(self):
+        self.is_complete = True
+
+
 class Caller:
     """Sends requests on one connection."""
 
@@ -153,6 +215,22 @@
         async with asyncio.timeout(READ_S):
             return await self.reader.read()
 
+    async def see(self):
+        """Reads until the connection ends and judges the response."""
+        collector = _Collector()
+        parser = httptools.HttpResponseParser(collector)
+        is_reset = False
+        try:
+            async with asyncio.timeout(READ_S):
+                while received := await self.reader.read(READ_BYTES):
+                    parser.feed_data(received)
+        except ConnectionResetError:
+            is_reset = True
+        if collector.is_complete:
+            return Seen('complete', collector.body)
+        is_broken = is_reset or collector.has_framing
+        return Seen('broken' if is_broken else 'unproven', collector.body)
+
 
 def route(prefix, kind, **changes):
     """Returns a route to the service `svc`."""
--- a/tests/test_gateway_answer_end_logs.py
+++ b/tests/test_gateway_answer_end_logs.py
@@ -8,8 +8,10 @@
 from tests.gateway_support import (
     SEAL,
     Endpoint,
+    chunked,
     reply_of,
     running_gateway,
+    unframed,
 )
 
 pytestmark = pytest.mark.process
@@ -18,21 +20,6 @@
 PARTIAL = b'id: 2\nda'
 
 
-def unframed(head, body):
-    """An answer with neither a length nor chunks."""
-    sent = reply_of(200, head, SEAL).replace(b'Content-Length: 0\r\n', b'')
-    return sent + body
-
-
-def chunked(head, body, *, is_whole):
-    """An answer in one chunk, with or without the last one."""
-    sent = unframed(head, b'').replace(
-        b'\r\n\r\n', b'\r\nTransfer-Encoding: chunked\r\n\r\n'
-    )
-    last = b'0\r\n\r\n' if is_whole else b''
-    return b'%b%x\r\n%b\r\n%b' % (sent, len(body), body, last)
-
-
 ENDS = (
     (lambda head: unframed(head, EVENT), ('none', 'closed', 'after')),
     (
