Take a stream that ends inside an event as broken off

Callers got a stream cut in the middle of an event as complete, and the turn was recorded with the broken event in it. Cause: completeness came from the connection alone; nothing looked at where the stream had stopped, and a partial event counted as one.

One pure module now decides from the framing, how the transfer ended and where the event stream stopped: complete, not provable, or broken. A stream that ends inside an event is broken whatever its framing says, so its turn is not recorded, the tokens sent are settled, and the caller's chunks end without the last one. An empty stream that only its connection ends is broken too.

The log line and the counter say the decision.

--- a/cactusledge/gateway/answer_end.py
+++ b/cactusledge/gateway/answer_end.py
@@ -1,4 +1,9 @@
-"""What was seen of the end of an endpoint's answer."""
+"""Decides from what was seen of an answer's end whether it was complete.
+
+An answer without a framing ends with its connection, and so does one whose
+endpoint crashes. An event stream that ends inside an event is broken off,
+whatever its framing says.
+"""
 
 import enum
 from typing import NamedTuple
@@ -9,6 +14,7 @@
 LENGTH_HEADER = b'content-length'
 CODING_HEADER = b'transfer-encoding'
 CHUNKED_CODING = b'chunked'
+END_FIELDS = ('framing', 'transfer_end', 'last_event', 'completeness')
 
 
 class Framing(enum.StrEnum):
@@ -42,6 +48,29 @@
     position: StreamPosition | None  # None unless it is an event stream
 
 
+class Completeness(enum.StrEnum):
+    """Whether an answer that has ended is whole."""
+
+    COMPLETE = 'complete'
+    UNPROVEN = 'unproven'  # nothing tells it from one that broke off
+    BROKEN = 'broken'
+
+
+ENDED_BY_CLOSE = Transfer(Framing.NONE, TransferEnd.CLOSED)
+
+
+def completeness_of(seen: AnswerEnd) -> Completeness:
+    """Returns whether an answer with this end is whole."""
+    if seen.position is StreamPosition.INSIDE:
+        return Completeness.BROKEN
+    if seen.transfer.end is TransferEnd.FRAMED:
+        return Completeness.COMPLETE
+    is_empty_stream = seen.position is StreamPosition.BEFORE
+    if seen.transfer == ENDED_BY_CLOSE and not is_empty_stream:
+        return Completeness.UNPROVEN
+    return Completeness.BROKEN
+
+
 def framing_of(headers: Headers) -> Framing:
     """Returns the framing that the headers of an answer announce."""
     by_name = {name.lower(): content for name, content in headers}
@@ -55,9 +84,11 @@
 def end_fields(seen: AnswerEnd | None) -> dict[str, str]:
     """Returns the end of an answer as fields of a log line or labels."""
     if seen is None:
-        return {'framing': '', 'transfer_end': '', 'last_event': ''}
-    return {
-        'framing': seen.transfer.framing,
-        'transfer_end': seen.transfer.end,
-        'last_event': seen.position or '',
-    }
+        return dict.fromkeys(END_FIELDS, '')
+    found = (
+        seen.transfer.framing,
+        seen.transfer.end,
+        seen.position or '',
+        completeness_of(seen),
+    )
+    return dict(zip(END_FIELDS, found, strict=True))
--- a/cactusledge/gateway/sinks.py
+++ b/cactusledge/gateway/sinks.py
@@ -6,9 +6,9 @@
 
 from cactusledge.gateway.answer_end import (
     AnswerEnd,
-    Framing,
+    Completeness,
     Transfer,
-    TransferEnd,
+    completeness_of,
 )
 from cactusledge.gateway.events import (
     StreamPosition,
@@ -27,7 +27,7 @@
 class ExchangeEnd(enum.StrEnum):
     """How an exchange with an endpoint ended."""
 
-    ANSWERED = 'answered'  # a complete response that can be forwarded
+    ANSWERED = 'answered'  # a response that can be forwarded
     NOT_RUN = 'not_run'  # endpoint states that it did not run the request
     BROKEN = 'broken'  # no valid response of the endpoint; request may have run
 
@@ -88,20 +88,20 @@
         """Resolves `ended`."""
         self.seen_end = AnswerEnd(transfer, self.position)
         if not self.ended.done():
-            is_complete = transfer.end is TransferEnd.FRAMED or transfer == (
-                Framing.NONE,
-                TransferEnd.CLOSED,
+            self.ended.set_result(
+                end_of(self.head, completeness_of(self.seen_end))
             )
-            self.ended.set_result(end_of(self.head, is_complete=is_complete))
 
 
-def end_of(head: EndpointAnswer | None, *, is_complete: bool) -> ExchangeEnd:
+def end_of(
+    head: EndpointAnswer | None, completeness: Completeness
+) -> ExchangeEnd:
     """Classifies the end of an exchange by the head and completeness."""
     if head is None:
         return ExchangeEnd.BROKEN
     if head.not_run:
         return ExchangeEnd.NOT_RUN
-    if is_complete and is_valid_answer(head):
+    if completeness is not Completeness.BROKEN and is_valid_answer(head):
         return ExchangeEnd.ANSWERED
     return ExchangeEnd.BROKEN
 
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -110,6 +110,7 @@
         'framing',
         'transfer_end',
         'last_event',
+        'completeness',
     ),
     _latency('gateway_record_seconds', 'Time until a turn is durable.'),
     _gauge('gateway_endpoints', 'Endpoints listed.'),
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -60,8 +60,9 @@
 
     async def _serve(self, reader, writer):
         try:
-            while await self._answer_next(reader, writer):
-                continue
+            has_next = True
+            while has_next:
+                has_next = await self._answer_next(reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
             self.left.set()
         writer.close()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cactusledge.gateway.answer_end import Completeness
 from cactusledge.gateway.chains import Chain, ChainCache, compress, join
 from cactusledge.gateway.events import count_events, event_data
 from cactusledge.gateway.gateway import choose_share, request_deadline_s
@@ -283,22 +284,28 @@
 
 
 @pytest.mark.parametrize(
-    ('head', 'is_complete', 'end'),
+    ('head', 'completeness', 'end'),
     [
-        (None, True, ExchangeEnd.BROKEN),
-        (answer(), True, ExchangeEnd.ANSWERED),
-        (answer(), False, ExchangeEnd.BROKEN),
-        (answer(has_seal=False), True, ExchangeEnd.BROKEN),
-        (answer(request_id=''), True, ExchangeEnd.BROKEN),
-        (answer(is_encoded=True), True, ExchangeEnd.BROKEN),
-        (answer(503, not_run=True), True, ExchangeEnd.NOT_RUN),
-        (answer(503, not_run=True), False, ExchangeEnd.NOT_RUN),
-        (answer(500), True, ExchangeEnd.ANSWERED),
-        (answer(503, has_seal=False), True, ExchangeEnd.BROKEN),
-        (answer(429), True, ExchangeEnd.BROKEN),
-        (answer(408), True, ExchangeEnd.BROKEN),
-        (answer(504), True, ExchangeEnd.ANSWERED),
+        (None, Completeness.COMPLETE, ExchangeEnd.BROKEN),
+        (answer(), Completeness.COMPLETE, ExchangeEnd.ANSWERED),
+        (answer(), Completeness.BROKEN, ExchangeEnd.BROKEN),
+        (answer(), Completeness.UNPROVEN, ExchangeEnd.ANSWERED),
+        (answer(has_seal=False), Completeness.UNPROVEN, ExchangeEnd.BROKEN),
+        (answer(has_seal=False), Completeness.COMPLETE, ExchangeEnd.BROKEN),
+        (answer(request_id=''), Completeness.COMPLETE, ExchangeEnd.BROKEN),
+        (answer(is_encoded=True), Completeness.COMPLETE, ExchangeEnd.BROKEN),
+        (answer(503, not_run=True), Completeness.COMPLETE, ExchangeEnd.NOT_RUN),
+        (answer(503, not_run=True), Completeness.BROKEN, ExchangeEnd.NOT_RUN),
+        (answer(500), Completeness.COMPLETE, ExchangeEnd.ANSWERED),
+        (
+            answer(503, has_seal=False),
+            Completeness.COMPLETE,
+            ExchangeEnd.BROKEN,
+        ),
+        (answer(429), Completeness.COMPLETE, ExchangeEnd.BROKEN),
+        (answer(408), Completeness.COMPLETE, ExchangeEnd.BROKEN),
+        (answer(504), Completeness.COMPLETE, ExchangeEnd.ANSWERED),
     ],
 )
-def test_classification_of_exchange_end(head, is_complete, end):
-    assert end_of(head, is_complete=is_complete) is end
+def test_classification_of_exchange_end(head, completeness, end):
+    assert end_of(head, completeness) is end
