Pass on an answer without a framing without one

Cause: the gateway always framed what it forwarded.

An answer with neither a length nor chunks now goes out the same way, with Connection: close. Until it is ended as whole its connection is set to reset at any close (SO_LINGER), so a broken engine, a deadline, a turn that is not durable, an exception or the process's own death shows as a failure and not as the end. A stream that began in chunks and is continued by another engine needs a proven end from that engine; else it counts as broken and goes on elsewhere, or ends without the last chunk. A turn of an unframed answer that ends after a whole event is recorded, as its caller may continue it.

--- a/cactusledge/gateway/answers.py
+++ b/cactusledge/gateway/answers.py
@@ -10,11 +10,17 @@
 
 
 def forward_answer(fleet: Fleet, call: Call, result: ExchangeResult) -> Outcome:
-    """Forwards a complete response to the caller."""
+    """Forwards a response that has ended; adds no framing if it had none."""
     status = status_of(result)
-    head = result.answer.head
+    answer = result.answer
+    head = answer.head
     headers = fleet.dialect.response_headers(head.headers) if head else b''
-    call.conn.answer(status, headers, result.answer.body)
+    if answer.is_proven:
+        call.conn.answer(status, headers, answer.body)
+    else:
+        call.conn.begin_stream(status, headers, has_framing=False)
+        call.conn.write_part(answer.body)
+        call.conn.end_stream()
     return Outcome(status, ANSWERED)
 
 
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -22,7 +22,7 @@
 class AnswerSink(Protocol):
     """Receives one response as it arrives."""
 
-    def on_head(self, answer: EndpointAnswer) -> None:
+    def on_head(self, answer: EndpointAnswer, framing: Framing) -> None:
         """Handles the head."""
 
     def on_body(self, body: bytes) -> None:
@@ -125,7 +125,7 @@
             self._is_skipping = True
             return
         self._framing = framing_of(self._headers)
-        sink.on_head(answer)
+        sink.on_head(answer, self._framing)
 
     def on_body(self, body: bytes) -> None:
         """Takes a part of the body."""
--- a/cactusledge/gateway/responder.py
+++ b/cactusledge/gateway/responder.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import http
+import socket
+import struct
 from collections.abc import Mapping
 from types import MappingProxyType
 
@@ -14,12 +16,22 @@
 })
 
 
+RESET_AT_CLOSE = struct.pack('ii', 1, 0)  # SO_LINGER: on, for no time
+CLOSE_IN_ORDER = struct.pack('ii', 0, 0)  # SO_LINGER: off
+
+
 class Responder:
-    """Writes responses; does nothing once the connection is lost."""
+    """Writes responses; does nothing once the connection is lost.
+
+    A response without a framing ends with its connection. Until it is ended as
+    whole, any close of its connection is a reset, also that of a killed
+    process, so that the caller does not take a part for the whole.
+    """
 
     def __init__(self) -> None:
         """Starts without a connection."""
         self.has_head = False  # head of the current response is written
+        self.has_framing = True  # of the current response
         self.keeps_alive = True
         self._transport: asyncio.Transport | None = None
 
@@ -44,6 +56,7 @@
     def begin(self, *, is_last: bool) -> None:
         """Prepares the next response; the last one closes the connection."""
         self.has_head = False
+        self.has_framing = True
         if is_last:
             self.keeps_alive = False
 
@@ -56,22 +69,42 @@
         framing = f'Content-Length: {len(body)}\r\n'.encode()
         self._write_head(status, headers, framing, body)
 
-    def begin_stream(self, status: int, headers: bytes) -> None:
-        """Writes the head of a chunked response."""
-        self._write_head(status, headers, CHUNKED_HEADER, b'')
+    def begin_stream(
+        self, status: int, headers: bytes, *, has_framing: bool = True
+    ) -> None:
+        """Writes the head of a response of unknown length.
+
+        It is sent in chunks, or without a framing and as the last one of its
+        connection.
+        """
+        self.has_framing = has_framing
+        if not has_framing:
+            self.keeps_alive = False
+            set_linger(self._transport, RESET_AT_CLOSE)
+        framing = CHUNKED_HEADER if has_framing else b''
+        self._write_head(status, headers, framing, b'')
 
-    def write_chunk(self, body: bytes) -> None:
-        """Writes one chunk immediately."""
-        self._write(b'%x\r\n%b\r\n' % (len(body), body))
+    def write_part(self, body: bytes) -> None:
+        """Writes a part of a stream immediately."""
+        if self.has_framing:
+            body = b'%x\r\n%b\r\n' % (len(body), body)
+        self._write(body)
 
     def end_stream(self) -> None:
-        """Writes the last chunk of a chunked response."""
-        self._write(LAST_CHUNK)
+        """Ends a stream as whole."""
+        if self.has_framing:
+            self._write(LAST_CHUNK)
+        else:
+            set_linger(self._transport, CLOSE_IN_ORDER)
+            self.close()
 
     def close_incomplete(self) -> None:
         """Closes the connection so that the response shows as truncated."""
         self.keeps_alive = False
-        self.close()
+        if self.has_framing:
+            self.close()
+        elif self._transport is not None:
+            self._transport.abort()
 
     def _write_head(
         self, status: int, headers: bytes, framing: bytes, body: bytes
@@ -92,3 +125,10 @@
     def _write(self, content: bytes) -> None:
         if self._transport is not None:
             self._transport.write(content)
+
+
+def set_linger(transport: asyncio.Transport | None, linger: bytes) -> None:
+    """Sets how a connection closes, if it is still open."""
+    if transport is not None:
+        sock = transport.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/cactusledge/gateway/sinks.py
+++ b/cactusledge/gateway/sinks.py
@@ -7,6 +7,7 @@
 from cactusledge.gateway.answer_end import (
     AnswerEnd,
     Completeness,
+    Framing,
     Transfer,
     completeness_of,
 )
@@ -54,7 +55,9 @@
     def __init__(self) -> None:
         """Starts empty."""
         self.head: EndpointAnswer | None = None
+        self.framing = Framing.NONE
         self.is_event_stream = False
+        self.needs_proof = False
         self.seen_end: AnswerEnd | None = None  # None until it has ended
         self.ended: asyncio.Future[ExchangeEnd] = (
             asyncio.get_running_loop().create_future()
@@ -76,9 +79,18 @@
         """Where an event stream has arrived, None for other answers."""
         return position_of(self.body) if self.is_event_stream else None
 
-    def on_head(self, answer: EndpointAnswer) -> None:
+    @property
+    def is_proven(self) -> bool:
+        """Whether the response has ended and is known to be whole."""
+        seen = self.seen_end
+        return (
+            seen is not None and completeness_of(seen) is Completeness.COMPLETE
+        )
+
+    def on_head(self, answer: EndpointAnswer, framing: Framing) -> None:
         """Stores the head."""
         self.head = answer
+        self.framing = framing
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body."""
@@ -87,10 +99,11 @@
     def on_end(self, transfer: Transfer) -> None:
         """Resolves `ended`."""
         self.seen_end = AnswerEnd(transfer, self.position)
+        completeness = completeness_of(self.seen_end)
+        if self.needs_proof and completeness is Completeness.UNPROVEN:
+            completeness = Completeness.BROKEN
         if not self.ended.done():
-            self.ended.set_result(
-                end_of(self.head, completeness_of(self.seen_end))
-            )
+            self.ended.set_result(end_of(self.head, completeness))
 
 
 def end_of(
@@ -109,17 +122,21 @@
 class StreamAnswer(BufferedAnswer):
     """Forwards the parts of a successful response as they arrive.
 
-    `on_start` is called with the head, `on_part` with each part. For any other
-    response only `ended` is resolved.
+    `on_start` is called with the head and the framing, `on_part` with each
+    part. For any other response only `ended` is resolved. A response that
+    cannot be proven whole counts as broken if `needs_proof`.
     """
 
     def __init__(
         self,
-        on_start: Callable[[EndpointAnswer], None],
+        on_start: Callable[[EndpointAnswer, Framing], None],
         on_part: Callable[[bytes], None],
+        *,
+        needs_proof: bool = False,
     ) -> None:
         """Stores the callbacks that receive the parts."""
         super().__init__()
+        self.needs_proof = needs_proof
         self.has_started = False
         self._on_start = on_start
         self._on_part = on_part
@@ -129,13 +146,13 @@
         """The number of events, plus the equivalent of reading the prompt."""
         return PREFILL_EVENTS + count_events(self.body)
 
-    def on_head(self, answer: EndpointAnswer) -> None:
+    def on_head(self, answer: EndpointAnswer, framing: Framing) -> None:
         """Starts forwarding if the response is valid and successful."""
-        super().on_head(answer)
+        super().on_head(answer, framing)
         if is_success(answer.status) and is_valid_answer(answer):
             self.has_started = True
             self.is_event_stream = True
-            self._on_start(answer)
+            self._on_start(answer, framing)
 
     def on_body(self, body: bytes) -> None:
         """Forwards the part if forwarding has started."""
--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from cactusledge.gateway.answer_end import Framing
 from cactusledge.gateway.chains import EMPTY_CHAIN, Chain
 from cactusledge.gateway.context import Call, Fleet
 from cactusledge.gateway.events import EventSplitter, count_events
@@ -64,27 +65,42 @@
         )
 
     def new_answer(self, fleet: Fleet, replica: Replica) -> StreamAnswer:
-        """Returns a sink that forwards the events to the caller."""
+        """Returns a sink that forwards the events to the caller.
+
+        The caller's framing is that of the first engine. Where it promises an
+        end, an engine that continues the stream has to prove its own.
+        """
         parts = self.call.info.parts
+        conn = self.call.conn
         self._splitter.discard_partial()
 
-        def on_start(answer: EndpointAnswer) -> None:  # noqa: WPS430
+        def on_start(answer: EndpointAnswer, framing: Framing) -> None:  # noqa: WPS430
             fleet.loads.record_read(replica, parts)
-            self._begin(fleet, answer)
+            self._begin(fleet, answer, framing)
 
-        return StreamAnswer(on_start, self._forward)
+        return StreamAnswer(
+            on_start,
+            self._forward,
+            needs_proof=conn.has_head and conn.has_framing,
+        )
 
-    def _begin(self, fleet: Fleet, answer: EndpointAnswer) -> None:
+    def _begin(
+        self, fleet: Fleet, answer: EndpointAnswer, framing: Framing
+    ) -> None:
         conn = self.call.conn
         if conn.has_head:
             return
         self.call.progress.first_event_ms = round(self.call.age_ms(), 1)
         headers = fleet.dialect.response_headers(answer.headers)
-        conn.begin_stream(answer.status, headers)
+        conn.begin_stream(
+            answer.status,
+            headers,
+            has_framing=framing is not Framing.NONE,
+        )
 
     def _forward(self, part: bytes) -> None:
         if self.call.route.is_resumable:
             part = self._splitter.feed(part)
         if part:
             self._delivered.append(part)
-            self.call.conn.write_chunk(part)
+            self.call.conn.write_part(part)
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -257,6 +257,12 @@
     route('/short/', Repeatability.ONCE, timeout_ms=150),
     route('/stream/', Repeatability.STREAM),
     route('/turn/', Repeatability.STREAM, keeps_turns=True),
+    route(
+        '/brief-turn/',
+        Repeatability.STREAM,
+        keeps_turns=True,
+        timeout_ms=200,
+    ),
     route('/resumable/', Repeatability.STREAM, is_resumable=True),
     route(
         '/resumable-turn/',
--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -102,7 +102,7 @@
 
     async def main():
         conn = EndpointConnection(HeaderDialect(), lambda *_: None)
-        sink = StreamAnswer(lambda _: None, lambda _: None)
+        sink = StreamAnswer(lambda *_: None, lambda _: None)
         conn.connection_made(Mock(spec=asyncio.Transport))
         conn.send(b'', 'r1', sink)
         for piece in pieces:
--- a/tests/test_gateway_answer_end_logs.py
+++ b/tests/test_gateway_answer_end_logs.py
@@ -46,7 +46,7 @@
     async def main():
         async with running_gateway(Endpoint(reply, closes=True)) as harness:
             caller = await harness.call('/stream/x', 'Connection: close')
-            await caller.read_all()
+            await caller.see()
 
     with capture_logs() as lines:
         asyncio.run(main())
--- a/tests/test_gateway_answer_ends.py
+++ b/tests/test_gateway_answer_ends.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests.fakes_records import FakeRecords
 from tests.gateway_support import (
     SEAL,
     Endpoint,
@@ -20,6 +21,7 @@
 pytestmark = pytest.mark.process
 
 EVENT = b'id: 1\ndata: a\n\n'
+SECOND_EVENT = b'id: 2\ndata: b\n\n'
 PARTIAL = b'id: 2\nda'
 TOKENS = 36  # of a whole event and of a partial one, which counts in full
 
@@ -35,6 +37,14 @@
     return asyncio.run(main())
 
 
+def whole_unframed(head):
+    return unframed(head, EVENT)
+
+
+def whole_chunked(head):
+    return chunked(head, EVENT)
+
+
 def unframed_partial(head):
     return unframed(head, EVENT + PARTIAL)
 
@@ -62,7 +72,86 @@
 # An answer that could have been cut short got a framing that said it was whole.
 @pytest.mark.parametrize('path', ['/turn/x', '/stream/x', '/once/x', '/safe/x'])
 def test_answer_without_framing_gets_none_from_the_gateway(path):
+    seen, _ = see(path, Endpoint(whole_unframed, closes=True))
+    assert seen == ('unproven', EVENT)
+
+
+# Its caller goes on from it, so the turn has to exist.
+def test_turn_of_an_answer_without_framing_is_recorded():
+    _, records = see('/turn/x', Endpoint(whole_unframed, closes=True))
+    assert [turn.turn_id for turn in records.recorded] == ['r1']
+    assert not records.settled
+
+
+# The close of a stream without framing would have looked like its end.
+@pytest.mark.parametrize(
+    ('endpoint', 'is_durable'),
+    [
+        (Endpoint(whole_unframed, resets=True), True),
+        (Endpoint(whole_unframed, closes=True), False),
+        (Endpoint(whole_unframed), True),  # the caller's deadline passes
+    ],
+)
+def test_broken_stream_without_framing_ends_in_a_reset(endpoint, is_durable):
+    records = FakeRecords()
+    records.is_durable = is_durable
+    seen, _ = see('/brief-turn/x', endpoint, records=records)
+    assert seen == ('broken', EVENT)
+    assert not records.recorded
+
+
+# A plain answer without framing whose connection failed passed for whole.
+def test_plain_answer_without_framing_that_is_reset_is_bad_gateway():
+    seen, _ = see('/once/x', Endpoint(whole_unframed, resets=True))
+    assert seen == ('complete', b'')
+
+
+# The last chunk would claim an end that the second engine did not show.
+def test_resumed_stream_ends_as_complete_only_if_its_last_engine_proves_it():
+    def broken_first(head):
+        return chunked(head, EVENT, is_whole=False)
+
+    def rest_unframed(head):
+        return unframed(head, SECOND_EVENT)
+
     seen, _ = see(
-        path, Endpoint(lambda head: unframed(head, EVENT), closes=True)
+        '/resumable/x',
+        Endpoint(broken_first, closes=True),
+        Endpoint(rest_unframed, closes=True),
     )
-    assert seen == ('unproven', EVENT)
+    assert seen.end == 'broken'
+
+
+def test_resumed_stream_without_framing_ends_with_its_connection():
+    def broken_first(head):
+        return unframed(head, EVENT + PARTIAL)
+
+    seen, _ = see(
+        '/resumable/x',
+        Endpoint(broken_first, closes=True),
+        Endpoint(lambda head: chunked(head, SECOND_EVENT)),
+    )
+    assert seen == ('unproven', EVENT + SECOND_EVENT)
+
+
+# A kept connection would have carried the next response after an open end.
+def test_answer_without_framing_is_the_last_of_its_connection():
+    async def main():
+        endpoint = Endpoint(whole_unframed, closes=True)
+        async with running_gateway(endpoint) as harness:
+            caller = await harness.call('/once/x')
+            await caller.send('/once/y')
+            return await caller.see(), len(endpoint.requests)
+
+    assert asyncio.run(main()) == (('unproven', EVENT), 1)
+
+
+def test_answers_with_framing_share_a_connection():
+    async def main():
+        async with running_gateway(Endpoint(whole_chunked)) as harness:
+            caller = await harness.call('/once/x')
+            first = await caller.read()
+            await caller.send('/once/y')
+            return first[0], (await caller.read())[0]
+
+    assert asyncio.run(main()) == (200, 200)
