Tell the outcome as unknown when the stream of a call breaks off

`cactusledge call` ended with an internal error (exit 1, a KeyError or the HTTP library's error) when the stream of its answer broke, as if the command were at fault; and it took a last event without its blank line for whole. Cause: the client yielded an event at its data line, and nothing looked for the answer event that ends each stream.

Events are now yielded at their blank line, and a stream that fails or ends without the answer ends the command with outcome_unknown (exit 7) and the remedy.

--- a/cactusledge/cli/api_client.py
+++ b/cactusledge/cli/api_client.py
@@ -1,7 +1,7 @@
 """HTTP client of the caller API, used by the commands."""
 
 import json
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 from urllib3 import BaseHTTPResponse, PoolManager, Timeout
@@ -52,20 +52,18 @@
         path: str,
         body: Mapping[str, Any],
     ) -> Iterator[tuple[str, Document]]:
-        """Yields the name and document of each server-sent event."""
+        """Yields the name and document of each server-sent event.
+
+        Raises:
+            ApiError: The connection failed; the call may have run.
+        """
         response = self._send('POST', path, body, preload_content=False)
         if response.status >= FIRST_ERROR_STATUS:
             _document(response)
-        name = ''
-        buffer = b''
-        for chunk in response.stream(amt=None):
-            *lines, buffer = (buffer + chunk).split(b'\n')
-            for line in lines:
-                field, _, text = line.decode().partition(': ')
-                if field == 'event':
-                    name = text
-                elif field == 'data':
-                    yield name, json.loads(text)
+        try:
+            yield from read_events(response.stream(amt=None))
+        except HTTPError as exc:
+            raise stream_broken_error() from exc
 
     def _send(
         self,
@@ -104,3 +102,32 @@
         error['message'],
         error['remedy'],
     )
+
+
+def read_events(parts: Iterable[bytes]) -> Iterator[tuple[str, Document]]:
+    """Yields the name and document of each event; a partial one is dropped."""
+    fields: dict[str, str] = {}
+    buffer = b''
+    for part in parts:
+        *lines, buffer = (buffer + part).split(b'\n')
+        for line in lines:
+            field, _, text = line.decode().partition(': ')
+            fields[field] = text
+            if not line:
+                yield from _event_of(fields)
+                fields = {}
+
+
+def _event_of(fields: Mapping[str, str]) -> Iterator[tuple[str, Document]]:
+    document = fields.get('data')
+    if document is not None:
+        yield fields.get('event', ''), json.loads(document)
+
+
+def stream_broken_error() -> ApiError:
+    """Returns the error for a stream that ended before the call's answer."""
+    return ApiError(
+        ErrorCode.OUTCOME_UNKNOWN,
+        'The stream ended before the answer to the call.',
+        'See whether the call ran with `cactusledge history PROGRAM_ID`.',
+    )
--- a/cactusledge/cli/call.py
+++ b/cactusledge/cli/call.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from cactusledge.cli.api_client import ApiClient
+from cactusledge.cli.api_client import ApiClient, stream_broken_error
 from cactusledge.cli.options import (
     Format,
     OutputFormat,
@@ -151,6 +151,8 @@
         elif env is not None:
             env.stdout.write(event['text'])
             env.stdout.flush()
+    if not answer:
+        raise stream_broken_error()
     return answer
 
 
