Refuse a bare number that may have been cut short

A service's JSON number without a length or chunks reached its program as whole whatever was left of it (12 of 120). Cause: an answer without a framing ends with its connection, and JSON shows the end of objects, arrays and strings, but not of numbers.

--- a/cactusledge/endpoints/error_factories.py
+++ b/cactusledge/endpoints/error_factories.py
@@ -80,6 +80,32 @@
     )
 
 
+def not_json_error(
+    endpoint: Endpoint,
+    response: BaseHTTPResponse,
+) -> EndpointFailedError:
+    """Returns the error for an answer that cannot be parsed."""
+    return EndpointFailedError(
+        f'The answer of {endpoint.name} is not a JSON document.',
+        remedy='Check that the endpoint is of its configured kind.',
+        endpoint=endpoint.name,
+        status=response.status,
+    )
+
+
+def unframed_number_error(
+    endpoint: Endpoint,
+    response: BaseHTTPResponse,
+) -> EndpointFailedError:
+    """Returns the error for a number that may have been cut short."""
+    return EndpointFailedError(
+        f'{endpoint.name} answered with a number of unknown length.',
+        remedy='Send a Content-Length, or put the number into an object.',
+        endpoint=endpoint.name,
+        status=response.status,
+    )
+
+
 def too_large_error(
     endpoint: Endpoint, limit_bytes: int
 ) -> EndpointFailedError:
--- a/cactusledge/endpoints/transport.py
+++ b/cactusledge/endpoints/transport.py
@@ -81,14 +81,17 @@
         """Reads the complete body and parses it as JSON."""
         body = b''.join(self._limited_body_parts())
         try:
-            return json.loads(body)
+            document = json.loads(body)
         except ValueError as exc:
-            raise EndpointFailedError(
-                f'The answer of {self.endpoint.name} is not a JSON document.',
-                remedy='Check that the endpoint is of its configured kind.',
-                endpoint=self.endpoint.name,
-                status=self.response.status,
+            raise error_factories.not_json_error(
+                self.endpoint, self.response
             ) from exc
+        if not self._has_framing() and isinstance(document, int | float):
+            # A number that is cut short is still a number.
+            raise error_factories.unframed_number_error(
+                self.endpoint, self.response
+            )
+        return document
 
     def drain(self) -> None:
         """Reads the rest of the body so that the connection can be reused."""
@@ -102,6 +105,10 @@
         self.response.close()
         self.response.release_conn()  # frees its slot in the pool
 
+    def _has_framing(self) -> bool:
+        headers = self.response.headers
+        return 'Content-Length' in headers or 'Transfer-Encoding' in headers
+
     def _limited_body_parts(self) -> Iterator[bytes]:
         size = 0
         for part in self.body_parts():
