--- a/tests/test_endpoints_unframed_documents.py
+++ b/tests/test_endpoints_unframed_documents.py
@@ -24,24 +24,23 @@
         def answer():
             conn, _ = listener.accept()
             with conn:
-                conn.recv(REQUEST_BYTES)
+                received = b''
+                while not received.endswith(b'\r\n\r\n{}'):
+                    received += conn.recv(REQUEST_BYTES)
                 conn.sendall(content)
 
         thread = threading.Thread(target=answer)
         thread.start()
         address = Address('127.0.0.1', listener.getsockname()[1])
-        try:
-            return ServiceClient(pools).call(
-                Endpoint('s-1', 'booking', CallKind.SERVICE, address, 'dc-1'),
-                'count',
-                {},
-                idempotent=True,
-                key='k-1',
-                deadline_s=time.monotonic() + 5,
-                headers={},
-            )
-        finally:
-            thread.join()
+        return ServiceClient(pools).call(
+            Endpoint('s-1', 'booking', CallKind.SERVICE, address, 'dc-1'),
+            'count',
+            {},
+            idempotent=True,
+            key='k-1',
+            deadline_s=time.monotonic() + 5,
+            headers={},
+        )
 
     yield call
     pools.close()
