Send nothing to a replica that says it is leaving

Until now only the platform's list counted.

Each gateway keeps the departures that it saw in answers, by lifetime, apart from the list: an older list does not undo one, a new lifetime or another id at the address is a new replica. Leaving replicas are used only if no other of the service is left, and only for requests received within bounds.drain_ms; then calls are refused at once instead of waiting through the retry window. Departures travel with the loads through the stores. Logged (gateway: endpoint leaving), counted (gateway_departures_total).

An answer counts as an event stream by its media type, or on a stream route without one; a JSON answer of an engine is judged by its framing alone.

--- a/benchmarks/gateway_roles.py
+++ b/benchmarks/gateway_roles.py
@@ -6,6 +6,7 @@
 
 from benchmarks.gateway_dialect import PlainDialect
 from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.loads import Loads
@@ -120,6 +121,7 @@
         'here',
         Partitions(),
         Metrics(),
+        Departures(),
     )
     records = RecordClient('gateway', 'here')
     records.adopt_group(ports.group)
--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -8,6 +8,8 @@
 
 from cactusledge.gateway.background import BackgroundTasks, log_failure
 from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.departure_reports import DepartureReports
+from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.loads import Loads
@@ -34,14 +36,18 @@
     def __init__(self, parts: GatewayParts) -> None:
         """Creates the components; no socket is opened yet."""
         self._parts = parts
+        metrics = Metrics()
+        departures = Departures(parts.drain_s)
+        reports = DepartureReports(departures, metrics)
         self.fleet = Fleet(
             ReplicaList(),
             Loads(),
-            ConnectionPool(parts.dialect),
+            ConnectionPool(parts.dialect, reports.note),
             parts.dialect,
             parts.data_centre,
             Partitions(),
-            Metrics(),
+            metrics,
+            departures,
         )
         self.records = RecordClient(parts.instance, parts.data_centre)
         self.gateway = Gateway(self.fleet, self.records)
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -7,6 +7,7 @@
 
 from cactusledge.gateway.bootstrap import PeerBootstrap
 from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.records.client import RecordClient
@@ -44,6 +45,7 @@
             parts.instance,
             records.peers,
             fleet.loads,
+            DepartureReports(fleet.departures, fleet.metrics),
         )
         self._finder = GroupFinder(
             records, parts.seeds, GroupObjects(parts.objects)
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from cactusledge.gateway.answer_end import AnswerEnd
+from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import CallInfo, Request, Route
@@ -25,6 +26,7 @@
     data_centre: str
     partitions: Partitions
     metrics: Metrics
+    departures: Departures
 
 
 class Progress:
--- a/cactusledge/gateway/messages.py
+++ b/cactusledge/gateway/messages.py
@@ -156,3 +156,5 @@
     not_run: bool  # endpoint states that it did not run the request
     is_encoded: bool
     idle_s: float | None  # how long the connection may stay idle
+    is_leaving: bool = False  # endpoint states that it is leaving
+    media_type: str = ''  # in lower case, without parameters
--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -32,6 +32,7 @@
     peers: Address  # for messages from other gateways, such as relayed requests
     seeds: tuple[Address, ...]  # record stores to contact at startup
     grace_s: float
+    drain_s: float  # for which an endpoint serves once it is leaving
     objects: ObjectStore
     dialect: Dialect
     configuration_kind: str
--- a/cactusledge/gateway/pool.py
+++ b/cactusledge/gateway/pool.py
@@ -1,6 +1,8 @@
 """Pool of idle keep-alive connections to endpoints."""
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from cactusledge.gateway.dialect import Dialect
@@ -13,6 +15,10 @@
 MAX_IDLE_PER_ENDPOINT = 12  # idle connections
 
 
+def do_nothing(replica: Replica) -> None:
+    """Takes no note of an endpoint that leaves."""
+
+
 class EndpointUnreachableError(Exception):
     """No connection could be opened; nothing was sent."""
 
@@ -27,9 +33,17 @@
 class ConnectionPool:
     """Idle connections by endpoint lifetime."""
 
-    def __init__(self, dialect: Dialect) -> None:
-        """Starts without connections."""
+    def __init__(
+        self,
+        dialect: Dialect,
+        on_leaving: Callable[[Replica], None] = do_nothing,
+    ) -> None:
+        """Starts without connections.
+
+        `on_leaving` is called with an endpoint that says that it leaves.
+        """
         self._dialect = dialect
+        self._on_leaving = on_leaving
         self._idle: dict[Lifetime, list[_Idle]] = {}
         self.opened = 0
 
@@ -84,7 +98,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, conn = await loop.create_connection(
-                    lambda: EndpointConnection(self._dialect, put),
+                    lambda: EndpointConnection(
+                        self._dialect, put, partial(self._on_leaving, replica)
+                    ),
                     replica.host,
                     replica.port,
                 )
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -3,7 +3,7 @@
 import asyncio
 import http
 import random
-from collections.abc import Awaitable, Callable, Generator
+from collections.abc import Awaitable, Callable, Generator, Sequence
 from contextlib import contextmanager
 from typing import NamedTuple
 
@@ -56,7 +56,7 @@
     def candidates(self) -> list[Replica]:
         """Returns the endpoints to choose from for the next attempt."""
         now_s = asyncio.get_running_loop().time()
-        usable = self.fleet.replicas.usable(self._service, now_s)
+        usable = self._usable(now_s)
         if len(self.contacted) >= self.call.route.max_attempts:
             usable = tuple(
                 replica
@@ -211,12 +211,19 @@
             self.call.remaining_ms(),
         )
 
+    def _usable(self, now_s: float) -> Sequence[Replica]:
+        return self.fleet.departures.usable(
+            self.fleet.replicas.usable(self._service, now_s),
+            self.call.request.received_s,
+        )
+
     async def _next_pass(self) -> bool:
         """Backs off and returns True while the retry window is open."""
         total_ms = self.call.age_ms() + self.call.remaining_ms()
         if (
             self.call.age_ms() > RETRY_WINDOW_SHARE * total_ms
             or not self._tried
+            or not self._usable(asyncio.get_running_loop().time())
         ):
             return False
         pause_ms = min(INITIAL_BACKOFF_MS * 2**self._passes, MAX_BACKOFF_MS)
--- a/cactusledge/gateway/sinks.py
+++ b/cactusledge/gateway/sinks.py
@@ -22,6 +22,7 @@
 # Callers take these statuses as a promise that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 FIRST_REDIRECT = 300
+EVENT_STREAM = 'text/event-stream'
 PREFILL_EVENTS = 4  # reading a prompt takes about as long as this many events
 
 
@@ -91,6 +92,9 @@
         """Stores the head."""
         self.head = answer
         self.framing = framing
+        self.is_event_stream = (
+            is_success(answer.status) and answer.media_type == EVENT_STREAM
+        )
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body."""
@@ -151,7 +155,8 @@
         super().on_head(answer, framing)
         if is_success(answer.status) and is_valid_answer(answer):
             self.has_started = True
-            self.is_event_stream = True
+            # An engine may leave out the media type of its stream.
+            self.is_event_stream |= not answer.media_type
             self._on_start(answer, framing)
 
     def on_body(self, body: bytes) -> None:
--- a/cactusledge/platform/headers.py
+++ b/cactusledge/platform/headers.py
@@ -28,6 +28,7 @@
 EXPECT_INSTANCE = b'x-cactusledge-expect-instance'  # an endpoint's id
 RESPONSE_SEAL = b'x-cactusledge-response-seal'  # MAC over an endpoint's answer
 NOT_EXECUTED = b'x-cactusledge-not-executed'
+LEAVING = b'server-leaving'  # on all answers of an endpoint that leaves
 LAST_EVENT_ID = b'last-event-id'  # a stream continues after this event
 
 # Another endpoint now has the address; the request did not run.
@@ -123,6 +124,8 @@
             not_run=NOT_EXECUTED in by_name or status == MISDIRECTED_REQUEST,
             is_encoded=b'content-encoding' in by_name,
             idle_s=parse_idle_timeout(by_name.get(b'keep-alive', b'')),
+            is_leaving=header_text(by_name, LEAVING).strip() == '1',
+            media_type=parse_media_type(by_name),
         )
 
     def response_headers(self, headers: Headers) -> bytes:
@@ -159,6 +162,12 @@
     return by_name.get(name, b'').decode('latin-1')
 
 
+def parse_media_type(by_name: HeaderMap) -> str:
+    """Returns the media type, in lower case and without parameters."""
+    content = header_text(by_name, b'content-type')
+    return content.partition(';')[0].strip().lower()
+
+
 def parse_number(content: bytes | None) -> float | None:
     """Parses a number; None if it is missing, invalid or not finite."""
     try:
--- a/cactusledge/platform/roles.py
+++ b/cactusledge/platform/roles.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from cactusledge.gateway.app import GatewayApplication
+from cactusledge.gateway.departures import DEFAULT_WINDOW_S
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.models import Address
 from cactusledge.objects.store import StoredObject
@@ -66,6 +67,7 @@
             Address(seed.host, settings.peer_port) for seed in settings.seeds
         ),
         grace_s=settings.grace_s,
+        drain_s=settings.drain_s or DEFAULT_WINDOW_S,
         objects=PlatformObjects(settings.platform_address),
         dialect=HeaderDialect(),
         configuration_kind=CONFIGURATION_KIND,
--- a/cactusledge/platform/settings.py
+++ b/cactusledge/platform/settings.py
@@ -28,6 +28,7 @@
     data_folder: Path | None  # data_dir
     tolerated_losses: int  # tolerate.machines: disks that may be lost at once
     grace_s: float  # from SIGTERM to SIGKILL
+    drain_s: float | None  # bounds.drain_ms, which is in milliseconds
     platform_address: Address  # platform.address
 
 
@@ -66,6 +67,7 @@
         data_folder=reader.optional('data_dir', Path),
         tolerated_losses=reader.convert('tolerate.machines', int),
         grace_s=reader.convert('bounds.grace_s', float),
+        drain_s=reader.optional('bounds.drain_ms', parse_milliseconds),
         platform_address=reader.convert('platform.address', parse_address),
     )
 
@@ -81,6 +83,11 @@
     return tuple(parse_address(part) for part in text.split(',') if part)
 
 
+def parse_milliseconds(text: str) -> float:
+    """Returns milliseconds as seconds."""
+    return float(text) / 1000
+
+
 def first_port(text: str) -> int:
     """Returns the first port of a `first,last` range."""
     return int(text.split(',', maxsplit=1)[0])
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -16,6 +16,13 @@
     tokens: int
 
 
+class LeavingEndpoint(NamedTuple):
+    """A lifetime of an endpoint that has said that it is leaving."""
+
+    endpoint_id: str
+    born_ms: int  # start of the endpoint's lifetime, Unix milliseconds
+
+
 class Hello(Message, frozen=True):
     """Registers a gateway with a store; the reply is `Neighbours`."""
 
@@ -38,6 +45,7 @@
     read: list[ReadPart] = msgspec.field(default_factory=list)
     epoch: str = ''  # from the store's last reply
     position: int = 0  # end of the read parts in that reply
+    leaving: list[LeavingEndpoint] = msgspec.field(default_factory=list)
 
 
 class LoadSums(Message, frozen=True):
@@ -47,6 +55,7 @@
     read: list[ReadPart] = msgspec.field(default_factory=list)
     epoch: str = ''
     position: int = 0
+    leaving: list[LeavingEndpoint] = msgspec.field(default_factory=list)
 
 
 class ShareLoads(Message, frozen=True):
@@ -56,6 +65,7 @@
     in_flight: dict[str, int]  # requests by endpoint id
     epoch: str  # from the receiving store's last reply
     position: int  # end of the read parts in that reply
+    leaving: list[LeavingEndpoint] = msgspec.field(default_factory=list)
 
 
 class ReadNews(Message, frozen=True):
--- a/cactusledge/records/gateways.py
+++ b/cactusledge/records/gateways.py
@@ -11,6 +11,7 @@
 from cactusledge.records.entries import Member
 from cactusledge.records.gateway_messages import (
     Hello,
+    LeavingEndpoint,
     LoadReport,
     LoadSums,
     Neighbours,
@@ -20,6 +21,7 @@
 )
 from cactusledge.records.holders import rank
 from cactusledge.records.read_parts import ListPosition, ReadParts
+from cactusledge.records.recent_departures import RecentDepartures
 
 GATEWAY_TTL_S = 10.0  # since a gateway last registered
 LOAD_TTL_S = 1.5  # since a load was last reported
@@ -42,6 +44,7 @@
         self._loads: dict[str, _ReportedLoad] = {}  # by gateway
         self._store_loads: dict[str, _ReportedLoad] = {}  # by reporting store
         self._read_parts = ReadParts()
+        self._departures = RecentDepartures()
 
     async def register(self, hello: Hello) -> Neighbours:
         """Registers a gateway; returns some of the others."""
@@ -64,15 +67,22 @@
             now_s,
         )
         self._read_parts.add(report.read)
+        self._departures.add(report.leaving, now_s)
         update = self._read_parts.since(
             ListPosition(report.epoch, report.position)
         )
-        return LoadSums(sums, update.parts, *update.list_position)
+        return LoadSums(
+            sums,
+            update.parts,
+            *update.list_position,
+            leaving=self._departures.recent(now_s),
+        )
 
     async def share(self, request: ShareLoads) -> ReadNews:
         """Stores another store's load sums; returns new read parts."""
         reported = _ReportedLoad(request.in_flight, time.monotonic())
         self._store_loads[request.name] = reported
+        self._departures.add(request.leaving, reported.at_s)
         update = self._read_parts.since(
             ListPosition(request.epoch, request.position)
         )
@@ -82,6 +92,10 @@
         """Returns the requests in flight of the gateways that report here."""
         return sum_loads(self._loads.values(), time.monotonic())
 
+    def recent_departures(self) -> list[LeavingEndpoint]:
+        """Returns the departures that were reported recently."""
+        return self._departures.recent(time.monotonic())
+
     def add_read_parts(self, read: Iterable[ReadPart]) -> None:
         """Adds the read parts received from another store."""
         self._read_parts.add(read)
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -7,6 +7,7 @@
 import structlog
 
 from cactusledge.records.gateway_messages import (
+    LeavingEndpoint,
     LoadReport,
     LoadSums,
     ReadPart,
@@ -41,6 +42,16 @@
         """Adds parts that endpoints have processed for other gateways."""
 
 
+class DepartureTracker(Protocol):
+    """A gateway's record of the endpoints that are leaving."""
+
+    def to_report(self) -> list[LeavingEndpoint]:
+        """Returns the recent departures that this gateway has seen."""
+
+    def add_reported(self, reported: Iterable[LeavingEndpoint]) -> None:
+        """Adds departures that other gateways have seen."""
+
+
 class LoadExchange:
     """Exchanges loads with the nearest store.
 
@@ -52,11 +63,13 @@
         name: str,
         peers: StorePeers,
         tracker: LoadTracker,
+        departures: DepartureTracker,
     ) -> None:
         """Prepares the exchange; `run` starts it."""
         self._name = name
         self._peers = peers
         self._tracker = tracker
+        self._departures = departures
         self._positions: dict[str, ListPosition] = {}  # by store
         self._interval_s = EXCHANGE_INTERVAL_S
 
@@ -73,7 +86,11 @@
         read = self._tracker.drain_read_parts()
         list_position = self._positions.get(nearest.name, ListPosition())
         report = LoadReport(
-            self._name, self._tracker.own_loads(), read, *list_position
+            self._name,
+            self._tracker.own_loads(),
+            read,
+            *list_position,
+            leaving=self._departures.to_report(),
         )
         try:
             await self._ask(nearest, report)
@@ -94,6 +111,7 @@
             )
             self._tracker.set_remote_loads(reply.in_flight)
             self._tracker.add_read_parts(reply.read)
+            self._departures.add_reported(reply.leaving)
             self._interval_s = max(
                 EXCHANGE_INTERVAL_S,
                 len(reply.in_flight) * INTERVAL_PER_ENDPOINT_S,
--- a/cactusledge/records/load_sharing.py
+++ b/cactusledge/records/load_sharing.py
@@ -42,7 +42,12 @@
 
     async def _tell(self, link: Link, sums: dict[str, int]) -> None:
         list_position = self._positions.get(link.name, ListPosition())
-        request = ShareLoads(self._store.name, sums, *list_position)
+        request = ShareLoads(
+            self._store.name,
+            sums,
+            *list_position,
+            leaving=self._store.gateways.recent_departures(),
+        )
         try:
             reply = await link.call(request, SHARE_TIMEOUT_S)
         except (ConnectionError, TimeoutError) as exc:
--- a/cactusledge/telemetry/explanation.py
+++ b/cactusledge/telemetry/explanation.py
@@ -15,6 +15,7 @@
     'group adopted',
     'configuration applied',
     'endpoint gone',
+    'endpoint leaving',
     'platform: lost',
     'platform: regained',
     'stopping',
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -112,6 +112,11 @@
         'last_event',
         'completeness',
     ),
+    _counter(
+        'gateway_departures_total',
+        'Endpoints that said they are leaving, by how that became known.',
+        'source',
+    ),
     _latency('gateway_record_seconds', 'Time until a turn is durable.'),
     _gauge('gateway_endpoints', 'Endpoints listed.'),
     _gauge('gateway_quorum', '1 while a quorum of the stores is in reach.'),
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -9,6 +9,8 @@
 import httptools
 
 from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.departure_reports import DepartureReports
+from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.loads import Loads
@@ -278,14 +280,17 @@
 
     def __init__(self, records=None):
         self.records = records or FakeRecords()
+        metrics, departures = Metrics(), Departures()
+        reports = DepartureReports(departures, metrics)
         self.fleet = Fleet(
             ReplicaList(),
             Loads(),
-            ConnectionPool(HeaderDialect()),
+            ConnectionPool(HeaderDialect(), reports.note),
             HeaderDialect(),
             'dc-a',
             Partitions(),
-            Metrics(),
+            metrics,
+            departures,
         )
         self.gateway = Gateway(self.fleet, self.records)
         self.gateway.apply(
--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -101,7 +101,7 @@
     """Feeds the pieces to a connection; returns the exchange's end and body."""
 
     async def main():
-        conn = EndpointConnection(HeaderDialect(), lambda *_: None)
+        conn = EndpointConnection(HeaderDialect(), lambda *_: None, Mock())
         sink = StreamAnswer(lambda *_: None, lambda _: None)
         conn.connection_made(Mock(spec=asyncio.Transport))
         conn.send(b'', 'r1', sink)
--- a/tests/test_gateway_answer_ends.py
+++ b/tests/test_gateway_answer_ends.py
@@ -155,3 +155,24 @@
             return first[0], (await caller.read())[0]
 
     assert asyncio.run(main()) == (200, 200)
+
+
+# A call whose answer is an event stream got its first half as the whole.
+def test_cut_event_stream_of_a_call_is_bad_gateway():
+    def cut(head):
+        return reply_of(
+            200, head, SEAL, 'Content-Type: text/event-stream', body=PARTIAL
+        )
+
+    seen, _ = see('/once/x', Endpoint(cut))
+    assert seen == ('complete', b'')
+
+
+def test_answer_that_is_no_event_stream_ends_by_its_framing():
+    def document(head):
+        return reply_of(
+            200, head, SEAL, 'Content-Type: application/json', body=b'{}'
+        )
+
+    seen, _ = see('/stream/x', Endpoint(document))
+    assert seen == ('complete', b'{}')
--- /dev/null
+++ b/tests/test_gateway_departure_reports.py
@@ -0,0 +1,103 @@
+"""Departures that an instance learns from another one, through the stores."""
+
+import asyncio
+
+import pytest
+from structlog.testing import capture_logs
+
+from cactusledge.gateway.departure_reports import DepartureReports
+from cactusledge.gateway.departures import Departures
+from cactusledge.gateway.messages import Replica
+from cactusledge.records.gateway_messages import (
+    LeavingEndpoint,
+    LoadReport,
+    LoadSums,
+    ShareLoads,
+)
+from cactusledge.records.gateways import GatewayRegistry
+from cactusledge.records.load_exchange import LoadExchange
+from cactusledge.telemetry.metrics import Metrics
+
+LEAVING = LeavingEndpoint('e1', 5)
+REPLICA = Replica('e1', 'svc', '10.0.0.1', 80, 'dc-a', 4, False, 5)
+
+
+class StubLoads:
+    """Loads of a gateway without requests."""
+
+    def own_loads(self):
+        return {}
+
+    def set_remote_loads(self, sums):
+        """Ignores the loads."""
+
+    def drain_read_parts(self):
+        return []
+
+    def add_read_parts(self, read):
+        """Ignores the parts."""
+
+
+class StubStore:
+    """A link to a store; also the list of the stores in reach."""
+
+    name = 'store-a'
+    is_connected = True
+
+    def __init__(self, registry):
+        self._registry = registry
+
+    def nearest_first(self):
+        return [self]
+
+    async def call(self, report, timeout_s):
+        return await self._registry.report(report)
+
+
+@pytest.fixture(name='gateway')
+def new_gateway():
+    """Makes the departures, their reports and the exchange of a gateway."""
+
+    def make(name, registry):
+        departures = Departures(0)
+        reports = DepartureReports(departures, Metrics())
+        exchange = LoadExchange(name, StubStore(registry), StubLoads(), reports)
+        return departures, reports, exchange
+
+    return make
+
+
+async def exchange_once(exchange):
+    """Runs an exchange until it has reported once."""
+    task = asyncio.ensure_future(exchange.run())
+    await asyncio.sleep(0.01)
+    task.cancel()
+
+
+def test_departure_reaches_the_other_gateways_of_a_store(gateway):
+    async def main():
+        registry = GatewayRegistry()
+        _, seeing, first = gateway('f1', registry)
+        departures, _, second = gateway('f2', registry)
+        seeing.note(REPLICA)
+        seeing.note(REPLICA)
+        await exchange_once(first)
+        await exchange_once(second)
+        return departures.is_leaving(REPLICA)
+
+    with capture_logs() as lines:
+        assert asyncio.run(main())
+        assert [line['source'] for line in lines] == ['answer', 'instance']
+
+
+def test_departure_reaches_the_gateways_of_another_store():
+    async def main():
+        here, there = GatewayRegistry(), GatewayRegistry()
+        await here.report(LoadReport('f1', {}, leaving=[LEAVING]))
+        shared = here.recent_departures()
+        await there.share(ShareLoads('store-a', {}, '', 0, leaving=shared))
+        return await there.report(LoadReport('f2', {}))
+
+    reply = asyncio.run(main())
+    assert isinstance(reply, LoadSums)
+    assert reply.leaving == [LEAVING]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -44,6 +44,7 @@
 bootstrap=true
 tolerate.machines=1
 bounds.grace_s=8
+bounds.drain_ms=2000
 platform.address=10.200.1.7:8142
 something.new=1
 """
@@ -87,6 +88,7 @@
     assert len(settings.seeds) == 2
     assert settings.is_first_start
     assert settings.data_folder is None
+    assert settings.drain_s == 2
 
 
 @pytest.mark.parametrize(
@@ -95,6 +97,7 @@
         ('node_name=front-1\n', '', 'node_name is missing'),
         ('=10.200.1.7:8142', '=here', 'platform.address=here is not valid'),
         ('grace_s=8', 'grace_s=soon', 'bounds.grace_s=soon is not valid'),
+        ('drain_ms=2000', 'drain_ms=x', 'bounds.drain_ms=x is not valid'),
         ('port_range=7380,7395', 'port_range=x', 'port_range=x is not valid'),
     ],
 )
