Do not take a peer that replied to a check for silent

The stores reply at once and grant a reservation (21.730 s), but 0.3 s after the check all four connections are aborted as silent (21.868 s): the check looked at the count of silent heartbeats, which an ordinary heartbeat raises in between. The next turn could not be recorded (21.888 s).

A check now compares how often bytes were received before it and at its end. The test failed before for a watched connection and passes; a peer that stays silent still loses its connection.

--- a/cactusledge/records/peer.py
+++ b/cactusledge/records/peer.py
@@ -40,6 +40,7 @@
         )
         self._peer = peer
         self.silent_heartbeats = 0  # since bytes were last received
+        self._receipts = 0  # how often bytes were received
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -50,6 +51,7 @@
     def data_received(self, data: bytes) -> None:
         """Handles received bytes, any of which show that the peer is alive."""
         self.silent_heartbeats = 0
+        self._receipts += 1
         super().data_received(data)
 
     def on_message(self, envelope: Envelope) -> None:
@@ -74,10 +76,9 @@
     def check(self) -> None:
         """Pings the peer; aborts the connection if it stays silent."""
         if self.transport is not None:
-            self.silent_heartbeats = max(1, self.silent_heartbeats)
             self.transport.write(Peer.prepare(Ping())[1])
             asyncio.get_running_loop().call_later(
-                CHECK_TIMEOUT_S, self._abort_if_silent
+                CHECK_TIMEOUT_S, self._abort_if_silent_since, self._receipts
             )
 
     def _beat(self) -> None:
@@ -94,8 +95,8 @@
             self._peer.heartbeat_interval_s, self._beat
         )
 
-    def _abort_if_silent(self) -> None:
-        if self.silent_heartbeats:
+    def _abort_if_silent_since(self, receipts: int) -> None:
+        if self._receipts == receipts:
             self._abort_silent()
 
     def _abort_silent(self) -> None:
