Divide the gateway's test harness, and its tests of turns

gateway_support had grown to 356 lines with callers, endpoints and the gateway; test_gateway_path to 392. The endpoints and callers have modules of their own, turns a test file, and run_scenario stands once instead of three times. No test changed.

--- a/tests/test_gateway_answer_end_logs.py
+++ b/tests/test_gateway_answer_end_logs.py
@@ -5,14 +5,8 @@
 import pytest
 from structlog.testing import capture_logs
 
-from tests.gateway_support import (
-    SEAL,
-    Endpoint,
-    chunked,
-    reply_of,
-    running_gateway,
-    unframed,
-)
+from tests.gateway_endpoints import SEAL, Endpoint, chunked, reply_of, unframed
+from tests.gateway_support import running_gateway
 
 pytestmark = pytest.mark.process
 
--- a/tests/test_gateway_answer_ends_after.py
+++ b/tests/test_gateway_answer_ends_after.py
@@ -11,15 +11,9 @@
 import pytest
 
 from tests.fakes_records import LedgerRecords
-from tests.gateway_support import (
-    SEAL,
-    Caller,
-    Endpoint,
-    chunked,
-    reply_of,
-    running_gateway,
-    unframed,
-)
+from tests.gateway_callers import Caller
+from tests.gateway_endpoints import SEAL, Endpoint, chunked, reply_of, unframed
+from tests.gateway_support import running_gateway
 
 pytestmark = pytest.mark.process
 
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -8,14 +8,14 @@
 
 import pytest
 
-from tests.gateway_support import (
+from tests.gateway_endpoints import (
     SEAL,
     Endpoint,
     answered,
     overloaded,
     reply_of,
-    running_gateway,
 )
+from tests.gateway_support import running_gateway
 
 pytestmark = pytest.mark.process
 
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -5,32 +5,19 @@
 import pytest
 from structlog.testing import capture_logs
 
-from cactusledge.records.quorum import Verdict
-from cactusledge.records.reservations import Grant
-from tests.gateway_support import (
+from tests.gateway_endpoints import (
     SEAL,
     Endpoint,
     answered,
     field,
     overloaded,
     reply_of,
-    running_gateway,
 )
+from tests.gateway_support import run_scenario
 
 pytestmark = pytest.mark.process
 
 OTHER_ID = 'X-Cactusledge-Request-Id: other'
-EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
-
-
-def run_scenario(scenario, *endpoints):
-    """Runs a scenario with a gateway in front of these endpoints."""
-
-    async def main():
-        async with running_gateway(*endpoints) as found:
-            await scenario(found)
-
-    asyncio.run(main())
 
 
 def truncated(head):
@@ -61,20 +48,6 @@
     return b''
 
 
-def stream(head):
-    chunk = b'%x\r\n%b\r\n0\r\n\r\n' % (len(EVENTS), EVENTS)
-    return (
-        reply_of(200, head, SEAL).replace(
-            b'Content-Length: 0', b'Transfer-Encoding: chunked'
-        )
-        + chunk
-    )
-
-
-def half_stream(head):
-    return stream(head)[:-20]
-
-
 BROKEN = (
     truncated,
     without_seal,
@@ -297,90 +270,6 @@
     run_scenario(scenario)
 
 
-def test_turn_is_recorded_before_its_stream_ends():
-    async def scenario(harness):
-        caller = await harness.call(
-            '/turn/x',
-            'Connection: close',
-            'X-Cactusledge-Program-Id: p',
-            'X-Cactusledge-Token-Usage: 9,90',
-            body=b'ask',
-        )
-        text = await caller.read_all()
-        assert EVENTS in text
-        assert text.endswith(b'0\r\n\r\n')
-        turn = harness.records.recorded[0]
-        assert (turn.turn_id, turn.tokens) == ('r1', 36)
-        assert not harness.records.settled
-
-    run_scenario(scenario, Endpoint(stream))
-
-
-def test_stream_of_a_turn_that_is_not_durable_is_truncated():
-    async def scenario(harness):
-        harness.records.is_durable = False
-        caller = await harness.call('/turn/x')
-        text = await caller.read_all()
-        assert EVENTS in text
-        assert not text.endswith(b'0\r\n\r\n')
-        assert harness.records.settled == [('r1', 36)]
-
-    run_scenario(scenario, Endpoint(stream))
-
-
-def test_broken_stream_settles_the_delivered_tokens():
-    async def scenario(harness):
-        caller = await harness.call('/turn/x')
-        text = await caller.read_all()
-        assert not text.endswith(b'0\r\n\r\n')
-        assert harness.records.settled[0][1] <= 36
-        assert len(endpoint.requests) == 1
-
-    endpoint = Endpoint(half_stream, closes=True)
-    run_scenario(scenario, endpoint, Endpoint(stream))
-
-
-@pytest.mark.parametrize(
-    ('verdict', 'status'),
-    [
-        (Verdict.SPENT, 402),
-        (Verdict.NO_PARENT, 404),
-        (Verdict.UNSURE, 503),
-    ],
-)
-def test_turn_that_is_not_granted_reaches_no_engine(verdict, status):
-    async def scenario(harness):
-        harness.records.grant = Grant(verdict)
-        caller = await harness.call('/turn/x', 'X-Cactusledge-Token-Budget: 9')
-        assert (await caller.read())[0] == status
-        assert not endpoint.requests
-        assert harness.records.settled == [('r1', 0)]
-
-    endpoint = Endpoint(stream)
-    run_scenario(scenario, endpoint)
-
-
-def test_gateway_without_quorum_sends_callers_elsewhere():
-    async def scenario(harness):
-        harness.records.grant = Grant(Verdict.UNSURE)
-        harness.records.has_quorum = False
-        caller = await harness.call('/turn/x')
-        _, head, _ = await caller.read()
-        assert field(head, 'connection') == 'close'
-        assert float(field(head, 'retry-after')) > 1
-        harness.records.quorum_state.was_connected = False
-        caller = await harness.call('/turn/x')
-        _, head, _ = await caller.read()
-        assert float(field(head, 'retry-after')) < 1
-        harness.records.quorum_state.was_connected = True
-        harness.records.quorum_state.lost_for_s = 9
-        caller = await harness.call('/turn/x')
-        _, head, _ = await caller.read()
-        assert float(field(head, 'retry-after')) < 1
-
-    run_scenario(scenario)
-
-
 def test_stopping_gateway_serves_and_closes_keep_alive_connections():
     async def scenario(harness):
         harness.gateway.is_closing = True
--- a/tests/test_gateway_resumed_streams.py
+++ b/tests/test_gateway_resumed_streams.py
@@ -5,7 +5,6 @@
 a second attempt, which starts from the first event.
 """
 
-import asyncio
 import itertools
 
 import pytest
@@ -13,14 +12,8 @@
 from hypothesis import strategies as st
 
 from cactusledge.gateway.events import EventSplitter
-from tests.gateway_support import (
-    SEAL,
-    Endpoint,
-    field,
-    overloaded,
-    reply_of,
-    running_gateway,
-)
+from tests.gateway_endpoints import SEAL, Endpoint, field, overloaded, reply_of
+from tests.gateway_support import run_scenario
 
 EVENTS = tuple(b'id: %d\ndata: e%d\n\n' % (num, num) for num in range(1, 5))
 STREAM = b''.join(EVENTS)
@@ -82,16 +75,6 @@
     return reply_of(500, head, SEAL)
 
 
-def run_scenario(scenario, *endpoints):
-    """Runs a scenario with a gateway in front of these endpoints."""
-
-    async def main():
-        async with running_gateway(*endpoints) as harness:
-            await scenario(harness)
-
-    asyncio.run(main())
-
-
 def events_in(text):
     """Returns the ids of the events in a response, in order."""
     return [
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 
 from cactusledge.gateway.silence import silence_limit_s
-from tests.gateway_support import Endpoint, answered, running_gateway
+from tests.gateway_endpoints import Endpoint, answered
+from tests.gateway_support import run_scenario
 
 TIMES_MS = st.floats(0, 10000)
 
@@ -37,16 +38,6 @@
     """Runs the call and never answers; the connection stays open."""
 
 
-def run_scenario(scenario, *endpoints):
-    """Runs a scenario with a gateway in front of these endpoints."""
-
-    async def main():
-        async with running_gateway(*endpoints) as harness:
-            await scenario(harness)
-
-    asyncio.run(main())
-
-
 async def status_of_call(harness, path):
     caller = await harness.call(path, 'X-Cactusledge-Deadline-Ms: 1000')
     return (await caller.read())[0]
--- a/tests/test_gateway_turn_budget.py
+++ b/tests/test_gateway_turn_budget.py
@@ -17,14 +17,8 @@
 from cactusledge.records.quorum import Demand, Verdict, decide
 from cactusledge.records.state import RecordState
 from tests.fakes_records import LedgerRecords
-from tests.gateway_support import (
-    ROUTES,
-    SEAL,
-    Endpoint,
-    overloaded,
-    reply_of,
-    running_gateway,
-)
+from tests.gateway_endpoints import SEAL, Endpoint, overloaded, reply_of
+from tests.gateway_support import ROUTES, running_gateway
 
 TOKENS_PER_EVENT = 18
 EVENTS_PER_TURN = 2
