--- a/cactusledge/gateway/answer_end.py
+++ b/cactusledge/gateway/answer_end.py
@@ -14,6 +14,7 @@
 LENGTH_HEADER = b'content-length'
 CODING_HEADER = b'transfer-encoding'
 CHUNKED_CODING = b'chunked'
+# In the order in which `end_fields` fills them.
 END_FIELDS = ('framing', 'transfer_end', 'last_event', 'completeness')
 
 
@@ -28,7 +29,7 @@
 class TransferEnd(enum.StrEnum):
     """Why no more of an answer arrives."""
 
-    FRAMED = 'framed'  # the end that its framing gives was reached
+    FRAMED = 'framed'  # all that its framing announced has arrived
     CLOSED = 'closed'  # the endpoint closed the connection in order
     RESET = 'reset'  # the connection failed
     ABANDONED = 'abandoned'  # the gateway closed it: silent or invalid
--- a/cactusledge/gateway/departures.py
+++ b/cactusledge/gateway/departures.py
@@ -26,7 +26,7 @@
 
 
 class Departures:
-    """The endpoints that are leaving, by id."""
+    """The latest lifetime of each endpoint that is leaving, by its id."""
 
     def __init__(self, window_s: float = DEFAULT_WINDOW_S) -> None:
         """Starts empty; `window_s` is how long leaving endpoints may serve."""
@@ -38,7 +38,7 @@
     ) -> bool:
         """Adds a departure; returns whether it is new.
 
-        The time of the first sight counts, also if another instance told.
+        Reports of a departure that is known already do not extend its window.
         """
         known = self._known.get(leaving.endpoint_id)
         if known is not None and leaving.born_ms <= known.born_ms:
@@ -52,7 +52,7 @@
         return True
 
     def is_leaving(self, replica: Replica) -> bool:
-        """Returns whether this lifetime of the endpoint, or a later, leaves."""
+        """Returns whether this lifetime of the endpoint is leaving or over."""
         return self._departure_of(replica) is not None
 
     def usable(
--- a/cactusledge/gateway/events.py
+++ b/cactusledge/gateway/events.py
@@ -18,7 +18,7 @@
 
 
 def position_of(stream: bytes) -> StreamPosition:
-    """Returns where a stream stopped."""
+    """Returns where a stream stopped; a blank line ends an event."""
     if not stream:
         return StreamPosition.BEFORE
     if stream.endswith(BLANK_LINES):
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -103,7 +103,7 @@
             self.abandon()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Ends the response that is in progress, if any."""
+        """Ends the response in progress by a close or a failure."""
         self._transport = None
         self._end(TransferEnd.CLOSED if exc is None else TransferEnd.RESET)
 
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -123,10 +123,10 @@
                 answer,
             )
             end = await self._end_of(replica, conn, answer)
-        self.call.progress.answer_end = answer.seen_end
+        self.call.progress.answer_end = answer.answer_end
         self.fleet.metrics.add('gateway_exchanges_total', end=end)
         self.fleet.metrics.add(
-            'gateway_answer_ends_total', 1, **end_fields(answer.seen_end)
+            'gateway_answer_ends_total', 1, **end_fields(answer.answer_end)
         )
         if end is not ExchangeEnd.ANSWERED:
             log.warning(
@@ -135,7 +135,7 @@
                 endpoint_id=replica.endpoint_id,
                 end=end,
                 status=answer.head.status if answer.head else 0,
-                **end_fields(answer.seen_end),
+                **end_fields(answer.answer_end),
             )
         if end is ExchangeEnd.ANSWERED:
             took_ms = (loop.time() - started_s) * 1000
--- a/cactusledge/gateway/sinks.py
+++ b/cactusledge/gateway/sinks.py
@@ -58,8 +58,8 @@
         self.head: EndpointAnswer | None = None
         self.framing = Framing.NONE
         self.is_event_stream = False
-        self.needs_proof = False
-        self.seen_end: AnswerEnd | None = None  # None until it has ended
+        self.needs_proof = False  # not proven whole counts as broken
+        self.answer_end: AnswerEnd | None = None  # None until it has ended
         self.ended: asyncio.Future[ExchangeEnd] = (
             asyncio.get_running_loop().create_future()
         )
@@ -83,7 +83,7 @@
     @property
     def is_proven(self) -> bool:
         """Whether the response has ended and is known to be whole."""
-        seen = self.seen_end
+        seen = self.answer_end
         return (
             seen is not None and completeness_of(seen) is Completeness.COMPLETE
         )
@@ -102,8 +102,8 @@
 
     def on_end(self, transfer: Transfer) -> None:
         """Resolves `ended`."""
-        self.seen_end = AnswerEnd(transfer, self.position)
-        completeness = completeness_of(self.seen_end)
+        self.answer_end = AnswerEnd(transfer, self.position)
+        completeness = completeness_of(self.answer_end)
         if self.needs_proof and completeness is Completeness.UNPROVEN:
             completeness = Completeness.BROKEN
         if not self.ended.done():
