Log the limits that endpoints name in their answers

The header is decoded in the adapter; a limit is kept by lifetime, with who saw it last, and logged and counted when it begins, changes or ends. An unusable value is logged and leaves what was known. No decision depends on it yet.

--- a/benchmarks/gateway_roles.py
+++ b/benchmarks/gateway_roles.py
@@ -26,6 +26,7 @@
 from cactusledge.models import Address
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Group, Member
+from cactusledge.records.known_limits import KnownLimits
 from cactusledge.records.log import RecordLog
 from cactusledge.records.membership import first_group
 from cactusledge.records.message_server import MessageServer
@@ -122,6 +123,7 @@
         Partitions(),
         Metrics(),
         Departures(),
+        KnownLimits(),
     )
     records = RecordClient('gateway', 'here')
     records.adopt_group(ports.group)
--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -6,12 +6,14 @@
 
 import structlog
 
+from cactusledge.gateway.answer_notes import AnswerNotes
 from cactusledge.gateway.background import BackgroundTasks, log_failure
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
+from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.pages import metrics_page, open_page, readiness_page
 from cactusledge.gateway.partitions import Partitions
@@ -20,6 +22,7 @@
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.objects.watcher import Watcher
 from cactusledge.records.client import RecordClient
+from cactusledge.records.known_limits import KnownLimits
 from cactusledge.telemetry.metrics import Metrics
 
 BACKLOG = 512
@@ -38,16 +41,21 @@
         self._parts = parts
         metrics = Metrics()
         departures = Departures(parts.drain_s)
-        reports = DepartureReports(departures, metrics)
+        limits = KnownLimits()
+        notes = AnswerNotes(
+            DepartureReports(departures, metrics),
+            LimitReports(limits, metrics),
+        )
         self.fleet = Fleet(
             ReplicaList(),
             Loads(),
-            ConnectionPool(parts.dialect, reports.note),
+            ConnectionPool(parts.dialect, notes.note),
             parts.dialect,
             parts.data_centre,
             Partitions(),
             metrics,
             departures,
+            limits,
         )
         self.records = RecordClient(parts.instance, parts.data_centre)
         self.gateway = Gateway(self.fleet, self.records)
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -13,6 +13,7 @@
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
+from cactusledge.records.known_limits import KnownLimits
 from cactusledge.telemetry.metrics import Metrics
 
 
@@ -27,6 +28,7 @@
     partitions: Partitions
     metrics: Metrics
     departures: Departures
+    limits: KnownLimits
 
 
 class Progress:
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -39,18 +39,18 @@
         self,
         dialect: Dialect,
         on_idle: Callable[['EndpointConnection', float | None], None],
-        on_leaving: Callable[[], None],
+        on_answer: Callable[[EndpointAnswer], None],
     ) -> None:
         """Stores the callbacks.
 
         Args:
             dialect: Reads the heads of responses.
             on_idle: Takes the connection for reuse, and for how long.
-            on_leaving: Called if a response says that the endpoint leaves.
+            on_answer: Called with the head of each response.
         """
         self._dialect = dialect
         self._on_idle = on_idle
-        self._on_leaving = on_leaving
+        self._on_answer = on_answer
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
@@ -129,8 +129,7 @@
             return
         answer = self._dialect.read_answer(status, self._headers)
         self._idle_s = answer.idle_s
-        if answer.is_leaving:
-            self._on_leaving()
+        self._on_answer(answer)
         if answer.request_id and answer.request_id != self._request_id:
             self._is_skipping = True
             return
--- /dev/null
+++ b/cactusledge/gateway/limit_reports.py
@@ -0,0 +1,52 @@
+"""Notes the rate limits that endpoints name in their answers, and logs them."""
+
+import structlog
+
+from cactusledge.gateway.departure_reports import now
+from cactusledge.gateway.messages import EndpointAnswer, Replica
+from cactusledge.records.gateway_messages import NamedLimit
+from cactusledge.records.known_limits import KnownLimits
+from cactusledge.telemetry.metrics import Metrics
+
+log = structlog.get_logger('gateway')
+
+
+class LimitReports:
+    """Adds limits from answers, and logs and counts what changes."""
+
+    def __init__(self, limits: KnownLimits, metrics: Metrics) -> None:
+        """Stores where limits are kept and counted."""
+        self._limits = limits
+        self._metrics = metrics
+
+    def note(self, replica: Replica, answer: EndpointAnswer) -> None:
+        """Notes the limit that an answer names, or that it names none."""
+        if answer.invalid_limit:
+            # What was known before holds: the endpoint may still mean it.
+            log.warning(
+                'gateway: endpoint limit invalid',
+                endpoint_id=replica.endpoint_id,
+                found=answer.invalid_limit,
+            )
+            return
+        if answer.limit_per_s is not None:
+            self._add(replica, answer.limit_per_s, is_ended=False)
+            return
+        known = self._limits.find(replica.endpoint_id, replica.born_ms)
+        if known is not None:
+            self._add(replica, known.per_s, is_ended=True)
+
+    def _add(self, replica: Replica, per_s: float, *, is_ended: bool) -> None:
+        seen = NamedLimit(
+            replica.endpoint_id, replica.born_ms, per_s, 0, is_ended
+        )
+        if self._limits.add(seen, now(), is_own=True):
+            self._log(seen, source='answer')
+
+    def _log(self, seen: NamedLimit, *, source: str) -> None:
+        self._metrics.add(
+            'gateway_endpoint_limits_total',
+            change='ended' if seen.is_ended else 'named',
+            source=source,
+        )
+        log.info('gateway: endpoint limit', source=source, **seen._asdict())
--- a/cactusledge/gateway/messages.py
+++ b/cactusledge/gateway/messages.py
@@ -158,3 +158,6 @@
     idle_s: float | None  # how long the connection may stay idle
     is_leaving: bool = False  # endpoint states that it is leaving
     media_type: str = ''  # in lower case, without parameters
+    # Requests a second that the endpoint takes from all instances together.
+    limit_per_s: float | None = None
+    invalid_limit: str = ''  # the text of a limit that is not usable
--- a/cactusledge/gateway/pool.py
+++ b/cactusledge/gateway/pool.py
@@ -7,7 +7,7 @@
 
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.http_client import EndpointConnection
-from cactusledge.gateway.messages import Lifetime, Replica
+from cactusledge.gateway.messages import EndpointAnswer, Lifetime, Replica
 
 CONNECT_TIMEOUT_S = 0.4
 DEFAULT_IDLE_S = 4.0
@@ -15,8 +15,8 @@
 MAX_IDLE_PER_ENDPOINT = 12  # idle connections
 
 
-def do_nothing(replica: Replica) -> None:
-    """Takes no note of an endpoint that leaves."""
+def do_nothing(replica: Replica, answer: EndpointAnswer) -> None:
+    """Takes no note of what an endpoint says of itself."""
 
 
 class EndpointUnreachableError(Exception):
@@ -36,14 +36,14 @@
     def __init__(
         self,
         dialect: Dialect,
-        on_leaving: Callable[[Replica], None] = do_nothing,
+        on_answer: Callable[[Replica, EndpointAnswer], None] = do_nothing,
     ) -> None:
         """Starts without connections.
 
-        `on_leaving` is called with an endpoint that says that it leaves.
+        `on_answer` is called with an endpoint and the head of its answer.
         """
         self._dialect = dialect
-        self._on_leaving = on_leaving
+        self._on_answer = on_answer
         self._idle: dict[Lifetime, list[_Idle]] = {}
         self.opened = 0
 
@@ -99,7 +99,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, conn = await loop.create_connection(
                     lambda: EndpointConnection(
-                        self._dialect, put, partial(self._on_leaving, replica)
+                        self._dialect, put, partial(self._on_answer, replica)
                     ),
                     replica.host,
                     replica.port,
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -103,6 +103,7 @@
         self._tried.add(replica.endpoint_id)
         self.call.progress.contacted.append(replica.endpoint_id)
         load = self.fleet.loads.of(replica.endpoint_id)
+        now_s = asyncio.get_running_loop().time()
         log.info(
             'gateway: request sent',
             request_id=self.call.info.request_id,
@@ -113,6 +114,9 @@
             left_ms=round(self.call.remaining_ms()),
             attempt=len(self.contacted),
             resume_after=outgoing.resume_after,
+            limit_per_s=self.fleet.limits.rate_per_s(
+                replica.endpoint_id, replica.born_ms, now_s
+            ),
         )
         loop = asyncio.get_running_loop()
         started_s = loop.time()
--- a/cactusledge/platform/headers.py
+++ b/cactusledge/platform/headers.py
@@ -29,8 +29,12 @@
 RESPONSE_SEAL = b'x-cactusledge-response-seal'  # MAC over an endpoint's answer
 NOT_EXECUTED = b'x-cactusledge-not-executed'
 LEAVING = b'server-leaving'  # on all answers of an endpoint that leaves
+RATE_LIMIT = b'server-limit'  # requests a second, of all instances together
 LAST_EVENT_ID = b'last-event-id'  # a stream continues after this event
 
+MAX_RATE_LIMIT = 1e6  # requests a second; more is no limit an endpoint means
+MAX_INVALID_CHARS = 40  # of an invalid header that are logged
+
 # Another endpoint now has the address; the request did not run.
 MISDIRECTED_REQUEST = 421
 
@@ -116,6 +120,8 @@
     def read_answer(self, status: int, headers: Headers) -> EndpointAnswer:
         """Parses the status and headers of an endpoint's answer."""
         by_name = headers_by_name(headers)
+        limit_text = header_text(by_name, RATE_LIMIT)
+        limit_per_s = parse_rate_limit(limit_text)
         return EndpointAnswer(
             status=status,
             headers=headers,
@@ -126,6 +132,10 @@
             idle_s=parse_idle_timeout(by_name.get(b'keep-alive', b'')),
             is_leaving=header_text(by_name, LEAVING).strip() == '1',
             media_type=parse_media_type(by_name),
+            limit_per_s=limit_per_s,
+            invalid_limit=(
+                limit_text[:MAX_INVALID_CHARS] if limit_per_s is None else ''
+            ),
         )
 
     def response_headers(self, headers: Headers) -> bytes:
@@ -199,6 +209,14 @@
     return tuple(parts)
 
 
+def parse_rate_limit(text: str) -> float | None:
+    """Parses a rate; None if it is missing, invalid, negative or absurd."""
+    rate = parse_number(text.encode('latin-1'))
+    if rate is None or not 0 <= rate <= MAX_RATE_LIMIT:
+        return None
+    return rate
+
+
 def parse_idle_timeout(content: bytes) -> float | None:
     """Returns the seconds of `timeout=N` in a Keep-Alive header, if valid."""
     for entry in content.split(b','):
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -23,6 +23,16 @@
     born_ms: int  # start of the endpoint's lifetime, Unix milliseconds
 
 
+class NamedLimit(NamedTuple):
+    """A rate limit that a lifetime of an endpoint has named in an answer."""
+
+    endpoint_id: str
+    born_ms: int  # start of the endpoint's lifetime, Unix milliseconds
+    per_s: float  # requests a second, of all instances together
+    age_s: float  # since it was seen
+    is_ended: bool  # an answer did not name it any more
+
+
 class Hello(Message, frozen=True):
     """Registers a gateway with a store; the reply is `Neighbours`."""
 
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -117,6 +117,12 @@
         'Endpoints that said they are leaving, by how that became known.',
         'source',
     ),
+    _counter(
+        'gateway_endpoint_limits_total',
+        'Changes of limits that endpoints name, by how they became known.',
+        'change',
+        'source',
+    ),
     _latency('gateway_record_seconds', 'Time until a turn is durable.'),
     _gauge('gateway_endpoints', 'Endpoints listed.'),
     _gauge('gateway_quorum', '1 while a quorum of the stores is in reach.'),
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -3,11 +3,13 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+from cactusledge.gateway.answer_notes import AnswerNotes
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
+from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import (
     Configuration,
@@ -23,6 +25,7 @@
 from cactusledge.gateway.pool import ConnectionPool
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.platform.headers import HeaderDialect
+from cactusledge.records.known_limits import KnownLimits
 from cactusledge.telemetry.metrics import Metrics
 from tests.fakes_records import FakeRecords
 from tests.gateway_callers import HOST, Caller
@@ -74,16 +77,21 @@
     def __init__(self, records=None):
         self.records = records or FakeRecords()
         metrics, departures = Metrics(), Departures()
-        reports = DepartureReports(departures, metrics)
+        limits = KnownLimits()
+        notes = AnswerNotes(
+            DepartureReports(departures, metrics),
+            LimitReports(limits, metrics),
+        )
         self.fleet = Fleet(
             ReplicaList(),
             Loads(),
-            ConnectionPool(HeaderDialect(), reports.note),
+            ConnectionPool(HeaderDialect(), notes.note),
             HeaderDialect(),
             'dc-a',
             Partitions(),
             metrics,
             departures,
+            limits,
         )
         self.gateway = Gateway(self.fleet, self.records)
         self.gateway.apply(
