--- a/tests/test_gateway_limit_logs.py
+++ b/tests/test_gateway_limit_logs.py
@@ -11,27 +11,31 @@
 pytestmark = pytest.mark.process
 
 
-def test_limits_of_answers_are_logged():
-    headers = iter(['Server-Limit: 2.5', 'Server-Limit: x', 'X-Other: 1'])
+def call_three_times(*headers):
+    """Calls an endpoint whose answers have these headers; returns the log."""
+    left = iter(headers)
     endpoint = Endpoint(
-        lambda head: reply_of(200, head, SEAL, next(headers), body=b'done')
+        lambda head: reply_of(200, head, SEAL, next(left), body=b'done')
     )
 
     async def main():
         async with running_gateway(endpoint) as harness:
-            for _ in range(3):
+            for _ in headers:
                 caller = await harness.call('/once/x')
                 await caller.read()
 
     with capture_logs() as lines:
         asyncio.run(main())
+        return lines
+
+
+def test_limits_of_answers_are_logged():
+    lines = call_three_times(
+        'Server-Limit: 20', 'Server-Limit: x', 'X-Other: 1'
+    )
     limits = [line for line in lines if 'limit' in line['event']]
     assert [line.get('is_ended') for line in limits] == [False, None, True]
-    assert limits[0]['per_s'] == 2.5
-    assert limits[1]['found'] == 'x'
-    sent = [
-        line['limit_per_s']
-        for line in lines
-        if line['event'] == 'gateway: request sent'
-    ]
-    assert sent == [None, 2.5, 2.5]
+    assert [line.get('per_s') for line in limits] == [20, None, 20]
+    assert [line.get('found') for line in limits] == [None, 'x', None]
+    sent = [line for line in lines if line['event'] == 'gateway: request sent']
+    assert [line['limit_per_s'] for line in sent] == [None, 20, 20]
