Create a gateway's components in one place

The application, the tests' harness and the benchmark each wired endpoints, connections and notes by themselves; limits would have been the third thing to add three times.

--- a/benchmarks/gateway_roles.py
+++ b/benchmarks/gateway_roles.py
@@ -5,11 +5,8 @@
 from typing import NamedTuple
 
 from benchmarks.gateway_dialect import PlainDialect
-from cactusledge.gateway.context import Fleet
-from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
-from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import (
     Configuration,
     Engine,
@@ -20,18 +17,14 @@
     Service,
     Share,
 )
-from cactusledge.gateway.partitions import Partitions
-from cactusledge.gateway.pool import ConnectionPool
-from cactusledge.gateway.replicas import ReplicaList
+from cactusledge.gateway.new_fleet import new_fleet
 from cactusledge.models import Address
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Group, Member
-from cactusledge.records.known_limits import KnownLimits
 from cactusledge.records.log import RecordLog
 from cactusledge.records.membership import first_group
 from cactusledge.records.message_server import MessageServer
 from cactusledge.records.store import RecordStore
-from cactusledge.telemetry.metrics import Metrics
 from standins.ports import LOOPBACK
 
 EVENTS = 14
@@ -114,17 +107,7 @@
 async def serve_gateway(ports: Ports) -> None:
     """Runs the gateway."""
     dialect = PlainDialect()
-    fleet = Fleet(
-        ReplicaList(),
-        Loads(),
-        ConnectionPool(dialect),
-        dialect,
-        'here',
-        Partitions(),
-        Metrics(),
-        Departures(),
-        KnownLimits(),
-    )
+    fleet = new_fleet(dialect, 'here')
     records = RecordClient('gateway', 'here')
     records.adopt_group(ports.group)
     gateway = Gateway(fleet, records)
--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -6,24 +6,14 @@
 
 import structlog
 
-from cactusledge.gateway.answer_notes import AnswerNotes
 from cactusledge.gateway.background import BackgroundTasks, log_failure
-from cactusledge.gateway.context import Fleet
-from cactusledge.gateway.departure_reports import DepartureReports
-from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
-from cactusledge.gateway.limit_reports import LimitReports
-from cactusledge.gateway.loads import Loads
+from cactusledge.gateway.new_fleet import new_fleet
 from cactusledge.gateway.pages import metrics_page, open_page, readiness_page
-from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.parts import GatewayParts, start_watchers
-from cactusledge.gateway.pool import ConnectionPool
-from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.objects.watcher import Watcher
 from cactusledge.records.client import RecordClient
-from cactusledge.records.known_limits import KnownLimits
-from cactusledge.telemetry.metrics import Metrics
 
 BACKLOG = 512
 READINESS_PROPAGATION_S = 2.6  # for the balancer to see that readiness is lost
@@ -39,24 +29,7 @@
     def __init__(self, parts: GatewayParts) -> None:
         """Creates the components; no socket is opened yet."""
         self._parts = parts
-        metrics = Metrics()
-        departures = Departures(parts.drain_s)
-        limits = KnownLimits()
-        notes = AnswerNotes(
-            DepartureReports(departures, metrics),
-            LimitReports(limits, metrics),
-        )
-        self.fleet = Fleet(
-            ReplicaList(),
-            Loads(),
-            ConnectionPool(parts.dialect, notes.note),
-            parts.dialect,
-            parts.data_centre,
-            Partitions(),
-            metrics,
-            departures,
-            limits,
-        )
+        self.fleet = new_fleet(parts.dialect, parts.data_centre, parts.drain_s)
         self.records = RecordClient(parts.instance, parts.data_centre)
         self.gateway = Gateway(self.fleet, self.records)
         self._background = BackgroundTasks(parts, self.gateway, self.records)
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -3,14 +3,8 @@
 import asyncio
 from contextlib import asynccontextmanager
 
-from cactusledge.gateway.answer_notes import AnswerNotes
-from cactusledge.gateway.context import Fleet
-from cactusledge.gateway.departure_reports import DepartureReports
-from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
-from cactusledge.gateway.limit_reports import LimitReports
-from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import (
     Configuration,
     Engine,
@@ -21,12 +15,8 @@
     Service,
     Share,
 )
-from cactusledge.gateway.partitions import Partitions
-from cactusledge.gateway.pool import ConnectionPool
-from cactusledge.gateway.replicas import ReplicaList
+from cactusledge.gateway.new_fleet import new_fleet
 from cactusledge.platform.headers import HeaderDialect
-from cactusledge.records.known_limits import KnownLimits
-from cactusledge.telemetry.metrics import Metrics
 from tests.fakes_records import FakeRecords
 from tests.gateway_callers import HOST, Caller
 
@@ -76,23 +66,7 @@
 
     def __init__(self, records=None):
         self.records = records or FakeRecords()
-        metrics, departures = Metrics(), Departures()
-        limits = KnownLimits()
-        notes = AnswerNotes(
-            DepartureReports(departures, metrics),
-            LimitReports(limits, metrics),
-        )
-        self.fleet = Fleet(
-            ReplicaList(),
-            Loads(),
-            ConnectionPool(HeaderDialect(), notes.note),
-            HeaderDialect(),
-            'dc-a',
-            Partitions(),
-            metrics,
-            departures,
-            limits,
-        )
+        self.fleet = new_fleet(HeaderDialect(), 'dc-a')
         self.gateway = Gateway(self.fleet, self.records)
         self.gateway.apply(
             Configuration(1, ROUTES, (Service('svc', 9, Engine(18)),), Limits())
