--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -74,6 +74,31 @@
         self.port = 0
         self.callers = []
 
+    def list_endpoints(self, endpoints):
+        """Lists endpoints that have started, the first as the fastest."""
+        for index, endpoint in enumerate(endpoints):
+            self.fleet.replicas.put(
+                Replica(
+                    f'e{index}',
+                    'svc',
+                    '127.0.0.1',
+                    endpoint.port,
+                    'dc-b' if index else 'dc-a',
+                    4,
+                    is_draining=False,
+                    born_ms=1,
+                )
+            )
+            self.fleet.loads.of(f'e{index}').latency_ms = 10 + 100 * index
+
+    async def listen(self):
+        """Opens the port for callers; returns the server."""
+        server = await asyncio.get_running_loop().create_server(
+            lambda: ServerConnection(self.gateway), '127.0.0.1', 0
+        )
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
     def close(self):
         """Closes all connections."""
         for caller in self.callers:
@@ -90,37 +115,29 @@
 
 
 @asynccontextmanager
-async def running_gateway(*endpoints, records=None):
-    """Starts a gateway with these endpoints; the first one is preferred."""
-    harness = GatewayHarness(records)
-    loop = asyncio.get_running_loop()
+async def running_gateways(count, *endpoints, records=None):
+    """Starts gateways with these endpoints; the first one is preferred."""
+    harnesses = [GatewayHarness(records) for _ in range(count)]
     servers = [await endpoint.start() for endpoint in endpoints]
-    for index, endpoint in enumerate(endpoints):
-        harness.fleet.replicas.put(
-            Replica(
-                f'e{index}',
-                'svc',
-                '127.0.0.1',
-                endpoint.port,
-                'dc-b' if index else 'dc-a',
-                4,
-                is_draining=False,
-                born_ms=1,
-            )
-        )
-        harness.fleet.loads.of(f'e{index}').latency_ms = 10 + 100 * index
-    listening = await loop.create_server(
-        lambda: ServerConnection(harness.gateway), '127.0.0.1', 0
-    )
-    harness.port = listening.sockets[0].getsockname()[1]
+    for harness in harnesses:
+        harness.list_endpoints(endpoints)
+        servers.append(await harness.listen())
     try:
-        yield harness
+        yield harnesses
     finally:
-        harness.close()
-        for server in (*servers, listening):
+        for harness in harnesses:
+            harness.close()
+        for server in servers:
             server.close()
 
 
+@asynccontextmanager
+async def running_gateway(*endpoints, records=None):
+    """Starts a gateway with these endpoints; the first one is preferred."""
+    async with running_gateways(1, *endpoints, records=records) as harnesses:
+        yield harnesses[0]
+
+
 def run_scenario(scenario, *endpoints):
     """Runs a scenario with a gateway in front of these endpoints."""
 
--- a/tests/test_gateway_departure_reports.py
+++ b/tests/test_gateway_departure_reports.py
@@ -17,6 +17,7 @@
 from cactusledge.records.gateways import GatewayRegistry
 from cactusledge.records.load_exchange import LoadExchange
 from cactusledge.telemetry.metrics import Metrics
+from tests.store_stubs import StubStore
 
 LEAVING = LeavingEndpoint('e1', 5)
 REPLICA = Replica('e1', 'svc', '10.0.0.1', 80, 'dc-a', 4, False, 5)
@@ -38,22 +39,6 @@
         """Ignores the parts."""
 
 
-class StubStore:
-    """A link to a store; also the list of the stores in reach."""
-
-    name = 'store-a'
-    is_connected = True
-
-    def __init__(self, registry):
-        self._registry = registry
-
-    def nearest_first(self):
-        return [self]
-
-    async def call(self, report, timeout_s):
-        return await self._registry.report(report)
-
-
 @pytest.fixture(name='gateway')
 def new_gateway():
     """Makes the departures, their reports and the exchange of a gateway."""
