--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -11,6 +11,7 @@
 from cactusledge.gateway.context import Call, Fleet, Outcome
 from cactusledge.gateway.messages import Outgoing, Replica
 from cactusledge.gateway.placement import choose_service
+from cactusledge.gateway.selection import Selection
 from cactusledge.gateway.sending import Attempts, ExchangeResult
 from cactusledge.gateway.sinks import BufferedAnswer, ExchangeEnd
 
@@ -25,7 +26,7 @@
         return refuse(
             call.conn,
             http.HTTPStatus.SERVICE_UNAVAILABLE,
-            f'refused by {len(attempts.contacted)} endpoints',
+            f'refused by {len(attempts.selection.contacted)} endpoints',
             BUSY_RETRY_S,
         )
     if result.end is ExchangeEnd.ANSWERED:
@@ -35,7 +36,7 @@
 
 async def _attempt(attempts: Attempts) -> ExchangeResult | None:
     """Returns the result of one attempt, None if no endpoint is left."""
-    found = await attempts.connect(_choose)
+    found = await attempts.selection.connect(_choose)
     if found is None:
         return None
     replica, conn = found
@@ -44,10 +45,10 @@
     return await attempts.exchange(replica, conn, BufferedAnswer(), outgoing)
 
 
-def _choose(attempts: Attempts) -> Replica | None:
-    fleet = attempts.fleet
+def _choose(selection: Selection) -> Replica | None:
+    fleet = selection.fleet
     return choose_service(
-        attempts.candidates(),
+        selection.candidates(),
         fleet.loads,
         fleet.data_centre,
         asyncio.get_running_loop().time(),
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import http
-import random
-from collections.abc import Awaitable, Callable, Generator, Sequence
+from collections.abc import Awaitable, Callable, Generator
 from contextlib import contextmanager
 from typing import NamedTuple
 
@@ -14,18 +13,12 @@
 from cactusledge.gateway.exchange import OpenExchange
 from cactusledge.gateway.http_client import EndpointConnection
 from cactusledge.gateway.messages import Outgoing, Replica
-from cactusledge.gateway.placement import healthy
-from cactusledge.gateway.pool import EndpointUnreachableError
+from cactusledge.gateway.selection import Selection
 from cactusledge.gateway.silence import silence_limit_s
 from cactusledge.gateway.sinks import BufferedAnswer, ExchangeEnd, is_success
 
-RETRY_WINDOW_SHARE = 0.35  # of a call's time; refusals are retried within it
-INITIAL_BACKOFF_MS = 20
-MAX_BACKOFF_MS = 160
-
 log = structlog.get_logger('gateway')
 
-Choose = Callable[['Attempts'], Replica | None]
 Attempt = Callable[[], Awaitable['ExchangeResult | None']]
 
 
@@ -38,54 +31,13 @@
 
 
 class Attempts:
-    """The attempts of one call.
-
-    At most `Route.max_attempts` endpoints are contacted. If all of them refuse
-    the call without running it, they are tried again after a short backoff.
-    """
+    """Sends one call to the endpoints that are selected for it."""
 
     def __init__(self, fleet: Fleet, call: Call, service: str) -> None:
         """Starts before the first attempt."""
         self.fleet = fleet
         self.call = call
-        self.contacted: set[str] = set()  # ids of endpoints it was sent to
-        self._tried: set[str] = set()  # endpoint ids tried in the current pass
-        self._passes = 0
-        self._service = service
-
-    def candidates(self) -> list[Replica]:
-        """Returns the endpoints to choose from for the next attempt."""
-        now_s = asyncio.get_running_loop().time()
-        usable = self._usable(now_s)
-        if len(self.contacted) >= self.call.route.max_attempts:
-            usable = tuple(
-                replica
-                for replica in usable
-                if replica.endpoint_id in self.contacted
-            )
-        reachable = self.fleet.partitions.prefer_reachable(usable)
-        return list(healthy(reachable, self.fleet.loads, self._tried, now_s))
-
-    async def connect(
-        self, choose: Choose
-    ) -> tuple[Replica, EndpointConnection] | None:
-        """Returns an endpoint and a connection to it.
-
-        None if no endpoint takes the call within the retry window.
-        """
-        while True:
-            replica = choose(self)
-            if replica is None:
-                if not await self._next_pass():
-                    return None
-                continue
-            try:
-                conn = await self.fleet.pool.take(replica)
-            except EndpointUnreachableError:
-                self._tried.add(replica.endpoint_id)
-                self._record_failure(replica)
-            else:
-                return replica, conn
+        self.selection = Selection(fleet, call, service)
 
     async def exchange(
         self,
@@ -99,8 +51,7 @@
         A cancelled exchange closes its connection, which signals the endpoint
         to stop.
         """
-        self.contacted.add(replica.endpoint_id)
-        self._tried.add(replica.endpoint_id)
+        self.selection.add_contacted(replica.endpoint_id)
         self.call.progress.contacted.append(replica.endpoint_id)
         load = self.fleet.loads.of(replica.endpoint_id)
         now_s = asyncio.get_running_loop().time()
@@ -112,7 +63,7 @@
             in_flight=load.in_flight,
             in_flight_elsewhere=load.remote_in_flight,
             left_ms=round(self.call.remaining_ms()),
-            attempt=len(self.contacted),
+            attempt=len(self.selection.contacted),
             resume_after=outgoing.resume_after,
             limit_per_s=self.fleet.limits.rate_per_s(
                 replica.endpoint_id, replica.born_ms, now_s
@@ -172,10 +123,9 @@
         """
         route = self.call.route
         if result.end is ExchangeEnd.ANSWERED:
-            has_more = len(self.contacted) < route.max_attempts
             return (
                 route.may_repeat
-                and has_more
+                and self.selection.has_more
                 and is_endpoint_error(result.answer)
             )
         return result.end is ExchangeEnd.NOT_RUN or route.may_repeat
@@ -206,8 +156,9 @@
     def _silence_limit_s(self, replica: Replica) -> float | None:
         """Returns how long the endpoint may be silent, None for any time."""
         route = self.call.route
-        has_more = len(self.contacted) < route.max_attempts
-        if not route.may_repeat or not has_more or not self.candidates():
+        selection = self.selection
+        may_leave = route.may_repeat and selection.has_more
+        if not may_leave or not selection.candidates():
             return None
         return silence_limit_s(
             route.target_latency_ms,
@@ -215,27 +166,6 @@
             self.call.remaining_ms(),
         )
 
-    def _usable(self, now_s: float) -> Sequence[Replica]:
-        return self.fleet.departures.usable(
-            self.fleet.replicas.usable(self._service, now_s),
-            self.call.request.received_s,
-        )
-
-    async def _next_pass(self) -> bool:
-        """Backs off and returns True while the retry window is open."""
-        total_ms = self.call.age_ms() + self.call.remaining_ms()
-        if (
-            self.call.age_ms() > RETRY_WINDOW_SHARE * total_ms
-            or not self._tried
-            or not self._usable(asyncio.get_running_loop().time())
-        ):
-            return False
-        pause_ms = min(INITIAL_BACKOFF_MS * 2**self._passes, MAX_BACKOFF_MS)
-        self._passes += 1
-        self._tried.clear()
-        await asyncio.sleep(pause_ms * random.uniform(0.5, 1) / 1000)
-        return True
-
     @contextmanager
     def _open(
         self,
--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -8,7 +8,7 @@
 from cactusledge.gateway.events import EventSplitter, count_events
 from cactusledge.gateway.messages import EndpointAnswer, Outgoing, Replica
 from cactusledge.gateway.placement import choose_engine
-from cactusledge.gateway.sending import Attempts
+from cactusledge.gateway.selection import Selection
 from cactusledge.gateway.sinks import StreamAnswer
 
 
@@ -48,10 +48,10 @@
             resume_after=self._splitter.last_event_id,
         )
 
-    def choose(self, attempts: Attempts) -> Replica | None:
+    def choose(self, selection: Selection) -> Replica | None:
         """Returns the engine to send the turn to."""
-        fleet = attempts.fleet
-        candidates = attempts.candidates()
+        fleet = selection.fleet
+        candidates = selection.candidates()
         parts = self.call.info.parts
         for replica in candidates:
             if replica.endpoint_id == self.chain.endpoint_id:
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -166,7 +166,7 @@
             return refuse(
                 call.conn,
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
-                f'refused by {len(attempts.contacted)} engines',
+                f'refused by {len(attempts.selection.contacted)} engines',
                 BUSY_RETRY_S,
             )
         return await self._end(call, stream, result)
@@ -175,7 +175,7 @@
         self, attempts: Attempts, stream: TurnStream
     ) -> ExchangeResult | None:
         """Returns the result of one attempt, None if no engine is left."""
-        found = await attempts.connect(stream.choose)
+        found = await attempts.selection.connect(stream.choose)
         if found is None:
             return None
         replica, conn = found
