Keep to the limits that endpoints name, all gateways together

Callers saw nothing; an engine in need got many times the requests a second that it had named (LIMIT: 75 in 4 s where 20 are allowed). Evidence: 278 of 280 requests came from gateways that had passed on its limit. Ruled out: each gateway keeping to it alone (one gateway exceeded it by itself), gateways that do not know of it, retries (all first attempts).

Each request to an endpoint that names a limit is now granted by the nearest store, from its part of the rate by demand; demands travel with the loads. It works since one bucket a store, not one a gateway, decides, so that neither the number of gateways nor late reports add to the rate. A gateway without a store keeps to an equal part; after a limit, traffic returns over 4 s.

--- a/benchmarks/gateway_roles.py
+++ b/benchmarks/gateway_roles.py
@@ -17,7 +17,7 @@
     Service,
     Share,
 )
-from cactusledge.gateway.new_fleet import new_fleet
+from cactusledge.gateway.new_fleet import Place, new_fleet
 from cactusledge.models import Address
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Group, Member
@@ -107,7 +107,7 @@
 async def serve_gateway(ports: Ports) -> None:
     """Runs the gateway."""
     dialect = PlainDialect()
-    fleet = new_fleet(dialect, 'here')
+    fleet = new_fleet(dialect, Place('gateway', 'here'))
     records = RecordClient('gateway', 'here')
     records.adopt_group(ports.group)
     gateway = Gateway(fleet, records)
--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -9,11 +9,12 @@
 from cactusledge.gateway.background import BackgroundTasks, log_failure
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
-from cactusledge.gateway.new_fleet import new_fleet
+from cactusledge.gateway.new_fleet import Place, new_fleet
 from cactusledge.gateway.pages import metrics_page, open_page, readiness_page
 from cactusledge.gateway.parts import GatewayParts, start_watchers
 from cactusledge.objects.watcher import Watcher
 from cactusledge.records.client import RecordClient
+from cactusledge.records.grant_source import StoreGrants
 
 BACKLOG = 512
 READINESS_PROPAGATION_S = 2.6  # for the balancer to see that readiness is lost
@@ -29,8 +30,13 @@
     def __init__(self, parts: GatewayParts) -> None:
         """Creates the components; no socket is opened yet."""
         self._parts = parts
-        self.fleet = new_fleet(parts.dialect, parts.data_centre, parts.drain_s)
         self.records = RecordClient(parts.instance, parts.data_centre)
+        self.fleet = new_fleet(
+            parts.dialect,
+            Place(parts.instance, parts.data_centre),
+            StoreGrants(self.records.peers),
+            parts.drain_s,
+        )
         self.gateway = Gateway(self.fleet, self.records)
         self._background = BackgroundTasks(parts, self.gateway, self.records)
         self._watchers: list[Watcher] = []
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -9,6 +9,7 @@
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.gateway import Gateway
+from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Member
@@ -46,6 +47,7 @@
             records.peers,
             fleet.loads,
             DepartureReports(fleet.departures, fleet.metrics),
+            LimitReports(fleet.limits, fleet.metrics),
         )
         self._finder = GroupFinder(
             records, parts.seeds, GroupObjects(parts.objects)
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -6,14 +6,15 @@
 from cactusledge.gateway.answer_end import AnswerEnd
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.dialect import Dialect
+from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import CallInfo, Request, Route
 from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.pool import ConnectionPool
+from cactusledge.gateway.rationing import GrantSource
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
-from cactusledge.records.known_limits import KnownLimits
 from cactusledge.telemetry.metrics import Metrics
 
 
@@ -28,7 +29,8 @@
     partitions: Partitions
     metrics: Metrics
     departures: Departures
-    limits: KnownLimits
+    limits: EndpointLimits
+    grants: GrantSource
 
 
 class Progress:
--- a/cactusledge/gateway/limit_reports.py
+++ b/cactusledge/gateway/limit_reports.py
@@ -1,20 +1,22 @@
-"""Notes the rate limits that endpoints name in their answers, and logs them."""
+"""Notes limits that endpoints name, and exchanges them with other gateways."""
+
+from collections.abc import Iterable
 
 import structlog
 
 from cactusledge.gateway.departure_reports import now
+from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.messages import EndpointAnswer, Replica
 from cactusledge.records.gateway_messages import NamedLimit
-from cactusledge.records.known_limits import KnownLimits
 from cactusledge.telemetry.metrics import Metrics
 
 log = structlog.get_logger('gateway')
 
 
 class LimitReports:
-    """Adds limits from answers, and logs and counts what changes."""
+    """Adds limits from answers and other gateways, and logs what changes."""
 
-    def __init__(self, limits: KnownLimits, metrics: Metrics) -> None:
+    def __init__(self, limits: EndpointLimits, metrics: Metrics) -> None:
         """Stores where limits are kept and counted."""
         self._limits = limits
         self._metrics = metrics
@@ -32,15 +34,32 @@
         if answer.limit_per_s is not None:
             self._add(replica, answer.limit_per_s, is_ended=False)
             return
-        known = self._limits.find(replica.endpoint_id, replica.born_ms)
+        known = self._limits.known.find(replica.endpoint_id, replica.born_ms)
         if known is not None:
             self._add(replica, known.per_s, is_ended=True)
 
+    def to_report(self) -> list[NamedLimit]:
+        """Returns the limits that this gateway knows of."""
+        return self._limits.known.to_report(now())
+
+    def demands(self) -> dict[str, float]:
+        """Returns the demand for limited endpoints, requests a second."""
+        return self._limits.demands(now())
+
+    def add_reported(self, reported: Iterable[NamedLimit]) -> None:
+        """Adds limits that other gateways have seen."""
+        for seen in self._limits.known.add_reported(reported, now()):
+            self._log(seen, source='instance')
+
+    def set_gateways(self, count: int) -> None:
+        """Sets how many gateways share the limits; 0 if no store grants."""
+        self._limits.set_gateways(count, now())
+
     def _add(self, replica: Replica, per_s: float, *, is_ended: bool) -> None:
         seen = NamedLimit(
             replica.endpoint_id, replica.born_ms, per_s, 0, is_ended
         )
-        if self._limits.add(seen, now(), is_own=True):
+        if self._limits.known.add(seen, now()):
             self._log(seen, source='answer')
 
     def _log(self, seen: NamedLimit, *, source: str) -> None:
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -1,31 +1,46 @@
 """Creates the components through which a gateway reaches endpoints."""
 
+from typing import NamedTuple
+
 from cactusledge.gateway.answer_notes import AnswerNotes
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import DEFAULT_WINDOW_S, Departures
 from cactusledge.gateway.dialect import Dialect
+from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.pool import ConnectionPool
+from cactusledge.gateway.rationing import GrantSource, NoGrants
 from cactusledge.gateway.replicas import ReplicaList
-from cactusledge.records.known_limits import KnownLimits
 from cactusledge.telemetry.metrics import Metrics
 
 
+class Place(NamedTuple):
+    """Where a gateway runs."""
+
+    instance: str
+    data_centre: str
+
+
 def new_fleet(
     dialect: Dialect,
-    data_centre: str,
+    place: Place,
+    grants: GrantSource | None = None,
     drain_s: float = DEFAULT_WINDOW_S,
 ) -> Fleet:
     """Returns a fleet without endpoints.
 
-    `drain_s` is how long an endpoint still serves once it is leaving.
+    Args:
+        dialect: Reads and writes the platform's headers.
+        place: The gateway's name and data centre.
+        grants: Grants requests to endpoints that name a limit.
+        drain_s: How long an endpoint still serves once it is leaving.
     """
     metrics = Metrics()
     departures = Departures(drain_s)
-    limits = KnownLimits()
+    limits = EndpointLimits(place.instance)
     notes = AnswerNotes(
         DepartureReports(departures, metrics),
         LimitReports(limits, metrics),
@@ -35,9 +50,10 @@
         Loads(),
         ConnectionPool(dialect, notes.note),
         dialect,
-        data_centre,
+        place.data_centre,
         Partitions(),
         metrics,
         departures,
         limits,
+        grants or NoGrants(),
     )
--- a/cactusledge/gateway/selection.py
+++ b/cactusledge/gateway/selection.py
@@ -9,6 +9,7 @@
 from cactusledge.gateway.messages import Replica
 from cactusledge.gateway.placement import healthy
 from cactusledge.gateway.pool import EndpointUnreachableError
+from cactusledge.gateway.rationing import Rationing
 
 RETRY_WINDOW_SHARE = 0.35  # of a call's time; refusals are retried within it
 INITIAL_BACKOFF_MS = 20
@@ -30,6 +31,7 @@
         self.call = call
         self.contacted: set[str] = set()  # ids of endpoints it was sent to
         self._tried: set[str] = set()  # endpoint ids tried in the current pass
+        self._rationing = Rationing(fleet.limits, fleet.grants)
         self._passes = 0
         self._service = service
 
@@ -54,7 +56,8 @@
                 if replica.endpoint_id in self.contacted
             )
         reachable = self.fleet.partitions.prefer_reachable(usable)
-        return list(healthy(reachable, self.fleet.loads, self._tried, now_s))
+        excluded = self._tried | self._rationing.excluded
+        return list(healthy(reachable, self.fleet.loads, excluded, now_s))
 
     async def connect(
         self, choose: Choose
@@ -75,6 +78,8 @@
 
     async def _connect_to(self, replica: Replica) -> EndpointConnection | None:
         """Returns a connection, None if the endpoint is not available."""
+        if not await self._rationing.admit(replica):
+            return None
         try:
             return await self.fleet.pool.take(replica)
         except EndpointUnreachableError:
@@ -94,12 +99,13 @@
         total_ms = self.call.age_ms() + self.call.remaining_ms()
         if (
             self.call.age_ms() > RETRY_WINDOW_SHARE * total_ms
-            or not self._tried
+            or not (self._tried or self._rationing.excluded)
             or not self._usable(asyncio.get_running_loop().time())
         ):
             return False
         pause_ms = min(INITIAL_BACKOFF_MS * 2**self._passes, MAX_BACKOFF_MS)
         self._passes += 1
         self._tried.clear()
+        self._rationing.excluded.clear()
         await asyncio.sleep(pause_ms * random.uniform(0.5, 1) / 1000)
         return True
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -65,9 +65,7 @@
             left_ms=round(self.call.remaining_ms()),
             attempt=len(self.selection.contacted),
             resume_after=outgoing.resume_after,
-            limit_per_s=self.fleet.limits.rate_per_s(
-                replica.endpoint_id, replica.born_ms, now_s
-            ),
+            limit_per_s=self.fleet.limits.rate_per_s(replica, now_s),
         )
         loop = asyncio.get_running_loop()
         started_s = loop.time()
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -56,6 +56,9 @@
     epoch: str = ''  # from the store's last reply
     position: int = 0  # end of the read parts in that reply
     leaving: list[LeavingEndpoint] = msgspec.field(default_factory=list)
+    limits: list[NamedLimit] = msgspec.field(default_factory=list)
+    # Requests a second that would go to limited endpoints, by endpoint id.
+    demands: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class LoadSums(Message, frozen=True):
@@ -66,6 +69,8 @@
     epoch: str = ''
     position: int = 0
     leaving: list[LeavingEndpoint] = msgspec.field(default_factory=list)
+    limits: list[NamedLimit] = msgspec.field(default_factory=list)
+    gateways: int = 0  # with recent reports; 0 if the store grants nothing
 
 
 class ShareLoads(Message, frozen=True):
@@ -76,6 +81,10 @@
     epoch: str  # from the receiving store's last reply
     position: int  # end of the read parts in that reply
     leaving: list[LeavingEndpoint] = msgspec.field(default_factory=list)
+    limits: list[NamedLimit] = msgspec.field(default_factory=list)
+    # Requests a second that its gateways would send to limited endpoints.
+    demands: dict[str, float] = msgspec.field(default_factory=dict)
+    gateways: int = 0  # that report to it
 
 
 class ReadNews(Message, frozen=True):
@@ -86,6 +95,21 @@
     position: int
 
 
+class AskGrant(Message, frozen=True):
+    """Asks to send one request to an endpoint; the reply is `Granted`."""
+
+    name: str  # of the gateway
+    limit: NamedLimit  # as the gateway knows it
+    demand_per_s: float  # requests that it would send without the limit
+
+
+class Granted(Message, frozen=True):
+    """Whether a request may be sent to an endpoint that names a limit."""
+
+    is_granted: bool
+    retry_s: float = 0  # until it is worth asking again, if it may not
+
+
 class AskReach(Message, frozen=True):
     """Asks a gateway to which stores it is connected."""
 
--- a/cactusledge/records/gateways.py
+++ b/cactusledge/records/gateways.py
@@ -5,7 +5,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cactusledge.records.entries import Member
@@ -19,13 +19,13 @@
     ReadPart,
     ShareLoads,
 )
-from cactusledge.records.holders import rank
+from cactusledge.records.limit_division import LimitDivision
+from cactusledge.records.neighbours import choose_neighbours
 from cactusledge.records.read_parts import ListPosition, ReadParts
 from cactusledge.records.recent_departures import RecentDepartures
 
 GATEWAY_TTL_S = 10.0  # since a gateway last registered
 LOAD_TTL_S = 1.5  # since a load was last reported
-MAX_NEIGHBOURS = 8  # in the data centre of the gateway, and as many elsewhere
 
 
 class _ReportedLoad(NamedTuple):
@@ -45,6 +45,8 @@
         self._store_loads: dict[str, _ReportedLoad] = {}  # by reporting store
         self._read_parts = ReadParts()
         self._departures = RecentDepartures()
+        self._gateways_elsewhere: dict[str, int] = {}  # by store
+        self.limits = LimitDivision()
 
     async def register(self, hello: Hello) -> Neighbours:
         """Registers a gateway; returns some of the others."""
@@ -68,6 +70,8 @@
         )
         self._read_parts.add(report.read)
         self._departures.add(report.leaving, now_s)
+        self.limits.known.add_reported(report.limits, now_s)
+        self.limits.report(report.name, report.demands, now_s)
         update = self._read_parts.since(
             ListPosition(report.epoch, report.position)
         )
@@ -76,6 +80,9 @@
             update.parts,
             *update.list_position,
             leaving=self._departures.recent(now_s),
+            limits=self.limits.known.to_report(now_s),
+            gateways=self.local_gateways(now_s)
+            + sum(self._gateways_elsewhere.values()),
         )
 
     async def share(self, request: ShareLoads) -> ReadNews:
@@ -83,6 +90,9 @@
         reported = _ReportedLoad(request.in_flight, time.monotonic())
         self._store_loads[request.name] = reported
         self._departures.add(request.leaving, reported.at_s)
+        self.limits.known.add_reported(request.limits, reported.at_s)
+        self.limits.share(request.name, request.demands, reported.at_s)
+        self._gateways_elsewhere[request.name] = request.gateways
         update = self._read_parts.since(
             ListPosition(request.epoch, request.position)
         )
@@ -92,6 +102,13 @@
         """Returns the requests in flight of the gateways that report here."""
         return sum_loads(self._loads.values(), time.monotonic())
 
+    def local_gateways(self, now_s: float) -> int:
+        """Returns how many gateways have reported here recently."""
+        return sum(
+            now_s - reported.at_s < LOAD_TTL_S
+            for reported in self._loads.values()
+        )
+
     def recent_departures(self) -> list[LeavingEndpoint]:
         """Returns the departures that were reported recently."""
         return self._departures.recent(time.monotonic())
@@ -101,27 +118,6 @@
         self._read_parts.add(read)
 
 
-def choose_neighbours(
-    hello: Hello, others: Mapping[str, Member]
-) -> dict[str, Member]:
-    """Returns the gateways that a gateway is told of.
-
-    A few of its own data centre and a few of others, so that the replies do
-    not grow with the fleet; each gateway is told of different ones.
-    """
-    ordered = sorted(others, key=lambda name: rank(hello.name, name))
-    chosen: dict[str, Member] = {}
-    for is_local in (True, False):
-        found = [
-            name
-            for name in ordered
-            if is_local
-            == (others[name].data_centre == hello.gateway.data_centre)
-        ]
-        chosen.update((name, others[name]) for name in found[:MAX_NEIGHBOURS])
-    return chosen
-
-
 def sum_loads(loads: Iterable[_ReportedLoad], now_s: float) -> dict[str, int]:
     """Returns the sums by endpoint of loads that have not expired."""
     sums: Counter[str] = Counter()
--- a/cactusledge/records/known_limits.py
+++ b/cactusledge/records/known_limits.py
@@ -17,6 +17,9 @@
 RETURN_S = 4.0  # in which an endpoint's traffic returns after its limit
 RETURN_GROWTH = 2.0  # of its rate, each second
 ENDED_REPORT_S = 2.0  # how long the end of a limit is reported
+FORGET_S = 600.0  # without an answer that names it
+
+LifetimeKey = tuple[str, int]  # id and start of an endpoint
 
 
 class KnownLimit(NamedTuple):
@@ -26,7 +29,6 @@
     per_s: float  # requests a second, of all instances together
     seen_s: float  # when an answer last named it, or first did not any more
     is_ended: bool
-    is_own: bool  # seen in an answer to this instance
 
     def rate_per_s(self, now_s: float) -> float | None:
         """Returns the rate in force, None if there is no limit any more.
@@ -34,9 +36,9 @@
         The rate grows for a while after the end of a limit.
         """
         rate = max(self.per_s, MIN_RATE_PER_S)
-        if not self.is_ended:
-            return rate
         age_s = now_s - self.seen_s
+        if not self.is_ended:
+            return rate if age_s < FORGET_S else None
         if age_s >= RETURN_S:
             return None
         return rate * math.pow(RETURN_GROWTH, max(0, age_s))
@@ -49,11 +51,11 @@
         """Starts empty."""
         self._known: OrderedDict[str, KnownLimit] = OrderedDict()
 
-    def add(self, seen: NamedLimit, now_s: float, *, is_own: bool) -> bool:
+    def add(self, seen: NamedLimit, now_s: float) -> bool:
         """Adds an observation; returns whether it changes the limit."""
         known = self._known.get(seen.endpoint_id)
         limit = KnownLimit(
-            seen.born_ms, seen.per_s, now_s - seen.age_s, seen.is_ended, is_own
+            seen.born_ms, seen.per_s, now_s - seen.age_s, seen.is_ended
         )
         if known is not None and is_older(limit, known):
             return False
@@ -80,20 +82,8 @@
         known = self.find(endpoint_id, born_ms)
         return known.rate_per_s(now_s) if known else None
 
-    def in_force(self, now_s: float) -> dict[str, float]:
-        """Returns the rates in force, by endpoint id."""
-        rates = {
-            endpoint_id: known.rate_per_s(now_s)
-            for endpoint_id, known in self._known.items()
-        }
-        return {
-            endpoint_id: rate
-            for endpoint_id, rate in rates.items()
-            if rate is not None
-        }
-
     def to_report(self, now_s: float) -> list[NamedLimit]:
-        """Returns what this instance has seen itself, with its age."""
+        """Returns what others may not know yet, with its age."""
         return [
             NamedLimit(
                 endpoint_id,
@@ -103,16 +93,14 @@
                 known.is_ended,
             )
             for endpoint_id, known in self._known.items()
-            if known.is_own and is_worth_reporting(known, now_s)
+            if is_worth_reporting(known, now_s)
         ]
 
     def add_reported(
         self, reported: Iterable[NamedLimit], now_s: float
     ) -> list[NamedLimit]:
         """Adds what others have seen; returns what changes a limit."""
-        return [
-            seen for seen in reported if self.add(seen, now_s, is_own=False)
-        ]
+        return [seen for seen in reported if self.add(seen, now_s)]
 
 
 def is_older(limit: KnownLimit, known: KnownLimit) -> bool:
@@ -130,4 +118,5 @@
 
 def is_worth_reporting(known: KnownLimit, now_s: float) -> bool:
     """Returns whether others may still not know of it."""
-    return not known.is_ended or now_s - known.seen_s < ENDED_REPORT_S
+    limit_s = ENDED_REPORT_S if known.is_ended else FORGET_S
+    return now_s - known.seen_s < limit_s
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -10,6 +10,7 @@
     LeavingEndpoint,
     LoadReport,
     LoadSums,
+    NamedLimit,
     ReadPart,
 )
 from cactusledge.records.links import Link
@@ -52,6 +53,22 @@
         """Adds departures that other gateways have seen."""
 
 
+class LimitTracker(Protocol):
+    """A gateway's record of the limits that endpoints name."""
+
+    def to_report(self) -> list[NamedLimit]:
+        """Returns the limits that this gateway knows of."""
+
+    def demands(self) -> dict[str, float]:
+        """Returns the demand for limited endpoints, requests a second."""
+
+    def add_reported(self, reported: Iterable[NamedLimit]) -> None:
+        """Adds limits that other gateways have seen."""
+
+    def set_gateways(self, count: int) -> None:
+        """Sets how many gateways share limits; 0 if the store grants none."""
+
+
 class LoadExchange:
     """Exchanges loads with the nearest store.
 
@@ -64,12 +81,14 @@
         peers: StorePeers,
         tracker: LoadTracker,
         departures: DepartureTracker,
+        limits: LimitTracker,
     ) -> None:
         """Prepares the exchange; `run` starts it."""
         self._name = name
         self._peers = peers
         self._tracker = tracker
         self._departures = departures
+        self._limits = limits
         self._positions: dict[str, ListPosition] = {}  # by store
         self._interval_s = EXCHANGE_INTERVAL_S
 
@@ -91,6 +110,8 @@
             read,
             *list_position,
             leaving=self._departures.to_report(),
+            limits=self._limits.to_report(),
+            demands=self._limits.demands(),
         )
         try:
             await self._ask(nearest, report)
@@ -112,6 +133,8 @@
             self._tracker.set_remote_loads(reply.in_flight)
             self._tracker.add_read_parts(reply.read)
             self._departures.add_reported(reply.leaving)
+            self._limits.add_reported(reply.limits)
+            self._limits.set_gateways(reply.gateways)
             self._interval_s = max(
                 EXCHANGE_INTERVAL_S,
                 len(reply.in_flight) * INTERVAL_PER_ENDPOINT_S,
--- a/cactusledge/records/load_sharing.py
+++ b/cactusledge/records/load_sharing.py
@@ -1,6 +1,7 @@
 """Shares the loads of this store's gateways with the other stores."""
 
 import asyncio
+import time
 
 import structlog
 
@@ -42,11 +43,16 @@
 
     async def _tell(self, link: Link, sums: dict[str, int]) -> None:
         list_position = self._positions.get(link.name, ListPosition())
+        gateways = self._store.gateways
+        now_s = time.monotonic()
         request = ShareLoads(
             self._store.name,
             sums,
             *list_position,
-            leaving=self._store.gateways.recent_departures(),
+            leaving=gateways.recent_departures(),
+            limits=gateways.limits.known.to_report(now_s),
+            demands=gateways.limits.local_demands(now_s),
+            gateways=gateways.local_gateways(now_s),
         )
         try:
             reply = await link.call(request, SHARE_TIMEOUT_S)
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -152,6 +152,7 @@
     | gateways.Hello
     | gateways.LoadReport
     | gateways.ShareLoads
+    | gateways.AskGrant
     | gateways.AskReach
     | gateways.AskBeliefs
     | gateways.Relay
@@ -167,6 +168,7 @@
     | gateways.Neighbours
     | gateways.LoadSums
     | gateways.ReadNews
+    | gateways.Granted
     | gateways.Reach
     | gateways.Beliefs
     | gateways.Relayed
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -1,5 +1,6 @@
 """A record store: handles messages of gateways and of other stores."""
 
+import time
 from collections.abc import Awaitable, Callable, Mapping
 from types import MappingProxyType
 from typing import Any
@@ -7,6 +8,7 @@
 from cactusledge.records import entries, messages
 from cactusledge.records.adopted_group import AdoptedGroup
 from cactusledge.records.gateway_messages import (
+    AskGrant,
     Hello,
     LoadReport,
     ShareLoads,
@@ -20,6 +22,7 @@
 ANY_GENERATION = (
     messages.Ask,
     messages.Announce,
+    AskGrant,
     Hello,
     LoadReport,
     ShareLoads,
@@ -52,6 +55,7 @@
             messages.Ask: self._ask,
             messages.Announce: self._announce,
             Hello: self.gateways.register,
+            AskGrant: self._grant,
             LoadReport: self.gateways.report,
             ShareLoads: self.gateways.share,
         })
@@ -135,6 +139,9 @@
             groups=list(newer_groups(self.known_groups, (self.group,))),
         )
 
+    async def _grant(self, ask: AskGrant) -> messages.Body:
+        return self.gateways.limits.grant(ask, time.monotonic())
+
     async def _announce(self, request: messages.Announce) -> messages.Body:
         self.on_announced_group(request.group)
         return messages.Appended()
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -15,7 +15,7 @@
     Service,
     Share,
 )
-from cactusledge.gateway.new_fleet import new_fleet
+from cactusledge.gateway.new_fleet import Place, new_fleet
 from cactusledge.platform.headers import HeaderDialect
 from tests.fakes_records import FakeRecords
 from tests.gateway_callers import HOST, Caller
@@ -64,9 +64,10 @@
 class GatewayHarness:
     """A gateway, its endpoints and a way to call it."""
 
-    def __init__(self, records=None):
+    def __init__(self, records=None, name='f0', grants=None):
         self.records = records or FakeRecords()
-        self.fleet = new_fleet(HeaderDialect(), 'dc-a')
+        self.name = name
+        self.fleet = new_fleet(HeaderDialect(), Place(name, 'dc-a'), grants)
         self.gateway = Gateway(self.fleet, self.records)
         self.gateway.apply(
             Configuration(1, ROUTES, (Service('svc', 9, Engine(18)),), Limits())
@@ -115,9 +116,11 @@
 
 
 @asynccontextmanager
-async def running_gateways(count, *endpoints, records=None):
+async def running_gateways(count, *endpoints, records=None, grants=None):
     """Starts gateways with these endpoints; the first one is preferred."""
-    harnesses = [GatewayHarness(records) for _ in range(count)]
+    harnesses = [
+        GatewayHarness(records, f'f{number}', grants) for number in range(count)
+    ]
     servers = [await endpoint.start() for endpoint in endpoints]
     for harness in harnesses:
         harness.list_endpoints(endpoints)
@@ -132,9 +135,10 @@
 
 
 @asynccontextmanager
-async def running_gateway(*endpoints, records=None):
+async def running_gateway(*endpoints, records=None, grants=None):
     """Starts a gateway with these endpoints; the first one is preferred."""
-    async with running_gateways(1, *endpoints, records=records) as harnesses:
+    started = running_gateways(1, *endpoints, records=records, grants=grants)
+    async with started as harnesses:
         yield harnesses[0]
 
 
--- a/tests/store_stubs.py
+++ b/tests/store_stubs.py
@@ -1,10 +1,11 @@
 """A stub of the store through which gateways exchange what they know."""
 
 import asyncio
+import time
 from contextlib import asynccontextmanager
 
 from cactusledge.gateway.departure_reports import DepartureReports
-from cactusledge.records.gateways import GatewayRegistry
+from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.records.load_exchange import LoadExchange
 
 
@@ -24,18 +25,29 @@
         return await self._registry.report(report)
 
 
+class StubGrants:
+    """Asks a store for requests to limited endpoints."""
+
+    def __init__(self, registry):
+        self._registry = registry
+
+    async def ask(self, question):
+        return self._registry.limits.grant(question, time.monotonic())
+
+
 @asynccontextmanager
-async def exchanging(harnesses):
-    """Lets gateways report to one store."""
-    store = StubStore(GatewayRegistry())
+async def exchanging(registry, harnesses):
+    """Lets gateways report to the store with this registry."""
+    store = StubStore(registry)
     tasks = []
-    for index, harness in enumerate(harnesses):
+    for harness in harnesses:
         fleet = harness.fleet
         exchange = LoadExchange(
-            f'f{index}',
+            harness.name,
             store,
             fleet.loads,
             DepartureReports(fleet.departures, fleet.metrics),
+            LimitReports(fleet.limits, fleet.metrics),
         )
         tasks.append(asyncio.ensure_future(exchange.run()))
     try:
--- a/tests/test_gateway_departure_reports.py
+++ b/tests/test_gateway_departure_reports.py
@@ -7,6 +7,8 @@
 
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import Departures
+from cactusledge.gateway.endpoint_limits import EndpointLimits
+from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.messages import Replica
 from cactusledge.records.gateway_messages import (
     LeavingEndpoint,
@@ -46,7 +48,10 @@
     def make(name, registry):
         departures = Departures(0)
         reports = DepartureReports(departures, Metrics())
-        exchange = LoadExchange(name, StubStore(registry), StubLoads(), reports)
+        limits = LimitReports(EndpointLimits(), Metrics())
+        exchange = LoadExchange(
+            name, StubStore(registry), StubLoads(), reports, limits
+        )
         return departures, reports, exchange
 
     return make
--- a/tests/test_gateway_limit_logs.py
+++ b/tests/test_gateway_limit_logs.py
@@ -5,22 +5,26 @@
 import pytest
 from structlog.testing import capture_logs
 
+from cactusledge.records.gateways import GatewayRegistry
 from tests.gateway_endpoints import SEAL, Endpoint, reply_of
 from tests.gateway_support import running_gateway
+from tests.store_stubs import StubGrants, exchanging
 
 pytestmark = pytest.mark.process
 
 
-def call_three_times(*headers):
-    """Calls an endpoint whose answers have these headers; returns the log."""
+def call_until_answered(*headers):
+    """Calls an endpoint for answers with these headers; returns the log."""
     left = iter(headers)
     endpoint = Endpoint(
         lambda head: reply_of(200, head, SEAL, next(left), body=b'done')
     )
 
     async def main():
-        async with running_gateway(endpoint) as harness:
-            for _ in headers:
+        registry = GatewayRegistry()
+        started = running_gateway(endpoint, grants=StubGrants(registry))
+        async with started as harness, exchanging(registry, [harness]):
+            while len(endpoint.requests) < len(headers):
                 caller = await harness.call('/once/x')
                 await caller.read()
 
@@ -30,7 +34,7 @@
 
 
 def test_limits_of_answers_are_logged():
-    lines = call_three_times(
+    lines = call_until_answered(
         'Server-Limit: 20', 'Server-Limit: x', 'X-Other: 1'
     )
     limits = [line for line in lines if 'limit' in line['event']]
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -8,9 +8,10 @@
 
 import pytest
 
+from cactusledge.records.gateways import GatewayRegistry
 from tests.gateway_endpoints import SEAL, Endpoint, answered, reply_of
 from tests.gateway_support import running_gateways
-from tests.store_stubs import exchanging
+from tests.store_stubs import StubGrants, exchanging
 
 pytestmark = pytest.mark.process
 
@@ -61,10 +62,11 @@
     statuses = []
 
     async def main():
-        async with (
-            running_gateways(GATEWAYS, *endpoints) as harnesses,
-            exchanging(harnesses),
-        ):
+        registry = GatewayRegistry()
+        started = running_gateways(
+            GATEWAYS, *endpoints, grants=StubGrants(registry)
+        )
+        async with started as harnesses, exchanging(registry, harnesses):
             calls = [
                 call_steadily(harness, path, statuses) for harness in harnesses
             ]
--- a/tests/test_records_neighbours.py
+++ b/tests/test_records_neighbours.py
@@ -8,7 +8,7 @@
 
 from cactusledge.records.entries import Member
 from cactusledge.records.gateway_messages import Hello
-from cactusledge.records.gateways import MAX_NEIGHBOURS, choose_neighbours
+from cactusledge.records.neighbours import MAX_NEIGHBOURS, choose_neighbours
 
 DATA_CENTRES = 6
 
