--- a/cactusledge/gateway/pool.py
+++ b/cactusledge/gateway/pool.py
@@ -105,7 +105,7 @@
                     replica.port,
                 )
         except (OSError, TimeoutError) as exc:
-            raise EndpointUnreachableError(str(exc)) from exc
+            raise EndpointUnreachableError(repr(exc)) from exc
         self.opened += 1
         return conn
 
--- a/cactusledge/gateway/selection.py
+++ b/cactusledge/gateway/selection.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Callable, Sequence
 
+import structlog
+
 from cactusledge.gateway.context import Call, Fleet
 from cactusledge.gateway.http_client import EndpointConnection
 from cactusledge.gateway.messages import Replica
@@ -15,6 +17,8 @@
 INITIAL_BACKOFF_MS = 20
 MAX_BACKOFF_MS = 160
 
+log = structlog.get_logger('gateway')
+
 Choose = Callable[['Selection'], Replica | None]
 
 
@@ -82,12 +86,25 @@
             return None
         try:
             return await self.fleet.pool.take(replica)
-        except EndpointUnreachableError:
-            self._tried.add(replica.endpoint_id)
-            now_s = asyncio.get_running_loop().time()
-            self.fleet.loads.of(replica.endpoint_id).record_failure(now_s)
+        except EndpointUnreachableError as exc:
+            self._add_unreachable(replica, exc)
             return None
 
+    def _add_unreachable(
+        self, replica: Replica, exc: EndpointUnreachableError
+    ) -> None:
+        self._tried.add(replica.endpoint_id)
+        now_s = asyncio.get_running_loop().time()
+        self.fleet.loads.of(replica.endpoint_id).record_failure(now_s)
+        self.fleet.metrics.add('gateway_failed_connects_total')
+        log.warning(
+            'gateway: endpoint not connected',
+            request_id=self.call.info.request_id,
+            endpoint_id=replica.endpoint_id,
+            endpoint_data_centre=replica.data_centre,
+            error=str(exc),
+        )
+
     def _usable(self, now_s: float) -> Sequence[Replica]:
         return self.fleet.departures.usable(
             self.fleet.replicas.usable(self._service, now_s),
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -117,6 +117,10 @@
         'Endpoints that said they are leaving, by how that became known.',
         'source',
     ),
+    _counter(
+        'gateway_failed_connects_total',
+        'Attempts to connect to endpoints that failed.',
+    ),
     _counter(
         'gateway_endpoint_limits_total',
         'Changes of limits that endpoints name, by how they became known.',
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -168,7 +168,10 @@
         caller = await harness.call('/once/x')
         assert (await caller.read())[0] == 200
 
-    run_scenario(scenario, Endpoint(answered), Endpoint(answered))
+    with capture_logs() as lines:
+        run_scenario(scenario, Endpoint(answered), Endpoint(answered))
+        events = [line['event'] for line in lines]
+    assert events.count('gateway: endpoint not connected') == 1
 
 
 @pytest.mark.parametrize('status', [500, 504, 404])
