--- /dev/null
+++ b/tests/test_gateway_stranded.py
@@ -0,0 +1,77 @@
+"""An instance that reaches no endpoint, while another instance does.
+
+The pattern: the links of one instance to all endpoints are cut, while callers
+and the other instances still reach it, so its callers keep coming.
+"""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from tests.gateway_endpoints import SEAL, Endpoint, reply_of
+from tests.gateway_support import introduced, running_gateways
+from tests.link_proxy import Cut, LinkProxy
+
+pytestmark = pytest.mark.process
+
+EVENT = b'id: 1\ndata: a\n\n'
+SERVED_AFTER_S = {Cut.HANG: 2.0, Cut.RESET: 1.0, Cut.REFUSE: 1.0}
+CALL_PAUSE_S = 0.1
+CALLS_AFTER = 8
+
+
+def replying_once(head):
+    """Responds and lets the connection be used no more."""
+    return reply_of(200, head, SEAL, 'Connection: close', body=EVENT)
+
+
+@asynccontextmanager
+async def stranded_pair(reply):
+    """Starts two gateways; the first one's links can be cut."""
+    endpoints = [Endpoint(reply), Endpoint(reply)]
+    async with running_gateways(2, *endpoints) as harnesses:
+        proxies = [LinkProxy(endpoint.port) for endpoint in endpoints]
+        for number, proxy in enumerate(proxies):
+            proxy.start()
+            replicas = harnesses[0].fleet.replicas
+            listed = replicas.find(f'e{number}')
+            replicas.put(listed._replace(port=proxy.port))
+        async with introduced(harnesses):
+            yield harnesses[0], proxies, endpoints
+        for proxy in proxies:
+            proxy.close()
+
+
+async def call_for(harness, path, seconds):
+    """Calls steadily without waiting for the answers."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + seconds
+    while loop.time() < end_s:
+        await harness.call(path)
+        await asyncio.sleep(CALL_PAUSE_S)
+
+
+async def statuses_of(harness, path, count):
+    """Calls one after the other; returns the statuses."""
+    statuses = []
+    for number in range(count):
+        caller = await harness.call(path, request_id=f'late{number}')
+        statuses.append((await caller.read())[0])
+    return statuses
+
+
+# Callers of an instance without links to endpoints were refused for the whole
+# cut, although other instances could have served them.
+@pytest.mark.parametrize('how', Cut)
+@pytest.mark.parametrize('path', ['/once/x', '/safe/x', '/stream/x', '/turn/x'])
+def test_callers_of_a_stranded_instance_are_served(path, how):
+    async def main():
+        async with stranded_pair(replying_once) as (harness, proxies, _):
+            assert await statuses_of(harness, path, 2) == [200, 200]
+            for proxy in proxies:
+                proxy.cut(how)
+            await call_for(harness, path, SERVED_AFTER_S[how])
+            return await statuses_of(harness, path, CALLS_AFTER)
+
+    assert set(asyncio.run(main())) == {200}
