Serve callers through another gateway when no endpoint is in reach

Cause: the loss of an instance's own links was taken for the failure of each endpoint by itself, and there was no other way. Evidence: each cut-off instance failed to connect to all ten endpoints, hundreds of times; no other instance failed once. Ruled out: endpoints left out that it could have reached.

reach.py tells a cut of the own links from failing endpoints: four endpoints that cannot be connected to, none connected since. Requests then go to another gateway, which serves them as its own, one hop at most; so budget, record and attempts keep one decider, and the end of an answer claims no more than the other gateway's. An instance that finds no such gateway is not ready.

--- a/benchmarks/gateway_dialect.py
+++ b/benchmarks/gateway_dialect.py
@@ -44,13 +44,14 @@
     def request_headers(
         self,
         outgoing: Outgoing,
-        replica: Replica,
+        replica: Replica | None,
         deadline_ms: float,
     ) -> bytes:
         """Returns the header lines to send to an endpoint, with the last."""
         request_id = dict(outgoing.request.headers)[REQUEST_ID]
+        host = replica.host.encode() if replica else b'gateway'
         return b'Host: %b\r\n%b: %b\r\nContent-Length: %d\r\n\r\n' % (
-            replica.host.encode(),
+            host,
             REQUEST_ID,
             request_id,
             len(outgoing.body),
--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -7,6 +7,7 @@
 import structlog
 
 from cactusledge.gateway.background import BackgroundTasks, log_failure
+from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.new_fleet import Place, new_fleet
@@ -53,8 +54,8 @@
         """
         return (
             self.gateway.table is not None
-            and len(self.fleet.replicas) > 0
             and self.records.is_in_reach
+            and can_send(self.fleet)
             and not self._stop_requested.is_set()
         )
 
@@ -119,3 +120,11 @@
 def _note_reload() -> None:
     """Logs a SIGHUP: changed instance settings need a restart to apply."""
     log.info('gateway: settings changed, in force at the next start')
+
+
+def can_send(fleet: Fleet) -> bool:
+    """Returns whether requests reach endpoints, or a gateway that does."""
+    now_s = asyncio.get_running_loop().time()
+    if fleet.reach.is_stranded(now_s):
+        return fleet.forwarder.peers.choose(()) is not None
+    return len(fleet.replicas) > 0
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -8,9 +8,12 @@
 from cactusledge.gateway.bootstrap import PeerBootstrap
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.departure_reports import DepartureReports
+from cactusledge.gateway.forward_peers import ForwardPeers
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.parts import GatewayParts
+from cactusledge.gateway.peer_requests import PeerRequests
+from cactusledge.gateway.reach_watch import ReachWatch
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Member
 from cactusledge.records.group_finder import GroupFinder
@@ -53,7 +56,15 @@
             records, parts.seeds, GroupObjects(parts.objects)
         )
         self._bootstrap = PeerBootstrap(gateway, self._relays)
-        self._messages = MessageServer(self._bootstrap.handle)
+        self._reach_watch = ReachWatch(fleet)
+        self._forward_peers = ForwardPeers(
+            fleet.reach, self._relays, parts.data_centre
+        )
+        fleet.forwarder.peers = self._forward_peers
+        requests = PeerRequests(
+            fleet, parts.callers, self._bootstrap, self._relays
+        )
+        self._messages = MessageServer(requests.handle)
 
     async def start(self) -> None:
         """Opens the port for messages from other gateways."""
@@ -66,11 +77,15 @@
             self._watch_partitions(),
             self._relays.run(),
             self._load_exchange.run(),
+            self._forward_peers.run(),
+            self._watch_reach(),
         )
 
     def stop(self) -> None:
         """Closes the port and its connections."""
         self._messages.stop()
+        self._forward_peers.stop()
+        self._fleet.forwarder.close()
 
     async def _watch_partitions(self) -> None:
         """Tracks unreachable data centres and logs changes."""
@@ -88,9 +103,15 @@
             self._fleet.partitions.update(unreachable, loop.time())
             await asyncio.sleep(PARTITION_CHECK_INTERVAL_S)
 
+    async def _watch_reach(self) -> None:
+        while True:
+            await self._reach_watch.step()
+            await asyncio.sleep(PARTITION_CHECK_INTERVAL_S)
+
     async def _maintain(self) -> None:
         while True:
             self._fleet.pool.close_expired()
+            self._fleet.forwarder.close_expired()
             self._fleet.loads.prune(self._fleet.replicas.ids())
             update_gauges(self._fleet, self._records)
             await self._finder.run()
--- a/cactusledge/gateway/bootstrap.py
+++ b/cactusledge/gateway/bootstrap.py
@@ -14,7 +14,6 @@
 from cactusledge.gateway.messages import Configuration, Replica
 from cactusledge.models import Address
 from cactusledge.records.gateway_messages import AskBeliefs, Beliefs
-from cactusledge.records.messages import Body
 from cactusledge.records.peer import call_once
 from cactusledge.records.relays import Relays
 
@@ -56,12 +55,6 @@
         )
         return Beliefs(msgspec.msgpack.encode(snapshot))
 
-    async def handle(self, body: Body) -> Body:
-        """Handles a message from another gateway."""
-        if isinstance(body, AskBeliefs):
-            return self.snapshot()
-        return await self._relays.handle(body)
-
     async def run(self, now_s: float) -> None:
         """Asks the other gateways in turn while this one is incomplete."""
         if not self.is_incomplete():
--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -22,6 +22,10 @@
     """Serves a call; responds 502 if it is unknown whether the call ran."""
     attempts = Attempts(fleet, call, service)
     result = await attempts.repeat(lambda: _attempt(attempts))
+    if has_not_run(call, result) and fleet.forwarder.can_forward(call):
+        outcome = await fleet.forwarder.serve(call)
+        if outcome is not None:
+            return outcome
     if result is None:
         return refuse(
             call.conn,
@@ -34,6 +38,13 @@
     return answer_unknown_outcome(call)
 
 
+def has_not_run(call: Call, result: ExchangeResult | None) -> bool:
+    """Returns whether the call may still be sent to another gateway."""
+    if result is None:
+        return True
+    return result.end is ExchangeEnd.BROKEN and call.route.may_repeat
+
+
 async def _attempt(attempts: Attempts) -> ExchangeResult | None:
     """Returns the result of one attempt, None if no endpoint is left."""
     found = await attempts.selection.connect(_choose)
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -1,17 +1,19 @@
 """Types shared by the request handlers."""
 
 import asyncio
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from cactusledge.gateway.answer_end import AnswerEnd
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.endpoint_limits import EndpointLimits
+from cactusledge.gateway.forward_peers import ForwardTargets
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import CallInfo, Request, Route
 from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.pool import ConnectionPool
 from cactusledge.gateway.rationing import GrantSource
+from cactusledge.gateway.reach import EndpointReach
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
@@ -31,6 +33,26 @@
     departures: Departures
     limits: EndpointLimits
     grants: GrantSource
+    reach: EndpointReach
+    forwarder: 'CallForwarder'
+
+
+class CallForwarder(Protocol):
+    """Serves calls through other gateways."""
+
+    peers: ForwardTargets
+
+    def can_forward(self, call: 'Call') -> bool:
+        """Returns whether a gateway may take the call."""
+
+    async def serve(self, call: 'Call') -> 'Outcome | None':
+        """Serves a call that has not run; None if no gateway took it."""
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+
+    def close_expired(self) -> None:
+        """Closes connections that have been idle for too long."""
 
 
 class Progress:
@@ -41,6 +63,7 @@
         self.contacted: list[str] = []  # endpoint ids, in order of the attempts
         self.first_event_ms: float | None = None  # since it was received
         self.answer_end: AnswerEnd | None = None  # of the last attempt
+        self.forwarded_to = ''  # the gateway that serves the request
 
 
 class Call(NamedTuple):
--- a/cactusledge/gateway/dialect.py
+++ b/cactusledge/gateway/dialect.py
@@ -21,11 +21,12 @@
     def request_headers(
         self,
         outgoing: Outgoing,
-        replica: Replica,
+        replica: Replica | None,
         deadline_ms: float,
     ) -> bytes:
         """Returns the header block to send to an endpoint.
 
+        Without one it is for another gateway, which may not forward it again.
         The blank line that ends the head is included.
         """
 
--- a/cactusledge/gateway/exchange.py
+++ b/cactusledge/gateway/exchange.py
@@ -29,9 +29,14 @@
 
     @property
     def last_received_s(self) -> float:
-        """When data was last received from the endpoint; loop clock."""
+        """When data was last sent or received; loop clock."""
         return self._conn.last_received_s
 
+    @property
+    def received_s(self) -> float:
+        """When data was last received from the endpoint; loop clock."""
+        return self._conn.received_s
+
     def abandon(self) -> None:
         """Ends the exchange as broken and closes its connection."""
         self._conn.abandon()
--- /dev/null
+++ b/cactusledge/gateway/forwarding.py
@@ -0,0 +1,185 @@
+"""Serves requests through another gateway that reaches the endpoints.
+
+The other gateway serves the request as a caller's own: it alone decides on
+budget, record and attempts. Its answer is passed on with its framing.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from cactusledge.gateway.answer_end import Framing, Transfer, TransferEnd
+from cactusledge.gateway.answers import answer_unknown_outcome
+from cactusledge.gateway.context import Call, Outcome
+from cactusledge.gateway.dialect import Dialect
+from cactusledge.gateway.forward_peers import (
+    ForwardPeer,
+    ForwardTargets,
+    NoTargets,
+)
+from cactusledge.gateway.http_client import EndpointConnection
+from cactusledge.gateway.messages import EndpointAnswer, Outgoing, Replica
+from cactusledge.gateway.pool import ConnectionPool, EndpointUnreachableError
+from cactusledge.gateway.reach import EndpointReach
+from cactusledge.gateway.responder import Responder
+
+FORWARDED = 'forwarded'  # outcome reason: another gateway has served it
+MAX_PEERS = 2  # gateways tried for one request
+
+log = structlog.get_logger('gateway')
+
+
+class ForwardedAnswer:
+    """Passes another gateway's answer on to the caller.
+
+    An answer with a length is passed on when it is whole, any other one as it
+    arrives. The caller's framing never claims more than the answer's.
+    """
+
+    def __init__(
+        self, conn: Responder, encode: Callable[[EndpointAnswer], bytes]
+    ) -> None:
+        """Stores the caller's connection and the encoder of headers."""
+        self.head: EndpointAnswer | None = None
+        self.ended: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._conn = conn
+        self._encode = encode
+        self._framing = Framing.NONE
+        self._parts: list[bytes] = []
+
+    def on_head(self, answer: EndpointAnswer, framing: Framing) -> None:
+        """Begins the caller's answer unless its length is known."""
+        self.head = answer
+        self._framing = framing
+        if framing is not Framing.LENGTH:
+            self._conn.begin_stream(
+                answer.status,
+                self._encode(answer),
+                has_framing=framing is Framing.CHUNKS,
+            )
+
+    def on_body(self, body: bytes) -> None:
+        """Passes a part on, or keeps it."""
+        if self._framing is Framing.LENGTH:
+            self._parts.append(body)
+        else:
+            self._conn.write_part(body)
+
+    def on_end(self, transfer: Transfer) -> None:
+        """Ends the caller's answer; `ended` tells whether it was whole."""
+        ends_whole = {
+            Framing.LENGTH: TransferEnd.FRAMED,
+            Framing.CHUNKS: TransferEnd.FRAMED,
+            Framing.NONE: TransferEnd.CLOSED,
+        }
+        is_whole = self.head is not None and (
+            transfer.end is ends_whole[self._framing]
+        )
+        if is_whole:
+            self._end_whole()
+        elif self._conn.has_head:
+            self._conn.close_incomplete()
+        if not self.ended.done():
+            self.ended.set_result(is_whole)
+
+    def _end_whole(self) -> None:
+        if self._framing is not Framing.LENGTH:
+            self._conn.end_stream()
+        elif self.head is not None:
+            self._conn.answer(
+                self.head.status, self._encode(self.head), b''.join(self._parts)
+            )
+
+
+class Forwarder:
+    """Forwards requests to other gateways, over connections of its own."""
+
+    def __init__(self, dialect: Dialect, reach: EndpointReach) -> None:
+        """Starts without peers."""
+        self.peers: ForwardTargets = NoTargets()
+        self._dialect = dialect
+        self._reach = reach
+        self._pool = ConnectionPool(dialect)
+
+    def can_forward(self, call: Call) -> bool:
+        """Returns whether another gateway should take the call.
+
+        One hop at most, and only if no endpoint can be connected to from here.
+        """
+        if call.info.is_forwarded:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        is_cut_off = not self._reach.can_connect(now_s)
+        return is_cut_off and self.peers.choose(()) is not None
+
+    async def serve(self, call: Call) -> Outcome | None:
+        """Serves a call that has not run; None if no gateway took it."""
+        excluded: set[str] = set()
+        while len(excluded) < MAX_PEERS:
+            peer = self.peers.choose(excluded)
+            if peer is None:
+                return None
+            excluded.add(peer.name)
+            try:
+                conn = await self._pool.take(as_replica(peer))
+            except EndpointUnreachableError:
+                continue
+            return await self._exchange(call, peer, conn)
+        return None
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._pool.close()
+
+    def close_expired(self) -> None:
+        """Closes connections that have been idle for too long."""
+        self._pool.close_expired()
+
+    async def _exchange(
+        self, call: Call, peer: ForwardPeer, conn: EndpointConnection
+    ) -> Outcome:
+        log.info(
+            'gateway: request forwarded',
+            request_id=call.info.request_id,
+            gateway=peer.name,
+            left_ms=round(call.remaining_ms()),
+        )
+        call.progress.forwarded_to = peer.name
+        answer = ForwardedAnswer(
+            call.conn,
+            lambda head: self._dialect.response_headers(head.headers),
+        )
+        request = call.request
+        head = self._dialect.request_headers(
+            Outgoing(request, request.body), None, call.remaining_ms()
+        )
+        start = b'%b %b HTTP/1.1\r\n' % (request.method, request.target)
+        try:
+            conn.send(start + head + request.body, call.info.request_id, answer)
+            is_whole = await answer.ended
+        finally:
+            # Closed, the connection tells the other gateway to stop.
+            if not answer.ended.done() or answer.ended.cancelled():
+                conn.abort()
+        if is_whole and answer.head is not None:
+            return Outcome(answer.head.status, FORWARDED)
+        if call.conn.has_head:
+            return Outcome(0, 'forwarded answer broken')
+        return answer_unknown_outcome(call)
+
+
+def as_replica(peer: ForwardPeer) -> Replica:
+    """Returns a gateway as an entry for the pool of connections."""
+    return Replica(
+        peer.name,
+        '',
+        peer.callers.host,
+        peer.callers.port,
+        '',
+        0,
+        is_draining=False,
+        born_ms=0,
+    )
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -11,6 +11,7 @@
 from cactusledge.gateway.answers import ANSWERED, refuse
 from cactusledge.gateway.calls import serve_call
 from cactusledge.gateway.context import Call, Fleet, Outcome, Progress
+from cactusledge.gateway.forwarding import FORWARDED
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.messages import (
     CallInfo,
@@ -28,6 +29,7 @@
 
 NOT_READY_RETRY_S = 0.2
 MS = 1000
+SERVED = frozenset((ANSWERED, FORWARDED))  # outcome reasons
 EXPECTED_STATUSES = frozenset((
     http.HTTPStatus.PAYMENT_REQUIRED,
     http.HTTPStatus.NOT_FOUND,
@@ -105,15 +107,25 @@
         service = choose_share(call.route.shares, call.info)
         try:
             async with asyncio.timeout_at(call.deadline_s):
-                if call.route.repeatability is Repeatability.STREAM:
-                    return await self._turns.serve(call, service)
-                return await serve_call(self.fleet, call, service)
+                return await self._serve_anywhere(call, service)
         except TimeoutError:
             if call.conn.has_head:
                 call.conn.close_incomplete()
                 return Outcome(0, 'timeout in the stream')
             return refuse(call.conn, http.HTTPStatus.GATEWAY_TIMEOUT, 'timeout')
 
+    async def _serve_anywhere(self, call: Call, service: str) -> Outcome:
+        """Serves a call here, or elsewhere if no endpoint is in reach."""
+        now_s = asyncio.get_running_loop().time()
+        forwarder = self.fleet.forwarder
+        if self.fleet.reach.is_stranded(now_s) and forwarder.can_forward(call):
+            outcome = await forwarder.serve(call)
+            if outcome is not None:
+                return outcome
+        if call.route.repeatability is Repeatability.STREAM:
+            return await self._turns.serve(call, service)
+        return await serve_call(self.fleet, call, service)
+
     def _log(
         self,
         request: Request,
@@ -141,6 +153,7 @@
             first_event_ms=progress.first_event_ms,
             endpoint_id=progress.contacted[-1] if progress.contacted else '',
             attempts=len(progress.contacted),
+            forwarded_to=progress.forwarded_to,
             **end_fields(progress.answer_end),
             **outcome._asdict(),
         )
@@ -152,7 +165,7 @@
     Refusals for a spent budget or an unknown route or parent do not count.
     """
     return (
-        outcome.reason != ANSWERED and outcome.status not in EXPECTED_STATUSES
+        outcome.reason not in SERVED and outcome.status not in EXPECTED_STATUSES
     )
 
 
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connection to an endpoint, on asyncio and `httptools`."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -59,7 +60,8 @@
         self._is_skipping = False
         self._framing = Framing.NONE
         self._idle_s: float | None = None
-        self.last_received_s = float(0)  # loop clock
+        self.last_received_s = float(0)  # or sent; loop clock
+        self.received_s = -math.inf  # loop clock
 
     @property
     def is_open(self) -> bool:
@@ -93,7 +95,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses the data; unsolicited data closes the connection."""
-        self.last_received_s = asyncio.get_running_loop().time()
+        self.received_s = asyncio.get_running_loop().time()
+        self.last_received_s = self.received_s
         if self._sink is None:
             self.abort()
             return
--- a/cactusledge/gateway/messages.py
+++ b/cactusledge/gateway/messages.py
@@ -144,6 +144,7 @@
     max_tokens: int
     parts: tuple[PromptPart, ...]  # of the prompt, in order
     last_event_id: str  # the stream continues after it, '' from the start
+    is_forwarded: bool = False  # by another gateway
 
 
 class EndpointAnswer(NamedTuple):
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -8,11 +8,13 @@
 from cactusledge.gateway.departures import DEFAULT_WINDOW_S, Departures
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.endpoint_limits import EndpointLimits
+from cactusledge.gateway.forwarding import Forwarder
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.pool import ConnectionPool
 from cactusledge.gateway.rationing import GrantSource, NoGrants
+from cactusledge.gateway.reach import EndpointReach
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.telemetry.metrics import Metrics
 
@@ -40,6 +42,7 @@
     """
     metrics = Metrics()
     departures = Departures(drain_s)
+    reach = EndpointReach()
     limits = EndpointLimits(place.instance)
     notes = AnswerNotes(
         DepartureReports(departures, metrics),
@@ -48,7 +51,7 @@
     return Fleet(
         ReplicaList(),
         Loads(),
-        ConnectionPool(dialect, notes.note),
+        ConnectionPool(dialect, notes.note, reach),
         dialect,
         place.data_centre,
         Partitions(),
@@ -56,4 +59,6 @@
         departures,
         limits,
         grants or NoGrants(),
+        reach,
+        Forwarder(dialect, reach),
     )
--- a/cactusledge/gateway/partitions.py
+++ b/cactusledge/gateway/partitions.py
@@ -4,6 +4,7 @@
 their silence shows a network partition sooner than any request would.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 from typing import Protocol
 
@@ -25,6 +26,10 @@
 
     @property
     def last_received_s(self) -> float:
+        """When data was last sent or received; loop clock."""
+
+    @property
+    def received_s(self) -> float:
         """When data was last received from the endpoint; loop clock."""
 
     def abandon(self) -> None:
@@ -57,6 +62,31 @@
             if is_silent and self._should_abandon(exchange):
                 exchange.abandon()
 
+    def last_received_s(self) -> float:
+        """Returns when an open exchange last received bytes; loop clock."""
+        return max(
+            (exchange.received_s for exchange in self._exchanges),
+            default=-math.inf,
+        )
+
+    def are_all_silent(self, now_s: float, limit_s: float) -> bool:
+        """Returns whether some exchange is open, and each silent so long."""
+        return bool(self._exchanges) and all(
+            now_s - exchange.last_received_s >= limit_s
+            for exchange in self._exchanges
+        )
+
+    def open_count(self) -> int:
+        """Returns how many exchanges are open."""
+        return len(self._exchanges)
+
+    def abandon_silent(self, now_s: float) -> None:
+        """Abandons silent exchanges, as no endpoint is in reach."""
+        for exchange in tuple(self._exchanges):
+            is_silent = now_s - exchange.last_received_s >= SILENCE_TIMEOUT_S
+            if is_silent and exchange.may_be_abandoned:
+                exchange.abandon()
+
     def prefer_reachable(
         self, replicas: Sequence[Replica]
     ) -> Sequence[Replica]:
--- a/cactusledge/gateway/pool.py
+++ b/cactusledge/gateway/pool.py
@@ -8,6 +8,7 @@
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.http_client import EndpointConnection
 from cactusledge.gateway.messages import EndpointAnswer, Lifetime, Replica
+from cactusledge.gateway.reach import EndpointReach
 
 CONNECT_TIMEOUT_S = 0.4
 DEFAULT_IDLE_S = 4.0
@@ -37,13 +38,18 @@
         self,
         dialect: Dialect,
         on_answer: Callable[[Replica, EndpointAnswer], None] = do_nothing,
+        reach: EndpointReach | None = None,
     ) -> None:
         """Starts without connections.
 
-        `on_answer` is called with an endpoint and the head of its answer.
+        Args:
+            dialect: Reads the heads of answers.
+            on_answer: Called with an endpoint and the head of its answer.
+            reach: Told of attempts to connect; stops them if all fail.
         """
         self._dialect = dialect
         self._on_answer = on_answer
+        self._reach = reach or EndpointReach()
         self._idle: dict[Lifetime, list[_Idle]] = {}
         self.opened = 0
 
@@ -60,8 +66,18 @@
             if conn.is_open and now_s < until_s:
                 return conn
             conn.abort()
+        if not self._reach.can_connect(now_s):
+            raise EndpointUnreachableError('no endpoint is in reach')
         return await self._open(replica)
 
+    async def probe(self, replica: Replica) -> None:
+        """Opens a connection and keeps it for a request.
+
+        Raises:
+            EndpointUnreachableError: The endpoint accepts no connection.
+        """
+        self._put(replica.lifetime, await self._open(replica), None)
+
     def forget(self, endpoint_id: str) -> None:
         """Closes the idle connections to an endpoint."""
         for lifetime in tuple(self._idle):
@@ -105,7 +121,9 @@
                     replica.port,
                 )
         except (OSError, TimeoutError) as exc:
+            self._reach.add_failed(replica.endpoint_id, loop.time())
             raise EndpointUnreachableError(repr(exc)) from exc
+        self._reach.add_connected()
         self.opened += 1
         return conn
 
--- /dev/null
+++ b/cactusledge/gateway/reach.py
@@ -0,0 +1,54 @@
+"""Decides whether this instance has lost its links to all endpoints; pure.
+
+One endpoint that is silent or refuses connections tells nothing about the
+instance. It is out of reach of all only if several endpoints cannot be
+connected to, and none has been since the first of them failed.
+"""
+
+import math
+
+SUSPECTED_BY = 2  # endpoints that could not be connected to
+CONFIRMED_BY = 4  # the same; all of them where fewer are listed
+FAILURE_TTL_S = 3.0  # of a failed attempt to connect
+SILENT_S = 0.4  # without a byte from any endpoint
+
+
+class EndpointReach:
+    """What attempts to connect and received bytes show of the links."""
+
+    def __init__(self) -> None:
+        """Starts with all endpoints in reach."""
+        self.listed = 0  # endpoints in the list
+        self.received_s = -math.inf  # when any endpoint last sent a byte
+        self._failed_s: dict[str, float] = {}  # by endpoint id
+
+    def add_connected(self) -> None:
+        """Adds a successful attempt to connect."""
+        self._failed_s.clear()
+
+    def add_failed(self, endpoint_id: str, now_s: float) -> None:
+        """Adds a failed attempt to connect."""
+        self._failed_s[endpoint_id] = now_s
+
+    def add_received(self, at_s: float) -> None:
+        """Adds that an endpoint has sent bytes."""
+        self.received_s = max(self.received_s, at_s)
+
+    def is_suspected(self, now_s: float) -> bool:
+        """Returns whether the endpoints may be out of reach."""
+        return self._have_failed(SUSPECTED_BY, now_s)
+
+    def can_connect(self, now_s: float) -> bool:
+        """Returns whether connecting to some endpoint may succeed."""
+        return not self._have_failed(CONFIRMED_BY, now_s)
+
+    def is_stranded(self, now_s: float) -> bool:
+        """Returns whether open connections are of no use either."""
+        is_silent = now_s - self.received_s >= SILENT_S
+        return is_silent and not self.can_connect(now_s)
+
+    def _have_failed(self, count: int, now_s: float) -> bool:
+        failed = sum(
+            now_s - at_s < FAILURE_TTL_S for at_s in self._failed_s.values()
+        )
+        return self.listed > 0 and failed >= min(count, self.listed)
--- a/cactusledge/gateway/selection.py
+++ b/cactusledge/gateway/selection.py
@@ -113,11 +113,14 @@
 
     async def _next_pass(self) -> bool:
         """Backs off and returns True while the retry window is open."""
+        loop = asyncio.get_running_loop()
+        if not self.fleet.reach.can_connect(loop.time()):
+            return False
         total_ms = self.call.age_ms() + self.call.remaining_ms()
         if (
             self.call.age_ms() > RETRY_WINDOW_SHARE * total_ms
             or not (self._tried or self._rationing.excluded)
-            or not self._usable(asyncio.get_running_loop().time())
+            or not self._usable(loop.time())
         ):
             return False
         pause_ms = min(INITIAL_BACKOFF_MS * 2**self._passes, MAX_BACKOFF_MS)
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -86,7 +86,8 @@
         try:
             return await self._serve_stream(call, service, stream, needs)
         finally:
-            if not stream.is_recorded and (needs.has_budget or stream.tokens):
+            is_open = not (stream.is_recorded or call.progress.forwarded_to)
+            if is_open and (needs.has_budget or stream.tokens):
                 self._records.settle(
                     account_of(info), info.request_id, stream.tokens
                 )
@@ -162,6 +163,11 @@
     ) -> Outcome:
         attempts = Attempts(self._fleet, call, service)
         result = await attempts.repeat(lambda: self._attempt(attempts, stream))
+        if result is None and self._fleet.forwarder.can_forward(call):
+            # The other gateway settles the reservation of this turn.
+            outcome = await self._fleet.forwarder.serve(call)
+            if outcome is not None:
+                return outcome
         if result is None:
             return refuse(
                 call.conn,
--- a/cactusledge/platform/headers.py
+++ b/cactusledge/platform/headers.py
@@ -28,6 +28,7 @@
 EXPECT_INSTANCE = b'x-cactusledge-expect-instance'  # an endpoint's id
 RESPONSE_SEAL = b'x-cactusledge-response-seal'  # MAC over an endpoint's answer
 NOT_EXECUTED = b'x-cactusledge-not-executed'
+FORWARDED = b'x-cactusledge-forwarded'  # by another gateway, to this one
 LEAVING = b'server-leaving'  # on all answers of an endpoint that leaves
 RATE_LIMIT = b'server-limit'  # requests a second, of all instances together
 LAST_EVENT_ID = b'last-event-id'  # a stream continues after this event
@@ -55,6 +56,7 @@
 RESERVED = frozenset((
     DEADLINE,
     EXPECT_INSTANCE,
+    FORWARDED,
     b'x-cactusledge-kv-hold',
     b'x-cactusledge-pin-ms',
     b'x-cactusledge-kv-backup',
@@ -88,15 +90,19 @@
             max_tokens=max_tokens,
             parts=parse_prompt_parts(by_name.get(PROMPT_PARTS, b'')),
             last_event_id=header_text(by_name, LAST_EVENT_ID),
+            is_forwarded=FORWARDED in by_name,
         )
 
     def request_headers(
         self,
         outgoing: Outgoing,
-        replica: Replica,
+        replica: Replica | None,
         deadline_ms: float,
     ) -> bytes:
-        """Returns the headers for an endpoint, up to the final empty line."""
+        """Returns the headers for an endpoint, up to the final empty line.
+
+        Without one they are for another gateway.
+        """
         request = outgoing.request
         dropped = NOT_FORWARDED | connection_options(request.headers)
         if outgoing.resume_after:
@@ -106,9 +112,14 @@
             for header in request.headers
             if header[0].lower() not in dropped
         ]
+        target = (
+            f'X-Cactusledge-Expect-Instance: {replica.endpoint_id}\r\n'
+            if replica
+            else 'X-Cactusledge-Forwarded: 1\r\n'
+        )
         lines.append(
             f'X-Cactusledge-Deadline-Ms: {max(1, int(deadline_ms))}\r\n'
-            f'X-Cactusledge-Expect-Instance: {replica.endpoint_id}\r\n'.encode()
+            f'{target}'.encode()
         )
         if outgoing.resume_after:
             lines.append(f'Last-Event-Id: {outgoing.resume_after}\r\n'.encode())
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -120,6 +120,18 @@
     names: list[str]
 
 
+class AskEndpoints(Message, frozen=True):
+    """Asks a gateway whether it reaches the endpoints."""
+
+
+class EndpointsInReach(Message, frozen=True):
+    """Whether a gateway reaches the endpoints, and its load."""
+
+    callers: str  # 'host:port' at which it takes requests
+    is_in_reach: bool
+    in_flight: int  # requests that it serves
+
+
 class AskBeliefs(Message, frozen=True):
     """Asks a gateway for its configuration and endpoints."""
 
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -154,6 +154,7 @@
     | gateways.ShareLoads
     | gateways.AskGrant
     | gateways.AskReach
+    | gateways.AskEndpoints
     | gateways.AskBeliefs
     | gateways.Relay
     | Ping
@@ -170,6 +171,7 @@
     | gateways.ReadNews
     | gateways.Granted
     | gateways.Reach
+    | gateways.EndpointsInReach
     | gateways.Beliefs
     | gateways.Relayed
     | Pong
--- a/cactusledge/records/relays.py
+++ b/cactusledge/records/relays.py
@@ -48,9 +48,13 @@
     def gateway_addresses(self) -> list[Address]:
         """Returns the other gateways, those of this data centre first."""
         return [
-            address_of(self._gateways[name]) for name in self._nearest_first()
+            address_of(member) for _, member in self.gateways_nearest_first()
         ]
 
+    def gateways_nearest_first(self) -> list[tuple[str, Member]]:
+        """Returns the other gateways, those of this data centre first."""
+        return [(name, self._gateways[name]) for name in self._nearest_first()]
+
     async def handle(self, body: messages.Body) -> messages.Body:
         """Returns the reply to another gateway's request."""
         if isinstance(body, AskReach):
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -121,6 +121,7 @@
         'gateway_failed_connects_total',
         'Attempts to connect to endpoints that failed.',
     ),
+    _gauge('gateway_stranded', '1 while no endpoint is in reach.'),
     _counter(
         'gateway_endpoint_limits_total',
         'Changes of limits that endpoints name, by how they became known.',
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -142,12 +142,6 @@
         yield harnesses[0]
 
 
-@asynccontextmanager
-async def introduced(harnesses):
-    """Lets gateways know of each other."""
-    yield
-
-
 def run_scenario(scenario, *endpoints):
     """Runs a scenario with a gateway in front of these endpoints."""
 
--- a/tests/test_gateway_bootstrap.py
+++ b/tests/test_gateway_bootstrap.py
@@ -7,6 +7,7 @@
 from cactusledge.gateway.bootstrap import PLATFORM_WAIT_S, PeerBootstrap
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.loads import Loads
+from cactusledge.gateway.peer_requests import PeerRequests
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.models import Address
 from cactusledge.records.gateway_messages import AskBeliefs, Beliefs
@@ -53,8 +54,9 @@
         async def main():
             async with running_gateway(Endpoint(answered)) as running:
                 exchange = PeerBootstrap(running.gateway, FakeRelays())
-                server = MessageServer(exchange.handle)
                 address = Address('127.0.0.1', free_port())
+                requests = PeerRequests(running.fleet, address, exchange, None)
+                server = MessageServer(requests.handle)
                 await server.start(address)
                 await scenario(running, address)
                 server.stop()
--- a/tests/test_gateway_stranded.py
+++ b/tests/test_gateway_stranded.py
@@ -10,7 +10,8 @@
 import pytest
 
 from tests.gateway_endpoints import SEAL, Endpoint, reply_of
-from tests.gateway_support import introduced, running_gateways
+from tests.gateway_peers import introduced
+from tests.gateway_support import running_gateways
 from tests.link_proxy import Cut, LinkProxy
 
 pytestmark = pytest.mark.process
