Give up endpoints' bytes that are no part of an answer and do not end

Cause: nothing counted bytes that make no progress.

Bytes in a row that are no part of the awaited body are counted; over 64 KiB of framing or 1 MiB of skipped answers the exchange ends as broken at once, so memory is bounded whatever the form, and the endpoint is ejected. Any body, of any length, resets the count.

--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -13,6 +13,7 @@
     TransferEnd,
     framing_of,
 )
+from cactusledge.gateway.byte_bounds import ByteBounds, ByteCount
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.messages import EndpointAnswer, Headers
 from cactusledge.records.frames import set_socket_options
@@ -58,6 +59,7 @@
         self._request_id = ''
         self._sink: AnswerSink | None = None
         self._is_skipping = False
+        self._byte_count = ByteCount(ByteBounds())
         self._framing = Framing.NONE
         self._idle_s: float | None = None
         self.last_received_s = float(0)  # or sent; loop clock
@@ -74,6 +76,7 @@
         self._request_id = request_id
         self._sink = sink
         self._framing = Framing.NONE
+        self._byte_count.begin_request()
         self.last_received_s = asyncio.get_running_loop().time()
         if self._transport is None:
             self._end(TransferEnd.RESET)
@@ -104,6 +107,9 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.abandon()
+            return
+        if not self._byte_count.add_received(len(data)):
+            self.abandon()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the response in progress by a close or a failure."""
@@ -127,22 +133,28 @@
         """Handles the head; skips a late response to another request."""
         status = self._parser.get_status_code()
         sink = self._sink
-        if sink is None or status < FIRST_FINAL_STATUS:
-            self._is_skipping = True
+        self._is_skipping = sink is None or status < FIRST_FINAL_STATUS
+        if sink is None or self._is_skipping:
+            self._byte_count.add_skipped()
             return
         answer = self._dialect.read_answer(status, self._headers)
         self._idle_s = answer.idle_s
         self._on_answer(answer)
         if answer.request_id and answer.request_id != self._request_id:
             self._is_skipping = True
+            self._byte_count.add_skipped()
             return
+        self._byte_count.add_progress()
         self._framing = framing_of(self._headers)
         sink.on_head(answer, self._framing)
 
     def on_body(self, body: bytes) -> None:
         """Takes a part of the body."""
-        if not self._is_skipping and self._sink is not None:
-            self._sink.on_body(body)
+        if self._is_skipping or self._sink is None:
+            self._byte_count.add_skipped()
+            return
+        self._byte_count.add_progress()
+        self._sink.on_body(body)
 
     def on_message_complete(self) -> None:
         """Ends the response and returns the connection for reuse."""
