Do not test the links again and again while an engine is busy

Callers would have seen engines with fewer connections to give: a gateway that waits for a busy engine, and hears of no other endpoint meanwhile, opened four connections each 0.4 s; on a fleet of 171 quiet gateways that is over a thousand a second. Cause: a test that had reached an endpoint was forgotten at once.

A test now tries two endpoints and, if it reaches one, is not repeated for 3 s; if it reaches none, endpoints with silent requests count as failed too, so a cut is still confirmed as soon.

--- a/cactusledge/gateway/partitions.py
+++ b/cactusledge/gateway/partitions.py
@@ -69,11 +69,12 @@
             default=-math.inf,
         )
 
-    def has_silent(self, now_s: float, limit_s: float) -> bool:
-        """Returns whether an open exchange has been silent for so long."""
-        return any(
-            now_s - exchange.last_received_s >= limit_s
+    def silent(self, now_s: float, limit_s: float) -> frozenset[str]:
+        """Returns the ids of endpoints with an exchange silent for so long."""
+        return frozenset(
+            exchange.replica.endpoint_id
             for exchange in self._exchanges
+            if now_s - exchange.last_received_s >= limit_s
         )
 
     def open_count(self) -> int:
--- a/cactusledge/gateway/reach.py
+++ b/cactusledge/gateway/reach.py
@@ -48,8 +48,14 @@
         is_silent = now_s - self.received_s >= SILENT_S
         return is_silent and not self.can_connect(now_s)
 
-    def _have_failed(self, count: int, now_s: float) -> bool:
-        failed = sum(
-            now_s - at_s < FAILURE_TTL_S for at_s in self._failed_s.values()
+    def failed(self, now_s: float) -> frozenset[str]:
+        """Returns the ids of endpoints that failed recently."""
+        return frozenset(
+            endpoint_id
+            for endpoint_id, at_s in self._failed_s.items()
+            if now_s - at_s < FAILURE_TTL_S
         )
+
+    def _have_failed(self, count: int, now_s: float) -> bool:
+        failed = len(self.failed(now_s))
         return self.listed > 0 and failed >= min(count, self.listed)
--- a/cactusledge/gateway/reach_watch.py
+++ b/cactusledge/gateway/reach_watch.py
@@ -8,9 +8,10 @@
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.messages import Replica
 from cactusledge.gateway.pool import EndpointUnreachableError
-from cactusledge.gateway.reach import CONFIRMED_BY, SILENT_S
+from cactusledge.gateway.reach import SILENT_S, SUSPECTED_BY
 
-PROBE_INTERVAL_S = 0.4
+FAILED_TEST_PAUSE_S = 0.1  # until the next test
+RETEST_S = 3.0  # after a test that reached an endpoint
 
 log = structlog.get_logger('gateway')
 
@@ -25,34 +26,51 @@
     def __init__(self, fleet: Fleet) -> None:
         """Stores the endpoints and their connections."""
         self._fleet = fleet
-        self._probed_s = float(0)
+        self._next_test_s = float(0)
         self._was_stranded = False
 
     async def step(self) -> None:
-        """Updates what is known; probes and abandons as it shows."""
-        now_s = asyncio.get_running_loop().time()
+        """Updates what is known; tests the links and abandons as it shows."""
+        loop = asyncio.get_running_loop()
         fleet = self._fleet
         fleet.reach.listed = len(fleet.replicas)
         fleet.reach.add_received(fleet.partitions.last_received_s())
-        if self._is_doubtful(now_s) and now_s >= self._probed_s:
-            self._probed_s = now_s + PROBE_INTERVAL_S
-            fleet.reach.doubted_s = now_s
-            await self._probe()
-        self._note(now_s)
+        if self._is_doubtful(loop.time()) and loop.time() >= self._next_test_s:
+            fleet.reach.doubted_s = loop.time()
+            is_in_reach = await self._test()
+            pause_s = RETEST_S if is_in_reach else FAILED_TEST_PAUSE_S
+            self._next_test_s = loop.time() + pause_s
+        self._note(loop.time())
 
     def _is_doubtful(self, now_s: float) -> bool:
         """Returns whether it is unclear if any endpoint is in reach."""
         if self._fleet.reach.is_suspected(now_s):
             return True
         is_silent = now_s - self._fleet.reach.received_s >= SILENT_S
-        return is_silent and self._fleet.partitions.has_silent(now_s, SILENT_S)
+        silent = self._fleet.partitions.silent(now_s, SILENT_S)
+        return is_silent and bool(silent)
+
+    async def _test(self) -> bool:
+        """Connects to endpoints that have not failed yet, if there are any.
 
-    async def _probe(self) -> None:
+        Returns whether one was reached. If not, those that are silent count
+        as failed too.
+        """
+        reach = self._fleet.reach
+        now_s = asyncio.get_running_loop().time()
+        failed = reach.failed(now_s)
         listed = self._fleet.replicas.all()
-        probed = random.sample(listed, min(CONFIRMED_BY, len(listed)))
-        await asyncio.gather(*(self._connect(replica) for replica in probed))
+        others = [one for one in listed if one.endpoint_id not in failed]
+        drawn = others or listed
+        probed = random.sample(drawn, min(SUSPECTED_BY, len(drawn)))
+        reached = await asyncio.gather(*map(self._connect, probed))
+        if any(reached):
+            return True
+        for endpoint_id in self._fleet.partitions.silent(now_s, SILENT_S):
+            reach.add_failed(endpoint_id, now_s)
+        return False
 
-    async def _connect(self, replica: Replica) -> None:
+    async def _connect(self, replica: Replica) -> bool:
         try:
             await self._fleet.pool.probe(replica)
         except EndpointUnreachableError as exc:
@@ -61,6 +79,8 @@
                 endpoint_id=replica.endpoint_id,
                 error=str(exc),
             )
+            return False
+        return True
 
     def _note(self, now_s: float) -> None:
         """Logs a change; ends exchanges that cannot go on."""
--- a/tests/test_gateway_stranded.py
+++ b/tests/test_gateway_stranded.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from cactusledge.gateway.reach import SUSPECTED_BY
 from tests.gateway_endpoints import SEAL, Endpoint, reply_of
 from tests.gateway_peers import introduced
 from tests.gateway_support import running_gateways
@@ -20,6 +21,19 @@
 SERVED_AFTER_S = {Cut.HANG: 2.0, Cut.RESET: 1.0, Cut.REFUSE: 1.0}
 CALL_PAUSE_S = 0.1
 CALLS_AFTER = 8
+BUSY_S = 1.8  # an engine answers within its route's timeout of 2 s
+
+
+class CountedEndpoint(Endpoint):
+    """Counts the connections that it accepts."""
+
+    def __init__(self, reply):
+        super().__init__(reply)
+        self.connections = 0
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        await super()._serve(reader, writer)
 
 
 def replying(head):
@@ -120,3 +134,22 @@
     assert set(statuses) == {200}
     assert len(heads) == CALLS_AFTER
     assert reach.received_s > 0  # also from answers between two checks
+
+
+# A quiet gateway that waits for a busy engine opened connections all the while.
+def test_busy_endpoint_is_not_flooded_with_connections():
+    endpoints = [CountedEndpoint(lambda head: None), CountedEndpoint(replying)]
+
+    async def main():
+        async with (
+            running_gateways(2, *endpoints) as harnesses,
+            introduced(harnesses),
+        ):
+            await harnesses[0].call('/once/x')
+            await asyncio.sleep(BUSY_S)
+            now_s = asyncio.get_running_loop().time()
+            return harnesses[0].fleet.reach.is_stranded(now_s)
+
+    assert not asyncio.run(main())
+    opened = sum(endpoint.connections for endpoint in endpoints)
+    assert opened <= 1 + SUSPECTED_BY  # the request's, and one test's
