Leave out endpoints whose address cannot be connected to

Callers would have seen nothing at first: a list entry with a port over 65535 passed the decoder, the attempt to connect raised OverflowError, and in the task that tests the links that ended all periodic work of the gateway: loads, relays, membership. Four cases of the test failed before. Ruled out: catching it where connections are opened, since such an entry names no endpoint anywhere.

--- a/cactusledge/platform/documents.py
+++ b/cactusledge/platform/documents.py
@@ -31,6 +31,7 @@
 ENDPOINT_STATES = frozenset(('ready', 'draining'))
 DEFAULT_ATTEMPTS = 2
 DEFAULT_LIMITS = Limits()
+MAX_PORT = 65535
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 log = structlog.get_logger('platform')
@@ -124,7 +125,10 @@
 
     Raises one of `DECODE_ERRORS` if a field is missing or has another type.
     """
-    host, _, port = spec['address'].rpartition(':')
+    host, _, port_text = spec['address'].rpartition(':')
+    port = int(port_text)
+    if not host or not 0 < port <= MAX_PORT:
+        raise ValueError(f'unusable address {host}:{port}')
     service, zone, state = spec['service'], spec['zone'], spec['state']
     slots, born = spec['slots'], spec.get('born', 0)
     if not all(isinstance(name, str) and name for name in (service, zone)):
@@ -137,7 +141,7 @@
         endpoint_id=endpoint_id,
         service=service,
         host=host,
-        port=int(port),
+        port=port,
         data_centre=zone,
         slots=slots,
         is_draining=state == 'draining',
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -287,6 +287,16 @@
     assert decode_replica(stored('i-1', body)) is None
 
 
+# A port out of range ended the task that tests the links, and with it all
+# periodic work of the gateway.
+@pytest.mark.parametrize(
+    'address', ['10.0.0.1:70000', '10.0.0.1:0', '10.0.0.1:-1', ':8080']
+)
+def test_endpoint_with_an_unusable_address_is_left_out(address):
+    body = {**SERVER, 'address': address}
+    assert decode_replica(stored('i-1', body)) is None
+
+
 def test_only_the_adapter_contains_names_of_the_platform():
     found = [
         f'{path.relative_to(ROOT)}: {name}'
