--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -123,8 +123,8 @@
 
 
 def can_send(fleet: Fleet) -> bool:
-    """Returns whether requests reach endpoints, or a gateway that does."""
+    """Returns whether endpoints are in reach, if only of another gateway."""
     now_s = asyncio.get_running_loop().time()
     if fleet.reach.is_stranded(now_s):
-        return fleet.forwarder.peers.choose(()) is not None
+        return fleet.forwarder.targets.choose(()) is not None
     return len(fleet.replicas) > 0
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -60,7 +60,7 @@
         self._forward_peers = ForwardPeers(
             fleet.reach, self._relays, parts.data_centre
         )
-        fleet.forwarder.peers = self._forward_peers
+        fleet.forwarder.targets = self._forward_peers
         requests = PeerRequests(
             fleet, parts.callers, self._bootstrap, self._relays
         )
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -40,7 +40,7 @@
 class CallForwarder(Protocol):
     """Serves calls through other gateways."""
 
-    peers: ForwardTargets
+    targets: ForwardTargets
 
     def can_forward(self, call: 'Call') -> bool:
         """Returns whether a gateway may take the call."""
--- a/cactusledge/gateway/departure_reports.py
+++ b/cactusledge/gateway/departure_reports.py
@@ -1,10 +1,10 @@
 """Notes the departures of endpoints and exchanges them between instances."""
 
-import asyncio
 from collections.abc import Iterable
 
 import structlog
 
+from cactusledge.gateway.clock import now
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.messages import Replica
 from cactusledge.records.gateway_messages import LeavingEndpoint
@@ -41,8 +41,3 @@
         log.info(
             'gateway: endpoint leaving', source=source, **leaving._asdict()
         )
-
-
-def now() -> float:
-    """Returns the time of the event loop in seconds."""
-    return asyncio.get_running_loop().time()
--- a/cactusledge/gateway/exchange.py
+++ b/cactusledge/gateway/exchange.py
@@ -28,9 +28,9 @@
         return self._repeatability is not Repeatability.ONCE
 
     @property
-    def last_received_s(self) -> float:
+    def last_activity_s(self) -> float:
         """When data was last sent or received; loop clock."""
-        return self._conn.last_received_s
+        return self._conn.last_activity_s
 
     @property
     def received_s(self) -> float:
--- a/cactusledge/gateway/forwarding.py
+++ b/cactusledge/gateway/forwarding.py
@@ -25,7 +25,7 @@
 from cactusledge.gateway.responder import Responder
 
 FORWARDED = 'forwarded'  # outcome reason: another gateway has served it
-MAX_PEERS = 2  # gateways tried for one request
+MAX_TARGETS = 2  # gateways tried for one request
 
 log = structlog.get_logger('gateway')
 
@@ -98,8 +98,8 @@
     """Forwards requests to other gateways, over connections of its own."""
 
     def __init__(self, dialect: Dialect, reach: EndpointReach) -> None:
-        """Starts without peers."""
-        self.peers: ForwardTargets = NoTargets()
+        """Starts without another gateway."""
+        self.targets: ForwardTargets = NoTargets()
         self._dialect = dialect
         self._reach = reach
         self._pool = ConnectionPool(dialect)
@@ -113,13 +113,13 @@
             return False
         now_s = asyncio.get_running_loop().time()
         is_cut_off = not self._reach.can_connect(now_s)
-        return is_cut_off and self.peers.choose(()) is not None
+        return is_cut_off and self.targets.choose(()) is not None
 
     async def serve(self, call: Call) -> Outcome | None:
         """Serves a call that has not run; None if no gateway took it."""
         excluded: set[str] = set()
-        while len(excluded) < MAX_PEERS:
-            peer = self.peers.choose(excluded)
+        while len(excluded) < MAX_TARGETS:
+            peer = self.targets.choose(excluded)
             if peer is None:
                 return None
             excluded.add(peer.name)
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -62,7 +62,7 @@
         self._byte_count = ByteCount(ByteBounds())
         self._framing = Framing.NONE
         self._idle_s: float | None = None
-        self.last_received_s = float(0)  # or sent; loop clock
+        self.last_activity_s = float(0)  # or sent; loop clock
         self.received_s = -math.inf  # loop clock
 
     @property
@@ -77,7 +77,7 @@
         self._sink = sink
         self._framing = Framing.NONE
         self._byte_count.begin_request()
-        self.last_received_s = asyncio.get_running_loop().time()
+        self.last_activity_s = asyncio.get_running_loop().time()
         if self._transport is None:
             self._end(TransferEnd.RESET)
             return
@@ -99,7 +99,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses the data; unsolicited data closes the connection."""
         self.received_s = asyncio.get_running_loop().time()
-        self.last_received_s = self.received_s
+        self.last_activity_s = self.received_s
         if self._sink is None:
             self.abort()
             return
--- a/cactusledge/gateway/limit_reports.py
+++ b/cactusledge/gateway/limit_reports.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from cactusledge.gateway.departure_reports import now
+from cactusledge.gateway.clock import now
 from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.messages import EndpointAnswer, Replica
 from cactusledge.records.gateway_messages import NamedLimit
--- a/cactusledge/gateway/partitions.py
+++ b/cactusledge/gateway/partitions.py
@@ -25,7 +25,7 @@
         """Whether the caller can retry after a broken exchange."""
 
     @property
-    def last_received_s(self) -> float:
+    def last_activity_s(self) -> float:
         """When data was last sent or received; loop clock."""
 
     @property
@@ -58,11 +58,11 @@
         if not self.unreachable:
             return
         for exchange in tuple(self._exchanges):
-            is_silent = now_s - exchange.last_received_s >= SILENCE_TIMEOUT_S
+            is_silent = now_s - exchange.last_activity_s >= SILENCE_TIMEOUT_S
             if is_silent and self._should_abandon(exchange):
                 exchange.abandon()
 
-    def last_received_s(self) -> float:
+    def received_s(self) -> float:
         """Returns when an open exchange last received bytes; loop clock."""
         return max(
             (exchange.received_s for exchange in self._exchanges),
@@ -74,7 +74,7 @@
         return frozenset(
             exchange.replica.endpoint_id
             for exchange in self._exchanges
-            if now_s - exchange.last_received_s >= limit_s
+            if now_s - exchange.last_activity_s >= limit_s
         )
 
     def open_count(self) -> int:
@@ -84,7 +84,7 @@
     def abandon_silent(self, now_s: float, limit_s: float) -> None:
         """Abandons silent exchanges, as no endpoint is in reach."""
         for exchange in tuple(self._exchanges):
-            is_silent = now_s - exchange.last_received_s >= limit_s
+            is_silent = now_s - exchange.last_activity_s >= limit_s
             if is_silent and exchange.may_be_abandoned:
                 exchange.abandon()
 
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -145,7 +145,7 @@
             return await answer.ended
         while not answer.ended.done():
             now_s = asyncio.get_running_loop().time()
-            left_s = conn.last_received_s + limit_s - now_s
+            left_s = conn.last_activity_s + limit_s - now_s
             if left_s <= 0:
                 conn.abandon()
             else:
--- a/cactusledge/platform/headers.py
+++ b/cactusledge/platform/headers.py
@@ -112,15 +112,13 @@
             for header in request.headers
             if header[0].lower() not in dropped
         ]
-        target = (
+        recipient = (
             f'X-Cactusledge-Expect-Instance: {replica.endpoint_id}\r\n'
             if replica
             else 'X-Cactusledge-Forwarded: 1\r\n'
         )
-        lines.append(
-            f'X-Cactusledge-Deadline-Ms: {max(1, int(deadline_ms))}\r\n'
-            f'{target}'.encode()
-        )
+        deadline = f'X-Cactusledge-Deadline-Ms: {max(1, int(deadline_ms))}\r\n'
+        lines.append(f'{deadline}{recipient}'.encode())
         if outgoing.resume_after:
             lines.append(f'Last-Event-Id: {outgoing.resume_after}\r\n'.encode())
         if outgoing.body or request.method in BODY_METHODS:
--- a/cactusledge/records/known_limits.py
+++ b/cactusledge/records/known_limits.py
@@ -27,7 +27,7 @@
 
     born_ms: int  # start of the endpoint's lifetime, Unix milliseconds
     per_s: float  # requests a second, of all instances together
-    seen_s: float  # when an answer last named it, or first did not any more
+    seen_s: float  # when it was last named, or its end was first seen
     is_ended: bool
 
     def rate_per_s(self, now_s: float) -> float | None:
--- a/tests/gateway_peers.py
+++ b/tests/gateway_peers.py
@@ -52,7 +52,7 @@
         }
         fleet = self._harness.fleet
         peers = ForwardPeers(fleet.reach, StubDirectory(members), 'dc-a')
-        fleet.forwarder.peers = peers
+        fleet.forwarder.targets = peers
         self._tasks = [
             asyncio.ensure_future(peers.run()),
             asyncio.ensure_future(self._keep_watching()),
@@ -63,7 +63,7 @@
         self.server.stop()
         for task in self._tasks:
             task.cancel()
-        self._harness.fleet.forwarder.peers.stop()
+        self._harness.fleet.forwarder.targets.stop()
         self._harness.fleet.forwarder.close()
 
     async def _keep_watching(self):
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -45,7 +45,7 @@
         async with running_gateway(own) as harness:
             server = await other.start()
             strand(harness, listed)
-            harness.fleet.forwarder.peers = OneTarget(other.port)
+            harness.fleet.forwarder.targets = OneTarget(other.port)
             result = await scenario(harness)
             assert not own.requests
             server.close()
@@ -147,7 +147,7 @@
     async def main():
         async with running_gateway(Endpoint(answered)) as harness:
             strand(harness, 4)
-            harness.fleet.forwarder.peers = OneTarget(1)
+            harness.fleet.forwarder.targets = OneTarget(1)
             caller = await harness.call('/once/x')
             status, head, _ = await caller.read()
             return status, field(head, 'retry-after')
--- a/tests/test_gateway_partitions.py
+++ b/tests/test_gateway_partitions.py
@@ -17,9 +17,9 @@
 class FakeExchange:
     """Stub of an exchange with a fixed time of the last received data."""
 
-    def __init__(self, found, abandoned, last_received_s, may_be_abandoned):
+    def __init__(self, found, abandoned, last_activity_s, may_be_abandoned):
         self.replica = found
-        self.last_received_s = last_received_s
+        self.last_activity_s = last_activity_s
         self.may_be_abandoned = may_be_abandoned
         self._abandoned = abandoned
 
@@ -32,10 +32,10 @@
 
 
 def exchange(
-    endpoint_id, data_centre, abandoned, *, last_received_s=0, may=True
+    endpoint_id, data_centre, abandoned, *, last_activity_s=0, may=True
 ):
     found = replica(endpoint_id, data_centre)
-    return FakeExchange(found, abandoned, last_received_s, may)
+    return FakeExchange(found, abandoned, last_activity_s, may)
 
 
 def test_only_silent_repeatable_exchanges_in_the_partition_are_abandoned():
@@ -43,7 +43,7 @@
     partitions = Partitions()
     for open_one in (
         exchange('cut', 'dc-b', abandoned),
-        exchange('responsive', 'dc-b', abandoned, last_received_s=9.9),
+        exchange('responsive', 'dc-b', abandoned, last_activity_s=9.9),
         exchange('once', 'dc-b', abandoned, may=False),
         exchange('near', 'dc-a', abandoned),
     ):
