Log keys of requests, and endpoints that end while they run them

A line named a request by its id, which each attempt has anew, and a broken exchange did not say whether its endpoint had ended; so hypotheses 1 to 3 looked alike. Decisions are unchanged: a gateway now tests an endpoint whose connection broke, at once, and logs its end if its address refuses while others are reached, or the list names a later lifetime.

Ruled out: gateways that send it on by themselves, and engines that end from load (2 to 20 requests for 24 slots).

--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -8,6 +8,7 @@
 from cactusledge.gateway.bootstrap import PeerBootstrap
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.departure_reports import DepartureReports
+from cactusledge.gateway.end_watch import EndWatch
 from cactusledge.gateway.forward_peers import ForwardPeers
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.limit_reports import LimitReports
@@ -25,6 +26,7 @@
 
 MAINTENANCE_INTERVAL_S = 0.5
 PARTITION_CHECK_INTERVAL_S = 0.1
+END_CHECK_INTERVAL_S = 0.02  # while there is a doubt
 
 log = structlog.get_logger('gateway')
 
@@ -57,6 +59,7 @@
         )
         self._bootstrap = PeerBootstrap(gateway, self._relays)
         self._reach_watch = ReachWatch(fleet)
+        self._end_watch = EndWatch(fleet)
         self._forward_peers = ForwardPeers(
             fleet.reach, self._relays, parts.data_centre
         )
@@ -79,6 +82,7 @@
             self._load_exchange.run(),
             self._forward_peers.run(),
             self._watch_reach(),
+            self._watch_ends(),
         )
 
     def stop(self) -> None:
@@ -108,11 +112,18 @@
             await self._reach_watch.step()
             await asyncio.sleep(PARTITION_CHECK_INTERVAL_S)
 
+    async def _watch_ends(self) -> None:
+        while True:
+            await self._fleet.ends.doubted.wait()
+            await self._end_watch.step()
+            await asyncio.sleep(END_CHECK_INTERVAL_S)
+
     async def _maintain(self) -> None:
         while True:
             self._fleet.pool.close_expired()
             self._fleet.forwarder.close_expired()
             self._fleet.loads.prune(self._fleet.replicas.ids())
+            self._fleet.reach.prune(self._fleet.replicas.ids())
             update_gauges(self._fleet, self._records)
             await self._finder.run()
             await self._bootstrap.run(asyncio.get_running_loop().time())
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -6,6 +6,7 @@
 from cactusledge.gateway.answer_end import AnswerEnd
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.dialect import Dialect
+from cactusledge.gateway.endpoint_ends import EndpointEnds
 from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.forward_peers import ForwardTargets
 from cactusledge.gateway.loads import Loads
@@ -15,6 +16,7 @@
 from cactusledge.gateway.rationing import GrantSource
 from cactusledge.gateway.reach import EndpointReach
 from cactusledge.gateway.replicas import ReplicaList
+from cactusledge.gateway.request_keys import RequestKeys
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
 from cactusledge.telemetry.metrics import Metrics
@@ -35,6 +37,7 @@
     grants: GrantSource
     reach: EndpointReach
     forwarder: 'CallForwarder'
+    ends: EndpointEnds
 
 
 class CallForwarder(Protocol):
@@ -70,6 +73,7 @@
     """A request being served."""
 
     request: Request
+    keys: RequestKeys
     info: CallInfo
     route: Route
     table: RouteTable
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -22,6 +22,7 @@
     Route,
     Share,
 )
+from cactusledge.gateway.request_keys import RequestKeys, keys_of
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
 from cactusledge.gateway.turns import TurnServer
@@ -63,13 +64,14 @@
     async def serve(self, request: Request, conn: Responder) -> None:
         """Serves one request and logs how it ended."""
         info = self.fleet.dialect.read_call(request)
+        keys = keys_of(request, info.host)
         table = self.table
         route = table.find(info.host, info.path) if table else None
         outcome = Outcome(0, 'caller left')
         progress = Progress()
         try:
             outcome = await self._dispatch(
-                request, info, conn, table, route, progress
+                request, keys, info, conn, table, route, progress
             )
         finally:
             self._log(request, info, route, outcome, progress)
@@ -77,6 +79,7 @@
     async def _dispatch(
         self,
         request: Request,
+        keys: RequestKeys,
         info: CallInfo,
         conn: Responder,
         table: RouteTable | None,
@@ -94,6 +97,7 @@
             return refuse(conn, http.HTTPStatus.NOT_FOUND, 'no route')
         call = Call(
             request,
+            keys,
             info,
             route,
             table,
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -7,6 +7,7 @@
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import DEFAULT_WINDOW_S, Departures
 from cactusledge.gateway.dialect import Dialect
+from cactusledge.gateway.endpoint_ends import EndpointEnds
 from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.forwarding import Forwarder
 from cactusledge.gateway.limit_reports import LimitReports
@@ -61,4 +62,5 @@
         grants or NoGrants(),
         reach,
         Forwarder(dialect, reach),
+        EndpointEnds(reach),
     )
--- a/cactusledge/gateway/partitions.py
+++ b/cactusledge/gateway/partitions.py
@@ -62,12 +62,14 @@
             if is_silent and self._should_abandon(exchange):
                 exchange.abandon()
 
-    def received_s(self) -> float:
-        """Returns when an open exchange last received bytes; loop clock."""
-        return max(
-            (exchange.received_s for exchange in self._exchanges),
-            default=-math.inf,
-        )
+    def received_s(self) -> dict[str, float]:
+        """Returns when open exchanges last received bytes, by endpoint id."""
+        latest: dict[str, float] = {}
+        for exchange in self._exchanges:
+            endpoint_id = exchange.replica.endpoint_id
+            known_s = latest.get(endpoint_id, -math.inf)
+            latest[endpoint_id] = max(known_s, exchange.received_s)
+        return latest
 
     def silent(self, now_s: float, limit_s: float) -> frozenset[str]:
         """Returns the ids of endpoints with an exchange silent for so long."""
--- a/cactusledge/gateway/pool.py
+++ b/cactusledge/gateway/pool.py
@@ -125,9 +125,13 @@
                     replica.port,
                 )
         except (OSError, TimeoutError) as exc:
-            self._reach.add_failed(replica.endpoint_id, loop.time())
+            self._reach.add_failed(
+                replica.endpoint_id,
+                loop.time(),
+                is_refused=isinstance(exc, ConnectionRefusedError),
+            )
             raise EndpointUnreachableError(repr(exc)) from exc
-        self._reach.add_connected()
+        self._reach.add_connected(replica.endpoint_id, loop.time())
         self.opened += 1
         return conn
 
--- a/cactusledge/gateway/reach.py
+++ b/cactusledge/gateway/reach.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Collection
 
 SUSPECTED_BY = 2  # endpoints that could not be connected to
 CONFIRMED_BY = 4  # the same; all of them where fewer are listed
@@ -21,19 +22,52 @@
         self.listed = 0  # endpoints in the list
         self.received_s = -math.inf  # when any endpoint last sent a byte
         self.doubted_s = -math.inf  # when the links were last tested
-        self._failed_s: dict[str, float] = {}  # by endpoint id
+        # By endpoint id:
+        self._failed_s: dict[str, float] = {}
+        self._refused_s: dict[str, float] = {}
+        self._connected_s: dict[str, float] = {}
+        self._received_s: dict[str, float] = {}
 
-    def add_connected(self) -> None:
+    def add_connected(self, endpoint_id: str, now_s: float) -> None:
         """Adds a successful attempt to connect."""
         self._failed_s.clear()
+        self._connected_s[endpoint_id] = now_s
 
-    def add_failed(self, endpoint_id: str, now_s: float) -> None:
-        """Adds a failed attempt to connect."""
+    def add_failed(
+        self, endpoint_id: str, now_s: float, *, is_refused: bool = False
+    ) -> None:
+        """Adds a failed attempt to connect; a host may have refused it."""
         self._failed_s[endpoint_id] = now_s
+        if is_refused:
+            self._refused_s[endpoint_id] = now_s
 
-    def add_received(self, at_s: float) -> None:
+    def add_received(self, endpoint_id: str, at_s: float) -> None:
         """Adds that an endpoint has sent bytes."""
         self.received_s = max(self.received_s, at_s)
+        self._received_s[endpoint_id] = at_s
+
+    def refused_s(self, endpoint_id: str) -> float:
+        """Returns when an endpoint's address last refused a connection."""
+        return self._refused_s.get(endpoint_id, -math.inf)
+
+    def connected_s(self, endpoint_id: str) -> float:
+        """Returns when a connection to an endpoint was last opened."""
+        return self._connected_s.get(endpoint_id, -math.inf)
+
+    def has_reached_other(self, endpoint_id: str, since_s: float) -> bool:
+        """Returns whether another endpoint was reached since a time."""
+        return any(
+            at_s > since_s
+            for seen in (self._connected_s, self._received_s)
+            for other, at_s in seen.items()
+            if other != endpoint_id
+        )
+
+    def prune(self, endpoint_ids: Collection[str]) -> None:
+        """Forgets endpoints that are not in the list."""
+        for seen in (self._refused_s, self._connected_s, self._received_s):
+            for endpoint_id in seen.keys() - set(endpoint_ids):
+                seen.pop(endpoint_id)
 
     def is_suspected(self, now_s: float) -> bool:
         """Returns whether the endpoints may be out of reach."""
--- a/cactusledge/gateway/reach_watch.py
+++ b/cactusledge/gateway/reach_watch.py
@@ -34,7 +34,8 @@
         loop = asyncio.get_running_loop()
         fleet = self._fleet
         fleet.reach.listed = len(fleet.replicas)
-        fleet.reach.add_received(fleet.partitions.received_s())
+        for endpoint_id, at_s in fleet.partitions.received_s().items():
+            fleet.reach.add_received(endpoint_id, at_s)
         if self._is_doubtful(loop.time()) and loop.time() >= self._next_test_s:
             fleet.reach.doubted_s = loop.time()
             is_in_reach = await self._test()
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from cactusledge.gateway.answer_end import end_fields
+from cactusledge.gateway.answer_end import TransferEnd, end_fields
 from cactusledge.gateway.context import Call, Fleet
 from cactusledge.gateway.exchange import OpenExchange
 from cactusledge.gateway.http_client import EndpointConnection
@@ -17,6 +17,9 @@
 from cactusledge.gateway.silence import silence_limit_s
 from cactusledge.gateway.sinks import BufferedAnswer, ExchangeEnd, is_success
 
+# By the endpoint or the link; an abandoned one was closed here.
+LOST_CONNECTIONS = frozenset((TransferEnd.CLOSED, TransferEnd.RESET))
+
 log = structlog.get_logger('gateway')
 
 Attempt = Callable[[], Awaitable['ExchangeResult | None']]
@@ -58,6 +61,8 @@
         log.info(
             'gateway: request sent',
             request_id=self.call.info.request_id,
+            request_key=self.call.keys.exact,
+            target_key=self.call.keys.target,
             endpoint_id=replica.endpoint_id,
             endpoint_data_centre=replica.data_centre,
             in_flight=load.in_flight,
@@ -76,7 +81,7 @@
                 answer,
             )
             end = await self._end_of(replica, conn, answer)
-        self.fleet.reach.add_received(conn.received_s)
+        self.fleet.reach.add_received(replica.endpoint_id, conn.received_s)
         self.call.progress.answer_end = answer.answer_end
         self.fleet.metrics.add('gateway_exchanges_total', end=end)
         self.fleet.metrics.add(
@@ -86,6 +91,7 @@
             log.warning(
                 'gateway: exchange failed',
                 request_id=self.call.info.request_id,
+                request_key=self.call.keys.exact,
                 endpoint_id=replica.endpoint_id,
                 end=end,
                 status=answer.head.status if answer.head else 0,
@@ -99,6 +105,7 @@
                 load.record_success(took_ms / answer.work_units, loop.time())
         elif end is ExchangeEnd.BROKEN:
             self._record_failure(replica)
+            self._doubt(replica, answer)
         return ExchangeResult(replica, answer, end)
 
     async def repeat(self, attempt: Attempt) -> ExchangeResult | None:
@@ -198,6 +205,14 @@
             outgoing.body,
         ))
 
+    def _doubt(self, replica: Replica, answer: BufferedAnswer) -> None:
+        """Notes a connection that broke although the endpoint should stay."""
+        seen = answer.answer_end
+        is_lost = seen is not None and seen.transfer.end in LOST_CONNECTIONS
+        if is_lost and not self.fleet.departures.is_leaving(replica):
+            now_s = asyncio.get_running_loop().time()
+            self.fleet.ends.add_broken(replica, self.call.keys, now_s)
+
     def _record_failure(self, replica: Replica) -> None:
         now_s = asyncio.get_running_loop().time()
         self.fleet.loads.of(replica.endpoint_id).record_failure(now_s)
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -121,6 +121,11 @@
         'gateway_failed_connects_total',
         'Attempts to connect to endpoints that failed.',
     ),
+    _counter(
+        'gateway_endpoint_ends_total',
+        'Endpoints that ended while they ran requests, by what shows it.',
+        'sign',
+    ),
     _gauge('gateway_stranded', '1 while no endpoint is in reach.'),
     _counter(
         'gateway_endpoint_limits_total',
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -28,7 +28,7 @@
 
 
 def test_all_links_lost(reach):
-    reach.add_received(1)
+    reach.add_received('e9', 1)
     fail(reach, CONFIRMED_BY, 2)
     assert reach.is_stranded(2)
     assert not reach.can_connect(2)
@@ -48,7 +48,7 @@
 
 def test_one_success_clears_all_failures(reach):
     fail(reach, CONFIRMED_BY, 1)
-    reach.add_connected()
+    reach.add_connected('e9', 1)
     assert reach.can_connect(1)
     assert not reach.is_suspected(1)
 
@@ -56,7 +56,7 @@
 # Open connections lived on while new ones were refused.
 def test_instance_that_still_receives_is_not_stranded(reach):
     fail(reach, CONFIRMED_BY, 1)
-    reach.add_received(1)
+    reach.add_received('e9', 1)
     assert not reach.is_stranded(1 + SILENT_S / 2)
     assert not reach.can_connect(1 + SILENT_S / 2)
     assert reach.is_stranded(1 + SILENT_S * 2)
