--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -78,20 +78,25 @@
     def list_endpoints(self, endpoints):
         """Lists endpoints that have started, the first as the fastest."""
         for index, endpoint in enumerate(endpoints):
-            self.fleet.replicas.put(
-                Replica(
-                    f'e{index}',
-                    'svc',
-                    '127.0.0.1',
-                    endpoint.port,
-                    'dc-b' if index else 'dc-a',
-                    4,
-                    is_draining=False,
-                    born_ms=1,
-                )
-            )
+            data_centre = 'dc-b' if index else 'dc-a'
+            self.list_endpoint(f'e{index}', endpoint, data_centre)
             self.fleet.loads.of(f'e{index}').latency_ms = 10 + 100 * index
 
+    def list_endpoint(self, endpoint_id, endpoint, data_centre='dc-a'):
+        """Lists an endpoint, or its later lifetime."""
+        self.fleet.replicas.put(
+            Replica(
+                endpoint_id,
+                'svc',
+                '127.0.0.1',
+                endpoint.port,
+                data_centre,
+                4,
+                is_draining=False,
+                born_ms=getattr(endpoint, 'born_ms', 1),
+            )
+        )
+
     async def listen(self):
         """Opens the port for callers; returns the server."""
         server = await asyncio.get_running_loop().create_server(
