Stop requests that crash the endpoints that run them

Cause: what ran on an endpoint when it ended was remembered by nobody. Each attempt comes with a new id, to any gateway, so each took it for a new request. Class: evidence about a request that is kept for less long than the request.

Change: gateways and stores keep which requests ran on endpoints that ended (records/crash_history.py), by a digest of method, host, path and body, and of the same without the body, as a turn comes with and without its context. A request with three ends that no other request explains better, and that nobody answered, is refused at once everywhere (records/crash_evidence.py): 503, as it has not run, with the time until it may be tried again as Retry-After; after it one more end stops it for twice as long. 4xx was ruled out: the gateway knows that endpoints ended, not that the request is wrong.

--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -53,6 +53,7 @@
             fleet.loads,
             DepartureReports(fleet.departures, fleet.metrics),
             LimitReports(fleet.limits, fleet.metrics),
+            fleet.crashes,
         )
         self._finder = GroupFinder(
             records, parts.seeds, GroupObjects(parts.objects)
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from cactusledge.gateway.answer_end import AnswerEnd
+from cactusledge.gateway.crash_reports import CrashReports
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.endpoint_ends import EndpointEnds
@@ -16,9 +17,10 @@
 from cactusledge.gateway.rationing import GrantSource
 from cactusledge.gateway.reach import EndpointReach
 from cactusledge.gateway.replicas import ReplicaList
-from cactusledge.gateway.request_keys import RequestKeys
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
+from cactusledge.records.crash_evidence import CrashEvidence
+from cactusledge.records.gateway_messages import RequestKeys
 from cactusledge.telemetry.metrics import Metrics
 
 
@@ -38,6 +40,8 @@
     reach: EndpointReach
     forwarder: 'CallForwarder'
     ends: EndpointEnds
+    evidence: CrashEvidence
+    crashes: CrashReports
 
 
 class CallForwarder(Protocol):
--- a/cactusledge/gateway/end_watch.py
+++ b/cactusledge/gateway/end_watch.py
@@ -42,6 +42,7 @@
 
     def _note(self, ended: EndedEndpoint) -> None:
         self._fleet.metrics.add('gateway_endpoint_ends_total', sign=ended.sign)
+        self._fleet.crashes.note_ended(ended)
         log.warning(
             'gateway: endpoint ended',
             endpoint_id=ended.replica.endpoint_id,
--- a/cactusledge/gateway/endpoint_ends.py
+++ b/cactusledge/gateway/endpoint_ends.py
@@ -13,7 +13,7 @@
 
 from cactusledge.gateway.messages import Lifetime, Replica
 from cactusledge.gateway.reach import EndpointReach
-from cactusledge.gateway.request_keys import RequestKeys
+from cactusledge.records.gateway_messages import RequestKeys
 
 DOUBT_TTL_S = 8.0  # since a connection broke; lists are updated within it
 MAX_RUNS = 1024  # requests kept of one endpoint
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -22,13 +22,15 @@
     Route,
     Share,
 )
-from cactusledge.gateway.request_keys import RequestKeys, keys_of
+from cactusledge.gateway.request_keys import keys_of
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
 from cactusledge.gateway.turns import TurnServer
 from cactusledge.records.client import RecordClient
+from cactusledge.records.gateway_messages import RequestKeys
 
 NOT_READY_RETRY_S = 0.2
+CRASHES_ENDPOINTS = 'crashes endpoints'  # outcome reason
 MS = 1000
 SERVED = frozenset((ANSWERED, FORWARDED))  # outcome reasons
 EXPECTED_STATUSES = frozenset((
@@ -121,6 +123,14 @@
     async def _serve_anywhere(self, call: Call, service: str) -> Outcome:
         """Serves a call here, or elsewhere if no endpoint is in reach."""
         now_s = asyncio.get_running_loop().time()
+        stopped_for_s = self.fleet.evidence.stopped_for_s(call.keys, now_s)
+        if stopped_for_s:
+            return refuse(
+                call.conn,
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                CRASHES_ENDPOINTS,
+                stopped_for_s,
+            )
         forwarder = self.fleet.forwarder
         if self.fleet.reach.is_stranded(now_s) and forwarder.can_forward(call):
             outcome = await forwarder.serve(call)
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -4,6 +4,7 @@
 
 from cactusledge.gateway.answer_notes import AnswerNotes
 from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.crash_reports import CrashReports
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import DEFAULT_WINDOW_S, Departures
 from cactusledge.gateway.dialect import Dialect
@@ -17,6 +18,7 @@
 from cactusledge.gateway.rationing import GrantSource, NoGrants
 from cactusledge.gateway.reach import EndpointReach
 from cactusledge.gateway.replicas import ReplicaList
+from cactusledge.records.crash_evidence import CrashEvidence
 from cactusledge.telemetry.metrics import Metrics
 
 
@@ -45,6 +47,7 @@
     departures = Departures(drain_s)
     reach = EndpointReach()
     limits = EndpointLimits(place.instance)
+    evidence = CrashEvidence()
     notes = AnswerNotes(
         DepartureReports(departures, metrics),
         LimitReports(limits, metrics),
@@ -63,4 +66,6 @@
         reach,
         Forwarder(dialect, reach),
         EndpointEnds(reach),
+        evidence,
+        CrashReports(evidence, metrics),
     )
--- a/cactusledge/gateway/request_keys.py
+++ b/cactusledge/gateway/request_keys.py
@@ -5,25 +5,14 @@
 """
 
 import hashlib
-from typing import NamedTuple
 
 from cactusledge.gateway.messages import Request
+from cactusledge.records.gateway_messages import RequestKeys
 
 KEY_BYTES = 8
 SEPARATOR = b'\0'
 
 
-class RequestKeys(NamedTuple):
-    """What identifies a request, in two ways.
-
-    A turn that continues a recorded one carries only its new input, and its
-    first form the shared context too: equal paths, different bodies.
-    """
-
-    exact: str  # method, host, path with query, and body
-    target: str  # the same without the body
-
-
 def keys_of(request: Request, host: str) -> RequestKeys:
     """Returns the keys of a request."""
     target = digest_of(
--- a/cactusledge/gateway/selection.py
+++ b/cactusledge/gateway/selection.py
@@ -70,7 +70,7 @@
 
         None if no endpoint takes the call within the retry window.
         """
-        while True:
+        while not self._is_stopped():
             replica = choose(self)
             if replica is None:
                 if not await self._next_pass():
@@ -79,6 +79,7 @@
             conn = await self._connect_to(replica)
             if conn is not None:
                 return replica, conn
+        return None
 
     async def _connect_to(self, replica: Replica) -> EndpointConnection | None:
         """Returns a connection, None if the endpoint is not available."""
@@ -105,6 +106,11 @@
             error=str(exc),
         )
 
+    def _is_stopped(self) -> bool:
+        """Returns whether the call has turned out to crash endpoints."""
+        now_s = asyncio.get_running_loop().time()
+        return self.fleet.evidence.stopped_for_s(self.call.keys, now_s) > 0
+
     def _usable(self, now_s: float) -> Sequence[Replica]:
         return self.fleet.departures.usable(
             self.fleet.replicas.usable(self._service, now_s),
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -98,6 +98,7 @@
                 **end_fields(answer.answer_end),
             )
         if end is ExchangeEnd.ANSWERED:
+            self.fleet.crashes.note_answered(self.call.keys)
             took_ms = (loop.time() - started_s) * 1000
             is_error = is_endpoint_error(answer)
             load.record_error_sample(loop.time(), is_error=is_error)
--- /dev/null
+++ b/cactusledge/records/crash_evidence.py
@@ -0,0 +1,153 @@
+"""Decides which requests crash the endpoints that run them; pure.
+
+When an endpoint ends, each request that ran there may be the cause. Of those,
+the one with the most ends explains the end, so that the others are not
+suspected of it. What is answered anywhere is not suspected.
+"""
+
+import math
+from collections.abc import Iterable, Iterator, Mapping
+from typing import NamedTuple
+
+from cactusledge.records.crash_history import CrashHistory, Ends, LifetimeKey
+from cactusledge.records.gateway_messages import (
+    AnsweredKey,
+    CrashedRun,
+    CrashReport,
+    RequestKeys,
+)
+
+STOP_AFTER = 3  # ends that no other request explains
+STOP_AFTER_SHARED = 5  # ends, even if another request ran at all of them
+STOP_S = 30.0  # after the last end; twice as long after each further one
+MAX_STOP_S = 600.0
+REPORT_S = 4.0  # how long new evidence is reported
+
+Rivals = Mapping[LifetimeKey, list[Ends]]  # other requests, by lifetime
+
+
+class _Case(NamedTuple):
+    """The ends of endpoints that one key of a request may have caused."""
+
+    ends: Ends
+    unexplained: int  # ends that no other request explains better
+    is_shared: bool  # another request ran at all of them
+
+    def stopped_for_s(self, now_s: float) -> float:
+        """Returns how much longer the request is stopped, 0 if it is not."""
+        limit = STOP_AFTER_SHARED if self.is_shared else STOP_AFTER
+        is_proven = len(self.ends) >= STOP_AFTER_SHARED
+        if self.unexplained < limit and not is_proven:
+            return 0
+        further = max(0, self.unexplained - STOP_AFTER)
+        stop_s = min(MAX_STOP_S, STOP_S * math.pow(2, further))
+        return max(0, max(self.ends.values()) + stop_s - now_s)
+
+
+class CrashEvidence:
+    """What shows which requests crash endpoints.
+
+    Observations travel with their age, so that the clocks of instances need
+    not agree.
+    """
+
+    def __init__(self) -> None:
+        """Starts without evidence."""
+        self._history = CrashHistory()
+
+    def add(self, run: CrashedRun, now_s: float) -> bool:
+        """Adds a request that ran on an endpoint; returns whether it is new."""
+        return self._history.add(run, now_s)
+
+    def add_answered(self, keys: Iterable[str], at_s: float) -> None:
+        """Adds that a request with these keys was answered."""
+        self._history.add_answered(keys, at_s)
+
+    def add_answered_keys(
+        self, answered: Iterable[AnsweredKey], now_s: float
+    ) -> None:
+        """Adds which requests others saw answered."""
+        for seen in answered:
+            self._history.add_answered((seen.key,), now_s - seen.age_s)
+
+    def add_reported(self, report: CrashReport, now_s: float) -> None:
+        """Adds what others know."""
+        self.add_answered_keys(report.answered, now_s)
+        for run in report.runs:
+            self.add(run, now_s)
+
+    def suspicion(self, keys: RequestKeys) -> int:
+        """Returns how many ends of endpoints a request best explains."""
+        return max((case.unexplained for case in self._cases(keys)), default=0)
+
+    def stopped_for_s(self, keys: RequestKeys, now_s: float) -> float:
+        """Returns how much longer a request is stopped, 0 if it may run."""
+        if self._history.count_of(keys.target) < STOP_AFTER:
+            return 0
+        return max(
+            (case.stopped_for_s(now_s) for case in self._cases(keys)),
+            default=0,
+        )
+
+    def to_report(self, now_s: float) -> CrashReport:
+        """Returns what others may not know yet: news, and what is stopped."""
+        return CrashReport(
+            tuple(
+                run
+                for run in self._history.runs(now_s)
+                if run.age_s < REPORT_S or self.stopped_for_s(run.keys, now_s)
+            ),
+            tuple(self._history.answered(now_s, REPORT_S)),
+        )
+
+    def _cases(self, keys: RequestKeys) -> Iterator[_Case]:
+        """Yields what the body, and what the target alone, may have caused."""
+        history = self._history
+        target_ends = history.ends_of(keys.target)
+        exact_ends = history.ends_of(keys.exact)
+        if exact_ends:
+            yield compare(exact_ends, self._other_bodies(exact_ends, keys))
+        by_one_body = max(
+            (
+                len(history.ends_of(run.exact))
+                for lifetime in target_ends
+                for run in history.runs_at(lifetime)
+                if run.target == keys.target
+            ),
+            default=0,
+        )
+        if len(target_ends) > by_one_body:
+            yield compare(target_ends, self._other_targets(target_ends, keys))
+
+    def _other_bodies(self, ends: Ends, keys: RequestKeys) -> Rivals:
+        """Returns the ends of the other requests that ran there."""
+        return {
+            lifetime: [
+                self._history.ends_of(run.exact)
+                for run in self._history.runs_at(lifetime)
+                if run.exact != keys.exact
+            ]
+            for lifetime in ends
+        }
+
+    def _other_targets(self, ends: Ends, keys: RequestKeys) -> Rivals:
+        """Returns the ends of the requests to other targets that ran there."""
+        return {
+            lifetime: [
+                self._history.ends_of(run.target)
+                for run in self._history.runs_at(lifetime)
+                if run.target != keys.target
+            ]
+            for lifetime in ends
+        }
+
+
+def compare(ends: Ends, rivals: Rivals) -> _Case:
+    """Compares a request's ends with those of the others that ran there."""
+    unexplained = sum(
+        all(len(other) <= len(ends) for other in rivals[lifetime])
+        for lifetime in ends
+    )
+    first = next(iter(ends))
+    is_shared = any(ends.keys() <= other.keys() for other in rivals[first])
+    return _Case(ends, unexplained, is_shared)
--- /dev/null
+++ b/cactusledge/records/crash_history.py
@@ -0,0 +1,114 @@
+"""Remembers which requests ran on endpoints that ended; pure.
+
+A request that is answered anywhere was not the cause of an end shortly after,
+or of any before.
+"""
+
+import math
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from types import MappingProxyType
+
+from cactusledge.records.gateway_messages import (
+    AnsweredKey,
+    CrashedRun,
+    RequestKeys,
+)
+
+FORGET_S = 600.0  # ends of endpoints
+MAX_ENDPOINTS = 256  # lifetimes that ended; the oldest are forgotten
+ANSWER_TTL_S = 10.0  # an answer before an end counts for so long
+MAX_ANSWERED = 8192  # keys; the oldest are forgotten
+
+LifetimeKey = tuple[str, int]  # id and start of an endpoint
+Ends = Mapping[LifetimeKey, float]  # when each lifetime ended
+NO_ENDS: Ends = MappingProxyType({})
+
+
+class CrashHistory:
+    """Endpoints that ended, and the requests that ran on them."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._runs: OrderedDict[LifetimeKey, set[RequestKeys]] = OrderedDict()
+        self._ends: dict[str, dict[LifetimeKey, float]] = {}  # by key
+        self._answered_s: OrderedDict[str, float] = OrderedDict()  # by key
+
+    def add(self, run: CrashedRun, now_s: float) -> bool:
+        """Adds a request that ran on an endpoint; returns whether it is new."""
+        lifetime = (run.endpoint_id, run.born_ms)
+        if run.age_s >= FORGET_S or run.keys in self.runs_at(lifetime):
+            return False
+        self._runs.setdefault(lifetime, set()).add(run.keys)
+        for key in run.keys:
+            self._ends.setdefault(key, {})[lifetime] = now_s - run.age_s
+        while len(self._runs) > MAX_ENDPOINTS:
+            self._forget(next(iter(self._runs)))
+        return True
+
+    def add_answered(self, keys: Iterable[str], at_s: float) -> None:
+        """Adds that a request with these keys was answered."""
+        for key in keys:
+            known_s = self._answered_s.get(key, -math.inf)
+            self._answered_s[key] = max(known_s, at_s)
+            self._answered_s.move_to_end(key)
+        while len(self._answered_s) > MAX_ANSWERED:
+            self._answered_s.popitem(last=False)
+
+    def runs_at(self, lifetime: LifetimeKey) -> Collection[RequestKeys]:
+        """Returns the requests that ran on a lifetime when it ended."""
+        return self._runs.get(lifetime, frozenset())
+
+    def count_of(self, key: str) -> int:
+        """Returns the ends with this key, answered or not."""
+        return len(self._ends.get(key, NO_ENDS))
+
+    def ends_of(self, key: str) -> Ends:
+        """Returns the ends that a key may have caused."""
+        ends = self._ends.get(key)
+        if not ends:
+            return NO_ENDS
+        answered_s = self._answered_s.get(key, -math.inf)
+        return {
+            lifetime: at_s
+            for lifetime, at_s in ends.items()
+            if answered_s < at_s - ANSWER_TTL_S
+        }
+
+    def answered(self, now_s: float, limit_s: float) -> Iterator[AnsweredKey]:
+        """Yields keys with ends that were answered, for so long."""
+        for key in self._ends:
+            age_s = now_s - self._answered_s.get(key, -math.inf)
+            if age_s < limit_s:
+                yield AnsweredKey(key, max(0, age_s))
+
+    def runs(self, now_s: float) -> Iterator[CrashedRun]:
+        """Yields all runs; forgets the old ones."""
+        self._forget_old(now_s)
+        for lifetime, runs in self._runs.items():
+            for keys in runs:
+                age_s = now_s - self._ends[keys.target][lifetime]
+                yield CrashedRun(*lifetime, keys, max(0, age_s))
+
+    def _forget_old(self, now_s: float) -> None:
+        old = [
+            lifetime
+            for lifetime, runs in self._runs.items()
+            if now_s - self._ended_s(lifetime, runs) >= FORGET_S
+        ]
+        for lifetime in old:
+            self._forget(lifetime)
+
+    def _ended_s(
+        self, lifetime: LifetimeKey, runs: Iterable[RequestKeys]
+    ) -> float:
+        return max(self._ends[keys.target][lifetime] for keys in runs)
+
+    def _forget(self, lifetime: LifetimeKey) -> None:
+        runs = self._runs.pop(lifetime)
+        forgotten = {key for keys in runs for key in keys}
+        for key in forgotten:
+            ends = self._ends[key]
+            ends.pop(lifetime)
+            if not ends:
+                self._ends.pop(key)
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -33,6 +33,40 @@
     is_ended: bool  # an answer did not name it any more
 
 
+class RequestKeys(NamedTuple):
+    """What identifies a request, in two ways.
+
+    A turn that continues a recorded one carries only its new input, and its
+    first form the shared context too: equal paths, different bodies.
+    """
+
+    exact: str  # digest of method, host, path with query, and body
+    target: str  # the same without the body
+
+
+class CrashedRun(NamedTuple):
+    """A request that a lifetime of an endpoint ran when it ended."""
+
+    endpoint_id: str
+    born_ms: int  # start of the endpoint's lifetime, Unix milliseconds
+    keys: RequestKeys
+    age_s: float  # since the endpoint ended
+
+
+class AnsweredKey(NamedTuple):
+    """A request, by one of its keys, that an endpoint has answered."""
+
+    key: str
+    age_s: float  # since the answer
+
+
+class CrashReport(NamedTuple):
+    """What shows which requests crash endpoints, and which do not."""
+
+    runs: tuple[CrashedRun, ...] = ()
+    answered: tuple[AnsweredKey, ...] = ()
+
+
 class Hello(Message, frozen=True):
     """Registers a gateway with a store; the reply is `Neighbours`."""
 
@@ -59,6 +93,7 @@
     limits: list[NamedLimit] = msgspec.field(default_factory=list)
     # Requests a second that would go to limited endpoints, by endpoint id.
     demands: dict[str, float] = msgspec.field(default_factory=dict)
+    crashes: CrashReport = CrashReport()
 
 
 class LoadSums(Message, frozen=True):
@@ -71,6 +106,7 @@
     leaving: list[LeavingEndpoint] = msgspec.field(default_factory=list)
     limits: list[NamedLimit] = msgspec.field(default_factory=list)
     gateways: int = 0  # with recent reports; 0 if the store grants nothing
+    crashes: CrashReport = CrashReport()
 
 
 class ShareLoads(Message, frozen=True):
@@ -85,6 +121,7 @@
     # Requests a second that its gateways would send to limited endpoints.
     demands: dict[str, float] = msgspec.field(default_factory=dict)
     gateways: int = 0  # that report to it
+    crashes: CrashReport = CrashReport()
 
 
 class ReadNews(Message, frozen=True):
--- a/cactusledge/records/gateways.py
+++ b/cactusledge/records/gateways.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from cactusledge.records.crash_evidence import CrashEvidence
 from cactusledge.records.entries import Member
 from cactusledge.records.gateway_messages import (
     Hello,
@@ -47,6 +48,7 @@
         self._departures = RecentDepartures()
         self._gateways_elsewhere: dict[str, int] = {}  # by store
         self.limits = LimitDivision()
+        self.crashes = CrashEvidence()
 
     async def register(self, hello: Hello) -> Neighbours:
         """Registers a gateway; returns some of the others."""
@@ -72,6 +74,7 @@
         self._departures.add(report.leaving, now_s)
         self.limits.known.add_reported(report.limits, now_s)
         self.limits.report(report.name, report.demands, now_s)
+        self.crashes.add_reported(report.crashes, now_s)
         update = self._read_parts.since(
             ListPosition(report.epoch, report.position)
         )
@@ -83,6 +86,7 @@
             limits=self.limits.known.to_report(now_s),
             gateways=self.local_gateways(now_s)
             + sum(self._gateways_elsewhere.values()),
+            crashes=self.crashes.to_report(now_s),
         )
 
     async def share(self, request: ShareLoads) -> ReadNews:
@@ -93,6 +97,7 @@
         self.limits.known.add_reported(request.limits, reported.at_s)
         self.limits.share(request.name, request.demands, reported.at_s)
         self._gateways_elsewhere[request.name] = request.gateways
+        self.crashes.add_reported(request.crashes, reported.at_s)
         update = self._read_parts.since(
             ListPosition(request.epoch, request.position)
         )
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -7,6 +7,7 @@
 import structlog
 
 from cactusledge.records.gateway_messages import (
+    CrashReport,
     LeavingEndpoint,
     LoadReport,
     LoadSums,
@@ -69,6 +70,16 @@
         """Sets how many gateways share limits; 0 if the store grants none."""
 
 
+class CrashTracker(Protocol):
+    """A gateway's record of requests that crash endpoints."""
+
+    def to_report(self) -> CrashReport:
+        """Returns what other gateways may not know yet."""
+
+    def add_reported(self, report: CrashReport) -> None:
+        """Adds what other gateways have seen."""
+
+
 class LoadExchange:
     """Exchanges loads with the nearest store.
 
@@ -82,6 +93,7 @@
         tracker: LoadTracker,
         departures: DepartureTracker,
         limits: LimitTracker,
+        crashes: CrashTracker,
     ) -> None:
         """Prepares the exchange; `run` starts it."""
         self._name = name
@@ -89,6 +101,7 @@
         self._tracker = tracker
         self._departures = departures
         self._limits = limits
+        self._crashes = crashes
         self._positions: dict[str, ListPosition] = {}  # by store
         self._interval_s = EXCHANGE_INTERVAL_S
 
@@ -112,6 +125,7 @@
             leaving=self._departures.to_report(),
             limits=self._limits.to_report(),
             demands=self._limits.demands(),
+            crashes=self._crashes.to_report(),
         )
         try:
             await self._ask(nearest, report)
@@ -135,6 +149,7 @@
             self._departures.add_reported(reply.leaving)
             self._limits.add_reported(reply.limits)
             self._limits.set_gateways(reply.gateways)
+            self._crashes.add_reported(reply.crashes)
             self._interval_s = max(
                 EXCHANGE_INTERVAL_S,
                 len(reply.in_flight) * INTERVAL_PER_ENDPOINT_S,
--- a/cactusledge/records/load_sharing.py
+++ b/cactusledge/records/load_sharing.py
@@ -53,6 +53,7 @@
             limits=gateways.limits.known.to_report(now_s),
             demands=gateways.limits.local_demands(now_s),
             gateways=gateways.local_gateways(now_s),
+            crashes=gateways.crashes.to_report(now_s),
         )
         try:
             reply = await link.call(request, SHARE_TIMEOUT_S)
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -126,6 +126,11 @@
         'Endpoints that ended while they ran requests, by what shows it.',
         'sign',
     ),
+    _counter(
+        'gateway_stopped_requests_total',
+        'Requests found to crash endpoints, by how that became known.',
+        'source',
+    ),
     _gauge('gateway_stranded', '1 while no endpoint is in reach.'),
     _counter(
         'gateway_endpoint_limits_total',
--- a/tests/store_stubs.py
+++ b/tests/store_stubs.py
@@ -48,6 +48,7 @@
             fleet.loads,
             DepartureReports(fleet.departures, fleet.metrics),
             LimitReports(fleet.limits, fleet.metrics),
+            fleet.crashes,
         )
         tasks.append(asyncio.ensure_future(exchange.run()))
     try:
--- a/tests/test_endpoint_ends.py
+++ b/tests/test_endpoint_ends.py
@@ -13,7 +13,7 @@
 )
 from cactusledge.gateway.messages import Replica
 from cactusledge.gateway.reach import EndpointReach
-from cactusledge.gateway.request_keys import RequestKeys
+from cactusledge.records.gateway_messages import RequestKeys
 
 E1 = Replica('e1', 'svc', '10.0.0.1', 80, 'dc', 8, False, 1)
 KEYS = RequestKeys('body', 'target')
--- a/tests/test_gateway_departure_reports.py
+++ b/tests/test_gateway_departure_reports.py
@@ -5,11 +5,13 @@
 import pytest
 from structlog.testing import capture_logs
 
+from cactusledge.gateway.crash_reports import CrashReports
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.messages import Replica
+from cactusledge.records.crash_evidence import CrashEvidence
 from cactusledge.records.gateway_messages import (
     LeavingEndpoint,
     LoadReport,
@@ -50,7 +52,12 @@
         reports = DepartureReports(departures, Metrics())
         limits = LimitReports(EndpointLimits(), Metrics())
         exchange = LoadExchange(
-            name, StubStore(registry), StubLoads(), reports, limits
+            name,
+            StubStore(registry),
+            StubLoads(),
+            reports,
+            limits,
+            CrashReports(CrashEvidence(), Metrics()),
         )
         return departures, reports, exchange
 
