Spread the requests that may crash endpoints over the endpoints

Cause: a turn goes to the cheapest engine, and after an end that is the same one for all that broke. Change: a request that may have ended an endpoint is placed by a draw from its key and the number of its ends, so that gateways need not agree, and away from other suspects; requests beyond suspicion avoid an endpoint that runs a likely cause; a likely cause runs once at a time on a gateway. Weighed against: telling each other where suspects run, which comes later than the next end (0.1 to 0.3 s); one endpoint for all suspects, which keeps them together.

--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -63,4 +63,5 @@
         fleet.loads,
         fleet.data_centre,
         asyncio.get_running_loop().time(),
+        fleet.suspects.risk_of(selection.call.keys, selection.broken),
     )
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -19,6 +19,7 @@
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
+from cactusledge.gateway.suspects import Suspects
 from cactusledge.records.crash_evidence import CrashEvidence
 from cactusledge.records.gateway_messages import RequestKeys
 from cactusledge.telemetry.metrics import Metrics
@@ -41,6 +42,7 @@
     forwarder: 'CallForwarder'
     ends: EndpointEnds
     evidence: CrashEvidence
+    suspects: Suspects
     crashes: CrashReports
 
 
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -123,7 +123,7 @@
     async def _serve_anywhere(self, call: Call, service: str) -> Outcome:
         """Serves a call here, or elsewhere if no endpoint is in reach."""
         now_s = asyncio.get_running_loop().time()
-        stopped_for_s = self.fleet.evidence.stopped_for_s(call.keys, now_s)
+        stopped_for_s = self.fleet.suspects.refused_for_s(call.keys, now_s)
         if stopped_for_s:
             return refuse(
                 call.conn,
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -18,6 +18,7 @@
 from cactusledge.gateway.rationing import GrantSource, NoGrants
 from cactusledge.gateway.reach import EndpointReach
 from cactusledge.gateway.replicas import ReplicaList
+from cactusledge.gateway.suspects import Suspects
 from cactusledge.records.crash_evidence import CrashEvidence
 from cactusledge.telemetry.metrics import Metrics
 
@@ -67,5 +68,6 @@
         Forwarder(dialect, reach),
         EndpointEnds(reach),
         evidence,
+        Suspects(evidence),
         CrashReports(evidence, metrics),
     )
--- a/cactusledge/gateway/placement.py
+++ b/cactusledge/gateway/placement.py
@@ -6,6 +6,7 @@
 
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import PromptPart, Replica
+from cactusledge.gateway.suspects import Risk
 
 PREFILL_TOKENS_PER_MS = 160.0  # prompt tokens that an engine reads
 PREFILL_DELAY_SHARE = 0.5  # of an engine's requests that wait for a chunk
@@ -18,12 +19,18 @@
 JITTER_MS = 3.0  # random, spreads load over endpoints of equal cost
 
 
+def no_risk(replica: Replica) -> float:
+    """Returns no cost: the request has ended no endpoint."""
+    return 0
+
+
 def choose_engine(
     candidates: Sequence[Replica],
     loads: Loads,
     parts: Sequence[PromptPart],
     local_data_centre: str,
     now_s: float,
+    risk_ms: Risk = no_risk,
 ) -> Replica | None:
     """Returns the engine with the lowest expected cost for a turn."""
     median_ms = median_latency_ms(candidates, loads)
@@ -36,6 +43,7 @@
             + UNITS_PER_TURN * load.excess_latency_ms(median_ms, now_s)
             + ERROR_COST_MS * load.error_share(now_s)
             + CROSS_DC_COST_MS * (replica.data_centre != local_data_centre)
+            + risk_ms(replica)
             + JITTER_MS * random.random()
         )
 
@@ -47,6 +55,7 @@
     loads: Loads,
     local_data_centre: str,
     now_s: float,
+    risk_ms: Risk = no_risk,
 ) -> Replica | None:
     """Returns the plain service replica with the lowest expected cost."""
 
@@ -58,7 +67,10 @@
         queue_share = load.total / max(1, replica.slots)
         busy_ms = load.latency_ms * (1 + extra_share + queue_share)
         return (
-            busy_ms + ERROR_COST_MS * load.error_share(now_s) + random.random()
+            busy_ms
+            + ERROR_COST_MS * load.error_share(now_s)
+            + risk_ms(replica)
+            + random.random()
         )
 
     return min(candidates, key=cost_ms, default=None)
--- a/cactusledge/gateway/selection.py
+++ b/cactusledge/gateway/selection.py
@@ -34,6 +34,7 @@
         self.fleet = fleet
         self.call = call
         self.contacted: set[str] = set()  # ids of endpoints it was sent to
+        self.broken = 0  # attempts that broke off
         self._tried: set[str] = set()  # endpoint ids tried in the current pass
         self._rationing = Rationing(fleet.limits, fleet.grants)
         self._passes = 0
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -105,6 +105,7 @@
             if not is_error:
                 load.record_success(took_ms / answer.work_units, loop.time())
         elif end is ExchangeEnd.BROKEN:
+            self.selection.broken += 1
             self._record_failure(replica)
             self._doubt(replica, answer)
         return ExchangeResult(replica, answer, end)
@@ -185,8 +186,10 @@
         exchange = OpenExchange(replica, conn, self.call.route.repeatability)
         load.in_flight += 1
         self.fleet.partitions.add(exchange)
+        suspects = self.fleet.suspects
         try:
-            yield
+            with suspects.running(replica.endpoint_id, self.call.keys):
+                yield
         finally:
             load.in_flight -= 1
             self.fleet.partitions.remove(exchange)
--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -62,6 +62,7 @@
             parts,
             fleet.data_centre,
             asyncio.get_running_loop().time(),
+            fleet.suspects.risk_of(self.call.keys, selection.broken),
         )
 
     def new_answer(self, fleet: Fleet, replica: Replica) -> StreamAnswer:
