--- a/cactusledge/records/crash_evidence.py
+++ b/cactusledge/records/crash_evidence.py
@@ -123,13 +123,18 @@
         """Returns the ends of the other requests that ran there."""
         return {
             lifetime: [
-                self._history.ends_of(run.exact)
+                self._most_ends(run, keys)
                 for run in self._history.runs_at(lifetime)
                 if run.exact != keys.exact
             ]
             for lifetime in ends
         }
 
+    def _most_ends(self, run: RequestKeys, keys: RequestKeys) -> Ends:
+        """Returns the ends of another request, in all forms if it has any."""
+        found = run[:1] if run.target == keys.target else run
+        return max(map(self._history.ends_of, found), key=len)
+
     def _other_targets(self, ends: Ends, keys: RequestKeys) -> Rivals:
         """Returns the ends of the requests to other targets that ran there."""
         return {
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -114,6 +114,16 @@
     assert evidence.stopped_for_s(RequestKeys('new', '/deadly'), 103)
 
 
+# A request that ran beside both forms of the cause had more ends than either.
+def test_request_that_ran_beside_several_forms_is_not_stopped(evidence):
+    forms = [RequestKeys(f'form{number}', '/deadly') for number in range(2)]
+    end(evidence, 'first', 100, forms[0])
+    for number in range(2 * STOP_AFTER - 2):
+        end(evidence, number, 101 + number, forms[number % 2], OTHER)
+    assert evidence.stopped_for_s(forms[0], 105)
+    assert not evidence.stopped_for_s(OTHER, 105)
+
+
 def test_target_is_not_stopped_for_one_body(evidence):
     last_s = stop(evidence)
     sound = RequestKeys('sound', CAUSE.target)
