Do not take crashed endpoints for lost links while others send

Callers saw: from 9 to 12 s 279 requests refused by 'refused by 0 engines', after no attempt to connect.

Cause: four endpoints that could not be connected to counted as a loss of the instance's own links, although others answered all the while over open connections; a connection that was opened cleared the count, bytes did not. Class: a failure behind the links taken for one of the links (the other way round in the RECOVER incident). Change: only failures since another endpoint was last reached count, by a connection or by bytes; bytes of an endpoint that itself refuses new connections prove nothing, since open connections may live on in a cut. tests/test_reach.py (failed before).

--- a/cactusledge/gateway/reach.py
+++ b/cactusledge/gateway/reach.py
@@ -2,7 +2,7 @@
 
 One endpoint that is silent or refuses connections tells nothing about the
 instance. It is out of reach of all only if several endpoints cannot be
-connected to, and none has been since the first of them failed.
+connected to, and no other has been reached since the first of them failed.
 """
 
 import math
@@ -22,6 +22,7 @@
         self.listed = 0  # endpoints in the list
         self.received_s = -math.inf  # when any endpoint last sent a byte
         self.doubted_s = -math.inf  # when the links were last tested
+        self._linked_s = -math.inf  # when an endpoint was last reached
         # By endpoint id:
         self._failed_s: dict[str, float] = {}
         self._refused_s: dict[str, float] = {}
@@ -30,8 +31,9 @@
 
     def add_connected(self, endpoint_id: str, now_s: float) -> None:
         """Adds a successful attempt to connect."""
-        self._failed_s.clear()
+        self._failed_s.pop(endpoint_id, None)
         self._connected_s[endpoint_id] = now_s
+        self._linked_s = max(self._linked_s, now_s)
 
     def add_failed(
         self, endpoint_id: str, now_s: float, *, is_refused: bool = False
@@ -45,6 +47,9 @@
         """Adds that an endpoint has sent bytes."""
         self.received_s = max(self.received_s, at_s)
         self._received_s[endpoint_id] = at_s
+        if endpoint_id not in self.failed(at_s):
+            # An open connection may live on although new ones are refused.
+            self._linked_s = max(self._linked_s, at_s)
 
     def refused_s(self, endpoint_id: str) -> float:
         """Returns when an endpoint's address last refused a connection."""
@@ -65,7 +70,13 @@
 
     def prune(self, endpoint_ids: Collection[str]) -> None:
         """Forgets endpoints that are not in the list."""
-        for seen in (self._refused_s, self._connected_s, self._received_s):
+        kept = (
+            self._failed_s,
+            self._refused_s,
+            self._connected_s,
+            self._received_s,
+        )
+        for seen in kept:
             for endpoint_id in seen.keys() - set(endpoint_ids):
                 seen.pop(endpoint_id)
 
@@ -83,11 +94,12 @@
         return is_silent and not self.can_connect(now_s)
 
     def failed(self, now_s: float) -> frozenset[str]:
-        """Returns the ids of endpoints that failed recently."""
+        """Returns the endpoints that failed since another was reached."""
+        since_s = max(self._linked_s, now_s - FAILURE_TTL_S)
         return frozenset(
             endpoint_id
             for endpoint_id, at_s in self._failed_s.items()
-            if now_s - at_s < FAILURE_TTL_S
+            if at_s > since_s
         )
 
     def _have_failed(self, count: int, now_s: float) -> bool:
