Learn of an ended endpoint before its request is sent again

Cause: the next attempt went out within a millisecond of the break, the end was known 1 to 60 ms later, and to the others with their next report. Ruled out: gateways that forward it (none did).

--- a/cactusledge/gateway/crash_reports.py
+++ b/cactusledge/gateway/crash_reports.py
@@ -1,5 +1,7 @@
 """Notes requests that crash endpoints, and tells other gateways of them."""
 
+import asyncio
+
 import structlog
 
 from cactusledge.gateway.clock import now
@@ -20,6 +22,7 @@
 
     def __init__(self, evidence: CrashEvidence, metrics: Metrics) -> None:
         """Stores where evidence is kept and counted."""
+        self.news = asyncio.Event()
         self._evidence = evidence
         self._metrics = metrics
 
@@ -30,6 +33,7 @@
         for keys in ended.running:
             run = CrashedRun(replica.endpoint_id, replica.born_ms, keys, age_s)
             self._add(run, source='endpoint')
+        self.news.set()
 
     def note_answered(self, keys: RequestKeys) -> None:
         """Notes that an endpoint has answered a request."""
--- a/cactusledge/gateway/end_watch.py
+++ b/cactusledge/gateway/end_watch.py
@@ -1,6 +1,7 @@
 """Watches for endpoints that end while they run requests."""
 
 import asyncio
+import random
 
 import structlog
 
@@ -10,6 +11,8 @@
 from cactusledge.gateway.messages import Replica
 from cactusledge.gateway.pool import EndpointUnreachableError
 
+OTHERS_TESTED = 2  # as one may have ended too
+OTHER_TEST_PAUSE_S = 0.1  # until the next ones, if none is reached
 MAX_LOGGED_KEYS = 64  # of the requests that ran on one endpoint
 
 log = structlog.get_logger('gateway')
@@ -21,14 +24,30 @@
     def __init__(self, fleet: Fleet) -> None:
         """Stores the endpoints and their connections."""
         self._fleet = fleet
+        self._next_other_s = float(0)
 
     async def step(self) -> None:
         """Tests once what is in doubt."""
         fleet = self._fleet
-        await asyncio.gather(*map(self._test, fleet.ends.to_test()))
+        tested = [*fleet.ends.to_test(), *self._others()]
+        await asyncio.gather(*map(self._test, tested))
         for ended in fleet.ends.take_ended(fleet.replicas.find, now()):
             self._note(ended)
 
+    def _others(self) -> list[Replica]:
+        """Returns endpoints that show whether the links are sound."""
+        refusing = self._fleet.ends.needs_other()
+        if not refusing or now() < self._next_other_s:
+            return []
+        self._next_other_s = now() + OTHER_TEST_PAUSE_S
+        excluded = self._fleet.reach.failed(now()).union(refusing)
+        others = [
+            replica
+            for replica in self._fleet.replicas.all()
+            if replica.endpoint_id not in excluded
+        ]
+        return random.sample(others, min(OTHERS_TESTED, len(others)))
+
     async def _test(self, replica: Replica) -> None:
         """Connects; the reach keeps the result."""
         try:
--- a/cactusledge/gateway/endpoint_ends.py
+++ b/cactusledge/gateway/endpoint_ends.py
@@ -43,6 +43,7 @@
         self.replica = replica
         self.first_s = now_s
         self.sign: EndSign | None = None  # None until it is known to have ended
+        self.judged = asyncio.Event()  # all that ran there has been told
         self.running: list[RequestKeys] = []
 
 
@@ -66,13 +67,30 @@
             self.doubted.set()
         if len(doubt.running) < MAX_RUNS:
             doubt.running.append(keys)
+            doubt.judged.clear()
+
+    async def wait_judged(self, replica: Replica) -> None:
+        """Waits until it is known whether an endpoint has ended."""
+        doubt = self._doubts.get(replica.lifetime)
+        if doubt is not None:
+            await doubt.judged.wait()
 
     def to_test(self) -> list[Replica]:
         """Returns the endpoints whose addresses would tell more."""
         return [
             doubt.replica
             for doubt in self._doubts.values()
-            if doubt.sign is None and not self._is_refused(doubt)
+            if doubt.sign is None and not self._is_answered(doubt)
+        ]
+
+    def needs_other(self) -> list[str]:
+        """Returns ids of endpoints that refuse while no other is reached."""
+        return [
+            doubt.replica.endpoint_id
+            for doubt in self._doubts.values()
+            if doubt.sign is None
+            and self._is_refused(doubt)
+            and not self._is_linked(doubt)
         ]
 
     def take_ended(
@@ -84,7 +102,6 @@
             find: Returns the list's entry of an endpoint id.
             now_s: The loop's clock.
         """
-        self._drop_refuted(now_s)
         ended: list[EndedEndpoint] = []
         for doubt in self._doubts.values():
             doubt.sign = doubt.sign or self._sign_of(doubt, find)
@@ -98,16 +115,16 @@
                     )
                 )
                 doubt.running.clear()
+            if doubt.sign is not None or self._is_connected(doubt):
+                doubt.judged.set()
+        self._drop_old(now_s)
         return ended
 
-    def _drop_refuted(self, now_s: float) -> None:
-        """Drops endpoints that accept connections, and old doubts."""
-        self._doubts = {
-            lifetime: doubt
-            for lifetime, doubt in self._doubts.items()
-            if now_s - doubt.first_s < DOUBT_TTL_S
-            and self._reach.connected_s(lifetime.endpoint_id) <= doubt.first_s
-        }
+    def _drop_old(self, now_s: float) -> None:
+        for lifetime, doubt in tuple(self._doubts.items()):
+            if now_s - doubt.first_s >= DOUBT_TTL_S:
+                self._doubts.pop(lifetime)
+                doubt.judged.set()
         if not self._doubts:
             self.doubted.clear()
 
@@ -117,13 +134,23 @@
         listed = find(doubt.replica.endpoint_id)
         if listed is not None and listed.born_ms > doubt.replica.born_ms:
             return EndSign.RESTARTED
-        is_linked = self._reach.has_reached_other(
-            doubt.replica.endpoint_id, doubt.first_s
-        )
-        return (
-            EndSign.REFUSED if is_linked and self._is_refused(doubt) else None
-        )
+        is_gone = self._is_refused(doubt) and not self._is_connected(doubt)
+        return EndSign.REFUSED if is_gone and self._is_linked(doubt) else None
+
+    def _is_answered(self, doubt: _Doubt) -> bool:
+        return self._is_refused(doubt) or self._is_connected(doubt)
 
     def _is_refused(self, doubt: _Doubt) -> bool:
         refused_s = self._reach.refused_s(doubt.replica.endpoint_id)
         return refused_s >= doubt.first_s
+
+    def _is_connected(self, doubt: _Doubt) -> bool:
+        """Returns whether it takes connections, so has not ended or is back."""
+        connected_s = self._reach.connected_s(doubt.replica.endpoint_id)
+        return connected_s > doubt.first_s
+
+    def _is_linked(self, doubt: _Doubt) -> bool:
+        """Returns whether the links of this gateway are sound."""
+        return self._reach.has_reached_other(
+            doubt.replica.endpoint_id, doubt.first_s
+        )
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -3,7 +3,7 @@
 import asyncio
 import http
 from collections.abc import Awaitable, Callable, Generator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import NamedTuple
 
 import structlog
@@ -20,6 +20,8 @@
 # By the endpoint or the link; an abandoned one was closed here.
 LOST_CONNECTIONS = frozenset((TransferEnd.CLOSED, TransferEnd.RESET))
 
+JUDGEMENT_WAIT_S = 0.1  # for a connection to be refused
+
 log = structlog.get_logger('gateway')
 
 Attempt = Callable[[], Awaitable['ExchangeResult | None']]
@@ -120,9 +122,20 @@
         result = await attempt()
         while result is not None and self._should_repeat(result):
             failed = failed if result.end is ExchangeEnd.NOT_RUN else result
+            await self._await_judgement(result)
             result = await attempt()
         return result or failed
 
+    async def _await_judgement(self, result: ExchangeResult) -> None:
+        """Waits a moment to learn whether the call has ended an endpoint.
+
+        If it has, it must go elsewhere than others that ran there, or nowhere.
+        """
+        if result.end is ExchangeEnd.BROKEN:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(JUDGEMENT_WAIT_S):
+                    await self.fleet.ends.wait_judged(result.replica)
+
     def _should_repeat(self, result: ExchangeResult) -> bool:
         """Returns whether the call is sent to another endpoint.
 
--- a/cactusledge/gateway/suspects.py
+++ b/cactusledge/gateway/suspects.py
@@ -28,7 +28,7 @@
     def __init__(self, evidence: CrashEvidence) -> None:
         """Starts without any."""
         self._evidence = evidence
-        self._running: Counter[RequestKeys] = Counter()
+        self._running: Counter[str] = Counter()  # by target key
         self._suspected_at: Counter[str] = Counter()  # by endpoint id
         self._likely_at: Counter[str] = Counter()  # the same, likely causes
 
@@ -40,7 +40,7 @@
         suspicion = self._evidence.suspicion(keys)
         is_suspected = suspicion > 0
         is_likely = suspicion >= LIKELY_AFTER
-        self._running[keys] += 1
+        self._running[keys.target] += 1
         self._suspected_at[endpoint_id] += is_suspected
         self._likely_at[endpoint_id] += is_likely
         try:
@@ -48,17 +48,17 @@
         finally:
             self._suspected_at[endpoint_id] -= is_suspected
             self._likely_at[endpoint_id] -= is_likely
-            self._running[keys] -= 1
-            if not self._running[keys]:
-                self._running.pop(keys)
+            self._running[keys.target] -= 1
+            if not self._running[keys.target]:
+                self._running.pop(keys.target)
 
     def refused_for_s(self, keys: RequestKeys, now_s: float) -> float:
         """Returns how long a request is refused, 0 if it may be sent.
 
-        A likely cause is sent to one endpoint at a time.
+        A likely cause, in any of its forms, is sent to one endpoint at a time.
         """
         stopped_for_s = self._evidence.stopped_for_s(keys, now_s)
-        if stopped_for_s or keys not in self._running:
+        if stopped_for_s or keys.target not in self._running:
             return stopped_for_s
         is_likely = self._evidence.suspicion(keys) >= LIKELY_AFTER
         return RUNNING_RETRY_S if is_likely else 0
@@ -83,5 +83,5 @@
 
 def draw(keys: RequestKeys, suspicion: int, endpoint_id: str) -> float:
     """Returns a number from 0 to 1, another one after each further end."""
-    seed = f'{keys.exact} {suspicion} {endpoint_id}'
+    seed = f'{keys.target} {suspicion} {endpoint_id}'
     return random.Random(seed).random()
--- a/cactusledge/records/crash_evidence.py
+++ b/cactusledge/records/crash_evidence.py
@@ -1,8 +1,9 @@
 """Decides which requests crash the endpoints that run them; pure.
 
 When an endpoint ends, each request that ran there may be the cause. Of those,
-the one with the most ends explains the end, so that the others are not
-suspected of it. What is answered anywhere is not suspected.
+the one with the most ends explains the end, the first to have as many if they
+are equal, so that the others are not suspected of it. What is answered anywhere
+is not suspected.
 """
 
 import math
@@ -32,12 +33,13 @@
     ends: Ends
     unexplained: int  # ends that no other request explains better
     is_shared: bool  # another request ran at all of them
+    may_stop: bool = True  # False: suspected only
 
     def stopped_for_s(self, now_s: float) -> float:
         """Returns how much longer the request is stopped, 0 if it is not."""
         limit = STOP_AFTER_SHARED if self.is_shared else STOP_AFTER
         is_proven = len(self.ends) >= STOP_AFTER_SHARED
-        if self.unexplained < limit and not is_proven:
+        if not self.may_stop or (self.unexplained < limit and not is_proven):
             return 0
         further = max(0, self.unexplained - STOP_AFTER)
         stop_s = min(MAX_STOP_S, STOP_S * math.pow(2, further))
@@ -116,8 +118,9 @@
             ),
             default=0,
         )
-        if len(target_ends) > by_one_body:
-            yield compare(target_ends, self._other_targets(target_ends, keys))
+        if target_ends:
+            case = compare(target_ends, self._other_targets(target_ends, keys))
+            yield case._replace(may_stop=len(target_ends) > by_one_body)
 
     def _other_bodies(self, ends: Ends, keys: RequestKeys) -> Rivals:
         """Returns the ends of the other requests that ran there."""
@@ -150,9 +153,16 @@
 def compare(ends: Ends, rivals: Rivals) -> _Case:
     """Compares a request's ends with those of the others that ran there."""
     unexplained = sum(
-        all(len(other) <= len(ends) for other in rivals[lifetime])
+        not any(is_stronger(other, ends) for other in rivals[lifetime])
         for lifetime in ends
     )
     first = next(iter(ends))
     is_shared = any(ends.keys() <= other.keys() for other in rivals[first])
     return _Case(ends, unexplained, is_shared)
+
+
+def is_stronger(other: Ends, ends: Ends) -> bool:
+    """Returns whether another request explains ends better."""
+    if len(other) != len(ends):
+        return len(other) > len(ends)
+    return max(other.values()) < max(ends.values())
--- a/cactusledge/records/crash_history.py
+++ b/cactusledge/records/crash_history.py
@@ -31,7 +31,8 @@
     def __init__(self) -> None:
         """Starts empty."""
         self._runs: OrderedDict[LifetimeKey, set[RequestKeys]] = OrderedDict()
-        self._ends: dict[str, dict[LifetimeKey, float]] = {}  # by key
+        self._ended_s: dict[LifetimeKey, float] = {}  # as first seen
+        self._lifetimes: dict[str, set[LifetimeKey]] = {}  # by key
         self._answered_s: OrderedDict[str, float] = OrderedDict()  # by key
 
     def add(self, run: CrashedRun, now_s: float) -> bool:
@@ -40,8 +41,9 @@
         if run.age_s >= FORGET_S or run.keys in self.runs_at(lifetime):
             return False
         self._runs.setdefault(lifetime, set()).add(run.keys)
+        self._ended_s.setdefault(lifetime, now_s - run.age_s)
         for key in run.keys:
-            self._ends.setdefault(key, {})[lifetime] = now_s - run.age_s
+            self._lifetimes.setdefault(key, set()).add(lifetime)
         while len(self._runs) > MAX_ENDPOINTS:
             self._forget(next(iter(self._runs)))
         return True
@@ -61,23 +63,23 @@
 
     def count_of(self, key: str) -> int:
         """Returns the ends with this key, answered or not."""
-        return len(self._ends.get(key, NO_ENDS))
+        return len(self._lifetimes.get(key, NO_ENDS))
 
     def ends_of(self, key: str) -> Ends:
         """Returns the ends that a key may have caused."""
-        ends = self._ends.get(key)
-        if not ends:
+        lifetimes = self._lifetimes.get(key)
+        if not lifetimes:
             return NO_ENDS
-        answered_s = self._answered_s.get(key, -math.inf)
+        cleared_s = self._answered_s.get(key, -math.inf) + ANSWER_TTL_S
         return {
-            lifetime: at_s
-            for lifetime, at_s in ends.items()
-            if answered_s < at_s - ANSWER_TTL_S
+            lifetime: self._ended_s[lifetime]
+            for lifetime in lifetimes
+            if cleared_s < self._ended_s[lifetime]
         }
 
     def answered(self, now_s: float, limit_s: float) -> Iterator[AnsweredKey]:
         """Yields keys with ends that were answered, for so long."""
-        for key in self._ends:
+        for key in self._lifetimes:
             age_s = now_s - self._answered_s.get(key, -math.inf)
             if age_s < limit_s:
                 yield AnsweredKey(key, max(0, age_s))
@@ -86,29 +88,25 @@
         """Yields all runs; forgets the old ones."""
         self._forget_old(now_s)
         for lifetime, runs in self._runs.items():
+            age_s = max(0, now_s - self._ended_s[lifetime])
             for keys in runs:
-                age_s = now_s - self._ends[keys.target][lifetime]
-                yield CrashedRun(*lifetime, keys, max(0, age_s))
+                yield CrashedRun(*lifetime, keys, age_s)
 
     def _forget_old(self, now_s: float) -> None:
         old = [
             lifetime
-            for lifetime, runs in self._runs.items()
-            if now_s - self._ended_s(lifetime, runs) >= FORGET_S
+            for lifetime, at_s in self._ended_s.items()
+            if now_s - at_s >= FORGET_S
         ]
         for lifetime in old:
             self._forget(lifetime)
 
-    def _ended_s(
-        self, lifetime: LifetimeKey, runs: Iterable[RequestKeys]
-    ) -> float:
-        return max(self._ends[keys.target][lifetime] for keys in runs)
-
     def _forget(self, lifetime: LifetimeKey) -> None:
         runs = self._runs.pop(lifetime)
+        self._ended_s.pop(lifetime)
         forgotten = {key for keys in runs for key in keys}
         for key in forgotten:
-            ends = self._ends[key]
-            ends.pop(lifetime)
-            if not ends:
-                self._ends.pop(key)
+            lifetimes = self._lifetimes[key]
+            lifetimes.remove(lifetime)
+            if not lifetimes:
+                self._lifetimes.pop(key)
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping
+from contextlib import suppress
 from typing import Protocol
 
 import structlog
@@ -73,6 +74,8 @@
 class CrashTracker(Protocol):
     """A gateway's record of requests that crash endpoints."""
 
+    news: asyncio.Event  # set if there is something to report at once
+
     def to_report(self) -> CrashReport:
         """Returns what other gateways may not know yet."""
 
@@ -108,8 +111,11 @@
     async def run(self) -> None:
         """Exchanges loads until it is cancelled."""
         while True:
+            self._crashes.news.clear()
             await self._exchange()
-            await asyncio.sleep(self._interval_s)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._interval_s):
+                    await self._crashes.news.wait()
 
     async def _exchange(self) -> None:
         nearest = next(iter(self._peers.nearest_first()), None)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -84,6 +84,25 @@
     assert not evidence.stopped_for_s(OTHER, 110)
 
 
+# While reports were under way, a request with as many ends as a known cause was
+# stopped.
+def test_ends_beside_a_known_cause_count_for_nobody_else(evidence):
+    end(evidence, 0, 100, CAUSE, OTHER)
+    end(evidence, 1, 101, CAUSE, OTHER)
+    end(evidence, 2, 102, CAUSE)
+    end(evidence, 3, 103, OTHER)
+    assert evidence.stopped_for_s(CAUSE, 103)
+    assert not evidence.stopped_for_s(OTHER, 103)
+
+
+def test_other_body_of_a_stopped_target_is_suspected(evidence):
+    stop(evidence)
+    form = RequestKeys('form', CAUSE.target)
+    assert evidence.suspicion(form) == STOP_AFTER
+    evidence.add_answered((CAUSE.target,), 200)
+    assert evidence.suspicion(form) == 0
+
+
 def test_answered_request_is_not_suspected(evidence):
     last_s = stop(evidence)
     evidence.add_answered(CAUSE, last_s + 1)
--- a/tests/test_endpoint_ends.py
+++ b/tests/test_endpoint_ends.py
@@ -68,7 +68,15 @@
     reach.add_failed('e1', 10.2, is_refused=True)
     reach.add_received('e2', 10.3)
     assert ends.take_ended(find_none, 10.3) == []
-    assert not ends.doubted.is_set()
+    assert ends.to_test() == []
+
+
+# An endpoint that was back at once, at the same address, had not ended.
+def test_endpoint_back_at_its_address_has_ended_once_listed_anew(ends, reach):
+    reach.add_connected('e1', 10.1)
+    assert ends.take_ended(find_none, 10.2) == []
+    listed = {'e1': E1._replace(born_ms=2)}
+    assert len(ends.take_ended(listed.get, 11)) == 1
 
 
 def test_later_lifetime_in_the_list_shows_the_end(ends):
@@ -80,8 +88,18 @@
 def test_doubts_are_forgotten(ends, reach):
     reach.add_failed('e1', 10.1, is_refused=True)
     reach.add_received('e2', 10.2)
-    assert ends.take_ended(find_none, 10 + DOUBT_TTL_S) == []
+    ends.take_ended(find_none, 10 + DOUBT_TTL_S)
     assert ends.to_test() == []
+    assert not ends.doubted.is_set()
+
+
+# Without other traffic nothing showed that the links were sound.
+def test_another_endpoint_is_tested_where_none_was_reached(ends, reach):
+    assert ends.needs_other() == []
+    reach.add_failed('e1', 10.1, is_refused=True)
+    assert ends.needs_other() == ['e1']
+    reach.add_connected('e2', 10.2)
+    assert ends.needs_other() == []
 
 
 def test_only_what_is_unclear_is_tested(ends, reach):
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -68,6 +68,14 @@
     return asyncio.run(main())
 
 
+# A gateway that repeats or resumes a request by itself sent it to one endpoint
+# more before the last end had been noticed.
+@pytest.mark.parametrize('path', PATHS)
+def test_request_ends_no_more_endpoints_than_needed(path):
+    _, ends_s, _, _ = press(path)
+    assert len(ends_s) <= ENDS_ALLOWED + 1
+
+
 # One request crashed endpoint after endpoint for as long as it came again.
 @pytest.mark.parametrize('path', PATHS)
 def test_request_that_crashes_endpoints_is_stopped(path):
