--- a/cactusledge/records/crash_evidence.py
+++ b/cactusledge/records/crash_evidence.py
@@ -6,6 +6,7 @@
 is not suspected.
 """
 
+import itertools
 import math
 from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
@@ -23,6 +24,7 @@
 STOP_S = 30.0  # after the last end; twice as long after each further one
 MAX_STOP_S = 600.0
 REPORT_S = 4.0  # how long new evidence is reported
+MAX_REPORTED = 512  # runs in one report
 
 Rivals = Mapping[LifetimeKey, list[Ends]]  # other requests, by lifetime
 
@@ -56,10 +58,15 @@
     def __init__(self) -> None:
         """Starts without evidence."""
         self._history = CrashHistory()
+        self._stopped_until_s: dict[str, float] = {}  # by target
 
     def add(self, run: CrashedRun, now_s: float) -> bool:
         """Adds a request that ran on an endpoint; returns whether it is new."""
-        return self._history.add(run, now_s)
+        is_new = self._history.add(run, now_s)
+        stopped_for_s = self.stopped_for_s(run.keys, now_s) if is_new else 0
+        if stopped_for_s:
+            self._stopped_until_s[run.keys.target] = now_s + stopped_for_s
+        return is_new
 
     def add_answered(self, keys: Iterable[str], at_s: float) -> None:
         """Adds that a request with these keys was answered."""
@@ -93,13 +100,18 @@
 
     def to_report(self, now_s: float) -> CrashReport:
         """Returns what others may not know yet: news, and what is stopped."""
+        history = self._history
+        self._stopped_until_s = {
+            target: until_s
+            for target, until_s in self._stopped_until_s.items()
+            if now_s < until_s
+        }
+        runs = set(history.recent_runs(now_s, REPORT_S))
+        for target in self._stopped_until_s:
+            runs.update(history.runs_of(target, now_s))
         return CrashReport(
-            tuple(
-                run
-                for run in self._history.runs(now_s)
-                if run.age_s < REPORT_S or self.stopped_for_s(run.keys, now_s)
-            ),
-            tuple(self._history.answered(now_s, REPORT_S)),
+            tuple(itertools.islice(runs, MAX_REPORTED)),
+            tuple(history.answered(now_s, REPORT_S)),
         )
 
     def _cases(self, keys: RequestKeys) -> Iterator[_Case]:
--- a/cactusledge/records/crash_history.py
+++ b/cactusledge/records/crash_history.py
@@ -34,6 +34,7 @@
         self._ended_s: dict[LifetimeKey, float] = {}  # as first seen
         self._lifetimes: dict[str, set[LifetimeKey]] = {}  # by key
         self._answered_s: OrderedDict[str, float] = OrderedDict()  # by key
+        self._cleared: set[str] = set()  # keys with ends, answered recently
 
     def add(self, run: CrashedRun, now_s: float) -> bool:
         """Adds a request that ran on an endpoint; returns whether it is new."""
@@ -44,6 +45,8 @@
         self._ended_s.setdefault(lifetime, now_s - run.age_s)
         for key in run.keys:
             self._lifetimes.setdefault(key, set()).add(lifetime)
+            if key in self._answered_s:
+                self._cleared.add(key)
         while len(self._runs) > MAX_ENDPOINTS:
             self._forget(next(iter(self._runs)))
         return True
@@ -54,6 +57,8 @@
             known_s = self._answered_s.get(key, -math.inf)
             self._answered_s[key] = max(known_s, at_s)
             self._answered_s.move_to_end(key)
+            if key in self._lifetimes:
+                self._cleared.add(key)
         while len(self._answered_s) > MAX_ANSWERED:
             self._answered_s.popitem(last=False)
 
@@ -79,18 +84,32 @@
 
     def answered(self, now_s: float, limit_s: float) -> Iterator[AnsweredKey]:
         """Yields keys with ends that were answered, for so long."""
-        for key in self._lifetimes:
-            age_s = now_s - self._answered_s.get(key, -math.inf)
-            if age_s < limit_s:
-                yield AnsweredKey(key, max(0, age_s))
+        ages_s = {
+            key: now_s - self._answered_s.get(key, -math.inf)
+            for key in self._cleared
+        }
+        self._cleared = {
+            key for key, age_s in ages_s.items() if age_s < limit_s
+        }
+        for key in self._cleared:
+            yield AnsweredKey(key, max(0, ages_s[key]))
 
-    def runs(self, now_s: float) -> Iterator[CrashedRun]:
-        """Yields all runs; forgets the old ones."""
+    def recent_runs(self, now_s: float, limit_s: float) -> Iterator[CrashedRun]:
+        """Yields the runs of the last ends; forgets old ends."""
         self._forget_old(now_s)
         for lifetime, runs in self._runs.items():
             age_s = max(0, now_s - self._ended_s[lifetime])
-            for keys in runs:
-                yield CrashedRun(*lifetime, keys, age_s)
+            if age_s < limit_s:
+                for keys in runs:
+                    yield CrashedRun(*lifetime, keys, age_s)
+
+    def runs_of(self, target: str, now_s: float) -> Iterator[CrashedRun]:
+        """Yields all runs with a target."""
+        for lifetime in self._lifetimes.get(target, ()):
+            age_s = max(0, now_s - self._ended_s[lifetime])
+            for keys in self._runs[lifetime]:
+                if keys.target == target:
+                    yield CrashedRun(*lifetime, keys, age_s)
 
     def _forget_old(self, now_s: float) -> None:
         old = [
