Keep a gateway's periodic tasks going after an unexpected error

Here an error in a periodic task of a gateway ended that task for as long as the process ran, with one log line: reports, reachability, the search for the group, and now the evidence of crashes. Ruled out: the process itself does not end, as each task runs by itself.

The test whether an endpoint takes connections stood twice (end_watch, reach_watch) and stands once, in probes; no decision changes.

--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from cactusledge.gateway.background_loops import keep_running
 from cactusledge.gateway.bootstrap import PeerBootstrap
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.departure_reports import DepartureReports
@@ -76,15 +77,16 @@
 
     async def run(self) -> None:
         """Runs all background loops until cancelled."""
-        await asyncio.gather(
-            self._maintain(),
-            self._watch_partitions(),
-            self._relays.run(),
-            self._load_exchange.run(),
-            self._forward_peers.run(),
-            self._watch_reach(),
-            self._watch_ends(),
+        loops = (
+            self._maintain,
+            self._watch_partitions,
+            self._relays.run,
+            self._load_exchange.run,
+            self._forward_peers.run,
+            self._watch_reach,
+            self._watch_ends,
         )
+        await asyncio.gather(*map(keep_running, loops))
 
     def stop(self) -> None:
         """Closes the port and its connections."""
--- a/cactusledge/gateway/end_watch.py
+++ b/cactusledge/gateway/end_watch.py
@@ -9,7 +9,7 @@
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.endpoint_ends import EndedEndpoint
 from cactusledge.gateway.messages import Replica
-from cactusledge.gateway.pool import EndpointUnreachableError
+from cactusledge.gateway.probes import takes_connections
 
 OTHERS_TESTED = 2  # as one may have ended too
 OTHER_TEST_PAUSE_S = 0.1  # until the next ones, if none is reached
@@ -30,7 +30,10 @@
         """Tests once what is in doubt."""
         fleet = self._fleet
         tested = [*fleet.ends.to_test(), *self._others()]
-        await asyncio.gather(*map(self._test, tested))
+        # The reach keeps the results.
+        await asyncio.gather(
+            *(takes_connections(fleet, replica) for replica in tested)
+        )
         for ended in fleet.ends.take_ended(fleet.replicas.find, now()):
             self._note(ended)
 
@@ -48,17 +51,6 @@
         ]
         return random.sample(others, min(OTHERS_TESTED, len(others)))
 
-    async def _test(self, replica: Replica) -> None:
-        """Connects; the reach keeps the result."""
-        try:
-            await self._fleet.pool.probe(replica)
-        except EndpointUnreachableError as exc:
-            log.info(
-                'gateway: probe of endpoint failed',
-                endpoint_id=replica.endpoint_id,
-                error=str(exc),
-            )
-
     def _note(self, ended: EndedEndpoint) -> None:
         self._fleet.metrics.add('gateway_endpoint_ends_total', sign=ended.sign)
         self._fleet.crashes.note_ended(ended)
--- a/cactusledge/gateway/reach_watch.py
+++ b/cactusledge/gateway/reach_watch.py
@@ -6,8 +6,7 @@
 import structlog
 
 from cactusledge.gateway.context import Fleet
-from cactusledge.gateway.messages import Replica
-from cactusledge.gateway.pool import EndpointUnreachableError
+from cactusledge.gateway.probes import takes_connections
 from cactusledge.gateway.reach import SILENT_S, SUSPECTED_BY
 
 FAILED_TEST_PAUSE_S = 0.1  # until the next test
@@ -64,25 +63,15 @@
         others = [one for one in listed if one.endpoint_id not in failed]
         drawn = others or listed
         probed = random.sample(drawn, min(SUSPECTED_BY, len(drawn)))
-        reached = await asyncio.gather(*map(self._connect, probed))
+        reached = await asyncio.gather(
+            *(takes_connections(self._fleet, replica) for replica in probed)
+        )
         if any(reached):
             return True
         for endpoint_id in self._fleet.partitions.silent(now_s, SILENT_S):
             reach.add_failed(endpoint_id, now_s)
         return False
 
-    async def _connect(self, replica: Replica) -> bool:
-        try:
-            await self._fleet.pool.probe(replica)
-        except EndpointUnreachableError as exc:
-            log.info(
-                'gateway: probe of endpoint failed',
-                endpoint_id=replica.endpoint_id,
-                error=str(exc),
-            )
-            return False
-        return True
-
     def _note(self, now_s: float) -> None:
         """Logs a change; ends exchanges that cannot go on."""
         is_stranded = self._fleet.reach.is_stranded(now_s)
