--- a/tests/test_crash_evidence_simulated.py
+++ b/tests/test_crash_evidence_simulated.py
@@ -15,18 +15,18 @@
 MOST_RETRIES = 3  # that end endpoints later than that
 
 LOADS = {
-    'one gateway': Load(gateways=1, stores=1),
-    'eight gateways': Load(),
-    'many gateways': Load(gateways=171, stores=5, endpoints=32),
-    'few endpoints': Load(endpoints=3),
-    'much at stake': Load(sound_per_s=200),
+    'one-gateway': Load(gateways=1, stores=1),
+    'eight-gateways': Load(),
+    'many-gateways': Load(gateways=171, stores=5, endpoints=32),
+    'few-endpoints': Load(endpoints=3),
+    'much-at-stake': Load(sound_per_s=200),
 }
 HARD_LOADS = {
     **LOADS,
-    'lost reports': Load(loss=0.3),
-    'three causes': Load(causes=3),
-    'three causes, lost reports': Load(causes=3, loss=0.3),
-    'ten causes': Load(causes=10, seed=2),
+    'lost-reports': Load(loss=0.3),
+    'three-causes': Load(causes=3),
+    'three-causes-lost-reports': Load(causes=3, loss=0.3),
+    'ten-causes': Load(causes=10, seed=2),
 }
 
 
