--- a/cactusledge/gateway/endpoint_ends.py
+++ b/cactusledge/gateway/endpoint_ends.py
@@ -96,7 +96,7 @@
     def take_ended(
         self, find: Callable[[str], Replica | None], now_s: float
     ) -> list[EndedEndpoint]:
-        """Returns what is known to have ended, with requests not told yet.
+        """Returns ended endpoints, each request that ran there once.
 
         Args:
             find: Returns the list's entry of an endpoint id.
