Agree on the interfaces of the parts that hard load needs

Accounts and quotas in the configuration, the account of a call, the gate that quotas stand behind, and one tuple of terms for the choice of an endpoint.

--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -13,7 +13,7 @@
 from cactusledge.gateway.buffer_space import HeldBytes
 from cactusledge.gateway.context import Call, Fleet, Outcome
 from cactusledge.gateway.messages import Outgoing, Replica
-from cactusledge.gateway.placement import choose_service
+from cactusledge.gateway.placement import Terms, choose_service
 from cactusledge.gateway.selection import Selection
 from cactusledge.gateway.sending import Attempts, ExchangeResult
 from cactusledge.gateway.sinks import BufferedAnswer, ExchangeEnd
@@ -77,10 +77,9 @@
 
 def _choose(selection: Selection) -> Replica | None:
     fleet = selection.fleet
-    return choose_service(
-        selection.candidates(),
-        fleet.loads,
+    terms = Terms(
         fleet.data_centre,
         asyncio.get_running_loop().time(),
         fleet.suspects.risk_of(selection.call.keys, selection.broken),
     )
+    return choose_service(selection.candidates(), fleet.loads, terms)
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -11,7 +11,7 @@
 from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.forward_peers import ForwardTargets
 from cactusledge.gateway.loads import Loads
-from cactusledge.gateway.messages import CallInfo, Request, Route
+from cactusledge.gateway.messages import Account, CallInfo, Request, Route
 from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.pool import ConnectionPool
 from cactusledge.gateway.rationing import GrantSource
@@ -44,6 +44,7 @@
     evidence: CrashEvidence
     suspects: Suspects
     crashes: CrashReports
+    quotas: 'QuotaGate'
 
 
 class CallForwarder(Protocol):
@@ -64,6 +65,21 @@
         """Closes connections that have been idle for too long."""
 
 
+class QuotaGate(Protocol):
+    """Holds the requests of client accounts to their quotas."""
+
+    async def wait_s(self, call: 'Call') -> float:
+        """Returns how long the caller has to wait, 0 if the call is taken."""
+
+
+class NoQuotas:
+    """The gate of a gateway that counts nothing."""
+
+    async def wait_s(self, call: 'Call') -> float:
+        """Takes every call."""
+        return 0
+
+
 class Progress:
     """Attempt history of a request, written to its final log line."""
 
@@ -86,6 +102,14 @@
     conn: Responder
     deadline_s: float  # caller's deadline or route's timeout; loop clock
     progress: Progress
+    account: Account | None = None  # None on public routes, or without accounts
+
+    @property
+    def priority(self) -> int:
+        """The rank of the call, 0 is the highest."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
 
     def remaining_ms(self) -> float:
         """Returns the time left until the deadline."""
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -33,6 +33,7 @@
 NOT_READY_RETRY_S = 0.2
 CRASHES_ENDPOINTS = 'crashes endpoints'  # outcome reason
 CALLER_LEFT = 'caller left'  # outcome reason
+OVER_QUOTA = 'over quota'  # outcome reason
 MS = 1000
 SERVED = frozenset((ANSWERED, FORWARDED))  # outcome reasons
 EXPECTED_STATUSES = frozenset((
@@ -146,6 +147,14 @@
             outcome = await forwarder.serve(call)
             if outcome is not None:
                 return outcome
+        wait_s = await self.fleet.quotas.wait_s(call)
+        if wait_s:
+            return refuse(
+                call.conn,
+                http.HTTPStatus.TOO_MANY_REQUESTS,
+                OVER_QUOTA,
+                wait_s,
+            )
         if call.route.repeatability is Repeatability.STREAM:
             return await self._turns.serve(call, service)
         return await serve_call(self.fleet, call, service)
--- a/cactusledge/gateway/messages.py
+++ b/cactusledge/gateway/messages.py
@@ -36,6 +36,7 @@
     keeps_turns: bool  # turns are recorded; requests carry only new input
     retention_s: float
     is_resumable: bool = False  # a broken stream may continue elsewhere
+    is_public: bool = False  # callers need no key
 
     @property
     def may_repeat(self) -> bool:
@@ -68,6 +69,22 @@
     idle_timeout_ms: float = 15000
 
 
+class Quota(NamedTuple):
+    """What a client account may send to all instances together."""
+
+    rate_per_s: float  # requests
+    burst: float  # requests that may come at once
+
+
+class Account(NamedTuple):
+    """A client account in the configuration."""
+
+    name: str
+    key_digests: frozenset[bytes]  # SHA-256 of each of its keys
+    priority: int | None = None  # replaces the route's
+    quota: Quota | None = None  # None: no limit
+
+
 class Configuration(NamedTuple):
     """One complete version of the configuration."""
 
@@ -75,6 +92,7 @@
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits
+    accounts: tuple[Account, ...] | None = None  # None: callers need no key
 
 
 class Lifetime(NamedTuple):
@@ -145,6 +163,7 @@
     parts: tuple[PromptPart, ...]  # of the prompt, in order
     last_event_id: str  # the stream continues after it, '' from the start
     is_forwarded: bool = False  # by another gateway
+    key_digest: bytes = b''  # SHA-256 of the caller's key, b'' without one
 
 
 class EndpointAnswer(NamedTuple):
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -4,7 +4,7 @@
 
 from cactusledge.gateway.answer_notes import AnswerNotes
 from cactusledge.gateway.buffer_space import BufferSpace
-from cactusledge.gateway.context import Fleet
+from cactusledge.gateway.context import Fleet, NoQuotas
 from cactusledge.gateway.crash_reports import CrashReports
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import DEFAULT_WINDOW_S, Departures
@@ -72,4 +72,5 @@
         evidence,
         Suspects(evidence),
         CrashReports(evidence, metrics),
+        NoQuotas(),
     )
--- a/cactusledge/gateway/placement.py
+++ b/cactusledge/gateway/placement.py
@@ -3,6 +3,7 @@
 import random
 import statistics
 from collections.abc import Collection, Sequence
+from typing import NamedTuple
 
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import PromptPart, Replica
@@ -24,26 +25,34 @@
     return 0
 
 
+class Terms(NamedTuple):
+    """What the choice of an endpoint depends on, besides loads and prompt."""
+
+    local_data_centre: str
+    now_s: float
+    risk_ms: Risk = no_risk
+
+
 def choose_engine(
     candidates: Sequence[Replica],
     loads: Loads,
     parts: Sequence[PromptPart],
-    local_data_centre: str,
-    now_s: float,
-    risk_ms: Risk = no_risk,
+    terms: Terms,
 ) -> Replica | None:
     """Returns the engine with the lowest expected cost for a turn."""
     median_ms = median_latency_ms(candidates, loads)
+    now_s = terms.now_s
 
     def cost_ms(replica: Replica) -> float:  # noqa: WPS430
         load = loads.at(replica)
+        is_remote = replica.data_centre != terms.local_data_centre
         return (
             prefill_ms(load.uncached_tokens(parts), load.total)
             + queueing_ms(load.total, replica.slots)
             + UNITS_PER_TURN * load.excess_latency_ms(median_ms, now_s)
             + ERROR_COST_MS * load.error_share(now_s)
-            + CROSS_DC_COST_MS * (replica.data_centre != local_data_centre)
-            + risk_ms(replica)
+            + CROSS_DC_COST_MS * is_remote
+            + terms.risk_ms(replica)
             + JITTER_MS * random.random()
         )
 
@@ -53,23 +62,21 @@
 def choose_service(
     candidates: Sequence[Replica],
     loads: Loads,
-    local_data_centre: str,
-    now_s: float,
-    risk_ms: Risk = no_risk,
+    terms: Terms,
 ) -> Replica | None:
     """Returns the plain service replica with the lowest expected cost."""
 
     def cost_ms(replica: Replica) -> float:  # noqa: WPS430
         load = loads.of(replica.endpoint_id)
         extra_share = CROSS_DC_LATENCY_SHARE * (
-            replica.data_centre != local_data_centre
+            replica.data_centre != terms.local_data_centre
         )
         queue_share = load.total / max(1, replica.slots)
         busy_ms = load.latency_ms * (1 + extra_share + queue_share)
         return (
             busy_ms
-            + ERROR_COST_MS * load.error_share(now_s)
-            + risk_ms(replica)
+            + ERROR_COST_MS * load.error_share(terms.now_s)
+            + terms.risk_ms(replica)
             + random.random()
         )
 
--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -16,7 +16,7 @@
 )
 from cactusledge.gateway.http_client import AnswerTooLargeError
 from cactusledge.gateway.messages import EndpointAnswer, Outgoing, Replica
-from cactusledge.gateway.placement import choose_engine
+from cactusledge.gateway.placement import Terms, choose_engine
 from cactusledge.gateway.selection import Selection
 from cactusledge.gateway.sinks import StreamAnswer
 
@@ -74,14 +74,12 @@
         for replica in candidates:
             if replica.endpoint_id == self.chain.endpoint_id:
                 fleet.loads.at(replica).add_cached_parts(parts)
-        return choose_engine(
-            candidates,
-            fleet.loads,
-            parts,
+        terms = Terms(
             fleet.data_centre,
             asyncio.get_running_loop().time(),
             fleet.suspects.risk_of(self.call.keys, selection.broken),
         )
+        return choose_engine(candidates, fleet.loads, parts, terms)
 
     def new_answer(self, fleet: Fleet, replica: Replica) -> StreamAnswer:
         """Returns a sink that forwards the events to the caller.
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -5,6 +5,7 @@
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import PromptPart, Replica
 from cactusledge.gateway.placement import (
+    Terms,
     choose_engine,
     choose_service,
     healthy,
@@ -27,7 +28,10 @@
     engines = (replica('cold'), replica('warm'))
     loads.at(engines[1]).add_cached_parts(parts)
     loads.of('warm').in_flight = 2
-    assert choose_engine(engines, loads, parts, HERE, 0).endpoint_id == 'warm'
+    assert (
+        choose_engine(engines, loads, parts, Terms(HERE, 0)).endpoint_id
+        == 'warm'
+    )
 
 
 @pytest.mark.parametrize(('in_flight', 'chosen'), [(0, 'near'), (4, 'far')])
@@ -40,7 +44,10 @@
     loads.at(engines[1]).add_cached_parts(parts)
     for endpoint_id in ('near', 'far'):
         loads.of(endpoint_id).in_flight = in_flight
-    assert choose_engine(engines, loads, parts, HERE, 0).endpoint_id == chosen
+    assert (
+        choose_engine(engines, loads, parts, Terms(HERE, 0)).endpoint_id
+        == chosen
+    )
 
 
 def test_overloaded_engine_with_cached_prompt_is_not_chosen():
@@ -49,7 +56,10 @@
     engines = (replica('warm'), replica('cold'))
     loads.at(engines[0]).add_cached_parts(parts)
     loads.of('warm').in_flight = 8
-    assert choose_engine(engines, loads, parts, HERE, 0).endpoint_id == 'cold'
+    assert (
+        choose_engine(engines, loads, parts, Terms(HERE, 0)).endpoint_id
+        == 'cold'
+    )
 
 
 def test_all_tokens_after_the_first_uncached_part_count():
@@ -65,7 +75,7 @@
         loads.of('slow').record_success(400, 0)
         loads.of('sound').record_success(20, 0)
     found = choose_service(
-        (replica('slow'), replica('sound', 'dc-b')), loads, HERE, 0
+        (replica('slow'), replica('sound', 'dc-b')), loads, Terms(HERE, 0)
     )
     assert found.endpoint_id == 'sound'
 
@@ -77,8 +87,12 @@
     loads.of('failing').record_error_sample(0, is_error=True)
     loads.of('sound').in_flight = 3
     for choose in (
-        lambda now_s: choose_service((failing, sound), loads, HERE, now_s),
-        lambda now_s: choose_engine((failing, sound), loads, (), HERE, now_s),
+        lambda now_s: choose_service(
+            (failing, sound), loads, Terms(HERE, now_s)
+        ),
+        lambda now_s: choose_engine(
+            (failing, sound), loads, (), Terms(HERE, now_s)
+        ),
     ):
         assert choose(0.1) == sound
         assert choose(60) == failing
--- a/tests/test_gateway_read_parts.py
+++ b/tests/test_gateway_read_parts.py
@@ -14,7 +14,7 @@
     Loads,
 )
 from cactusledge.gateway.messages import PromptPart, Replica
-from cactusledge.gateway.placement import choose_engine
+from cactusledge.gateway.placement import Terms, choose_engine
 from cactusledge.records.gateway_messages import (
     LoadReport,
     ReadPart,
@@ -55,7 +55,7 @@
     asyncio.run(exchange(GatewayRegistry(), gateways))
     for loads in gateways.values():
         loads.set_remote_loads({'warm': 4})
-        found = choose_engine((warm, cold), loads, prompt('s1'), HERE, 0)
+        found = choose_engine((warm, cold), loads, prompt('s1'), Terms(HERE, 0))
         assert found == warm
 
 
