Ask callers for the key of a client account

Need: deployments with client accounts name their keys in the configuration. Until now unknown keys were served, and keys went on to endpoints.

Change: the adapter decodes `tenants` and `public`, hashes keys at once and reads `Api-Key` as a digest. An endpoint gets the account's name and never the key; another gateway gets the key, as it authenticates the caller itself. The decision is a pure lookup that is built with the route table of a version. An unknown key is refused finally (401) only while no newer version can be in force; otherwise with 503, which a caller repeats. A gateway cannot be certain while its watch of the platform fails, or another gateway has a newer version. A configuration without accounts asks for no key, as before.

Ruled out: sharing the hash of the own interface (settings/configuration.py): it hashes text to hexadecimal for definition files, here bytes of a header are hashed to bytes.

--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -69,8 +69,10 @@
     if found is None:
         return None
     replica, conn = found
-    request = attempts.call.request
-    outgoing = Outgoing(request, request.body)
+    call = attempts.call
+    outgoing = Outgoing(
+        call.request, call.request.body, account=call.account_name
+    )
     answer = BufferedAnswer(passage)
     return await attempts.exchange(replica, conn, answer, outgoing)
 
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -111,6 +111,11 @@
             return self.route.priority
         return self.account.priority
 
+    @property
+    def account_name(self) -> str:
+        """The name of the caller's account, '' without one."""
+        return '' if self.account is None else self.account.name
+
     def remaining_ms(self) -> float:
         """Returns the time left until the deadline."""
         now_s = asyncio.get_running_loop().time()
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -7,10 +7,12 @@
 
 import structlog
 
+from cactusledge.gateway.accounts import Finding
 from cactusledge.gateway.admission import Admission, cut, refuse_for_stop
 from cactusledge.gateway.answer_end import end_fields
 from cactusledge.gateway.answers import ANSWERED, refuse
 from cactusledge.gateway.calls import serve_call
+from cactusledge.gateway.configuration_news import ConfigurationNews
 from cactusledge.gateway.context import Call, Fleet, Outcome, Progress
 from cactusledge.gateway.forwarding import FORWARDED
 from cactusledge.gateway.http_server import ServerConnection
@@ -31,6 +33,7 @@
 from cactusledge.records.gateway_messages import RequestKeys
 
 NOT_READY_RETRY_S = 0.2
+UNSURE_KEY_RETRY_S = 0.3  # for a newer configuration to arrive
 CRASHES_ENDPOINTS = 'crashes endpoints'  # outcome reason
 CALLER_LEFT = 'caller left'  # outcome reason
 OVER_QUOTA = 'over quota'  # outcome reason
@@ -39,6 +42,7 @@
 EXPECTED_STATUSES = frozenset((
     http.HTTPStatus.PAYMENT_REQUIRED,
     http.HTTPStatus.NOT_FOUND,
+    http.HTTPStatus.UNAUTHORIZED,
 ))
 
 log = structlog.get_logger('gateway')
@@ -53,6 +57,7 @@
         self.records = records
         self.table: RouteTable | None = None
         self.limits = Limits()
+        self.news = ConfigurationNews()
         self.is_closing = False
         self.admission = Admission()
         self.connections: set[ServerConnection] = set()
@@ -64,6 +69,7 @@
             return False
         self.table = RouteTable(cfg)
         self.limits = cfg.limits
+        self.news.note_applied(cfg.version)
         log.info('gateway: configuration applied', version=cfg.version)
         return True
 
@@ -105,6 +111,12 @@
             )
         if route is None:
             return refuse(conn, http.HTTPStatus.NOT_FOUND, 'no route')
+        now_s = asyncio.get_running_loop().time()
+        identity = table.accounts.identify(
+            route, info.key_digest, is_current=self.news.is_current(now_s)
+        )
+        if identity.finding is not Finding.ADMITTED:
+            return refuse_unidentified(conn, identity.finding)
         call = Call(
             request,
             keys,
@@ -114,8 +126,8 @@
             conn,
             request_deadline_s(request, info, route),
             progress,
+            identity.account,
         )
-        now_s = asyncio.get_running_loop().time()
         if not self.admission.admits(call, now_s):
             return refuse_for_stop(conn)
         return await self._serve_in_time(call)
@@ -194,10 +206,26 @@
         )
 
 
+def refuse_unidentified(conn: Responder, finding: Finding) -> Outcome:
+    """Refuses a request without a known key; finally only if that is certain.
+
+    The key is never named.
+    """
+    if finding is Finding.UNSURE:
+        return refuse(
+            conn,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            finding,
+            UNSURE_KEY_RETRY_S,
+        )
+    return refuse(conn, http.HTTPStatus.UNAUTHORIZED, finding)
+
+
 def is_unanswered(outcome: Outcome) -> bool:
     """Returns whether a request failed without an endpoint's response.
 
-    Refusals for a spent budget or an unknown route or parent do not count.
+    Refusals for a spent budget or an unknown key, route or parent do not
+    count.
     """
     return (
         outcome.reason not in SERVED and outcome.status not in EXPECTED_STATUSES
--- a/cactusledge/gateway/messages.py
+++ b/cactusledge/gateway/messages.py
@@ -138,6 +138,7 @@
     request: Request
     body: bytes  # replaces the request's own
     resume_after: str = ''  # event id; replaces the caller's, '' keeps it
+    account: str = ''  # name of the caller's account, '' without one
 
 
 class PromptPart(NamedTuple):
--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -12,7 +12,7 @@
 )
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.models import Address
-from cactusledge.objects.feeds import Feed, Follower
+from cactusledge.objects.feeds import Feed
 from cactusledge.objects.store import ObjectStore
 from cactusledge.objects.watcher import Watcher, WatchTarget
 
@@ -48,18 +48,22 @@
     """
     configurations = ConfigurationFollower(gateway, parts.decode_configuration)
     endpoints = ReplicaFollower(gateway.fleet, parts.decode_replica)
-    followed: tuple[tuple[str, Follower, float], ...] = (
-        (parts.configuration_kind, configurations, CONFIGURATION_PAUSE_S),
-        (parts.endpoint_kind, endpoints, ENDPOINT_PAUSE_S),
-    )
     loop = asyncio.get_running_loop()
+    followed = (
+        (
+            parts.configuration_kind,
+            Feed(loop, configurations, gateway.news.note_watch),
+            CONFIGURATION_PAUSE_S,
+        ),
+        (parts.endpoint_kind, Feed(loop, endpoints), ENDPOINT_PAUSE_S),
+    )
     watchers = [
         Watcher(
             parts.objects,
             WatchTarget(kind, timeout_s=WATCH_TIMEOUT_S, pause_s=pause_s),
-            Feed(loop, follower),
+            feed,
         )
-        for kind, follower, pause_s in followed
+        for kind, feed, pause_s in followed
     ]
     for watcher in watchers:
         watcher.start()
--- a/cactusledge/gateway/routes.py
+++ b/cactusledge/gateway/routes.py
@@ -2,17 +2,19 @@
 
 from collections.abc import Iterator
 
+from cactusledge.gateway.accounts import AccountKeys
 from cactusledge.gateway.messages import Configuration, Route, Service
 
 SLASH = '/'
 
 
 class RouteTable:
-    """The routes of one version of the configuration."""
+    """The routes and accounts of one version of the configuration."""
 
     def __init__(self, cfg: Configuration) -> None:
         """Indexes the routes."""
         self.cfg = cfg
+        self.accounts = AccountKeys(cfg.accounts)
         self._routes: dict[tuple[str, str], Route] = {
             (route.host, route.prefix): route for route in cfg.routes
         }
--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -64,6 +64,7 @@
             request,
             self.chain.text + request.body,
             resume_after=self._splitter.last_event_id,
+            account=self.call.account_name,
         )
 
     def choose(self, selection: Selection) -> Replica | None:
--- a/cactusledge/objects/feeds.py
+++ b/cactusledge/objects/feeds.py
@@ -41,15 +41,30 @@
         """Handles the removal of an object."""
 
 
+def ignore(failing_since_s: float | None) -> None:
+    """Takes no note of failures."""
+
+
 class Feed:
     """A `WatchSink` that calls a follower on the event loop."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, follower: Follower
+        self,
+        loop: asyncio.AbstractEventLoop,
+        follower: Follower,
+        note_failing: Callable[[float | None], None] = ignore,
     ) -> None:
-        """Stores the event loop and the follower."""
+        """Stores the event loop and the follower.
+
+        Args:
+            loop: The event loop to call the follower on.
+            follower: Handles the lists and events.
+            note_failing: Is told since when the watch has failed (monotonic
+                clock), None once it has listed again.
+        """
         self._loop = loop
         self._follower = follower
+        self._note_failing = note_failing
         self._failing_since_s: float | None = None
 
     def on_snapshot(self, listed: ObjectList) -> None:
@@ -61,6 +76,7 @@
             log.info('platform: regained', away_s=round(away_s, 2))
         listing = Listing(listed, away_s >= OUTAGE_THRESHOLD_S)
         self._call(self._follower.handle_list, listing)
+        self._call(self._note_failing, None)
 
     def on_event(self, event: WatchEvent) -> None:
         """Passes on a change of one object."""
@@ -79,6 +95,7 @@
         if self._failing_since_s is None:
             self._failing_since_s = time.monotonic()
             log.warning('platform: lost', error=exc.message)
+            self._call(self._note_failing, self._failing_since_s)
 
     def _call(self, take: Callable[..., None], *args: object) -> None:
         self._loop.call_soon_threadsafe(take, *args)
--- a/cactusledge/platform/documents.py
+++ b/cactusledge/platform/documents.py
@@ -17,6 +17,7 @@
     Share,
 )
 from cactusledge.objects.store import StoredObject
+from cactusledge.platform.accounts import decode_accounts
 
 CONFIGURATION_KIND = 'config'
 CONFIGURATION_NAME = 'main'
@@ -58,6 +59,7 @@
         routes=tuple(to_route(route) for route in spec['routes']),
         services=tuple(to_service(service) for service in spec['services']),
         limits=to_limits(spec.get('limits', {})),
+        accounts=decode_accounts(spec),
     )
 
 
@@ -94,6 +96,7 @@
         keeps_turns=bool(spec.get('retain_context', False)),
         retention_s=float(spec.get('retention_s', 0)),
         is_resumable=bool(spec.get('resumable', False)),
+        is_public=bool(spec.get('public', False)),
     )
 
 
--- a/cactusledge/platform/headers.py
+++ b/cactusledge/platform/headers.py
@@ -13,6 +13,7 @@
     Replica,
     Request,
 )
+from cactusledge.platform.accounts import digest_of
 
 REQUEST_ID = b'x-cactusledge-request-id'
 DEADLINE = b'x-cactusledge-deadline-ms'  # remaining time, not a timestamp
@@ -32,6 +33,8 @@
 LEAVING = b'server-leaving'  # on all answers of an endpoint that leaves
 RATE_LIMIT = b'server-limit'  # requests a second, of all instances together
 LAST_EVENT_ID = b'last-event-id'  # a stream continues after this event
+API_KEY = b'api-key'  # of a client account
+ACCOUNT_NAME = b'x-cactusledge-tenant'  # to an endpoint, in place of the key
 
 MAX_RATE_LIMIT = 1e6  # requests a second; more is no limit an endpoint means
 MAX_INVALID_CHARS = 40  # of an invalid header that are logged
@@ -57,6 +60,7 @@
     DEADLINE,
     EXPECT_INSTANCE,
     FORWARDED,
+    ACCOUNT_NAME,
     b'x-cactusledge-kv-hold',
     b'x-cactusledge-pin-ms',
     b'x-cactusledge-kv-backup',
@@ -64,6 +68,8 @@
     b'kv-fetch',
 ))
 NOT_FORWARDED = HOP_BY_HOP | RESERVED
+# Another gateway gets the key, as it authenticates the caller itself.
+NOT_FOR_ENDPOINTS = NOT_FORWARDED | {API_KEY}
 NOT_RETURNED = HOP_BY_HOP | {NOT_EXECUTED}
 BODY_METHODS = frozenset((b'POST', b'PUT', b'PATCH'))
 
@@ -91,6 +97,7 @@
             parts=parse_prompt_parts(by_name.get(PROMPT_PARTS, b'')),
             last_event_id=header_text(by_name, LAST_EVENT_ID),
             is_forwarded=FORWARDED in by_name,
+            key_digest=digest_of(by_name.get(API_KEY, b'')),
         )
 
     def request_headers(
@@ -104,7 +111,8 @@
         Without one they are for another gateway.
         """
         request = outgoing.request
-        dropped = NOT_FORWARDED | connection_options(request.headers)
+        dropped = NOT_FOR_ENDPOINTS if replica else NOT_FORWARDED
+        dropped |= connection_options(request.headers)
         if outgoing.resume_after:
             dropped |= {LAST_EVENT_ID}
         lines = [
@@ -119,6 +127,10 @@
         )
         deadline = f'X-Cactusledge-Deadline-Ms: {max(1, int(deadline_ms))}\r\n'
         lines.append(f'{deadline}{recipient}'.encode())
+        if replica and outgoing.account:
+            lines.append(
+                f'X-Cactusledge-Tenant: {outgoing.account}\r\n'.encode()
+            )
         if outgoing.resume_after:
             lines.append(f'Last-Event-Id: {outgoing.resume_after}\r\n'.encode())
         if outgoing.body or request.method in BODY_METHODS:
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -67,6 +67,13 @@
     answered: tuple[AnsweredKey, ...] = ()
 
 
+class KnownVersion(NamedTuple):
+    """The newest version of the configuration, and gateways that have it."""
+
+    version: int = 0  # 0 if none is known
+    holders: tuple[str, ...] = ()  # 'host:port' for messages, newest first
+
+
 class Hello(Message, frozen=True):
     """Registers a gateway with a store; the reply is `Neighbours`."""
 
