Let a turn be continued only by the account it was recorded for

Need: the id of a turn is no secret. A caller that named the turn of another account had that account's prompt read to an engine with its own.

Change: a turn is recorded with the name of its account, in a last field that entries of the build before lack; such turns are open to all, as they are where callers need no key. The gateway compares the accounts after the stores have granted the turn, as the chain names the account, and answers 404; what was reserved is settled with no tokens, as for any turn that is not sent.

Ruled out: a check by the stores. They would need the account in each request and a verdict of its own, for what the gateway sees in the same reply.

--- a/cactusledge/gateway/chains.py
+++ b/cactusledge/gateway/chains.py
@@ -16,10 +16,11 @@
 
 
 class Chain(NamedTuple):
-    """The text of all turns up to one, and the engine that served the last."""
+    """The text of all turns up to one, and what is known of the last."""
 
     text: bytes
-    endpoint_id: str
+    endpoint_id: str  # the engine that served it
+    account: str = ''  # the account that it was served for, '' without one
 
 
 EMPTY_CHAIN = Chain(b'', '')
@@ -34,13 +35,15 @@
     """Returns the chain made of the records, given oldest first."""
     parts: list[bytes] = []
     endpoint_id = ''
+    account = ''
     for turn in turns:
         parts.extend((
             _decompressor.decompress(turn.request),
             _decompressor.decompress(turn.response),
         ))
         endpoint_id = turn.endpoint_id
-    return Chain(b''.join(parts), endpoint_id)
+        account = turn.account
+    return Chain(b''.join(parts), endpoint_id, account)
 
 
 class ChainCache:
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -43,6 +43,7 @@
 
 MS = 1000
 BUSY_RETRY_S = 0.3  # for a full engine to have a free slot
+FOREIGN_TURN = "continues another account's turn"  # outcome reason
 
 
 log = structlog.get_logger('gateway')
@@ -106,6 +107,8 @@
             grant = await self._begin(call, stream, needs)
             if grant.verdict is not Verdict.GRANTED:
                 return self._refuse(call, grant)
+        if not may_continue(call, stream.chain):
+            return refuse(call.conn, http.HTTPStatus.NOT_FOUND, FOREIGN_TURN)
         return await self._send(call, service, stream)
 
     async def _begin(
@@ -237,6 +240,7 @@
             tokens=stream.tokens,
             endpoint_id=result.replica.endpoint_id,
             holders=(),  # chosen by the record client
+            account=call.account_name,
         )
         started_s = time.monotonic()
         recorded = await self._records.record(turn)
@@ -255,6 +259,12 @@
         stream.is_recorded = True
         text = b''.join((stream.chain.text, call.request.body, response))
         self._chains.put(
-            info.request_id, Chain(text, result.replica.endpoint_id)
+            info.request_id,
+            Chain(text, turn.endpoint_id, turn.account),
         )
         return True
+
+
+def may_continue(call: Call, chain: Chain) -> bool:
+    """Returns whether the caller's account may continue a chain."""
+    return call.table.accounts.may_continue(chain.account, call.account)
--- a/cactusledge/records/entries.py
+++ b/cactusledge/records/entries.py
@@ -22,6 +22,7 @@
     tokens: int  # tokens delivered to the caller
     endpoint_id: str  # the engine that holds the chain in its cache
     holders: tuple[str, ...]  # instances assigned to keep the text
+    account: str = ''  # name of the caller's account; '': open to all
 
     @property
     def has_text(self) -> bool:
