Bring newer configurations to gateways that the platform turns away

Need: the platform may turn some gateways away for seconds while it serves the others and the operator. Those kept their version: keys that had been taken away were still served, and new ones were refused.

Change: gateways name their version and peer address with their loads; stores return the newest version at any gateway and three of those that have it. What a store hears from another one is not passed on, so a gateway that is gone is forgotten 3 s after its last report at most. Its own watch normally comes first. Versions never go back. While it is behind, unknown keys get 503.

Ruled out: stores that watch and hand out the configuration (one more reader of the platform for each, and they would have to parse it); sending it with the loads (its size, ten times a second).

--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -8,19 +8,18 @@
 from cactusledge.gateway.background_loops import keep_running
 from cactusledge.gateway.bootstrap import PeerBootstrap
 from cactusledge.gateway.context import Fleet
-from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.end_watch import EndWatch
 from cactusledge.gateway.forward_peers import ForwardPeers
 from cactusledge.gateway.gateway import Gateway
-from cactusledge.gateway.limit_reports import LimitReports
+from cactusledge.gateway.new_load_exchange import new_load_exchange
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.gateway.peer_requests import PeerRequests
 from cactusledge.gateway.reach_watch import ReachWatch
+from cactusledge.gateway.version_fetch import VersionFetch
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Member
 from cactusledge.records.group_finder import GroupFinder
 from cactusledge.records.group_objects import GroupObjects
-from cactusledge.records.load_exchange import LoadExchange
 from cactusledge.records.message_server import MessageServer
 from cactusledge.records.reachability import silent_data_centres
 from cactusledge.records.relays import Relays
@@ -48,18 +47,14 @@
             Member(str(parts.peers), parts.data_centre),
             records.peers,
         )
-        self._load_exchange = LoadExchange(
-            parts.instance,
-            records.peers,
-            fleet.loads,
-            DepartureReports(fleet.departures, fleet.metrics),
-            LimitReports(fleet.limits, fleet.metrics),
-            fleet.crashes,
-        )
+        self._load_exchange = new_load_exchange(parts, gateway, records.peers)
         self._finder = GroupFinder(
             records, parts.seeds, GroupObjects(parts.objects)
         )
         self._bootstrap = PeerBootstrap(gateway, self._relays)
+        self._version_fetch = VersionFetch(
+            gateway.news, self._bootstrap.fetch, fleet.metrics
+        )
         self._reach_watch = ReachWatch(fleet)
         self._end_watch = EndWatch(fleet)
         self._forward_peers = ForwardPeers(
@@ -85,6 +80,7 @@
             self._forward_peers.run,
             self._watch_reach,
             self._watch_ends,
+            self._version_fetch.run,
         )
         await asyncio.gather(*map(keep_running, loops))
 
--- a/cactusledge/gateway/bootstrap.py
+++ b/cactusledge/gateway/bootstrap.py
@@ -1,11 +1,12 @@
-"""Bootstraps a starting gateway from another one while the platform is down.
+"""Takes the configuration and endpoints of another gateway.
 
 The configuration and the endpoint list normally come from the platform. While
 the platform does not answer, a gateway that has just started copies them from
-a running gateway, and switches to the platform's lists when they arrive.
+a running gateway, and switches to the platform's lists when they arrive. One
+that the platform turns away later takes newer configurations from others.
 """
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 import structlog
@@ -14,11 +15,13 @@
 from cactusledge.gateway.messages import Configuration, Replica
 from cactusledge.models import Address
 from cactusledge.records.gateway_messages import AskBeliefs, Beliefs
+from cactusledge.records.messages import Body
 from cactusledge.records.peer import call_once
 from cactusledge.records.relays import Relays
 
 PLATFORM_WAIT_S = 1.0  # for the platform's lists, before peers are asked
 TIMEOUT_S = 0.5
+FETCH_TIMEOUT_S = 0.4  # so that a silent gateway leaves time for another
 
 log = structlog.get_logger('gateway')
 
@@ -65,44 +68,73 @@
         if now_s - self._incomplete_since_s < PLATFORM_WAIT_S:
             return
         for address in self._relays.gateway_addresses():
-            await self._ask(address)
+            await self._bootstrap(address)
             if not self.is_incomplete():
                 return
 
-    async def _ask(self, address: Address) -> None:
-        try:
-            reply = await call_once(address, AskBeliefs(), TIMEOUT_S)
-        except (ConnectionError, TimeoutError) as exc:
-            log.info(
-                'gateway: snapshot request failed',
-                address=str(address),
-                error=repr(exc),
+    async def fetch(self, address: Address) -> None:
+        """Takes a newer configuration from a gateway that should have it."""
+        before = self._gateway.news.version
+        snapshot = await self._ask(address, FETCH_TIMEOUT_S)
+        if snapshot is not None and self._gateway.news.version > before:
+            log.warning(
+                'gateway: configuration fetched from peer',
+                before=before,
+                **self._adopted(address, snapshot),
             )
-            return
-        if isinstance(reply, Beliefs):
-            self._adopt(address, reply)
 
-    def _adopt(self, address: Address, reply: Beliefs) -> None:
-        """Applies a newer configuration, and endpoints if none are known.
+    async def _bootstrap(self, address: Address) -> None:
+        snapshot = await self._ask(address, TIMEOUT_S)
+        if snapshot is not None:
+            log.warning(
+                'gateway: bootstrapped from peer snapshot',
+                **self._adopted(address, snapshot),
+            )
+
+    async def _ask(self, address: Address, timeout_s: float) -> Snapshot | None:
+        """Returns a gateway's snapshot once it is in force, None if it failed.
 
         An undecodable snapshot is ignored.
         """
         try:
-            snapshot = SNAPSHOT_DECODER.decode(reply.content)
-        except msgspec.MsgspecError as exc:
-            log.warning(
-                'gateway: cannot decode snapshot from peer', error=repr(exc)
+            reply = await call_once(address, AskBeliefs(), timeout_s)
+        except (ConnectionError, TimeoutError) as exc:
+            log.info(
+                'gateway: snapshot request failed',
+                address=str(address),
+                error=repr(exc),
             )
-            return
+            return None
+        snapshot = decode_snapshot(reply)
+        if snapshot is not None:
+            self._adopt(snapshot)
+        return snapshot
+
+    def _adopt(self, snapshot: Snapshot) -> None:
+        """Applies a newer configuration, and endpoints if none are known."""
         replicas = self._gateway.fleet.replicas
         if snapshot.cfg is not None:
             self._gateway.apply(snapshot.cfg)
         if not len(replicas):
             for replica in snapshot.replicas:
                 replicas.put(replica)
+
+    def _adopted(self, address: Address, snapshot: Snapshot) -> dict[str, Any]:
+        return {
+            'address': str(address),
+            'version': snapshot.cfg.version if snapshot.cfg else 0,
+            'endpoints': len(self._gateway.fleet.replicas),
+        }
+
+
+def decode_snapshot(reply: Body) -> Snapshot | None:
+    """Returns the snapshot in a gateway's reply, None if there is none."""
+    if not isinstance(reply, Beliefs):
+        return None
+    try:
+        return SNAPSHOT_DECODER.decode(reply.content)
+    except msgspec.MsgspecError as exc:
         log.warning(
-            'gateway: bootstrapped from peer snapshot',
-            address=str(address),
-            version=snapshot.cfg.version if snapshot.cfg else 0,
-            endpoints=len(replicas),
+            'gateway: cannot decode snapshot from peer', error=repr(exc)
         )
+        return None
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -101,6 +101,7 @@
     # Requests a second that would go to limited endpoints, by endpoint id.
     demands: dict[str, float] = msgspec.field(default_factory=dict)
     crashes: CrashReport = CrashReport()
+    configuration: KnownVersion = KnownVersion()
 
 
 class LoadSums(Message, frozen=True):
@@ -114,6 +115,7 @@
     limits: list[NamedLimit] = msgspec.field(default_factory=list)
     gateways: int = 0  # with recent reports; 0 if the store grants nothing
     crashes: CrashReport = CrashReport()
+    configuration: KnownVersion = KnownVersion()
 
 
 class ShareLoads(Message, frozen=True):
@@ -129,6 +131,7 @@
     demands: dict[str, float] = msgspec.field(default_factory=dict)
     gateways: int = 0  # that report to it
     crashes: CrashReport = CrashReport()
+    configuration: KnownVersion = KnownVersion()
 
 
 class ReadNews(Message, frozen=True):
--- a/cactusledge/records/gateways.py
+++ b/cactusledge/records/gateways.py
@@ -24,6 +24,7 @@
 from cactusledge.records.neighbours import choose_neighbours
 from cactusledge.records.read_parts import ListPosition, ReadParts
 from cactusledge.records.recent_departures import RecentDepartures
+from cactusledge.records.version_spread import VersionSpread
 
 GATEWAY_TTL_S = 10.0  # since a gateway last registered
 LOAD_TTL_S = 1.5  # since a load was last reported
@@ -49,6 +50,7 @@
         self._gateways_elsewhere: dict[str, int] = {}  # by store
         self.limits = LimitDivision()
         self.crashes = CrashEvidence()
+        self.versions = VersionSpread()
 
     async def register(self, hello: Hello) -> Neighbours:
         """Registers a gateway; returns some of the others."""
@@ -75,6 +77,7 @@
         self.limits.known.add_reported(report.limits, now_s)
         self.limits.report(report.name, report.demands, now_s)
         self.crashes.add_reported(report.crashes, now_s)
+        self.versions.report(report.name, report.configuration, now_s)
         update = self._read_parts.since(
             ListPosition(report.epoch, report.position)
         )
@@ -87,6 +90,7 @@
             gateways=self.local_gateways(now_s)
             + sum(self._gateways_elsewhere.values()),
             crashes=self.crashes.to_report(now_s),
+            configuration=self.versions.newest(now_s),
         )
 
     async def share(self, request: ShareLoads) -> ReadNews:
@@ -98,6 +102,7 @@
         self.limits.share(request.name, request.demands, reported.at_s)
         self._gateways_elsewhere[request.name] = request.gateways
         self.crashes.add_reported(request.crashes, reported.at_s)
+        self.versions.share(request.name, request.configuration, reported.at_s)
         update = self._read_parts.since(
             ListPosition(request.epoch, request.position)
         )
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -9,6 +9,7 @@
 
 from cactusledge.records.gateway_messages import (
     CrashReport,
+    KnownVersion,
     LeavingEndpoint,
     LoadReport,
     LoadSums,
@@ -83,6 +84,27 @@
         """Adds what other gateways have seen."""
 
 
+class VersionTracker(Protocol):
+    """A gateway's record of versions of the configuration."""
+
+    def to_report(self) -> KnownVersion:
+        """Returns the version in force at this gateway."""
+
+    def add_reported(self, known: KnownVersion) -> None:
+        """Adds the newest version that any gateway has."""
+
+
+class NoVersions:
+    """The record of a gateway that compares no versions."""
+
+    def to_report(self) -> KnownVersion:
+        """Returns no version."""
+        return KnownVersion()
+
+    def add_reported(self, known: KnownVersion) -> None:
+        """Ignores the version."""
+
+
 class LoadExchange:
     """Exchanges loads with the nearest store.
 
@@ -97,6 +119,7 @@
         departures: DepartureTracker,
         limits: LimitTracker,
         crashes: CrashTracker,
+        versions: VersionTracker | None = None,
     ) -> None:
         """Prepares the exchange; `run` starts it."""
         self._name = name
@@ -105,6 +128,7 @@
         self._departures = departures
         self._limits = limits
         self._crashes = crashes
+        self._versions = versions or NoVersions()
         self._positions: dict[str, ListPosition] = {}  # by store
         self._interval_s = EXCHANGE_INTERVAL_S
 
@@ -132,6 +156,7 @@
             limits=self._limits.to_report(),
             demands=self._limits.demands(),
             crashes=self._crashes.to_report(),
+            configuration=self._versions.to_report(),
         )
         try:
             await self._ask(nearest, report)
@@ -156,6 +181,7 @@
             self._limits.add_reported(reply.limits)
             self._limits.set_gateways(reply.gateways)
             self._crashes.add_reported(reply.crashes)
+            self._versions.add_reported(reply.configuration)
             self._interval_s = max(
                 EXCHANGE_INTERVAL_S,
                 len(reply.in_flight) * INTERVAL_PER_ENDPOINT_S,
--- a/cactusledge/records/load_sharing.py
+++ b/cactusledge/records/load_sharing.py
@@ -54,6 +54,7 @@
             demands=gateways.limits.local_demands(now_s),
             gateways=gateways.local_gateways(now_s),
             crashes=gateways.crashes.to_report(now_s),
+            configuration=gateways.versions.local(now_s),
         )
         try:
             reply = await link.call(request, SHARE_TIMEOUT_S)
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -131,6 +131,11 @@
         'Requests found to crash endpoints, by how that became known.',
         'source',
     ),
+    _counter(
+        'gateway_configuration_fetches_total',
+        'Newer configurations asked of other gateways, by the result.',
+        'result',
+    ),
     _gauge('gateway_stranded', '1 while no endpoint is in reach.'),
     _counter(
         'gateway_endpoint_limits_total',
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -74,6 +74,7 @@
         )
         self.port = 0
         self.callers = []
+        self.versions = None  # its reports of configurations, if compared
 
     def list_endpoints(self, endpoints):
         """Lists endpoints that have started, the first as the fastest."""
--- a/tests/store_stubs.py
+++ b/tests/store_stubs.py
@@ -49,6 +49,7 @@
             DepartureReports(fleet.departures, fleet.metrics),
             LimitReports(fleet.limits, fleet.metrics),
             fleet.crashes,
+            harness.versions,
         )
         tasks.append(asyncio.ensure_future(exchange.run()))
     try:
