--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -67,6 +67,13 @@
     answered: tuple[AnsweredKey, ...] = ()
 
 
+class KnownVersion(NamedTuple):
+    """The newest version of the configuration, and gateways that have it."""
+
+    version: int = 0  # 0 if none is known
+    holders: tuple[str, ...] = ()  # 'host:port' for messages, newest first
+
+
 class Hello(Message, frozen=True):
     """Registers a gateway with a store; the reply is `Neighbours`."""
 
@@ -94,6 +101,7 @@
     # Requests a second that would go to limited endpoints, by endpoint id.
     demands: dict[str, float] = msgspec.field(default_factory=dict)
     crashes: CrashReport = CrashReport()
+    configuration: KnownVersion = KnownVersion()
 
 
 class LoadSums(Message, frozen=True):
@@ -107,6 +115,7 @@
     limits: list[NamedLimit] = msgspec.field(default_factory=list)
     gateways: int = 0  # with recent reports; 0 if the store grants nothing
     crashes: CrashReport = CrashReport()
+    configuration: KnownVersion = KnownVersion()
 
 
 class ShareLoads(Message, frozen=True):
@@ -122,6 +131,7 @@
     demands: dict[str, float] = msgspec.field(default_factory=dict)
     gateways: int = 0  # that report to it
     crashes: CrashReport = CrashReport()
+    configuration: KnownVersion = KnownVersion()
 
 
 class ReadNews(Message, frozen=True):
