Serve the first requests of a start as soon as what they need is there

Need: after a loss of power of all machines a gateway opened its port, refused its first requests, learnt of the stores' groups 0.12 s later and connected to them; callers came back after the time that the refusal named.

Change: for 1.5 s after its port opens a gateway holds requests that lack the configuration, the endpoints or (turns) the stores, for a quarter of their deadline at most, and then refuses them as before. Group and lists are looked for every 0.1 s in the first 3 s, other gateways are asked after 0.5 s without the platform, a question to a seed is sent as soon as its connection is open instead of after 0.1 s, and no full garbage collection precedes the first request.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -15,6 +15,7 @@
 from cactusledge.gateway.new_fleet import Place, new_fleet
 from cactusledge.gateway.pages import metrics_page, open_page, readiness_page
 from cactusledge.gateway.parts import GatewayParts, start_watchers
+from cactusledge.gateway.start_gate import StartGate
 from cactusledge.objects.watcher import Watcher
 from cactusledge.records.client import RecordClient
 from cactusledge.records.grant_source import StoreGrants
@@ -38,6 +39,7 @@
             parts.drain_s,
         )
         self.gateway = Gateway(self.fleet, self.records)
+        self._gate = StartGate(self.gateway, lambda: self.records.has_quorum)
         self._background = BackgroundTasks(parts, self.gateway, self.records)
         self._watchers: list[Watcher] = []
         self._servers: list[asyncio.Server] = []
@@ -77,6 +79,7 @@
         stopping = self.gateway.admission.stopping
         if not stopping.begin(arrival_s, self._parts.grace_s):
             log.info('gateway: stopping already')
+        self._gate.release()
         self._stop_requested.set()
 
     def _watch_signals(self) -> None:
@@ -104,14 +107,19 @@
             log.info('gateway: stopped before it took callers')
             return False
         await self._listen()
-        gc.collect()
-        gc.freeze()
+        self._start_over = asyncio.ensure_future(self._finish_start())
         log.info('gateway: started', instance=self._parts.instance)
         return True
 
+    async def _finish_start(self) -> None:
+        """Keeps what the start has loaded out of garbage collections."""
+        await self._gate.run()
+        gc.freeze()
+        gc.enable()
+
     async def _listen(self) -> None:
         self._callers = await asyncio.get_running_loop().create_server(
-            lambda: ServerConnection(self.gateway),
+            lambda: ServerConnection(self._gate),
             self._parts.callers.host,
             self._parts.callers.port,
             backlog=BACKLOG,
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -26,6 +26,8 @@
 from cactusledge.records.relays import Relays
 
 MAINTENANCE_INTERVAL_S = 0.5
+START_INTERVAL_S = 0.1  # the same, while this gateway still starts
+START_S = 3.0
 PARTITION_CHECK_INTERVAL_S = 0.1
 END_CHECK_INTERVAL_S = 0.02  # while there is a doubt
 
@@ -122,6 +124,8 @@
             await asyncio.sleep(END_CHECK_INTERVAL_S)
 
     async def _maintain(self) -> None:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
         while True:
             self._fleet.pool.close_expired()
             self._fleet.forwarder.close_expired()
@@ -129,8 +133,23 @@
             self._fleet.reach.prune(self._fleet.replicas.ids())
             update_gauges(self._fleet, self._records)
             await self._finder.run()
-            await self._bootstrap.run(asyncio.get_running_loop().time())
-            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            now_s = loop.time()
+            await self._bootstrap.run(now_s)
+            await asyncio.sleep(
+                maintenance_pause_s(
+                    now_s - began_s,
+                    lacks_something=self._bootstrap.is_incomplete()
+                    or not self._records.has_all_quorums,
+                )
+            )
+
+
+def maintenance_pause_s(
+    running_for_s: float, *, lacks_something: bool
+) -> float:
+    """Returns the time until the group and the lists are looked for again."""
+    is_starting = lacks_something and running_for_s < START_S
+    return START_INTERVAL_S if is_starting else MAINTENANCE_INTERVAL_S
 
 
 def update_gauges(fleet: Fleet, records: RecordClient) -> None:
--- a/cactusledge/gateway/bootstrap.py
+++ b/cactusledge/gateway/bootstrap.py
@@ -17,7 +17,7 @@
 from cactusledge.records.peer import call_once
 from cactusledge.records.relays import Relays
 
-PLATFORM_WAIT_S = 1.0  # for the platform's lists, before peers are asked
+PLATFORM_WAIT_S = 0.5  # for the platform's lists, before peers are asked
 TIMEOUT_S = 0.5
 
 log = structlog.get_logger('gateway')
--- a/cactusledge/gateway/http_server.py
+++ b/cactusledge/gateway/http_server.py
@@ -33,9 +33,17 @@
 class Server(Protocol):
     """What a connection needs from its server."""
 
-    limits: Limits
-    is_closing: bool  # responses carry `Connection: close`
-    connections: set['ServerConnection']
+    @property
+    def limits(self) -> Limits:
+        """The limits on requests."""
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether responses carry `Connection: close`."""
+
+    @property
+    def connections(self) -> set['ServerConnection']:
+        """The open connections."""
 
     def serve(
         self, request: Request, conn: Responder
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -104,8 +104,8 @@
             self._update_gauges(),
         ):
             self._tasks.append(asyncio.ensure_future(work))
-        gc.collect()
         gc.freeze()
+        gc.enable()
         log.info(
             'records: started',
             instance=self._parts.instance,
--- a/cactusledge/records/peer.py
+++ b/cactusledge/records/peer.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 from collections.abc import Callable
+from functools import partial
 
 import structlog
 
@@ -198,22 +199,22 @@
         async with asyncio.timeout(timeout_s):
             return await self.send(number, content)
 
-    def _make_protocol(self) -> ClientProtocol:
-        return ClientProtocol(self)
+    async def connect(self, timeout_s: float) -> None:
+        """Opens the connection once; raises OSError or TimeoutError."""
+        async with asyncio.timeout(timeout_s):
+            opened = await asyncio.get_running_loop().create_connection(
+                partial(ClientProtocol, self),
+                self.address.host,
+                self.address.port,
+            )
+        self._protocol = opened[1]
 
     async def _keep_connected(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             self._failed_connects += 1
             with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    opened = await loop.create_connection(
-                        self._make_protocol,
-                        self.address.host,
-                        self.address.port,
-                    )
-                    self._protocol = opened[1]
-                    self._failed_connects = 0
+                await self.connect(CONNECT_TIMEOUT_S)
+                self._failed_connects = 0
             if self._protocol is not None:
                 await self._protocol.closed
             await asyncio.sleep(RECONNECT_DELAY_S)
@@ -231,9 +232,11 @@
         TimeoutError: No reply came in time.
     """
     peer = Peer(str(address), address)
-    peer.start()
     try:
-        await asyncio.sleep(CONNECT_WAIT_S)
+        await peer.connect(CONNECT_WAIT_S)
+    except OSError as exc:  # also a TimeoutError
+        raise ConnectionError(f'no connection to {address}') from exc
+    try:
         return await peer.call(body, timeout_s)
     finally:
         peer.stop()
