Count metrics with the Prometheus library again, loaded after a start

Need: the shorter start counted metrics with code of its own, histograms included, which a well-kept library does better.

Change: the library counts; it is loaded in a thread some seconds after a start, or when the metrics are first read.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -21,6 +21,7 @@
 from cactusledge.records.grant_source import StoreGrants
 
 BACKLOG = 512
+LOAD_METRICS_AFTER_S = 5.0  # when callers that waited for the start are served
 
 log = structlog.get_logger('gateway')
 
@@ -116,6 +117,8 @@
         await self._gate.run()
         gc.freeze()
         gc.enable()
+        await asyncio.sleep(LOAD_METRICS_AFTER_S)
+        await asyncio.to_thread(self.fleet.metrics.load)
 
     async def _listen(self) -> None:
         self._callers = await asyncio.get_running_loop().create_server(
--- a/cactusledge/gateway/pages.py
+++ b/cactusledge/gateway/pages.py
@@ -10,7 +10,7 @@
 from cactusledge.gateway.messages import Limits, Request
 from cactusledge.gateway.responder import Responder
 from cactusledge.models import Address
-from cactusledge.telemetry.metrics import CONTENT_TYPE, Metrics, load_export
+from cactusledge.telemetry.metrics import CONTENT_TYPE, Metrics
 
 TEXT = f'Content-Type: {CONTENT_TYPE}\r\n'.encode()
 STATUSES: Mapping[bool, int] = MappingProxyType({
@@ -78,7 +78,7 @@
         The library that renders it is loaded in a thread, so that requests
         proceed meanwhile.
         """
-        await asyncio.to_thread(load_export)
+        await asyncio.to_thread(self._metrics.load)
         return Page(http.HTTPStatus.OK, TEXT, self._metrics.render())
 
 
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -27,6 +27,7 @@
 
 WATCH_TIMEOUT_S = 30.0  # the longest that the platform allows
 GAUGE_INTERVAL_S = 1.0
+LOAD_METRICS_AFTER_S = 5.0  # when callers that waited for the start are served
 
 log = structlog.get_logger('records')
 
@@ -132,6 +133,8 @@
 
     async def _update_gauges(self) -> None:
         """Updates the gauges until cancelled."""
+        await asyncio.sleep(LOAD_METRICS_AFTER_S)
+        await asyncio.to_thread(self._metrics.load)
         while True:
             identity = self.store.log.identity
             group = self.store.group
