Let demands, token bucket and average of limits serve further divisions

Quotas of accounts need the same three: the last reports of gateways and of other stores with their expiry, a bucket that a rate fills, and the decaying average of a demand.

tests/test_limit_division.py and tests/test_records_grants.py pass (40).

--- a/cactusledge/gateway/endpoint_limits.py
+++ b/cactusledge/gateway/endpoint_limits.py
@@ -7,9 +7,11 @@
 import enum
 import math
 
+from cactusledge.gateway.decaying_rate import DecayingRate
 from cactusledge.gateway.messages import Replica
 from cactusledge.records.gateway_messages import AskGrant, Granted, NamedLimit
 from cactusledge.records.known_limits import KnownLimits, LifetimeKey
+from cactusledge.records.token_bucket import TokenBucket
 
 DEMAND_AVERAGE_S = 1.0  # time constant of the demand
 MIN_DEMAND_PER_S = 0.01  # below, nothing is reported
@@ -30,35 +32,20 @@
     def __init__(self) -> None:
         """Starts without any."""
         self.denied_until_s = -math.inf
-        self._per_s = float(0)  # decaying average
-        self._added_s = float(0)  # time of the last request
-        self._equal_part = float(0)  # of a request, without a store in reach
-        self._refilled_s = math.inf
-
-    def add(self, now_s: float) -> None:
-        """Counts a request."""
-        self._per_s = self.per_s(now_s) + 1 / DEMAND_AVERAGE_S
-        self._added_s = now_s
-
-    def per_s(self, now_s: float) -> float:
-        """Returns the requests a second."""
-        age_s = now_s - self._added_s
-        return self._per_s * math.exp(-age_s / DEMAND_AVERAGE_S)
+        self.average = DecayingRate(DEMAND_AVERAGE_S)
+        # Of a steady rate, without a store in reach.
+        self._equal_part: TokenBucket | None = None
 
     def take_equal_part(self, rate_per_s: float, now_s: float) -> bool:
         """Takes a request of a steady rate; starts with none."""
-        passed_s = max(0, now_s - self._refilled_s)
-        self._refilled_s = now_s
-        self._equal_part = min(1, self._equal_part + passed_s * rate_per_s)
-        if self._equal_part < 1:
-            return False
-        self._equal_part -= 1
-        return True
+        if self._equal_part is None:
+            self._equal_part = TokenBucket(0, now_s)
+        self._equal_part.refill(rate_per_s, 1, now_s)
+        return self._equal_part.take()
 
     def stop_equal_part(self) -> None:
         """Forgets the steady rate, as stores reply again."""
-        self._equal_part = 0
-        self._refilled_s = math.inf
+        self._equal_part = None
 
 
 class EndpointLimits:
@@ -87,7 +74,7 @@
             return Admission.FREE
         demand = self._demand(replica)
         if is_new:
-            demand.add(now_s)
+            demand.average.add(now_s)
         if now_s - self._replied_s < STORES_SILENT_S:
             demand.stop_equal_part()
             is_denied = now_s < demand.denied_until_s
@@ -110,7 +97,7 @@
                 now_s - known.seen_s,
                 known.is_ended,
             ),
-            self._demand(replica).per_s(now_s),
+            self._demand(replica).average.per_s(now_s),
         )
 
     def add_reply(
@@ -132,7 +119,7 @@
             if self.known.rate_per_s(*lifetime, now_s) is not None
         }
         demands = {
-            endpoint_id: demand.per_s(now_s)
+            endpoint_id: demand.average.per_s(now_s)
             for (endpoint_id, _), demand in self._demands.items()
         }
         return {
