Divide quotas of client accounts over gateways and stores

An account that sends many times its usual takes the room of all; nothing counted its requests over all gateways. Each store now grants from the part of a quota that its gateways' demand has in that of all stores; gateways take requests of an account well below its quota without asking, and report them.

A store that is silent keeps its part: the others divide what all of them had when each was last heard, so that two sides of a cut together keep to a quota, and the gateways of a lost store still share its neighbours' part.

Ruled out: one store for each account (across data centres for most requests, and two of them during a cut); equal parts of stores (small accounts starve).

--- a/cactusledge/gateway/endpoint_limits.py
+++ b/cactusledge/gateway/endpoint_limits.py
@@ -19,10 +19,11 @@
 
 
 class Admission(enum.Enum):
-    """Whether a request may be sent to an endpoint."""
+    """Whether a request may be sent to an endpoint, or taken at all."""
 
     FREE = 'free'
     ASK = 'ask'  # a store decides
+    EQUAL_PART = 'equal part'  # stores are silent, this gateway's part decides
     DENIED = 'denied'  # for now
 
 
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cactusledge.records.entries import Member, Message
+from cactusledge.records.quota_messages import AccountUse
 
 
 class ReadPart(NamedTuple):
@@ -94,6 +95,7 @@
     # Requests a second that would go to limited endpoints, by endpoint id.
     demands: dict[str, float] = msgspec.field(default_factory=dict)
     crashes: CrashReport = CrashReport()
+    quota_uses: dict[str, AccountUse] = msgspec.field(default_factory=dict)
 
 
 class LoadSums(Message, frozen=True):
@@ -107,6 +109,9 @@
     limits: list[NamedLimit] = msgspec.field(default_factory=list)
     gateways: int = 0  # with recent reports; 0 if the store grants nothing
     crashes: CrashReport = CrashReport()
+    # Demand at all other gateways, by account, in hundredths of a request a
+    # second; only accounts of the report that need not be asked for.
+    quota_others: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class ShareLoads(Message, frozen=True):
@@ -122,6 +127,8 @@
     demands: dict[str, float] = msgspec.field(default_factory=dict)
     gateways: int = 0  # that report to it
     crashes: CrashReport = CrashReport()
+    # Of its gateways, by account, in hundredths of a request a second.
+    quota_demands: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class ReadNews(Message, frozen=True):
@@ -141,7 +148,7 @@
 
 
 class Granted(Message, frozen=True):
-    """Whether a request may be sent to an endpoint that names a limit."""
+    """Whether a request that a gateway has asked for may be sent."""
 
     is_granted: bool
     retry_s: float = 0  # until it is worth asking again, if it may not
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -10,6 +10,7 @@
     Reserved,
     Turn,
 )
+from cactusledge.records.quota_messages import AskQuota
 
 
 class Reserve(Message, frozen=True):
@@ -158,6 +159,7 @@
     | gateways.AskBeliefs
     | gateways.Relay
     | Ping
+    | AskQuota
 )
 Reply = (
     ReserveReply
