Merge quotas of client accounts over all gateways

Beside the merge: what a gateway reports and learns with its loads is one tuple (Trackers), as the exchange had more parts than a reader can keep apart; the interfaces to grants and quotas have a module of their own.

A held or just received request that the end of a stop cut got no answer: its task was cancelled before its first step.

--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -10,11 +10,11 @@
 from cactusledge.gateway.endpoint_ends import EndpointEnds
 from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.forward_peers import ForwardTargets
+from cactusledge.gateway.grants import GrantSource, QuotaGate
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import Account, CallInfo, Request, Route
 from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.pool import ConnectionPool
-from cactusledge.gateway.rationing import GrantSource
 from cactusledge.gateway.reach import EndpointReach
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.responder import Responder
@@ -44,7 +44,7 @@
     evidence: CrashEvidence
     suspects: Suspects
     crashes: CrashReports
-    quotas: 'QuotaGate'
+    quotas: QuotaGate
 
 
 class CallForwarder(Protocol):
@@ -65,21 +65,6 @@
         """Closes connections that have been idle for too long."""
 
 
-class QuotaGate(Protocol):
-    """Holds the requests of client accounts to their quotas."""
-
-    async def wait_s(self, call: 'Call') -> float:
-        """Returns how long the caller has to wait, 0 if the call is taken."""
-
-
-class NoQuotas:
-    """The gate of a gateway that counts nothing."""
-
-    async def wait_s(self, call: 'Call') -> float:
-        """Takes every call."""
-        return 0
-
-
 class Progress:
     """Attempt history of a request, written to its final log line."""
 
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -43,6 +43,7 @@
     http.HTTPStatus.PAYMENT_REQUIRED,
     http.HTTPStatus.NOT_FOUND,
     http.HTTPStatus.UNAUTHORIZED,
+    http.HTTPStatus.TOO_MANY_REQUESTS,
 ))
 
 log = structlog.get_logger('gateway')
@@ -224,8 +225,8 @@
 def is_unanswered(outcome: Outcome) -> bool:
     """Returns whether a request failed without an endpoint's response.
 
-    Refusals for a spent budget or an unknown key, route or parent do not
-    count.
+    Refusals for a spent budget, an account's quota, or an unknown key, route
+    or parent do not count.
     """
     return (
         outcome.reason not in SERVED and outcome.status not in EXPECTED_STATUSES
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -4,7 +4,7 @@
 
 from cactusledge.gateway.answer_notes import AnswerNotes
 from cactusledge.gateway.buffer_space import BufferSpace
-from cactusledge.gateway.context import Fleet, NoQuotas
+from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.crash_reports import CrashReports
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import DEFAULT_WINDOW_S, Departures
@@ -12,11 +12,12 @@
 from cactusledge.gateway.endpoint_ends import EndpointEnds
 from cactusledge.gateway.endpoint_limits import EndpointLimits
 from cactusledge.gateway.forwarding import Forwarder
+from cactusledge.gateway.grants import GrantSource, NoGrants, NoQuotas
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.pool import ConnectionPool
-from cactusledge.gateway.rationing import GrantSource, NoGrants
+from cactusledge.gateway.quota_gate import AccountQuotaGate
 from cactusledge.gateway.reach import EndpointReach
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.suspects import Suspects
@@ -42,7 +43,7 @@
     Args:
         dialect: Reads and writes the platform's headers.
         place: The gateway's name and data centre.
-        grants: Grants requests to endpoints that name a limit.
+        grants: Grants requests that a limit or a quota may not allow.
         drain_s: How long an endpoint still serves once it is leaving.
     """
     metrics = Metrics()
@@ -72,5 +73,7 @@
         evidence,
         Suspects(evidence),
         CrashReports(evidence, metrics),
-        NoQuotas(),
+        AccountQuotaGate(place.instance, grants, metrics)
+        if grants
+        else NoQuotas(),
     )
--- a/cactusledge/gateway/new_load_exchange.py
+++ b/cactusledge/gateway/new_load_exchange.py
@@ -5,7 +5,7 @@
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.gateway.version_reports import VersionReports
-from cactusledge.records.load_exchange import LoadExchange
+from cactusledge.records.load_exchange import LoadExchange, Trackers
 from cactusledge.records.store_peers import StorePeers
 
 
@@ -14,12 +14,12 @@
 ) -> LoadExchange:
     """Returns the exchange of a gateway; `run` starts it."""
     fleet = gateway.fleet
-    return LoadExchange(
-        parts.instance,
-        peers,
+    own = Trackers(
         fleet.loads,
         DepartureReports(fleet.departures, fleet.metrics),
         LimitReports(fleet.limits, fleet.metrics),
         fleet.crashes,
         VersionReports(gateway.news, parts.peers),
+        fleet.quotas,
     )
+    return LoadExchange(parts.instance, peers, own)
--- a/cactusledge/gateway/rationing.py
+++ b/cactusledge/gateway/rationing.py
@@ -1,25 +1,10 @@
 """Holds the attempts of one call to the limits that endpoints name."""
 
 import asyncio
-from typing import Protocol
 
 from cactusledge.gateway.endpoint_limits import Admission, EndpointLimits
+from cactusledge.gateway.grants import GrantSource
 from cactusledge.gateway.messages import Replica
-from cactusledge.records.gateway_messages import AskGrant, Granted
-
-
-class GrantSource(Protocol):
-    """Asks a store for requests to limited endpoints."""
-
-    async def ask(self, question: AskGrant) -> Granted | None:
-        """Returns the store's reply, None without one in time."""
-
-
-class NoGrants:
-    """The source of a gateway without stores."""
-
-    async def ask(self, question: AskGrant) -> Granted | None:
-        """Gets no reply."""
 
 
 class Rationing:
--- a/cactusledge/gateway/start_gate.py
+++ b/cactusledge/gateway/start_gate.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from cactusledge.gateway.admission import refuse_for_stop
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.messages import (
@@ -82,7 +83,12 @@
         """Serves one request, once the gateway can or its time is up."""
         opened_s = self._opened_s
         if opened_s is not None:
-            await self._hold(request, opened_s)
+            try:
+                await self._hold(request, opened_s)
+            except asyncio.CancelledError:
+                if conn.is_open:
+                    refuse_for_stop(conn)
+                raise
         await self._gateway.serve(request, conn)
 
     def _is_complete(self) -> bool:
@@ -103,6 +109,8 @@
             now_s - request.received_s,
             None if limit_ms is None else limit_ms / MS,
         )
+        if not wait_s:
+            return
         self._held += not self._is_complete()
         try:
             async with asyncio.timeout(wait_s):
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cactusledge.records.entries import Member, Message
+from cactusledge.records.quota_messages import AccountUse
 
 
 class ReadPart(NamedTuple):
@@ -102,6 +103,7 @@
     demands: dict[str, float] = msgspec.field(default_factory=dict)
     crashes: CrashReport = CrashReport()
     configuration: KnownVersion = KnownVersion()
+    quota_uses: dict[str, AccountUse] = msgspec.field(default_factory=dict)
 
 
 class LoadSums(Message, frozen=True):
@@ -116,6 +118,9 @@
     gateways: int = 0  # with recent reports; 0 if the store grants nothing
     crashes: CrashReport = CrashReport()
     configuration: KnownVersion = KnownVersion()
+    # Demand at all other gateways, by account, in hundredths of a request a
+    # second; only accounts of the report that need not be asked for.
+    quota_others: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class ShareLoads(Message, frozen=True):
@@ -132,6 +137,8 @@
     gateways: int = 0  # that report to it
     crashes: CrashReport = CrashReport()
     configuration: KnownVersion = KnownVersion()
+    # Of its gateways, by account, in hundredths of a request a second.
+    quota_demands: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class ReadNews(Message, frozen=True):
@@ -151,7 +158,7 @@
 
 
 class Granted(Message, frozen=True):
-    """Whether a request may be sent to an endpoint that names a limit."""
+    """Whether a request that a gateway has asked for may be sent."""
 
     is_granted: bool
     retry_s: float = 0  # until it is worth asking again, if it may not
--- a/cactusledge/records/gateways.py
+++ b/cactusledge/records/gateways.py
@@ -22,6 +22,7 @@
 )
 from cactusledge.records.limit_division import LimitDivision
 from cactusledge.records.neighbours import choose_neighbours
+from cactusledge.records.quota_division import QuotaDivision
 from cactusledge.records.read_parts import ListPosition, ReadParts
 from cactusledge.records.recent_departures import RecentDepartures
 from cactusledge.records.version_spread import VersionSpread
@@ -49,6 +50,7 @@
         self._departures = RecentDepartures()
         self._gateways_elsewhere: dict[str, int] = {}  # by store
         self.limits = LimitDivision()
+        self.quotas = QuotaDivision(time.monotonic())
         self.crashes = CrashEvidence()
         self.versions = VersionSpread()
 
@@ -67,9 +69,9 @@
         """Stores a gateway's load; returns the others' sums and read parts."""
         now_s = time.monotonic()
         self._loads[report.name] = _ReportedLoad(report.in_flight, now_s)
-        others = [*self._loads.items(), *self._store_loads.items()]
+        loads = [*self._loads.items(), *self._store_loads.items()]
         sums = sum_loads(
-            (reported for name, reported in others if name != report.name),
+            (reported for name, reported in loads if name != report.name),
             now_s,
         )
         self._read_parts.add(report.read)
@@ -78,6 +80,7 @@
         self.limits.report(report.name, report.demands, now_s)
         self.crashes.add_reported(report.crashes, now_s)
         self.versions.report(report.name, report.configuration, now_s)
+        others = self.quotas.report(report.name, report.quota_uses, now_s)
         update = self._read_parts.since(
             ListPosition(report.epoch, report.position)
         )
@@ -91,6 +94,7 @@
             + sum(self._gateways_elsewhere.values()),
             crashes=self.crashes.to_report(now_s),
             configuration=self.versions.newest(now_s),
+            quota_others=others,
         )
 
     async def share(self, request: ShareLoads) -> ReadNews:
@@ -101,6 +105,7 @@
         self.limits.known.add_reported(request.limits, reported.at_s)
         self.limits.share(request.name, request.demands, reported.at_s)
         self._gateways_elsewhere[request.name] = request.gateways
+        self.quotas.share(request.name, request.quota_demands, reported.at_s)
         self.crashes.add_reported(request.crashes, reported.at_s)
         self.versions.share(request.name, request.configuration, reported.at_s)
         update = self._read_parts.since(
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterable, Mapping
 from contextlib import suppress
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import structlog
 
@@ -17,6 +17,7 @@
     ReadPart,
 )
 from cactusledge.records.links import Link
+from cactusledge.records.quota_messages import AccountUse
 from cactusledge.records.read_parts import ListPosition
 from cactusledge.records.store_peers import StorePeers
 
@@ -94,15 +95,28 @@
         """Adds the newest version that any gateway has."""
 
 
-class NoVersions:
-    """The record of a gateway that compares no versions."""
+class QuotaTracker(Protocol):
+    """A gateway's record of what client accounts send."""
 
-    def to_report(self) -> KnownVersion:
-        """Returns no version."""
-        return KnownVersion()
+    def drain_uses(self) -> dict[str, AccountUse]:
+        """Returns what accounts have sent since the last call."""
 
-    def add_reported(self, known: KnownVersion) -> None:
-        """Ignores the version."""
+    def requeue_uses(self, uses: dict[str, AccountUse]) -> None:
+        """Adds what accounts have sent to the next report."""
+
+    def set_others(self, others: dict[str, int], gateways: int) -> None:
+        """Sets the demand at all other gateways, and their number."""
+
+
+class Trackers(NamedTuple):
+    """What a gateway reports, and where it keeps what others report."""
+
+    loads: LoadTracker
+    departures: DepartureTracker
+    limits: LimitTracker
+    crashes: CrashTracker
+    versions: VersionTracker
+    quotas: QuotaTracker
 
 
 class LoadExchange:
@@ -111,52 +125,41 @@
     That store shares them with the other stores.
     """
 
-    def __init__(
-        self,
-        name: str,
-        peers: StorePeers,
-        tracker: LoadTracker,
-        departures: DepartureTracker,
-        limits: LimitTracker,
-        crashes: CrashTracker,
-        versions: VersionTracker | None = None,
-    ) -> None:
+    def __init__(self, name: str, peers: StorePeers, own: Trackers) -> None:
         """Prepares the exchange; `run` starts it."""
         self._name = name
         self._peers = peers
-        self._tracker = tracker
-        self._departures = departures
-        self._limits = limits
-        self._crashes = crashes
-        self._versions = versions or NoVersions()
+        self._own = own
         self._positions: dict[str, ListPosition] = {}  # by store
         self._interval_s = EXCHANGE_INTERVAL_S
 
     async def run(self) -> None:
         """Exchanges loads until it is cancelled."""
         while True:
-            self._crashes.news.clear()
+            self._own.crashes.news.clear()
             await self._exchange()
             with suppress(TimeoutError):
                 async with asyncio.timeout(self._interval_s):
-                    await self._crashes.news.wait()
+                    await self._own.crashes.news.wait()
 
     async def _exchange(self) -> None:
         nearest = next(iter(self._peers.nearest_first()), None)
         if nearest is None or not nearest.is_connected:
             return
-        read = self._tracker.drain_read_parts()
+        read = self._own.loads.drain_read_parts()
+        uses = self._own.quotas.drain_uses()
         list_position = self._positions.get(nearest.name, ListPosition())
         report = LoadReport(
             self._name,
-            self._tracker.own_loads(),
+            self._own.loads.own_loads(),
             read,
             *list_position,
-            leaving=self._departures.to_report(),
-            limits=self._limits.to_report(),
-            demands=self._limits.demands(),
-            crashes=self._crashes.to_report(),
-            configuration=self._versions.to_report(),
+            leaving=self._own.departures.to_report(),
+            limits=self._own.limits.to_report(),
+            demands=self._own.limits.demands(),
+            crashes=self._own.crashes.to_report(),
+            configuration=self._own.versions.to_report(),
+            quota_uses=uses,
         )
         try:
             await self._ask(nearest, report)
@@ -166,7 +169,8 @@
                 store=nearest.name,
                 error=repr(exc),
             )
-            self._tracker.requeue_read_parts(read)
+            self._own.loads.requeue_read_parts(read)
+            self._own.quotas.requeue_uses(uses)
 
     async def _ask(self, link: Link, report: LoadReport) -> None:
         """Sends the report and applies the reply; raises like `Link.call`."""
@@ -175,13 +179,14 @@
             self._positions[link.name] = ListPosition(
                 reply.epoch, reply.position
             )
-            self._tracker.set_remote_loads(reply.in_flight)
-            self._tracker.add_read_parts(reply.read)
-            self._departures.add_reported(reply.leaving)
-            self._limits.add_reported(reply.limits)
-            self._limits.set_gateways(reply.gateways)
-            self._crashes.add_reported(reply.crashes)
-            self._versions.add_reported(reply.configuration)
+            self._own.loads.set_remote_loads(reply.in_flight)
+            self._own.loads.add_read_parts(reply.read)
+            self._own.departures.add_reported(reply.leaving)
+            self._own.limits.add_reported(reply.limits)
+            self._own.limits.set_gateways(reply.gateways)
+            self._own.crashes.add_reported(reply.crashes)
+            self._own.versions.add_reported(reply.configuration)
+            self._own.quotas.set_others(reply.quota_others, reply.gateways)
             self._interval_s = max(
                 EXCHANGE_INTERVAL_S,
                 len(reply.in_flight) * INTERVAL_PER_ENDPOINT_S,
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -16,6 +16,8 @@
     Share,
 )
 from cactusledge.gateway.new_fleet import Place, new_fleet
+from cactusledge.gateway.version_reports import VersionReports
+from cactusledge.models import Address
 from cactusledge.platform.headers import HeaderDialect
 from tests.fakes_records import FakeRecords
 from tests.gateway_callers import HOST, Caller
@@ -61,6 +63,9 @@
 )
 
 
+NO_PEERS = Address('127.0.0.1', 9)  # where a gateway takes no messages
+
+
 class GatewayHarness:
     """A gateway, its endpoints and a way to call it."""
 
@@ -74,7 +79,7 @@
         )
         self.port = 0
         self.callers = []
-        self.versions = None  # its reports of configurations, if compared
+        self.versions = VersionReports(self.gateway.news, NO_PEERS)
 
     def list_endpoints(self, endpoints):
         """Lists endpoints that have started, the first as the fastest."""
--- a/tests/test_gateway_departure_reports.py
+++ b/tests/test_gateway_departure_reports.py
@@ -5,12 +5,16 @@
 import pytest
 from structlog.testing import capture_logs
 
+from cactusledge.gateway.configuration_news import ConfigurationNews
 from cactusledge.gateway.crash_reports import CrashReports
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.endpoint_limits import EndpointLimits
+from cactusledge.gateway.grants import NoQuotas
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.messages import Replica
+from cactusledge.gateway.version_reports import VersionReports
+from cactusledge.models import Address
 from cactusledge.records.crash_evidence import CrashEvidence
 from cactusledge.records.gateway_messages import (
     LeavingEndpoint,
@@ -19,7 +23,7 @@
     ShareLoads,
 )
 from cactusledge.records.gateways import GatewayRegistry
-from cactusledge.records.load_exchange import LoadExchange
+from cactusledge.records.load_exchange import LoadExchange, Trackers
 from cactusledge.telemetry.metrics import Metrics
 from tests.store_stubs import StubStore
 
@@ -51,14 +55,15 @@
         departures = Departures(0)
         reports = DepartureReports(departures, Metrics())
         limits = LimitReports(EndpointLimits(), Metrics())
-        exchange = LoadExchange(
-            name,
-            StubStore(registry),
+        own = Trackers(
             StubLoads(),
             reports,
             limits,
             CrashReports(CrashEvidence(), Metrics()),
+            VersionReports(ConfigurationNews(), Address('127.0.0.1', 9)),
+            NoQuotas(),
         )
+        exchange = LoadExchange(name, StubStore(registry), own)
         return departures, reports, exchange
 
     return make
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -140,6 +140,19 @@
     asyncio.run(main())
 
 
+# A held request that the end of a stop cut got no answer at all.
+def test_held_request_that_a_stop_cuts_is_refused_as_not_run():
+    async def main():
+        async with starting_gateway(lambda: True) as (harness, _, _):
+            asking = asyncio.ensure_future(status_of(harness, '/safe/a'))
+            await asyncio.sleep(SHORT_S)
+            for conn in harness.gateway.connections:
+                conn.cut()
+            assert await asking == UNSERVED
+
+    asyncio.run(main())
+
+
 # Stores that start at the same moment are asked again soon, others seldom.
 @pytest.mark.parametrize(
     ('running_for_s', 'lacks_something', 'expected_s'),
