--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -24,6 +24,7 @@
 from tests.gateway_support import GatewayHarness
 
 SHORT_S = 0.1  # until what was missing is there
+CLOSE_S = 0.02  # for both ends of the connections
 UNSERVED = 503
 
 
@@ -51,13 +52,14 @@
         yield harness, gate, list_all
     finally:
         opening.cancel()
-        close_all(harness, servers)
+        await close_all(harness, servers)
 
 
-def close_all(harness, servers):
+async def close_all(harness, servers):
     harness.close()
     for server in servers:
         server.close()
+    await asyncio.sleep(CLOSE_S)
 
 
 async def status_of(harness, path, *headers):
