Answer a request that a stop cuts before its first step

The log lines of two failing runs show a request counted in progress when the stop ends: its task had been created in the same turn of the event loop and was cancelled before it ran, so nothing refused it. The start of a gateway only changed the order within that turn.

Change: the cancellation comes after the step that is already scheduled; a request that is held at a start is answered too when it is cut.

--- a/cactusledge/gateway/http_server.py
+++ b/cactusledge/gateway/http_server.py
@@ -144,9 +144,12 @@
             self._responder.close()
 
     def cut(self) -> None:
-        """Cancels the request in progress."""
+        """Cancels the request in progress, once it has begun.
+
+        One that is cancelled before its first step would not be answered.
+        """
         if self._task is not None:
-            self._task.cancel()
+            self._loop.call_soon(self._task.cancel)
 
     def _start(self, request: Request) -> None:
         self._timer.stop()
--- a/cactusledge/gateway/start_gate.py
+++ b/cactusledge/gateway/start_gate.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+from cactusledge.gateway.admission import cut
+from cactusledge.gateway.context import Progress
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.messages import (
@@ -82,7 +84,7 @@
         """Serves one request, once the gateway can or its time is up."""
         opened_s = self._opened_s
         if opened_s is not None:
-            await self._hold(request, opened_s)
+            await self._hold_or_cut(request, conn, opened_s)
         await self._gateway.serve(request, conn)
 
     def _is_complete(self) -> bool:
@@ -94,6 +96,16 @@
             self._in_reach.set()
         return self._listed.is_set() and self._in_reach.is_set()
 
+    async def _hold_or_cut(
+        self, request: Request, conn: Responder, opened_s: float
+    ) -> None:
+        try:
+            await self._hold(request, opened_s)
+        except asyncio.CancelledError:
+            if conn.is_open:
+                cut(conn, Progress())
+            raise
+
     async def _hold(self, request: Request, opened_s: float) -> None:
         info = self._gateway.fleet.dialect.read_call(request)
         limit_ms = info.deadline_ms
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -111,11 +111,16 @@
             caller.writer.close()
         self.fleet.pool.close()
 
-    async def call(self, path, *headers, body=b'', request_id='r1'):
-        """Sends one request on a new connection."""
+    async def connect(self, request_id='r1'):
+        """Returns a caller on a new connection."""
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
         caller = Caller(reader, writer, request_id)
         self.callers.append(caller)
+        return caller
+
+    async def call(self, path, *headers, body=b'', request_id='r1'):
+        """Sends one request on a new connection."""
+        caller = await self.connect(request_id)
         await caller.send(path, *headers, body=body)
         return caller
 
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -26,6 +26,7 @@
 SHORT_S = 0.1  # until what was missing is there
 CLOSE_S = 0.02  # for both ends of the connections
 UNSERVED = 503
+REQUEST = b'GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n\r\n'
 
 
 @asynccontextmanager
@@ -142,6 +143,35 @@
     asyncio.run(main())
 
 
+# A stop that has no time left ends a start's requests too.
+def test_stop_during_a_start_answers_a_held_request_that_it_cuts():
+    async def main():
+        async with starting_gateway(lambda: True) as (harness, gate, _):
+            asking = asyncio.ensure_future(status_of(harness, '/safe/a'))
+            await asyncio.sleep(SHORT_S)
+            for conn in tuple(gate.connections):
+                conn.cut()
+            assert await asking == UNSERVED
+
+    asyncio.run(main())
+
+
+# A paused process sees a request and the end of its stop in the same moment.
+def test_pause_at_a_start_and_a_request_cut_before_its_first_step_is_answered():
+    async def main():
+        async with starting_gateway(lambda: True) as (harness, gate, _):
+            caller = await harness.connect()
+            while not gate.connections:
+                await asyncio.sleep(0)
+            conn = next(iter(gate.connections))
+            conn.data_received(REQUEST)
+            conn.cut()
+            status, _, _ = await caller.read()
+            assert status == UNSERVED
+
+    asyncio.run(main())
+
+
 # Stores that start at the same moment are asked again soon, others seldom.
 @pytest.mark.parametrize(
     ('running_for_s', 'lacks_something', 'expected_s'),
