Open a gateway's ports before the platform's client is loaded

Need: the trial with held requests shows the port for callers open only with the first lists, as the threads that load the platform's client took the core.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -93,7 +93,6 @@
         A stop requested before that leaves nothing to drain.
         """
         self._beats = asyncio.ensure_future(self._heartbeat.run())
-        self._watchers = start_watchers(self._parts, self.gateway)
         self._servers = [
             await open_page(
                 self._parts.readiness, readiness_page(lambda: self.is_ready)
@@ -107,6 +106,8 @@
             log.info('gateway: stopped before it took callers')
             return False
         await self._listen()
+        # Their threads load the platform's client: requests are held meanwhile.
+        self._watchers = start_watchers(self._parts, self.gateway)
         self._start_over = asyncio.ensure_future(self._finish_start())
         log.info('gateway: started', instance=self._parts.instance)
         return True
--- a/tests/test_records_peer_check.py
+++ b/tests/test_records_peer_check.py
@@ -9,11 +9,15 @@
 import pytest
 
 from cactusledge.models import Address
+from cactusledge.records import peer as peer_module
+from cactusledge.records.entries import EMPTY_GROUP
 from cactusledge.records.message_server import MessageServer
+from cactusledge.records.messages import Ask, Status
 from cactusledge.records.peer import (
     CHECK_TIMEOUT_S,
     HEARTBEAT_INTERVAL_S,
     Peer,
+    call_once,
 )
 from tests.records_support import free_port
 
@@ -22,6 +26,7 @@
 CHECKS = 12
 BETWEEN_CHECKS_S = HEARTBEAT_INTERVAL_S / 3
 CONNECTED_WITHIN_S = 0.1
+LONG_WAIT_S = 10.0
 
 
 async def connect(port):
@@ -79,3 +84,30 @@
         return times_lost
 
     assert asyncio.run(main()) == 1
+
+
+# All instances start at once: a seed that is up is asked without a pause.
+def test_all_start_at_once_and_a_seed_is_asked_once_its_connection_is_open(
+    monkeypatch,
+):
+    async def reply(body):
+        assert isinstance(body, Ask)
+        return Status('s00', EMPTY_GROUP, True, 'log')
+
+    async def main():
+        server = MessageServer(reply)
+        address = Address('127.0.0.1', free_port())
+        await server.start(address)
+        async with asyncio.timeout(LONG_WAIT_S / 2):
+            status = await call_once(address, Ask(0), LONG_WAIT_S)
+        server.stop()
+        return status.name
+
+    monkeypatch.setattr(peer_module, 'CONNECT_WAIT_S', LONG_WAIT_S)
+    assert asyncio.run(main()) == 's00'
+
+
+def test_all_start_at_once_and_a_seed_that_is_not_up_yet_is_no_connection():
+    address = Address('127.0.0.1', free_port())
+    with pytest.raises(ConnectionError):
+        asyncio.run(call_once(address, Ask(0), LONG_WAIT_S))
--- a/tests/test_telemetry_output.py
+++ b/tests/test_telemetry_output.py
@@ -73,6 +73,23 @@
     assert other.sample('platform_up') == 0
 
 
+def test_measurements_are_counted_in_every_bucket_that_contains_them():
+    metrics = Metrics()
+    for seconds in (0.2, 0.25, 9000):
+        metrics.observe('call_seconds', seconds, kind='model')
+    counts = {
+        bound: metrics.sample('call_seconds_bucket', kind='model', le=bound)
+        for bound in ('0.1', '0.25', '300.0', '+Inf')
+    }
+    assert counts == {'0.1': 0, '0.25': 2, '300.0': 2, '+Inf': 3}
+
+
+@pytest.mark.parametrize('labels', [{}, {'kind': 'model', 'model': 'm'}])
+def test_undeclared_labels_of_a_metric_are_an_error(labels):
+    with pytest.raises(ValueError, match='call_seconds'):
+        Metrics().observe('call_seconds', 1, **labels)
+
+
 def fail_within_a_span(traces, sent):
     """Opens two spans and fails within the outer one."""
     with traces.span(
