--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -14,6 +14,8 @@
 
 import pytest
 
+from cactusledge.telemetry.metrics import EXPORT_MODULE
+
 ROOT = Path(__file__).parent.parent
 REQUIREMENTS = ROOT / 'requirements'
 ROLES = ('front', 'store')
@@ -88,6 +90,15 @@
     assert len(loaded) <= MAX_MODULES[role]
 
 
+# A package that is missing would only show when the platform is first asked.
+@pytest.mark.parametrize(
+    'module', ['cactusledge.objects.exchange', EXPORT_MODULE]
+)
+def test_what_is_loaded_after_the_start_is_installed_too(run, module):
+    ended = run('-c', f'import {module}')
+    assert not ended.returncode, ended.stderr
+
+
 @pytest.mark.parametrize('role', ['', 'nothing'])
 def test_unknown_role_is_reported_without_loading_any(run, role):
     ended = run('-m', 'cactusledge.platform', role)
