--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -109,6 +109,7 @@
         # Their threads load the platform's client: requests are held meanwhile.
         self._watchers = start_watchers(self._parts, self.gateway)
         self._start_over = asyncio.ensure_future(self._finish_start())
+        self._start_over.add_done_callback(log_failure)
         log.info('gateway: started', instance=self._parts.instance)
         return True
 
