--- a/cactusledge/gateway/http_server.py
+++ b/cactusledge/gateway/http_server.py
@@ -144,9 +144,9 @@
             self._responder.close()
 
     def cut(self) -> None:
-        """Cancels the request in progress.
+        """Cancels the request in progress, once it has begun.
 
-        Not before it has begun, as it would end without an answer.
+        One that is cancelled before its first step would not be answered.
         """
         if self._task is not None:
             self._loop.call_soon(self._task.cancel)
