Be certain of a key only after the first list of the platform

Need: a gateway that starts without the platform takes another gateway's configuration, which may be behind; until its first list had timed out it refused unknown keys finally.

Change: its watch counts as failing until it has listed once.

--- a/cactusledge/gateway/configuration_news.py
+++ b/cactusledge/gateway/configuration_news.py
@@ -4,6 +4,8 @@
 stores, also while the platform turns it away.
 """
 
+import math
+
 from cactusledge.records.gateway_messages import KnownVersion
 
 FAILING_LIMIT_S = 1.0  # of the watch, until a newer version may be in force
@@ -14,11 +16,14 @@
     """The version in force here, and what is known of newer ones."""
 
     def __init__(self) -> None:
-        """Starts without a configuration and without news."""
+        """Starts without a configuration and without news.
+
+        Until the watch has listed, a configuration is another gateway's.
+        """
         self.version = 0  # in force here, 0 without one
         self._heard = KnownVersion()
         self._behind_since_s: float | None = None
-        self._failing_since_s: float | None = None
+        self._failing_since_s: float | None = -math.inf
 
     @property
     def is_behind(self) -> bool:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -56,6 +56,7 @@
 def configure(harness, *accounts, version=2):
     """Gives a gateway accounts."""
     cfg = harness.gateway.table.cfg
+    harness.gateway.news.note_watch(None)
     harness.gateway.apply(
         cfg._replace(
             version=version, accounts=accounts, routes=(*cfg.routes, PUBLIC)
--- a/tests/test_version_spread.py
+++ b/tests/test_version_spread.py
@@ -120,6 +120,7 @@
 def news_of(version, *steps):
     """Returns the news of a gateway with a version after what it heard."""
     news = ConfigurationNews()
+    news.note_watch(None)
     if version:
         news.note_applied(version)
     for known, now_s in steps:
@@ -173,6 +174,15 @@
     assert news.is_current(now_s) == is_current
 
 
+# It starts with the configuration of another gateway, which may be behind.
+def test_gateway_is_not_certain_before_its_first_list():
+    news = ConfigurationNews()
+    news.note_applied(7)
+    assert not news.is_current(0)
+    news.note_watch(None)
+    assert news.is_current(0)
+
+
 class ReportBefore(LoadReport.__base__, frozen=True, tag='LoadReport'):
     """The report of the build before."""
 
