--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from cactusledge.telemetry.metrics import EXPORT_MODULE
+from cactusledge.telemetry.metrics import LIBRARY_MODULE
 
 ROOT = Path(__file__).parent.parent
 REQUIREMENTS = ROOT / 'requirements'
@@ -92,7 +92,7 @@
 
 # A package that is missing would only show when the platform is first asked.
 @pytest.mark.parametrize(
-    'module', ['cactusledge.objects.exchange', EXPORT_MODULE]
+    'module', ['cactusledge.objects.exchange', LIBRARY_MODULE]
 )
 def test_what_is_loaded_after_the_start_is_installed_too(run, module):
     ended = run('-c', f'import {module}')
