--- a/tests/test_cross_shares.py
+++ b/tests/test_cross_shares.py
@@ -110,8 +110,8 @@
     """Checks each second, as gateways change their roles at different times."""
     per_s = round(1 / STEP_S)
     pairs = [pairs_of(sent) for sent in play.sent]
-    for first, _ in enumerate(pairs):
-        second = set().union(*pairs[first : first + per_s])
+    for now, sent in enumerate(pairs):
+        second = sent.union(*pairs[max(0, now - per_s + 1) : now])
         senders = {sender for sender, _ in second}
         assert not senders & {taker for _, taker in second}
 
@@ -195,7 +195,8 @@
         'c': Demand(65, 0, SLOTS, Role.TAKES),
     }
     flows = divide(demands, Price(0, 350))
-    divided = {('a', 'c'): 10 * 25 / 65, ('b', 'c'): 10 * 40 / 65}
+    part = 10 / 65  # of each one's excess
+    divided = {('a', 'c'): 25 * part, ('b', 'c'): 40 * part}
     assert flows == pytest.approx(divided)
 
 
