Send the share of requests that another data centre has room for

Need: the shares that cross_shares works out have to decide where requests go. Ruled out: a step in the background (a gateway without requests needs no shares), and a request held to its way after a failed attempt. Change: cross_rooms sums the loads, cross_traffic draws home or another data centre for the first attempt of a request; the endpoints there are compared at latency and price instead of the constant. An engine with the history of a turn stays a candidate. Without shares all is as before. Price in ms of a caller's time for a megabyte: CACTUSLEDGE_CROSS_MS_PER_MB, by default 1000. Log line on a change, gauge of the share, counters by reason and of bytes.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -36,6 +36,7 @@
             Place(parts.instance, parts.data_centre),
             StoreGrants(self.records.peers),
             parts.drain_s,
+            parts.cross_ms_per_mb,
         )
         self.gateway = Gateway(self.fleet, self.records)
         self._background = BackgroundTasks(parts, self.gateway, self.records)
--- a/cactusledge/gateway/calls.py
+++ b/cactusledge/gateway/calls.py
@@ -77,9 +77,12 @@
 
 def _choose(selection: Selection) -> Replica | None:
     fleet = selection.fleet
+    way = selection.find_way(len(selection.call.request.body), 1)
     terms = Terms(
         fleet.data_centre,
         asyncio.get_running_loop().time(),
         fleet.suspects.risk_of(selection.call.keys, selection.broken),
+        way.cost_ms,
     )
-    return choose_service(selection.candidates(), fleet.loads, terms)
+    candidates = way.narrow(selection.candidates())
+    return choose_service(candidates, fleet.loads, terms)
--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -3,8 +3,8 @@
 import asyncio
 from typing import NamedTuple, Protocol
 
+from cactusledge.gateway import crash_reports, cross_traffic
 from cactusledge.gateway.answer_end import AnswerEnd
-from cactusledge.gateway.crash_reports import CrashReports
 from cactusledge.gateway.departures import Departures
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.endpoint_ends import EndpointEnds
@@ -43,8 +43,9 @@
     ends: EndpointEnds
     evidence: CrashEvidence
     suspects: Suspects
-    crashes: CrashReports
+    crashes: crash_reports.CrashReports
     quotas: 'QuotaGate'
+    cross: cross_traffic.CrossTraffic
 
 
 class CallForwarder(Protocol):
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from cactusledge.gateway import cross_plan, cross_rooms, cross_traffic
 from cactusledge.gateway.answer_notes import AnswerNotes
 from cactusledge.gateway.buffer_space import BufferSpace
 from cactusledge.gateway.context import Fleet, NoQuotas
@@ -36,6 +37,7 @@
     place: Place,
     grants: GrantSource | None = None,
     drain_s: float = DEFAULT_WINDOW_S,
+    cross_ms_per_mb: float = cross_plan.DEFAULT_PRICE_MS_PER_MB,
 ) -> Fleet:
     """Returns a fleet without endpoints.
 
@@ -44,6 +46,8 @@
         place: The gateway's name and data centre.
         grants: Grants requests to endpoints that name a limit.
         drain_s: How long an endpoint still serves once it is leaving.
+        cross_ms_per_mb: What a megabyte between data centres is worth in time
+            of a caller.
     """
     metrics = Metrics()
     departures = Departures(drain_s)
@@ -51,17 +55,20 @@
     limits = EndpointLimits(place.instance)
     evidence = CrashEvidence()
     space = BufferSpace()
+    seen = cross_rooms.Surroundings(
+        place.data_centre, ReplicaList(), Loads(), departures, Partitions()
+    )
     notes = AnswerNotes(
         DepartureReports(departures, metrics),
         LimitReports(limits, metrics),
     )
     return Fleet(
-        ReplicaList(),
-        Loads(),
+        seen.replicas,
+        seen.loads,
         ConnectionPool(dialect, notes.note, reach, space),
         dialect,
         place.data_centre,
-        Partitions(),
+        seen.partitions,
         metrics,
         departures,
         limits,
@@ -73,4 +80,5 @@
         Suspects(evidence),
         CrashReports(evidence, metrics),
         NoQuotas(),
+        cross_traffic.CrossTraffic(seen, cross_ms_per_mb, metrics),
     )
--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -39,6 +39,7 @@
     endpoint_kind: str
     decode_configuration: DecodeConfiguration
     decode_replica: DecodeReplica
+    cross_ms_per_mb: float  # worth of a megabyte between data centres
 
 
 def start_watchers(parts: GatewayParts, gateway: Gateway) -> list[Watcher]:
--- a/cactusledge/gateway/placement.py
+++ b/cactusledge/gateway/placement.py
@@ -31,6 +31,7 @@
     local_data_centre: str
     now_s: float
     risk_ms: Risk = no_risk
+    cross_ms: float | None = None  # of another data centre; None: a constant
 
 
 def choose_engine(
@@ -42,6 +43,7 @@
     """Returns the engine with the lowest expected cost for a turn."""
     median_ms = median_latency_ms(candidates, loads)
     now_s = terms.now_s
+    cross_ms = CROSS_DC_COST_MS if terms.cross_ms is None else terms.cross_ms
 
     def cost_ms(replica: Replica) -> float:  # noqa: WPS430
         load = loads.at(replica)
@@ -51,7 +53,7 @@
             + queueing_ms(load.total, replica.slots)
             + UNITS_PER_TURN * load.excess_latency_ms(median_ms, now_s)
             + ERROR_COST_MS * load.error_share(now_s)
-            + CROSS_DC_COST_MS * is_remote
+            + cross_ms * is_remote
             + terms.risk_ms(replica)
             + JITTER_MS * random.random()
         )
@@ -68,13 +70,14 @@
 
     def cost_ms(replica: Replica) -> float:  # noqa: WPS430
         load = loads.of(replica.endpoint_id)
-        extra_share = CROSS_DC_LATENCY_SHARE * (
-            replica.data_centre != terms.local_data_centre
-        )
+        is_remote = replica.data_centre != terms.local_data_centre
+        cross_ms = terms.cross_ms
+        if cross_ms is None:
+            cross_ms = CROSS_DC_LATENCY_SHARE * load.latency_ms
         queue_share = load.total / max(1, replica.slots)
-        busy_ms = load.latency_ms * (1 + extra_share + queue_share)
         return (
-            busy_ms
+            load.latency_ms * (1 + queue_share)
+            + cross_ms * is_remote
             + ERROR_COST_MS * load.error_share(terms.now_s)
             + terms.risk_ms(replica)
             + random.random()
--- a/cactusledge/gateway/selection.py
+++ b/cactusledge/gateway/selection.py
@@ -7,6 +7,7 @@
 import structlog
 
 from cactusledge.gateway.context import Call, Fleet
+from cactusledge.gateway.cross_traffic import ANOTHER_WAY, ANY_WAY, Sent, Way
 from cactusledge.gateway.http_client import EndpointConnection
 from cactusledge.gateway.messages import Replica
 from cactusledge.gateway.placement import healthy
@@ -35,6 +36,7 @@
         self.call = call
         self.contacted: set[str] = set()  # ids of endpoints it was sent to
         self.broken = 0  # attempts that broke off
+        self.way: Way = ANY_WAY  # of the next attempt
         self._tried: set[str] = set()  # endpoint ids tried in the current pass
         self._rationing = Rationing(fleet.limits, fleet.grants)
         self._passes = 0
@@ -64,6 +66,23 @@
         excluded = self._tried | self._rationing.excluded
         return list(healthy(reachable, self.fleet.loads, excluded, now_s))
 
+    def find_way(self, size_bytes: int, work_units: float) -> Way:
+        """Returns where the next attempt goes; only the first one is bound.
+
+        Args:
+            size_bytes: What is sent to the endpoint.
+            work_units: The units of work of a usual request.
+        """
+        if self.contacted:
+            self.way = ANOTHER_WAY
+            return self.way
+        program_id = self.call.info.program_id
+        self.way = self.fleet.cross.way_of(
+            Sent(self._service, program_id, size_bytes, work_units),
+            asyncio.get_running_loop().time(),
+        )
+        return self.way
+
     async def connect(
         self, choose: Choose
     ) -> tuple[Replica, EndpointConnection] | None:
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -56,8 +56,7 @@
         A cancelled exchange closes its connection, which signals the endpoint
         to stop.
         """
-        self.selection.add_contacted(replica.endpoint_id)
-        self.call.progress.contacted.append(replica.endpoint_id)
+        self._note_sent(replica, outgoing)
         load = self.fleet.loads.of(replica.endpoint_id)
         now_s = asyncio.get_running_loop().time()
         log.info(
@@ -127,6 +126,12 @@
             result = await attempt()
         return result or failed
 
+    def _note_sent(self, replica: Replica, outgoing: Outgoing) -> None:
+        way = self.selection.way
+        self.fleet.cross.note_sent(replica, way, len(outgoing.body))
+        self.selection.add_contacted(replica.endpoint_id)
+        self.call.progress.contacted.append(replica.endpoint_id)
+
     async def _await_judgement(self, result: ExchangeResult) -> None:
         """Waits a moment to learn whether the call has ended an endpoint.
 
--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -16,7 +16,11 @@
 )
 from cactusledge.gateway.http_client import AnswerTooLargeError
 from cactusledge.gateway.messages import EndpointAnswer, Outgoing, Replica
-from cactusledge.gateway.placement import Terms, choose_engine
+from cactusledge.gateway.placement import (
+    UNITS_PER_TURN,
+    Terms,
+    choose_engine,
+)
 from cactusledge.gateway.selection import Selection
 from cactusledge.gateway.sinks import StreamAnswer
 
@@ -69,7 +73,9 @@
     def choose(self, selection: Selection) -> Replica | None:
         """Returns the engine to send the turn to."""
         fleet = selection.fleet
-        candidates = selection.candidates()
+        size_bytes = len(self.chain.text) + len(self.call.request.body)
+        way = selection.find_way(size_bytes, UNITS_PER_TURN)
+        candidates = way.narrow(selection.candidates(), self.chain.endpoint_id)
         parts = self.call.info.parts
         for replica in candidates:
             if replica.endpoint_id == self.chain.endpoint_id:
@@ -78,6 +84,7 @@
             fleet.data_centre,
             asyncio.get_running_loop().time(),
             fleet.suspects.risk_of(self.call.keys, selection.broken),
+            way.cost_ms,
         )
         return choose_engine(candidates, fleet.loads, parts, terms)
 
--- a/cactusledge/platform/roles.py
+++ b/cactusledge/platform/roles.py
@@ -74,6 +74,7 @@
         endpoint_kind=ENDPOINT_KIND,
         decode_configuration=decode_configuration,
         decode_replica=decode_replica,
+        cross_ms_per_mb=settings.cross_ms_per_mb,
     )
     await GatewayApplication(parts).run()
 
--- a/cactusledge/platform/settings.py
+++ b/cactusledge/platform/settings.py
@@ -1,14 +1,17 @@
 """Reads the settings file that the platform writes for each process."""
 
+import math
 import os
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import NamedTuple, TypeVar
 
+from cactusledge.gateway.cross_plan import DEFAULT_PRICE_MS_PER_MB
 from cactusledge.models import Address
 from cactusledge.settings.errors import InvalidSettingsError, Problem
 
 PATH_VARIABLE = 'CACTUSLEDGE_CONFIG'
+CROSS_PRICE_VARIABLE = 'CACTUSLEDGE_CROSS_MS_PER_MB'
 Converted = TypeVar('Converted')
 
 REMEDY = 'Correct the settings file of this process.'
@@ -30,6 +33,8 @@
     grace_s: float  # from SIGTERM to SIGKILL
     drain_s: float | None  # bounds.drain_ms, which is in milliseconds
     platform_address: Address  # platform.address
+    # What a megabyte between data centres is worth, in ms of a caller's time.
+    cross_ms_per_mb: float = DEFAULT_PRICE_MS_PER_MB
 
 
 def read_settings(environ: Mapping[str, str]) -> PlatformSettings:
@@ -44,7 +49,8 @@
         text = Path(name).read_text(encoding='utf-8')
     except OSError as exc:
         raise settings_error(name or PATH_VARIABLE, f'{exc}.') from exc
-    return parse_settings(text, name)
+    price = read_price(environ.get(CROSS_PRICE_VARIABLE, ''))
+    return parse_settings(text, name)._replace(cross_ms_per_mb=price)
 
 
 def parse_settings(text: str, source: str) -> PlatformSettings:
@@ -72,6 +78,24 @@
     )
 
 
+def read_price(text: str) -> float:
+    """Returns the price of traffic between data centres, in ms per MB.
+
+    Raises:
+        InvalidSettingsError: It is not a number of at least 0.
+    """
+    if not text:
+        return DEFAULT_PRICE_MS_PER_MB
+    message = f'{text} is not a number of at least 0.'
+    try:
+        price = float(text)
+    except ValueError as exc:
+        raise settings_error(CROSS_PRICE_VARIABLE, message) from exc
+    if not 0 <= price < math.inf:
+        raise settings_error(CROSS_PRICE_VARIABLE, message)
+    return price
+
+
 def parse_address(text: str) -> Address:
     """Parses a `host:port` address."""
     host, _, port = text.rpartition(':')
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -104,6 +104,20 @@
         'Exchanges with endpoints, by how they ended.',
         'end',
     ),
+    _gauge(
+        'gateway_cross_share',
+        'Share of new requests sent to other data centres.',
+        'service',
+    ),
+    _counter(
+        'gateway_cross_requests_total',
+        'Requests sent to other data centres, by reason.',
+        'reason',
+    ),
+    _counter(
+        'gateway_cross_bytes_total',
+        'Bytes of requests sent to other data centres.',
+    ),
     _counter(
         'gateway_answer_ends_total',
         'Ends of answers: framing, end of the transfer, state of the stream.',
