Give the price of traffic a default where a gateway's parts are made

Cause: tests/test_gateway_stop_process.py makes the parts itself and failed (TypeError, cross_ms_per_mb missing), hidden by the internal error of pytest. Result: its 6 tests pass.

--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import NamedTuple
 
+from cactusledge.gateway.cross_plan import DEFAULT_PRICE_MS_PER_MB
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.followers import (
     ConfigurationFollower,
@@ -39,7 +40,8 @@
     endpoint_kind: str
     decode_configuration: DecodeConfiguration
     decode_replica: DecodeReplica
-    cross_ms_per_mb: float  # worth of a megabyte between data centres
+    # What a megabyte between data centres is worth, in ms of a caller's time.
+    cross_ms_per_mb: float = DEFAULT_PRICE_MS_PER_MB
 
 
 def start_watchers(parts: GatewayParts, gateway: Gateway) -> list[Watcher]:
