--- a/cactusledge/gateway/cross_rooms.py
+++ b/cactusledge/gateway/cross_rooms.py
@@ -1,5 +1,6 @@
 """Sums the loads of a service's endpoints by data centre."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -8,7 +9,6 @@
 from cactusledge.gateway.loads import EndpointLoad, Loads
 from cactusledge.gateway.messages import Replica
 from cactusledge.gateway.partitions import Partitions
-from cactusledge.gateway.placement import median_latency_ms
 from cactusledge.gateway.replicas import ReplicaList
 
 
@@ -36,31 +36,46 @@
     centre is always included.
     """
     staying = [
-        replica
-        for replica in seen.replicas.usable(service, now_s)
-        if replica.data_centre not in seen.partitions.unreachable
+        (replica, load)
+        for replica, load in _reachable(seen, service, now_s)
+        if load.ejected_until_s <= now_s
         and not seen.departures.is_leaving(replica)
-        and seen.loads.of(replica.endpoint_id).ejected_until_s <= now_s
     ]
-    latency_ms = median_latency_ms(staying, seen.loads)
-    rooms = {seen.data_centre: Room(0, 0)}
-    for replica in staying:
-        load = seen.loads.of(replica.endpoint_id)
-        room = rooms.get(replica.data_centre, Room(0, 0))
-        rooms[replica.data_centre] = Room(
-            room.in_flight + load.total,
-            room.slots + replica.slots * speed_of(load, latency_ms, now_s),
-        )
-    return ServiceRooms(rooms, latency_ms)
+    usual_ms = _median([load.latency_ms for _, load in staying])
+    in_flight: defaultdict[str, int] = defaultdict(int)
+    slots: defaultdict[str, float] = defaultdict(float)
+    for replica, load in staying:
+        in_flight[replica.data_centre] += load.total
+        speed = speed_of(load, usual_ms, now_s)
+        slots[replica.data_centre] += replica.slots * speed
+    names = {seen.data_centre, *slots}
+    rooms = {name: Room(in_flight[name], slots[name]) for name in names}
+    return ServiceRooms(rooms, usual_ms)
 
 
 def speed_of(load: EndpointLoad, usual_ms: float, now_s: float) -> float:
     """Returns an endpoint's speed, 1 within the normal range of latencies."""
-    if usual_ms <= 0:
+    if load.latency_ms <= usual_ms or not usual_ms:
         return 1
     return usual_ms / (usual_ms + load.excess_latency_ms(usual_ms, now_s))
 
 
+def _reachable(
+    seen: Surroundings, service: str, now_s: float
+) -> list[tuple[Replica, EndpointLoad]]:
+    unreachable = seen.partitions.unreachable
+    return [
+        (replica, seen.loads.of(replica.endpoint_id))
+        for replica in seen.replicas.usable(service, now_s)
+        if replica.data_centre not in unreachable
+    ]
+
+
+def _median(latencies: list[float]) -> float:
+    """Returns a median, 0 of nothing; of two in the middle the lower one."""
+    return sorted(latencies)[(len(latencies) - 1) // 2] if latencies else 0
+
+
 def in_data_centre(
     candidates: Sequence[Replica], data_centre: str, kept_id: str
 ) -> list[Replica]:
