--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -38,6 +38,7 @@
             Place(parts.instance, parts.data_centre),
             StoreGrants(self.records.peers),
             parts.drain_s,
+            parts.cross_ms_per_mb,
         )
         self.gateway = Gateway(self.fleet, self.records)
         self._gate = StartGate(self.gateway, lambda: self.records.has_quorum)
