--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -2,7 +2,12 @@
 
 from typing import NamedTuple
 
-from cactusledge.gateway import cross_plan, cross_rooms, cross_traffic
+from cactusledge.gateway import (
+    cross_plan,
+    cross_rooms,
+    cross_traffic,
+    quota_gate,
+)
 from cactusledge.gateway.answer_notes import AnswerNotes
 from cactusledge.gateway.buffer_space import BufferSpace
 from cactusledge.gateway.context import Fleet
@@ -18,7 +23,6 @@
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.partitions import Partitions
 from cactusledge.gateway.pool import ConnectionPool
-from cactusledge.gateway.quota_gate import AccountQuotaGate
 from cactusledge.gateway.reach import EndpointReach
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.suspects import Suspects
@@ -80,7 +84,7 @@
         evidence,
         Suspects(evidence),
         CrashReports(evidence, metrics),
-        AccountQuotaGate(place.instance, grants, metrics)
+        quota_gate.AccountQuotaGate(place.instance, grants, metrics)
         if grants
         else NoQuotas(),
         cross_traffic.CrossTraffic(seen, cross_ms_per_mb, metrics),
