Send turns to engines in the measure of their speed

On one new deployment a quarter of the engines generates in less than half the time of the others, and turns were spread over both alike: an engine counted as slow only above 1.5 times the median of the whole time of an answer, and never as fast. Nor does that time show speed well, as it varies with the length of a turn, its prompt and its queue.

Each gateway now learns the time per event of each lifetime of an engine from the events after the first part of its answers, where neither prompt nor queue counts. Nothing is known at a start: turns spread as before.

With it: the log tells the time per event of the engine chosen, a histogram the times of all answers.

--- a/cactusledge/gateway/loads.py
+++ b/cactusledge/gateway/loads.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
+from cactusledge.gateway.engine_speeds import Pace, TimedEvents
 from cactusledge.gateway.messages import PromptPart, Replica
 from cactusledge.records.gateway_messages import ReadPart
 from cactusledge.records.read_parts import ReadPartKey, read_part_key
@@ -35,6 +36,7 @@
         self._error_average = float(0)  # share of responses, moving average
         self._error_sampled_s = float(0)  # time of the last sample
         self.ejected_until_s = float(0)
+        self.pace = Pace()  # of an engine in this lifetime
         self._parts: OrderedDict[str, int] = OrderedDict()  # tokens by id
 
     @property
@@ -72,10 +74,11 @@
         self.ejected_until_s = now_s + min(wait_s, MAX_EJECTION_S)
 
     def begin_lifetime(self, born_ms: int) -> None:
-        """Clears the cached parts if the endpoint has restarted."""
+        """Forgets cached parts and speed if the endpoint has restarted."""
         if born_ms > self.born_ms:
             self.born_ms = born_ms
             self._parts.clear()
+            self.pace = Pace()
 
     def add_cached_parts(self, parts: Sequence[PromptPart]) -> None:
         """Adds the parts of a prompt that the endpoint has read."""
@@ -151,6 +154,14 @@
                 self._mark_reported(read)
                 self._unreported.append(read)
 
+    def record_pace(
+        self, replica: Replica, timed: TimedEvents, now_s: float
+    ) -> None:
+        """Records how fast a lifetime of an engine generated events."""
+        load = self.at(replica)
+        if load.born_ms == replica.born_ms:
+            load.pace.add(timed, now_s)
+
     def drain_read_parts(self) -> list[ReadPart]:
         """Returns and clears the shared parts read since the last call."""
         drained = list(self._unreported)
--- a/cactusledge/gateway/placement.py
+++ b/cactusledge/gateway/placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
+from cactusledge.gateway.engine_speeds import usual_event_ms
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import PromptPart, Replica
 from cactusledge.gateway.suspects import Risk
@@ -15,6 +16,7 @@
 SLOT_TURNOVER_MS = 350.0  # for a full engine to free all of its slots once
 CONTENTION_MS = 30.0  # added to a turn on a nearly full engine
 UNITS_PER_TURN = 18  # units of work in a typical turn
+EVENTS_PER_TURN = 8  # events in a typical turn
 CROSS_DC_COST_MS = 150.0  # latency and paid traffic to another data centre
 CROSS_DC_LATENCY_SHARE = 0.3  # the same for plain services, part of latency
 JITTER_MS = 3.0  # random, spreads load over endpoints of equal cost
@@ -41,6 +43,7 @@
 ) -> Replica | None:
     """Returns the engine with the lowest expected cost for a turn."""
     median_ms = median_latency_ms(candidates, loads)
+    event_ms = usual_event_ms(loads.at(found).pace for found in candidates)
     now_s = terms.now_s
 
     def cost_ms(replica: Replica) -> float:  # noqa: WPS430
@@ -49,6 +52,7 @@
         return (
             prefill_ms(load.uncached_tokens(parts), load.total)
             + queueing_ms(load.total, replica.slots)
+            + EVENTS_PER_TURN * load.pace.expected_ms(event_ms, now_s)
             + UNITS_PER_TURN * load.excess_latency_ms(median_ms, now_s)
             + ERROR_COST_MS * load.error_share(now_s)
             + CROSS_DC_COST_MS * is_remote
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -10,6 +10,7 @@
 
 from cactusledge.gateway.answer_end import TransferEnd, end_fields
 from cactusledge.gateway.context import Call, Fleet
+from cactusledge.gateway.engine_speeds import TimedEvents
 from cactusledge.gateway.exchange import OpenExchange
 from cactusledge.gateway.http_client import EndpointConnection
 from cactusledge.gateway.messages import Outgoing, Replica
@@ -20,6 +21,7 @@
 # By the endpoint or the link; an abandoned one was closed here.
 LOST_CONNECTIONS = frozenset((TransferEnd.CLOSED, TransferEnd.RESET))
 
+MS = 1000
 JUDGEMENT_WAIT_S = 0.1  # for a connection to be refused
 
 log = structlog.get_logger('gateway')
@@ -69,6 +71,7 @@
             endpoint_data_centre=replica.data_centre,
             in_flight=load.in_flight,
             in_flight_elsewhere=load.remote_in_flight,
+            event_ms=round(load.pace.event_ms or 0, 1),
             left_ms=round(self.call.remaining_ms()),
             attempt=len(self.selection.contacted),
             resume_after=outgoing.resume_after,
@@ -102,11 +105,7 @@
             )
         if end is ExchangeEnd.ANSWERED:
             self.fleet.crashes.note_answered(self.call.keys)
-            took_ms = (loop.time() - started_s) * 1000
-            is_error = is_endpoint_error(answer)
-            load.record_error_sample(loop.time(), is_error=is_error)
-            if not is_error:
-                load.record_success(took_ms / answer.work_units, loop.time())
+            self._record_answer(replica, answer, started_s)
         elif end is ExchangeEnd.BROKEN:
             self.selection.broken += 1
             self._record_failure(replica)
@@ -127,6 +126,28 @@
             result = await attempt()
         return result or failed
 
+    def _record_answer(
+        self, replica: Replica, answer: BufferedAnswer, started_s: float
+    ) -> None:
+        """Records what an answer shows of its endpoint's health and speed."""
+        load = self.fleet.loads.of(replica.endpoint_id)
+        now_s = asyncio.get_running_loop().time()
+        took_ms = (now_s - started_s) * 1000
+        is_error = is_endpoint_error(answer)
+        load.record_error_sample(now_s, is_error=is_error)
+        if not is_error:
+            load.record_success(took_ms / answer.work_units, now_s)
+            self._record_pace(replica, answer.timed, now_s)
+
+    def _record_pace(
+        self, replica: Replica, timed: TimedEvents, now_s: float
+    ) -> None:
+        self.fleet.loads.record_pace(replica, timed, now_s)
+        if timed.events > 0:
+            self.fleet.metrics.observe(
+                'gateway_event_seconds', timed.took_ms / timed.events / MS
+            )
+
     async def _await_judgement(self, result: ExchangeResult) -> None:
         """Waits a moment to learn whether the call has ended an endpoint.
 
--- a/cactusledge/gateway/sinks.py
+++ b/cactusledge/gateway/sinks.py
@@ -13,6 +13,7 @@
     completeness_of,
 )
 from cactusledge.gateway.buffer_space import KEPT_BYTES
+from cactusledge.gateway.engine_speeds import EventTimer, TimedEvents
 from cactusledge.gateway.events import EventCount, StreamPosition
 from cactusledge.gateway.http_client import AnswerTooLargeError
 from cactusledge.gateway.messages import EndpointAnswer
@@ -104,6 +105,11 @@
         """Units of work that the response took; latency is tracked per unit."""
         return 1
 
+    @property
+    def timed(self) -> TimedEvents:
+        """The events that were timed; none but those of streams."""
+        return TimedEvents()
+
     @property
     def body(self) -> bytes:
         """What is kept of the body; nothing once it is passed on."""
@@ -215,12 +221,19 @@
         self.has_started = False
         self._on_start = on_start
         self._on_part = on_part
+        self._timer = EventTimer()
+        self._clock = asyncio.get_running_loop().time
 
     @property
     def work_units(self) -> int:
         """The number of events, plus the equivalent of reading the prompt."""
         return PREFILL_EVENTS + self._events.events
 
+    @property
+    def timed(self) -> TimedEvents:
+        """The events after the first part, and the time they took."""
+        return self._timer.timed
+
     def on_head(self, answer: EndpointAnswer, framing: Framing) -> None:
         """Starts forwarding if the response is valid and successful."""
         super().on_head(answer, framing)
@@ -234,6 +247,7 @@
         """Forwards the part if forwarding has started."""
         if self.has_started:
             self._events.feed(body)
+            self._timer.note(self._events.events, self._clock())
             self._on_part(body)
         else:
             super().on_body(body)
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -139,6 +139,7 @@
         'source',
     ),
     _latency('gateway_record_seconds', 'Time until a turn is durable.'),
+    _latency('gateway_event_seconds', 'Time per event of an answered turn.'),
     _gauge('gateway_endpoints', 'Endpoints listed.'),
     _gauge('gateway_quorum', '1 while a quorum of the stores is in reach.'),
     _gauge('gateway_connections', 'Open connections of callers.'),
