Learn how fast engines read prompts

Reading was taken to run at 160 tokens a millisecond on every engine. The engines of the new deployments read two and three times as fast, so an engine that joins, with no part of the shared prompt kept, got turns only when the others were full, and a turn stayed for its history at an engine with others in progress.

Each gateway learns the slope of the wait for the first event over the uncached tokens, by service. Turns that found no free slot do not count, stalls count in part, and the slope stays within bounds; with prompts of like length nothing is learnt and the usual speed holds.

--- a/cactusledge/gateway/loads.py
+++ b/cactusledge/gateway/loads.py
@@ -1,11 +1,12 @@
 """Tracks the load, health and cached prompt parts of each endpoint."""
 
 import math
-from collections import OrderedDict, deque
+from collections import OrderedDict, defaultdict, deque
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from cactusledge.gateway.engine_speeds import Pace, TimedEvents
 from cactusledge.gateway.messages import PromptPart, Replica
+from cactusledge.gateway.reading_speeds import ReadingSpeed
 from cactusledge.records.gateway_messages import ReadPart
 from cactusledge.records.read_parts import ReadPartKey, read_part_key
 
@@ -108,6 +109,8 @@
 
     def __init__(self) -> None:
         """Starts without endpoints."""
+        # By service, whose engines are alike.
+        self.reading: defaultdict[str, ReadingSpeed] = defaultdict(ReadingSpeed)
         self._loads: dict[str, EndpointLoad] = {}
         self._reported: OrderedDict[ReadPartKey, None] = OrderedDict()
         self._unreported: deque[ReadPart] = deque(maxlen=MAX_REPORTED_PARTS)
--- a/cactusledge/gateway/placement.py
+++ b/cactusledge/gateway/placement.py
@@ -10,7 +10,6 @@
 from cactusledge.gateway.messages import PromptPart, Replica
 from cactusledge.gateway.suspects import Risk
 
-PREFILL_TOKENS_PER_MS = 160.0  # prompt tokens that an engine reads
 PREFILL_DELAY_SHARE = 0.5  # of an engine's requests that wait for a chunk
 ERROR_COST_MS = 2000.0  # cost to the caller of an endpoint error
 SLOT_TURNOVER_MS = 350.0  # for a full engine to free all of its slots once
@@ -50,7 +49,10 @@
         load = loads.at(replica)
         is_remote = replica.data_centre != terms.local_data_centre
         return (
-            prefill_ms(load.uncached_tokens(parts), load.total)
+            prefill_ms(
+                load.uncached_tokens(parts) / tokens_per_ms(loads, replica),
+                load.total,
+            )
             + queueing_ms(load.total, replica.slots)
             + EVENTS_PER_TURN * load.pace.expected_ms(event_ms, now_s)
             + UNITS_PER_TURN * load.excess_latency_ms(median_ms, now_s)
@@ -95,15 +97,18 @@
     return statistics.median(latencies) if latencies else 0
 
 
-def prefill_ms(tokens: int, in_flight: int) -> float:
+def tokens_per_ms(loads: Loads, replica: Replica) -> float:
+    """Returns how fast an engine is expected to read prompts."""
+    return loads.reading[replica.service].tokens_per_ms
+
+
+def prefill_ms(read_ms: float, in_flight: int) -> float:
     """Returns the time that reading a prompt costs all requests on an engine.
 
     An engine reads a prompt in chunks between the decoding steps of its other
     requests, so those requests are delayed too.
     """
-    return (
-        tokens / PREFILL_TOKENS_PER_MS * (1 + PREFILL_DELAY_SHARE * in_flight)
-    )
+    return read_ms * (1 + PREFILL_DELAY_SHARE * in_flight)
 
 
 def queueing_ms(in_flight: int, slots: int) -> float:
--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -8,6 +8,7 @@
 from cactusledge.gateway.answers import CallerPassage
 from cactusledge.gateway.buffer_space import HeldBytes
 from cactusledge.gateway.chains import EMPTY_CHAIN, Chain
+from cactusledge.gateway.clock import now
 from cactusledge.gateway.context import Call, Fleet
 from cactusledge.gateway.events import (
     EventCount,
@@ -17,6 +18,7 @@
 from cactusledge.gateway.http_client import AnswerTooLargeError
 from cactusledge.gateway.messages import EndpointAnswer, Outgoing, Replica
 from cactusledge.gateway.placement import Terms, choose_engine
+from cactusledge.gateway.reading_speeds import Reading
 from cactusledge.gateway.selection import Selection
 from cactusledge.gateway.sinks import StreamAnswer
 
@@ -90,8 +92,15 @@
         parts = self.call.info.parts
         conn = self.call.conn
         self._splitter.discard_partial()
+        load = fleet.loads.at(replica)
+        reading = Reading(
+            load.uncached_tokens(parts),
+            now(),
+            has_room=load.total < replica.slots,
+        )
 
         def on_start(answer: EndpointAnswer, framing: Framing) -> None:  # noqa: WPS430
+            fleet.loads.reading[replica.service].add(reading, now())
             fleet.loads.record_read(replica, parts)
             self._begin(fleet, answer, framing)
 
--- a/tests/test_gateway_engine_speeds.py
+++ b/tests/test_gateway_engine_speeds.py
@@ -1,11 +1,18 @@
 """Which engine a turn goes to when engines differ in speed; no network."""
 
+import itertools
+
 import pytest
 
 from cactusledge.gateway.engine_speeds import EventTimer, Pace, TimedEvents
 from cactusledge.gateway.loads import Loads
 from cactusledge.gateway.messages import PromptPart, Replica
 from cactusledge.gateway.placement import Terms, choose_engine
+from cactusledge.gateway.reading_speeds import (
+    USUAL_TOKENS_PER_MS,
+    Reading,
+    ReadingSpeed,
+)
 
 HERE = 'dc-a'
 ENGINES = tuple(
@@ -123,3 +130,58 @@
         timer.note(events, now_s)
     assert timer.timed.events == timed.events
     assert timer.timed.took_ms == pytest.approx(timed.took_ms)
+
+
+def speed_after(turns):
+    """Returns the reading speed after (tokens, wait in ms, has room)."""
+    speed = ReadingSpeed()
+    for tokens, wait_ms, has_room in turns:
+        speed.add(Reading(tokens, 0, has_room), wait_ms / 1000)
+    return speed.tokens_per_ms
+
+
+# Engines that read two or three times as fast as the usual ones.
+@pytest.mark.parametrize('tokens_per_ms', [336, 471])
+def test_reading_speed_is_learnt_from_prompts_of_different_lengths(
+    tokens_per_ms,
+):
+    turns = [
+        (tokens, 40 + tokens / tokens_per_ms, True)
+        for tokens in (14000, 1680, 840, 0, 13500, 1200)
+    ]
+    assert speed_after(turns) == pytest.approx(tokens_per_ms, rel=0.2)
+
+
+# All come at once, or programs have short prompts only: nothing is learnt.
+@pytest.mark.parametrize(
+    'turns',
+    [
+        [],
+        [(1680, 900, False), (14000, 50, False)],
+        [(900, 40, True), (920, 75, True), (880, 60, True)],
+    ],
+)
+def test_usual_reading_speed_holds_while_nothing_is_learnt(turns):
+    assert speed_after(turns) == pytest.approx(USUAL_TOKENS_PER_MS, rel=0.1)
+
+
+# Engines read fast and stall at times: the estimate stays in its bounds.
+def test_stalls_do_not_take_the_reading_speed_out_of_its_bounds():
+    sooner = ((14000, 41, True), (10, 9000, True))
+    assert speed_after(itertools.chain(sooner, sooner)) < 1000
+    later = ((14000, 9000, True), (10, 41, True))
+    assert speed_after(itertools.chain(later, later)) > 20
+
+
+# An engine joins under load: its first prompt costs what it takes there.
+def test_engine_that_joins_gets_turns_sooner_if_engines_read_fast():
+    loads = loads_with((50, 50, 50, 50))
+    parts = (PromptPart('shared', 12600), PromptPart('own', 1680))
+    for engine in ENGINES[1:]:
+        loads.at(engine).in_flight = 7
+        loads.at(engine).add_cached_parts(parts[:1])
+    assert choose_engine(ENGINES, loads, parts, Terms(HERE, 0)) != ENGINES[0]
+    for tokens in (14000, 100) * 20:
+        wait_s = 0.04 + tokens / 471 / 1000
+        loads.reading['svc'].add(Reading(tokens, 0, has_room=True), wait_s)
+    assert choose_engine(ENGINES, loads, parts, Terms(HERE, 0)) == ENGINES[0]
