Time the reading of a prompt to its first event, not to the head

An engine may send its head when it takes a request, before it has read the prompt. Tests: turns sent since the last report, engines that leave, a cut, and a stream through the data path.

--- a/cactusledge/gateway/engine_speeds.py
+++ b/cactusledge/gateway/engine_speeds.py
@@ -21,6 +21,7 @@
 
     events: int = 0  # after those of the first part
     took_ms: float = 0
+    first_s: float | None = None  # time of the first part, None without any
 
 
 class EventTimer:
@@ -41,6 +42,7 @@
         return TimedEvents(
             self._events - self._first_events,
             (self._last_s - self._first_s) * 1000,
+            self._first_s,
         )
 
     def note(self, events: int, now_s: float) -> None:
--- a/cactusledge/gateway/reading_speeds.py
+++ b/cactusledge/gateway/reading_speeds.py
@@ -45,11 +45,11 @@
         token_ms = min(token_ms, usual_ms * MAX_FACTOR)
         return 1 / max(token_ms, usual_ms / MAX_FACTOR)
 
-    def add(self, reading: Reading, now_s: float) -> None:
-        """Adds a turn whose first event arrives now."""
+    def add(self, reading: Reading, first_s: float) -> None:
+        """Adds a turn by the time of its first event."""
         if not reading.has_room:
             return
-        wait_ms = min((now_s - reading.sent_s) * 1000, LONGEST_WAIT_MS)
+        wait_ms = min((first_s - reading.sent_s) * 1000, LONGEST_WAIT_MS)
         tokens = reading.tokens
         self._turns = KEPT_SHARE * self._turns + 1
         self._tokens = KEPT_SHARE * self._tokens + tokens
--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -10,6 +10,7 @@
 from cactusledge.gateway.chains import EMPTY_CHAIN, Chain
 from cactusledge.gateway.clock import now
 from cactusledge.gateway.context import Call, Fleet
+from cactusledge.gateway.engine_speeds import TimedEvents
 from cactusledge.gateway.events import (
     EventCount,
     EventSplitter,
@@ -48,6 +49,7 @@
         self._splitter = EventSplitter()
         self._events = EventCount()
         self._delivered = bytearray()
+        self._reading: Reading | None = None  # by the engine it was sent to
 
     @property
     def delivered(self) -> bytes:
@@ -93,14 +95,13 @@
         conn = self.call.conn
         self._splitter.discard_partial()
         load = fleet.loads.at(replica)
-        reading = Reading(
+        self._reading = Reading(
             load.uncached_tokens(parts),
             now(),
             has_room=load.total < replica.slots,
         )
 
         def on_start(answer: EndpointAnswer, framing: Framing) -> None:  # noqa: WPS430
-            fleet.loads.reading[replica.service].add(reading, now())
             fleet.loads.record_read(replica, parts)
             self._begin(fleet, answer, framing)
 
@@ -111,6 +112,14 @@
             needs_proof=conn.has_head and conn.has_framing,
         )
 
+    def record_reading(
+        self, fleet: Fleet, replica: Replica, timed: TimedEvents
+    ) -> None:
+        """Records how long an engine took to read the prompt."""
+        if self._reading is not None and timed.first_s is not None:
+            speed = fleet.loads.reading[replica.service]
+            speed.add(self._reading, timed.first_s)
+
     def _begin(
         self, fleet: Fleet, answer: EndpointAnswer, framing: Framing
     ) -> None:
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -196,7 +196,11 @@
         replica, conn = found
         answer = stream.new_answer(self._fleet, replica)
         self._fleet.loads.at(replica).add_cached_parts(attempts.call.info.parts)
-        return await attempts.exchange(replica, conn, answer, stream.outgoing())
+        result = await attempts.exchange(
+            replica, conn, answer, stream.outgoing()
+        )
+        stream.record_reading(self._fleet, replica, answer.timed)
+        return result
 
     async def _end(
         self,
--- a/tests/test_gateway_engine_speeds.py
+++ b/tests/test_gateway_engine_speeds.py
@@ -115,6 +115,31 @@
     assert choose_engine(ENGINES, loads, parts, Terms(HERE, 0)) == ENGINES[2]
 
 
+# Reports come late: turns sent since the last one count all the same.
+def test_turns_sent_since_the_last_report_count_at_the_fast_engine():
+    loads = loads_with((25, 50, 50, 50))
+    for engine in ENGINES:
+        loads.at(engine).remote_in_flight = 6
+    shares = shares_of(loads, 16)
+    assert 2 <= shares[0] <= 8
+    assert min(shares[1:]) >= 2
+
+
+# Engines leave under load: their turns go to the next fast ones.
+def test_turns_of_a_leaving_engine_go_to_the_fastest_that_is_left():
+    loads = loads_with((25, 30, 50, 50))
+    for engine in ENGINES:
+        loads.at(engine).in_flight = 4
+    left = ENGINES[1:]
+    assert choose_engine(left, loads, (), Terms(HERE, 0.1)) == left[0]
+
+
+# A gateway is back after a cut: what it knew is too old to count.
+def test_speeds_from_before_a_cut_count_no_more_after_it():
+    shares = shares_of(loads_with((25, 50, 50, 50)), 16, now_s=40)
+    assert shares == [4, 4, 4, 4]
+
+
 @pytest.mark.parametrize(
     ('notes', 'timed'),
     [
--- a/tests/test_gateway_slow_streams.py
+++ b/tests/test_gateway_slow_streams.py
@@ -74,3 +74,16 @@
     seen, took_s = see(path, endpoint)
     assert seen.end == 'broken'
     assert took_s < TIMEOUT_S + LATE_S
+
+
+# Engines differ in speed: it shows in the pauses between their events.
+@pytest.mark.parametrize('path', PATHS)
+def test_pace_of_an_engine_is_learnt_from_its_stream(path):
+    async def scenario(harness):
+        caller = await harness.call(path, 'Connection: close')
+        await caller.see()
+        loads = harness.fleet.loads
+        assert 45 < loads.of('e0').pace.event_ms < 500
+        assert loads.reading['svc'].tokens_per_ms > 0
+
+    run_scenario(scenario, PacedEndpoint(EVENTS, 0.05))
