--- a/cactusledge/gateway/engine_speeds.py
+++ b/cactusledge/gateway/engine_speeds.py
@@ -12,7 +12,7 @@
 KEPT_SHARE = 0.8  # of what earlier answers showed, with each new one
 PRIOR_EVENTS = 4.0  # events for which an unknown engine counts as usual
 FORGET_S = 5.0  # time constant; a slow engine gets turns again
-EQUAL_SHARE = 0.15  # smaller differences from the usual pace are chance
+EQUAL_SHARE = 0.2  # smaller differences come from what runs beside
 MAX_CHANGE = 3.0  # factor by which one answer may differ from earlier ones
 
 
