--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -8,7 +8,9 @@
 from cactusledge.gateway.answers import CallerPassage
 from cactusledge.gateway.buffer_space import HeldBytes
 from cactusledge.gateway.chains import EMPTY_CHAIN, Chain
+from cactusledge.gateway.clock import now
 from cactusledge.gateway.context import Call, Fleet
+from cactusledge.gateway.engine_speeds import TimedEvents
 from cactusledge.gateway.events import (
     EventCount,
     EventSplitter,
@@ -21,6 +23,7 @@
     Terms,
     choose_engine,
 )
+from cactusledge.gateway.reading_speeds import Reading
 from cactusledge.gateway.selection import Selection
 from cactusledge.gateway.sinks import StreamAnswer
 
@@ -50,6 +53,7 @@
         self._splitter = EventSplitter()
         self._events = EventCount()
         self._delivered = bytearray()
+        self._reading: Reading | None = None  # by the engine it was sent to
 
     @property
     def delivered(self) -> bytes:
@@ -98,6 +102,12 @@
         parts = self.call.info.parts
         conn = self.call.conn
         self._splitter.discard_partial()
+        load = fleet.loads.at(replica)
+        self._reading = Reading(
+            load.uncached_tokens(parts),
+            now(),
+            has_room=load.total < replica.slots,
+        )
 
         def on_start(answer: EndpointAnswer, framing: Framing) -> None:  # noqa: WPS430
             fleet.loads.record_read(replica, parts)
@@ -110,6 +120,14 @@
             needs_proof=conn.has_head and conn.has_framing,
         )
 
+    def record_reading(
+        self, fleet: Fleet, replica: Replica, timed: TimedEvents
+    ) -> None:
+        """Records how long an engine took to read the prompt."""
+        if self._reading is not None and timed.first_s is not None:
+            speed = fleet.loads.reading[replica.service]
+            speed.add(self._reading, timed.first_s)
+
     def _begin(
         self, fleet: Fleet, answer: EndpointAnswer, framing: Framing
     ) -> None:
