--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -72,11 +72,10 @@
             await asyncio.gather(*map(call, harnesses))
             return sum(map(denials, harnesses))
 
-    lines = []
     with capture_logs() as lines:
         denied = asyncio.run(main())
-    over = [line for line in lines if 'quota' in line['event']]
-    return statuses, denied, over
+        over = [line for line in lines if 'quota' in line['event']]
+        return statuses, denied, over
 
 
 # One account at 9 times its quota took the room of all others.
