Let a request's rank count more the further an account is over its quota

tests/test_quota_division.py: all pass, with a test that the first ranks are mostly served at 2 and 4 times the quota.

--- a/cactusledge/records/quota_division.py
+++ b/cactusledge/records/quota_division.py
@@ -25,7 +25,6 @@
 LOW_PER_S = 1.0  # besides, for small accounts
 LOW_DEBT_S = 0.5  # of the part of the rate, besides the bucket's size
 MOST_DEBT_S = 5.0  # of the part of the rate
-RANKED_PART = 0.25  # of the bucket, that not all ranks may use
 RETRY_S = (0.05, 0.5)  # the rate and the demand may have changed by then
 MAX_ACCOUNTS = 4096  # the least recently used are forgotten
 
@@ -95,10 +94,8 @@
         here = ask.demand_per_s * HUNDREDTHS + others
         part = self._part(ask.account, allowance, here, now_s)
         allowance.bucket.refill(*part, now_s)
-        least = 1 + RANKED_PART * (part.most - 1) * ask.rank
-        total = here + self._parts.elsewhere(ask.account)
-        if self._is_low(allowance, total):
-            least = 1 - part.most - LOW_DEBT_S * part.rate_per_s
+        demand = here + self._parts.elsewhere(ask.account)
+        least = self._least(ask, allowance, part, demand)
         if allowance.bucket.take(least):
             return Granted(is_granted=True)
         missing = least - allowance.bucket.level
@@ -136,10 +133,20 @@
         self._top_up(account, allowance, now_s)
         return allowance.bucket.level > 0
 
-    def _is_low(self, allowance: _Allowance, demand: float) -> bool:
-        """Returns whether a demand at all stores is well below the quota."""
-        low_per_s = LOW_PART * allowance.rate_per_s + LOW_PER_S
-        return self._parts.is_whole and demand < low_per_s * HUNDREDTHS
+    def _least(
+        self, ask: AskQuota, allowance: _Allowance, part: _Part, demand: float
+    ) -> float:
+        """Returns the level that a request needs.
+
+        The higher the demand at all stores, the more its rank counts.
+        """
+        rate_per_s = allowance.rate_per_s
+        low_per_s = LOW_PART * rate_per_s + LOW_PER_S
+        over = (demand / HUNDREDTHS - low_per_s) / rate_per_s
+        if over < 0 and self._parts.is_whole:
+            return 1 - part.most - LOW_DEBT_S * part.rate_per_s
+        ranked = part.rate_per_s / rate_per_s * allowance.burst
+        return 1 + ranked * min(max(over, 0), 1) * ask.rank
 
     def _others(self, gateway: str, account: str, now_s: float) -> float:
         local = self._local.of_others(gateway, account, now_s)
--- a/tests/quota_simulation.py
+++ b/tests/quota_simulation.py
@@ -50,9 +50,10 @@
         self.demand = load.demand
         self.now_s = float(0)
         self.taken_s = []  # times
+        self.ranks = []  # of the requests taken
         self.sent_s = []  # times of all requests
         self.asked = 0  # requests that a store was asked for
-        self.draw = random.Random(load.seed)
+        self._draw = random.Random(load.seed)
         self.side = [0 for _ in range(load.stores)]  # of a cut, by store
         self.stores = [self._new_store(one) for one in range(load.stores)]
         parts = [(one + 1) ** -load.skew for one in range(load.gateways)]
@@ -120,15 +121,17 @@
     def _send(self, gateway):
         rate_per_s = self.demand * self.load.quota.rate_per_s * gateway.part
         chance = rate_per_s * STEP_S
-        while self.draw.random() < chance:
+        while self._draw.random() < chance:
             chance -= 1
             self.sent_s.append(self.now_s)
-            if self._is_taken(gateway):
+            rank = self._draw.random()
+            ask = Ask('acme', self.quota, self.version, rank)
+            if self._is_taken(gateway, ask):
                 self.taken_s.append(self.now_s)
+                self.ranks.append(rank)
 
-    def _is_taken(self, gateway):
+    def _is_taken(self, gateway, ask):
         quotas = gateway.quotas
-        ask = Ask('acme', self.quota, self.version, self.draw.random())
         admission = quotas.admit(ask, self.now_s)
         if admission is Admission.EQUAL_PART:
             return quotas.take_equal_part(ask, self.now_s)
@@ -144,7 +147,7 @@
         return quotas.add_reply(ask, reply, self.now_s)
 
     def _is_lost(self):
-        return self.draw.random() < self.load.loss
+        return self._draw.random() < self.load.loss
 
     def _exchange(self, gateway):
         uses = gateway.quotas.drain_uses(self.now_s)
--- a/tests/test_quota_division.py
+++ b/tests/test_quota_division.py
@@ -108,6 +108,17 @@
     assert simulation.asked - asked < 0.05 * 180 * 0.62 * 10
 
 
+# Over a quota all programs ended half done.
+@pytest.mark.parametrize('demand', [2, 4])
+def test_first_ranks_are_mostly_served(demand):
+    load = Load(62, 9, Quota(150, 150), demand)
+    simulation = QuotaSimulation(load)
+    simulation.run(20)
+    first = sum(rank < 0.5 / demand for rank in simulation.ranks)
+    assert first >= 0.8 * len(simulation.sent_s) * 0.5 / demand
+    assert simulation.most_over() <= 0
+
+
 # A burst began on both sides of a cut between data centres.
 @pytest.mark.parametrize('before', [0, 0.6])
 @pytest.mark.parametrize('quota', [Quota(2, 4), Quota(60, 30), Quota(180, 60)])
