--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -75,7 +75,7 @@
     with capture_logs() as lines:
         denied = asyncio.run(main())
         over = [line for line in lines if 'quota' in line['event']]
-    return statuses, denied, over
+        return statuses, denied, over
 
 
 # One account at 9 times its quota took the room of all others.
