--- a/cactusledge/telemetry/metrics.py
+++ b/cactusledge/telemetry/metrics.py
@@ -7,14 +7,22 @@
 import threading
 from collections.abc import Mapping
 from importlib import import_module
+from types import MappingProxyType
 from typing import NamedTuple, Protocol
 
+from cactusledge.telemetry.metric_table import METRICS
+
 NAMESPACE = 'cactusledge'
 CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 LIBRARY_MODULE = 'cactusledge.telemetry.registered_metrics'
 MAX_EARLY = 2000  # measurements that are kept; more load the library
 
 
+_LABELS: Mapping[str, frozenset[str]] = MappingProxyType({
+    spec.name: frozenset(spec.labels) for spec in METRICS
+})
+
+
 class Measurement(NamedTuple):
     """One change of a metric."""
 
@@ -83,9 +91,16 @@
             library.note(measurement)
 
     def _keep(self, measurement: Measurement) -> bool:
-        """Keeps a measurement, unless the library can note it."""
+        """Keeps a measurement, unless the library can note it.
+
+        Raises:
+            ValueError: Its labels are not those that the metric declares.
+        """
         if self._library is not None:
             return False
+        declared = _LABELS[measurement.name]
+        if measurement.labels.keys() != declared:
+            raise ValueError(f'{measurement.name} has the labels {declared}')
         with self._lock:
             is_kept = self._library is None and len(self._early) < MAX_EARLY
             if is_kept:
