--- a/tests/soak_processes/store.py
+++ b/tests/soak_processes/store.py
@@ -5,7 +5,7 @@
 
 import os
 
-from cactusledge.platform.__main__ import main
+from cactusledge.platform.process import main
 from cactusledge.records.message_server import MessageServer
 
 start = MessageServer.start
