Let requests that the shares keep at home go where they cost least

Cause: once a share left a data centre, every other request was held to its own endpoints. Before, each could leave at the constant cost for a single full engine, which reacts faster than shares do.

Ruled out by reading: that gateways disagreed on roles or shares; their logs agree.

Change: a request that the draw keeps at home is chosen as without shares. The test of the shares states both: those that leave have the reason, all others are chosen as without shares.

--- a/cactusledge/gateway/cross_traffic.py
+++ b/cactusledge/gateway/cross_traffic.py
@@ -86,19 +86,23 @@
         self._services: dict[str, _Service] = {}
 
     def way_of(self, sent: Sent, now_s: float) -> Way:
-        """Returns where a request goes that has not been sent yet."""
+        """Returns where a request goes that has not been sent yet.
+
+        One that is not sent away by the shares goes wherever it costs least.
+        """
         service = self._services.setdefault(sent.service, _Service())
         service.add_size(sent.size_bytes)
         if service.shares.is_due(now_s):
             self._step(service, sent, now_s)
         home = self._seen.data_centre
         shares = service.shares.shares_of(home)
-        if not shares:
+        data_centre = drawn(shares, home, sent.program_id)
+        if data_centre == home:
             return ANY_WAY
         cost_ms = self._cost_ms(sent.size_bytes)
         has_endpoints = service.shares.demand_of(home).slots > 0
         reason = HAS_SPARE if has_endpoints else NO_ENDPOINTS
-        return Way(drawn(shares, home, sent.program_id), cost_ms, reason)
+        return Way(data_centre, cost_ms, reason)
 
     def note_sent(self, replica: Replica, way: Way, size_bytes: int) -> None:
         """Counts a request that has been sent, if it left the data centre."""
