--- a/tests/test_gateway_cross.py
+++ b/tests/test_gateway_cross.py
@@ -11,7 +11,7 @@
 pytestmark = pytest.mark.process
 
 EVENT = b'id: 1\ndata: a\n\n'
-COUNT = 30
+COUNT = 90
 
 
 def answering(head):
