--- a/tests/test_gateway_cross.py
+++ b/tests/test_gateway_cross.py
@@ -57,7 +57,7 @@
 
 
 # Load: all slots at home are taken and half as many requests wait; elsewhere
-# none. A call to a plain service that is not sent away leaves all the same where
+# none. A call to a plain service that is not sent away still leaves where
 # it would wait longer at home.
 @pytest.mark.parametrize('path', ['/safe/x', '/once/x'])
 def test_calls_leave_a_full_data_centre_by_share_or_by_cost(path):
