Send requests away by shares only where a price of traffic is set

The earlier deployments are to be served as before. Without the setting each request goes where it costs least, another data centre at a constant.

--- a/cactusledge/gateway/context.py
+++ b/cactusledge/gateway/context.py
@@ -45,7 +45,7 @@
     suspects: Suspects
     crashes: crash_reports.CrashReports
     quotas: QuotaGate
-    cross: cross_traffic.CrossTraffic
+    cross: cross_traffic.CostTraffic
 
 
 class CallForwarder(Protocol):
--- a/cactusledge/gateway/cross_plan.py
+++ b/cactusledge/gateway/cross_plan.py
@@ -13,7 +13,6 @@
 SPARE_LEVEL = 0.75  # up to which a data centre takes requests of others
 ROLE_MARGIN = 0.05  # of the levels, between taking a role and leaving it
 BACKLOG_SHARE = 0.5  # of those waiting; a backlog ends, demand goes on
-DEFAULT_PRICE_MS_PER_MB = 1000.0  # of a caller's time
 BYTES_PER_MB = 1000000
 
 Flows = Mapping[tuple[str, str], float]  # by sender and taker
--- a/cactusledge/gateway/cross_traffic.py
+++ b/cactusledge/gateway/cross_traffic.py
@@ -73,15 +73,36 @@
         self.size_bytes += SIZE_WEIGHT * (size_bytes - self.size_bytes)
 
 
-class CrossTraffic:
+class CostTraffic:
+    """Requests leave the data centre only where that costs least."""
+
+    def __init__(self, data_centre: str, report: CrossReport) -> None:
+        """Stores the gateway's data centre."""
+        self._data_centre = data_centre
+        self._report = report
+
+    def way_of(self, sent: Sent, now_s: float) -> Way:
+        """Returns where a request goes that has not been sent yet."""
+        return ANY_WAY
+
+    def note_sent(self, replica: Replica, way: Way, size_bytes: int) -> None:
+        """Counts a request that has been sent, if it left the data centre."""
+        if replica.data_centre == self._data_centre:
+            return
+        is_drawn = way.data_centre in {'', replica.data_centre}
+        self._report.count(way.reason if is_drawn else BY_COST, size_bytes)
+
+
+class CrossTraffic(CostTraffic):
     """The shares of each service's requests that leave the data centre."""
 
     def __init__(
         self, seen: Surroundings, price_ms_per_mb: float, metrics: Metrics
     ) -> None:
         """Starts with all requests at home."""
+        report = CrossReport(seen.data_centre, price_ms_per_mb, metrics)
+        super().__init__(seen.data_centre, report)
         self._seen = seen
-        self._report = CrossReport(seen.data_centre, price_ms_per_mb, metrics)
         self._price_ms_per_mb = price_ms_per_mb
         self._services: dict[str, _Service] = {}
 
@@ -94,7 +115,7 @@
         service.add_size(sent.size_bytes)
         if service.shares.is_due(now_s):
             self._step(service, sent, now_s)
-        home = self._seen.data_centre
+        home = self._data_centre
         shares = service.shares.shares_of(home)
         data_centre = drawn(shares, home, sent.program_id)
         if data_centre == home:
@@ -104,13 +125,6 @@
         reason = HAS_SPARE if has_endpoints else NO_ENDPOINTS
         return Way(data_centre, cost_ms, reason)
 
-    def note_sent(self, replica: Replica, way: Way, size_bytes: int) -> None:
-        """Counts a request that has been sent, if it left the data centre."""
-        if replica.data_centre == self._seen.data_centre:
-            return
-        is_drawn = way.data_centre in {'', replica.data_centre}
-        self._report.count(way.reason if is_drawn else BY_COST, size_bytes)
-
     def _step(self, service: _Service, sent: Sent, now_s: float) -> None:
         found = rooms_of(self._seen, sent.service, now_s)
         price = Price(
@@ -141,3 +155,13 @@
         if draw < 0:
             return name
     return home
+
+
+def new_traffic(
+    seen: Surroundings, price_ms_per_mb: float | None, metrics: Metrics
+) -> CostTraffic:
+    """Returns what decides with a price of traffic, or without one."""
+    if price_ms_per_mb is None:
+        report = CrossReport(seen.data_centre, 0, metrics)
+        return CostTraffic(seen.data_centre, report)
+    return CrossTraffic(seen, price_ms_per_mb, metrics)
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -3,7 +3,6 @@
 from typing import NamedTuple
 
 from cactusledge.gateway import (
-    cross_plan,
     cross_rooms,
     cross_traffic,
     quota_gate,
@@ -42,7 +41,7 @@
     place: Place,
     grants: GrantSource | None = None,
     drain_s: float = DEFAULT_WINDOW_S,
-    cross_ms_per_mb: float = cross_plan.DEFAULT_PRICE_MS_PER_MB,
+    cross_ms_per_mb: float | None = None,
 ) -> Fleet:
     """Returns a fleet without endpoints.
 
@@ -52,7 +51,7 @@
         grants: Grants requests that a limit or a quota may not allow.
         drain_s: How long an endpoint still serves once it is leaving.
         cross_ms_per_mb: What a megabyte between data centres is worth in time
-            of a caller.
+            of a caller; None: requests leave only by cost.
     """
     metrics = Metrics()
     departures = Departures(drain_s)
@@ -87,5 +86,5 @@
         quota_gate.AccountQuotaGate(place.instance, grants, metrics)
         if grants
         else NoQuotas(),
-        cross_traffic.CrossTraffic(seen, cross_ms_per_mb, metrics),
+        cross_traffic.new_traffic(seen, cross_ms_per_mb, metrics),
     )
--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import NamedTuple
 
-from cactusledge.gateway.cross_plan import DEFAULT_PRICE_MS_PER_MB
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.followers import (
     ConfigurationFollower,
@@ -41,7 +40,7 @@
     decode_configuration: DecodeConfiguration
     decode_replica: DecodeReplica
     # What a megabyte between data centres is worth, in ms of a caller's time.
-    cross_ms_per_mb: float = DEFAULT_PRICE_MS_PER_MB
+    cross_ms_per_mb: float | None = None
 
 
 def start_watchers(parts: GatewayParts, gateway: Gateway) -> list[Watcher]:
--- a/cactusledge/platform/settings.py
+++ b/cactusledge/platform/settings.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 from typing import NamedTuple, TypeVar
 
-from cactusledge.gateway.cross_plan import DEFAULT_PRICE_MS_PER_MB
 from cactusledge.models import Address
 from cactusledge.settings.errors import InvalidSettingsError, Problem
 
@@ -35,7 +34,8 @@
     drain_s: float | None  # bounds.drain_ms, which is in milliseconds
     platform_address: Address  # platform.address
     # What a megabyte between data centres is worth, in ms of a caller's time.
-    cross_ms_per_mb: float = DEFAULT_PRICE_MS_PER_MB
+    # Price of traffic between data centres; None: requests leave only by cost.
+    cross_ms_per_mb: float | None = None
 
 
 def read_settings(environ: Mapping[str, str]) -> PlatformSettings:
@@ -79,14 +79,16 @@
     )
 
 
-def read_price(text: str) -> float:
+def read_price(text: str) -> float | None:
     """Returns the price of traffic between data centres, in ms per MB.
 
+    None without one.
+
     Raises:
         InvalidSettingsError: It is not a number of at least 0.
     """
     if not text:
-        return DEFAULT_PRICE_MS_PER_MB
+        return None
     message = f'{text} is not a number of at least 0.'
     try:
         price = float(text)
