--- a/cactusledge/gateway/start_gate.py
+++ b/cactusledge/gateway/start_gate.py
@@ -63,7 +63,7 @@
         loop = asyncio.get_running_loop()
         opened_s = loop.time()
         self._opened_s = opened_s
-        while not self._is_complete() and loop.time() < opened_s + WINDOW_S:
+        while not self._release_ready() and loop.time() < opened_s + WINDOW_S:
             await asyncio.sleep(CHECK_INTERVAL_S)
         log.info(
             'gateway: start over',
@@ -87,8 +87,8 @@
             await self._hold_or_cut(request, conn, opened_s)
         await self._gateway.serve(request, conn)
 
-    def _is_complete(self) -> bool:
-        """Lets go of the requests that lack nothing; returns whether all."""
+    def _release_ready(self) -> bool:
+        """Releases requests that lack nothing; returns whether none is held."""
         gateway = self._gateway
         if gateway.table is not None and len(gateway.fleet.replicas):
             self._listed.set()
@@ -117,7 +117,7 @@
         )
         if not wait_s:
             return
-        self._held += not self._is_complete()
+        self._held += not self._release_ready()
         try:
             async with asyncio.timeout(wait_s):
                 await self._lacks_nothing(info)
--- a/cactusledge/gateway/start_hold.py
+++ b/cactusledge/gateway/start_hold.py
@@ -1,9 +1,8 @@
 """How long a request waits for what a starting gateway still lacks; pure.
 
-After a loss of power all gateways open their ports within tenths of a second of
-the record stores. A request that is refused then comes back later than what it
-lacked; one that waits is served. What takes longer is no start but a failure,
-and is refused at once with the time to come back.
+A starting gateway lacks the lists and the stores for some tenths of a second; a
+refused request would come back later than that. A longer lack is a failure, and
+the request is refused with the time to come back.
 """
 
 WINDOW_S = 1.5  # from the opening of the port
--- a/cactusledge/records/grant_source.py
+++ b/cactusledge/records/grant_source.py
@@ -17,7 +17,7 @@
 
 
 class StoreGrants:
-    """Implements `gateway.rationing.GrantSource`."""
+    """Implements `gateway.grants.GrantSource`."""
 
     def __init__(self, peers: StorePeers) -> None:
         """Stores the connections to the stores."""
