Show how far a watch has come and for how long it has waited

Change: a watcher keeps its progress; the line of a lost watch has version and waited_s; gauges gateway_configuration_version, gateway_watch_version and gateway_watch_wait_seconds by kind. No decision is changed.

--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -7,7 +7,6 @@
 
 from cactusledge.gateway.background_loops import keep_running
 from cactusledge.gateway.bootstrap import PeerBootstrap
-from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.end_watch import EndWatch
 from cactusledge.gateway.forward_peers import ForwardPeers
 from cactusledge.gateway.gateway import Gateway
@@ -42,6 +41,7 @@
         """Creates the components; no socket is opened yet."""
         self._address = parts.peers
         fleet = gateway.fleet
+        self._gateway = gateway
         self._fleet = fleet
         self._records = records
         self._relays = Relays(
@@ -127,7 +127,7 @@
             self._fleet.forwarder.close_expired()
             self._fleet.loads.prune(self._fleet.replicas.ids())
             self._fleet.reach.prune(self._fleet.replicas.ids())
-            update_gauges(self._fleet, self._records)
+            update_gauges(self._gateway, self._records)
             await self._finder.run()
             now_s = loop.time()
             await self._bootstrap.run(now_s)
@@ -148,12 +148,15 @@
     return START_INTERVAL_S if is_starting else MAINTENANCE_INTERVAL_S
 
 
-def update_gauges(fleet: Fleet, records: RecordClient) -> None:
+def update_gauges(gateway: Gateway, records: RecordClient) -> None:
     """Sets the gauges of what this gateway knows."""
-    fleet.metrics.put('gateway_endpoints', len(fleet.replicas))
-    fleet.metrics.put('gateway_quorum', records.has_quorum)
+    metrics = gateway.fleet.metrics
+    metrics.put('gateway_endpoints', len(gateway.fleet.replicas))
+    metrics.put('gateway_quorum', records.has_quorum)
+    metrics.put('gateway_configuration_version', gateway.news.version)
+    gateway.watches.update_gauges(metrics)
     for shard, peers in records.peers.by_shard.items():
-        fleet.metrics.put(
+        metrics.put(
             'records_generation', peers.group.generation, shard=str(shard)
         )
 
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -29,6 +29,7 @@
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.routes import RouteTable
 from cactusledge.gateway.turns import TurnServer
+from cactusledge.gateway.watches import Watches
 from cactusledge.records.client import RecordClient
 from cactusledge.records.gateway_messages import RequestKeys
 
@@ -59,6 +60,7 @@
         self.table: RouteTable | None = None
         self.limits = Limits()
         self.news = ConfigurationNews()
+        self.watches = Watches()
         self.is_closing = False
         self.admission = Admission()
         self.connections: set[ServerConnection] = set()
--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -46,7 +46,8 @@
 def start_watchers(parts: GatewayParts, gateway: Gateway) -> list[Watcher]:
     """Starts to watch the configuration and the endpoints.
 
-    The group is not watched: the record stores watch it and are asked for it.
+    They are added to the gateway's watches. The group is not watched: the
+    record stores watch it and are asked for it.
     """
     configurations = ConfigurationFollower(gateway, parts.decode_configuration)
     endpoints = ReplicaFollower(gateway.fleet, parts.decode_replica)
@@ -68,5 +69,6 @@
         for kind, feed, pause_s in followed
     ]
     for watcher in watchers:
+        gateway.watches.add(watcher.kind, watcher)
         watcher.start()
     return watchers
--- a/cactusledge/objects/watcher.py
+++ b/cactusledge/objects/watcher.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 from typing import NamedTuple, Protocol
 
 import structlog
@@ -42,6 +43,13 @@
     pause_s: float = 0  # after changes, so that further ones arrive together
 
 
+class WatchProgress(NamedTuple):
+    """What a watcher has seen, and whether it waits for the platform."""
+
+    version: str = ''  # of the platform's objects, '' before the first list
+    waits_since_s: float | None = None  # monotonic; None between two watches
+
+
 class Watcher:
     """Runs list-then-watch in its own thread until it is stopped.
 
@@ -60,12 +68,23 @@
         self._sink = sink
         self._stop = threading.Event()
         self._failures = 0
+        self._progress = WatchProgress()
         self._thread = threading.Thread(
             target=self._run,
             name=f'watch-{target.kind}',
             daemon=True,
         )
 
+    @property
+    def kind(self) -> str:
+        """The kind of objects that it watches."""
+        return self._target.kind
+
+    @property
+    def progress(self) -> WatchProgress:
+        """What this watcher has seen so far."""
+        return self._progress
+
     def start(self) -> None:
         """Starts the thread."""
         self._thread.start()
@@ -91,6 +110,7 @@
         listed = self._store.list(target.kind, target.prefix)
         self._sink.on_snapshot(listed)
         version = listed.version
+        self._progress = WatchProgress(version)
         while not self._stop.is_set():
             version = self._watch_from(version)
 
@@ -98,6 +118,7 @@
         """Runs one watch; returns the version at which the next one starts."""
         target = self._target
         has_changes = False
+        self._progress = WatchProgress(version, time.monotonic())
         events = self._store.watch(
             target.kind,
             version,
@@ -106,22 +127,34 @@
         )
         for event in events:
             version = event.object.version
+            self._progress = self._progress._replace(version=version)
             self._failures = 0
             if event.type != BOOKMARK:
                 self._sink.on_event(event)
                 has_changes = True
             if self._stop.is_set():
                 break
+        self._progress = WatchProgress(version)
         if has_changes:
             self._stop.wait(target.pause_s)
         return version
 
     def _handle_failure(self, exc: StoreError) -> None:
         self._failures += 1
+        progress = self._progress
         log.info(
             'platform: list or watch failed, listing again',
             kind=self._target.kind,
             error=str(exc),
+            version=progress.version,
+            waited_s=waited_s(progress, time.monotonic()),
         )
+        self._progress = WatchProgress(progress.version)
         self._sink.on_failure(exc)
         self._stop.wait(backoff_s(self._failures, random.random()))
+
+
+def waited_s(progress: WatchProgress, now_s: float) -> float:
+    """Returns how long the watch that is open has waited, 0 without one."""
+    since_s = progress.waits_since_s
+    return 0 if since_s is None else round(now_s - since_s, 2)
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -150,6 +150,20 @@
         'Newer configurations asked of other gateways, by the result.',
         'result',
     ),
+    _gauge(
+        'gateway_configuration_version',
+        'Version of the configuration in force, 0 without one.',
+    ),
+    _gauge(
+        'gateway_watch_version',
+        "Version of the platform's objects that a watch has seen.",
+        'kind',
+    ),
+    _gauge(
+        'gateway_watch_wait_seconds',
+        'Time for which the open watch has waited.',
+        'kind',
+    ),
     _gauge('gateway_stranded', '1 while no endpoint is in reach.'),
     _counter(
         'gateway_endpoint_limits_total',
--- a/tests/test_records_shard_cluster.py
+++ b/tests/test_records_shard_cluster.py
@@ -84,7 +84,7 @@
 def test_gauges_show_the_generation_of_each_shard(run_scenario):
     async def scenario(cluster):
         harness = GatewayHarness()
-        update_gauges(harness.fleet, cluster.client)
+        update_gauges(harness.gateway, cluster.client)
         generations = [
             harness.fleet.metrics.sample('records_generation', shard=shard)
             for shard in ('0', '1')
