Show that gateways do not hear of changes while their watches are silent

What callers saw: 404 for a route that had been published 2 s before, on every gateway, until the watches ended by their own time-out of 21 s.

A watch that the platform takes and never answers looks the same to a gateway.

--- a/tests/soak_processes/link.py
+++ b/tests/soak_processes/link.py
@@ -27,8 +27,7 @@
         self._writers = set()
         self._tasks = set()
         self._delay_s = 0
-        self._passes = (asyncio.Event(), asyncio.Event())
-        self.heal()
+        self._passes = new_passes()
 
     async def start(self):
         """Listens, unless it does already."""
@@ -60,6 +59,12 @@
         if fault in {LinkFault.SILENCE, LinkFault.NO_ANSWERS}:
             self._passes[1].clear()
 
+    def silence_open(self):
+        """Lets nothing pass on the open connections any more; new ones work."""
+        for passes in self._passes:
+            passes.clear()
+        self._passes = new_passes()
+
     def heal(self):
         """Lets everything pass again, what was held back too."""
         self._delay_s = 0
@@ -81,9 +86,10 @@
             return
         pair = {writer, far_writer}
         self._writers |= pair
+        to_target, from_target = self._passes
         await asyncio.gather(
-            self._pass_on(reader, far_writer, self._passes[0]),
-            self._pass_on(far_reader, writer, self._passes[1]),
+            self._pass_on(reader, far_writer, to_target),
+            self._pass_on(far_reader, writer, from_target),
         )
         self._writers -= pair
 
@@ -96,3 +102,11 @@
                 writer.write(received)
                 await writer.drain()
         writer.close()
+
+
+def new_passes():
+    """Returns what connections wait for, one for each direction."""
+    passes = (asyncio.Event(), asyncio.Event())
+    for each in passes:
+        each.set()
+    return passes
