--- a/cactusledge/gateway/watches.py
+++ b/cactusledge/gateway/watches.py
@@ -63,8 +63,9 @@
     def add_reported(self, changes: Mapping[str, int]) -> None:
         """Takes note of the newest changes that the stores know of."""
         for kind, version in changes.items():
-            if kind in self._overdue:
-                self._overdue[kind].hear(version)
+            overdue = self._overdue.get(kind)
+            if overdue is not None:
+                overdue.hear(version)
 
     async def run(self) -> None:
         """Replaces overdue watches until cancelled."""
--- a/cactusledge/platform/store_role.py
+++ b/cactusledge/platform/store_role.py
@@ -19,7 +19,7 @@
 
 
 class PlatformRetirement:
-    """Requests to drain a store; implements `records.app.RetirementRequest`."""
+    """Requests to drain a store; for `records.retirement.RetirementRequest`."""
 
     kind = RETIREMENT_KIND
 
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -3,18 +3,14 @@
 import asyncio
 import gc
 import signal
-from functools import partial
 from pathlib import Path
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 import structlog
 
 from cactusledge.gateway.pages import metrics_page, open_page
 from cactusledge.models import Address
-from cactusledge.objects.feeds import Feed, Follower, Listing
-from cactusledge.objects.store import ObjectStore, StoredObject
-from cactusledge.objects.watch_session import WatchTarget
-from cactusledge.objects.watcher import Watcher
+from cactusledge.objects.store import ObjectStore
 from cactusledge.records.adopted_group import read_group, read_table
 from cactusledge.records.draining import StoreDrain
 from cactusledge.records.entries import Member
@@ -24,33 +20,17 @@
 from cactusledge.records.load_sharing import LoadSharing
 from cactusledge.records.log import RecordLog
 from cactusledge.records.message_server import MessageServer
-from cactusledge.records.platform_changes import ChangeSink
+from cactusledge.records.retirement import RetirementFollower, RetirementRequest
 from cactusledge.records.store import RecordStore
+from cactusledge.records.store_watches import StoreWatches
 from cactusledge.telemetry.metrics import Metrics
 
-WATCH_TIMEOUT_S = 30.0  # the longest that the platform allows
-# Of what gateways watch too: an unanswered watch is noticed after one and a
-# half times this, well before gateways must know of a change.
-CHANGE_WATCH_TIMEOUT_S = 1.0
-CHANGE_PAUSE_S = 0.25
 GAUGE_INTERVAL_S = 1.0
 LOAD_METRICS_AFTER_S = 5.0  # when callers that waited for the start are served
 
 log = structlog.get_logger('records')
 
 
-class RetirementRequest(Protocol):
-    """The operator's request to drain this store."""
-
-    kind: str
-
-    def is_requested(self, stored: StoredObject) -> bool:
-        """Returns whether an object requests to drain this store."""
-
-    def report(self, *, is_done: bool) -> None:
-        """Reports progress to the operator; blocks, raises StoreError."""
-
-
 class StoreParts(NamedTuple):
     """What a platform adapter provides to run a store."""
 
@@ -85,14 +65,8 @@
         )
         self._metrics = Metrics()
         self._server = MessageServer(self.store.handle)
-        self._watchers: list[Watcher] = []
         self._tasks: list[asyncio.Future[None]] = []
 
-    @property
-    def retirement(self) -> RetirementRequest:
-        """The operator's request to drain this store."""
-        return self._parts.retirement
-
     async def run(self) -> None:
         """Serves until SIGTERM."""
         loop = asyncio.get_running_loop()
@@ -105,7 +79,7 @@
         self.store.known_groups = read_table(self._parts.folder).groups
         await self._server.start(self._parts.address)
         await open_page(self._parts.metrics, metrics_page(self._metrics))
-        self._start_watchers(loop)
+        self._start_watches(loop)
         sharing = LoadSharing(self.store, self.group_manager.peers)
         for work in (
             self.group_manager.run(),
@@ -153,34 +127,16 @@
             )
             await asyncio.sleep(GAUGE_INTERVAL_S)
 
-    def _start_watchers(self, loop: asyncio.AbstractEventLoop) -> None:
-        followers: dict[str, Follower] = {
-            GROUP_KIND: GroupFollower(self.group_manager.adopt_table),
-            self._parts.retirement.kind: RetirementFollower(self),
-        }
-        for kind, follower in followers.items():
-            target = WatchTarget(kind, timeout_s=WATCH_TIMEOUT_S)
-            watcher = Watcher(self._parts.objects, target, Feed(loop, follower))
-            watcher.start()
-            self._watchers.append(watcher)
-        for kind in self._parts.gateway_kinds:
-            self._watch_changes(loop, kind)
-
-    def _watch_changes(
-        self, loop: asyncio.AbstractEventLoop, kind: str
-    ) -> None:
-        """Starts to note the changes of objects that gateways watch."""
-        target = WatchTarget(
-            kind, timeout_s=CHANGE_WATCH_TIMEOUT_S, pause_s=CHANGE_PAUSE_S
+    def _start_watches(self, loop: asyncio.AbstractEventLoop) -> None:
+        groups = GroupFollower(self.group_manager.adopt_table)
+        watches = StoreWatches(self._parts.objects, loop)
+        watches.follow(GROUP_KIND, groups)
+        watches.follow(
+            self._parts.retirement.kind,
+            RetirementFollower(self._parts.retirement, self.start_retirement),
         )
-        note = partial(self.store.gateways.changes.note, kind)
-        sink = ChangeSink(loop, note, self._replace_watches)
-        Watcher(self._parts.objects, target, sink).start()
-
-    def _replace_watches(self) -> None:
-        """Replaces the watches that the platform may not have noticed."""
-        for watcher in self._watchers:
-            watcher.replace()
+        for kind in self._parts.gateway_kinds:
+            watches.note_changes(kind, self.store.gateways.changes)
 
     def _stop(self) -> None:
         log.info('records: stopping')
@@ -190,28 +146,6 @@
         self.store.log.stop()
 
 
-class RetirementFollower:
-    """Starts draining the store when the operator requests it."""
-
-    def __init__(self, app: StoreApplication) -> None:
-        """Stores the application to drain."""
-        self._app = app
-
-    def handle_list(self, listing: Listing) -> None:
-        """Checks each object of a complete list."""
-        for stored in listing.listed.items:
-            self.handle_object(stored)
-
-    def handle_object(self, stored: StoredObject) -> None:
-        """Starts draining if the object requests it."""
-        if self._app.retirement.is_requested(stored):
-            self._app.start_retirement()
-
-    def handle_removal(self, name: str) -> None:
-        """Logs the removal; a drain that has started continues."""
-        log.info('records: drain request removed', instance=name)
-
-
 def _log_reload() -> None:
     """Logs a SIGHUP; changed settings apply from the next start."""
     log.info('records: settings changed, applied at the next start')
--- a/tests/test_gateway_watches.py
+++ b/tests/test_gateway_watches.py
@@ -134,7 +134,7 @@
     assert 0 < lines[0]['waited_s'] < WAIT_S
 
 
-def waiting(version, since_s=0.0):
+def waiting(version, since_s=0):
     """Returns the progress of an open watch."""
     return WatchProgress(str(version), since_s)
 
