Follow the endpoints beside an entry that cannot be decoded

Report of another operator: one odd entry among those of the replicas, and the machines that read the list ended, or stopped following it. It can happen here: the gateways did not end, but saw no endpoint, or no change any more.

Cause: a list or a change was decoded as one document. A number out of range made it invalid, at each repetition; one nested over 1,000 levels raised RecursionError, which ended the watcher's thread for good. Numbers over 64 bits were taken and could not be sent to other instances; a name as address was looked up. Class: one part that is not understood spoils the whole.

Change: each object is decoded by itself, and one that cannot be has no fields; values nested over 64 levels are cut out of a document that has too many; a watcher's thread goes on after any error; endpoints need an IP address, and counts from 0 to 2^53 - 1.

Ruled out: ijson for the nested ones (its builder took more memory than the machine has at 100,000 levels).

The own platform's format decodes lists as one document still; there only this system writes.

--- a/cactusledge/objects/watch_session.py
+++ b/cactusledge/objects/watch_session.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from cactusledge.errors import StoreError
+from cactusledge.errors import StoreError, StoreUnavailableError
 from cactusledge.objects.outage import backoff_s
 from cactusledge.objects.store import (
     BOOKMARK,
@@ -94,6 +94,11 @@
                 self._list_and_watch()
             except StoreError as exc:
                 self._handle_failure(exc)
+            except Exception as exc:
+                log.exception(
+                    'platform: watcher failed', kind=self._target.kind
+                )
+                self._handle_failure(unexpected(exc))
 
     def _list_and_watch(self) -> None:
         """Lists once, then watches until it is ended; raises on a failure."""
@@ -152,6 +157,14 @@
                 take(received)
 
 
+def unexpected(exc: Exception) -> StoreError:
+    """Returns the error of a list or watch that failed unexpectedly."""
+    return StoreUnavailableError(
+        f'The list or watch failed unexpectedly ({type(exc).__name__}).',
+        remedy='Look for the error in the log; it is tried again.',
+    )
+
+
 def waited_s(progress: WatchProgress, now_s: float) -> float:
     """Returns how long the watch that is open has waited, 0 without one."""
     since_s = progress.waits_since_s
--- a/cactusledge/platform/documents.py
+++ b/cactusledge/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes platform objects: the configuration and endpoints."""
 
 from collections.abc import Mapping
+from ipaddress import ip_address
 from types import MappingProxyType
 from typing import Any
 
@@ -30,6 +31,7 @@
 DEFAULT_ATTEMPTS = 2
 DEFAULT_LIMITS = Limits()
 MAX_PORT = 65535
+MAX_NUMBER = 9_007_199_254_740_991  # that every JSON writer keeps exactly
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 log = structlog.get_logger('platform')
@@ -120,14 +122,20 @@
         return None
 
 
+def is_count(found: object) -> bool:
+    """Returns whether a field is an integer that messages can carry."""
+    return isinstance(found, int) and 0 <= found <= MAX_NUMBER
+
+
 def to_replica(endpoint_id: str, spec: Mapping[str, Any]) -> Replica:
     """Converts an endpoint entry.
 
     Raises one of `DECODE_ERRORS` if a field is missing or has another type.
     """
     host, _, port_text = spec['address'].rpartition(':')
+    ip_address(host)
     port = int(port_text)
-    if not host or not 0 < port <= MAX_PORT:
+    if not 0 < port <= MAX_PORT:
         raise ValueError(f'unusable address {host}:{port}')
     service, zone, state = spec['service'], spec['zone'], spec['state']
     slots, born = spec['slots'], spec.get('born', 0)
@@ -135,8 +143,8 @@
         raise TypeError('service and zone must be non-empty strings')
     if state not in ENDPOINT_STATES:
         raise ValueError(f'unknown state {state}')
-    if not isinstance(slots, int) or not isinstance(born, int):
-        raise TypeError('slots and born must be integers')
+    if not is_count(slots) or not is_count(born):
+        raise TypeError('slots and born must be integers of 0 or more')
     return Replica(
         endpoint_id=endpoint_id,
         service=service,
--- a/cactusledge/platform/objects.py
+++ b/cactusledge/platform/objects.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator, Mapping
 from functools import cached_property
 from importlib import import_module
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -25,6 +25,7 @@
     StoredObject,
     WatchEvent,
 )
+from cactusledge.objects.tolerant_json import decode_nested
 
 if TYPE_CHECKING:
     from cactusledge.objects.exchange import Exchange
@@ -32,6 +33,45 @@
 API_ROOT = '/api/objects'
 REQUEST_TIMEOUT_S = 1.5
 WATCH_MARGIN_S = 1.0  # at most, for the response after the full wait
+EMPTY_SPEC = msgspec.Raw(b'{}')
+
+Decoded = TypeVar('Decoded')
+
+
+class Metadata(msgspec.Struct):
+    """Name and version of an object."""
+
+    name: str
+    revision: int
+
+
+class Document(msgspec.Struct):
+    """An object; its fields are decoded by themselves."""
+
+    metadata: Metadata
+    spec: msgspec.Raw = EMPTY_SPEC
+
+
+class Page(msgspec.Struct):
+    """One page of a list."""
+
+    items: list[Document]
+    as_of: int
+    has_more: bool = False
+
+
+class Event(msgspec.Struct):
+    """A change of one object."""
+
+    object: Document
+    deleted: bool = False
+
+
+class Changes(msgspec.Struct):
+    """The response to a watch."""
+
+    events: list[Event]
+    as_of: int
 
 
 class PlatformObjects:
@@ -53,11 +93,11 @@
         """Returns all objects of a kind whose names start with `prefix`."""
         items: list[StoredObject] = []
         page = self._fetch_page(kind, {})
-        version = str(page['as_of'])
-        items.extend(decode_page(kind, page))
-        while page.get('has_more') and items:
+        version = str(page.as_of)
+        items.extend(to_object(kind, document) for document in page.items)
+        while page.has_more and items:
             page = self._fetch_page(kind, {'after': items[-1].name})
-            items.extend(decode_page(kind, page))
+            items.extend(to_object(kind, document) for document in page.items)
         matching = (
             stored for stored in items if stored.name.startswith(prefix)
         )
@@ -108,25 +148,23 @@
             )
         finally:
             exchange.close()
-        page = decode(reply)
-        for event in page['events']:
-            stored = to_object(kind, event['object'])
+        changes = decode(reply, Changes)
+        for event in changes.events:
+            stored = to_object(kind, event.object)
             if stored.name.startswith(prefix):
-                yield WatchEvent(
-                    DELETED if event.get('deleted') else ADDED, stored
-                )
-        bookmark = StoredObject(kind, '', str(page['as_of']), {})
+                yield WatchEvent(DELETED if event.deleted else ADDED, stored)
+        bookmark = StoredObject(kind, '', str(changes.as_of), {})
         yield WatchEvent(BOOKMARK, bookmark)
 
     @cached_property
     def _exchange(self) -> 'Exchange':
         return new_exchange(self._address, REQUEST_TIMEOUT_S)
 
-    def _fetch_page(self, kind: str, query: Mapping[str, str]) -> Any:
+    def _fetch_page(self, kind: str, query: Mapping[str, str]) -> Page:
         path = object_path(kind)
         if query:
             path = f'{path}?{urlencode(query)}'
-        return decode(self._get(path))
+        return decode(self._get(path), Page)
 
     def _get(self, path: str) -> Reply:
         return self._request(self._exchange, path)
@@ -146,12 +184,12 @@
         reply = self._exchange.send(method, path, content)
         check_status(path, reply)
         try:
-            return to_object(kind, msgspec.json.decode(reply.body))
-        except (msgspec.MsgspecError, KeyError) as exc:
+            return to_object(kind, decode_nested(reply.body, Document))
+        except msgspec.MsgspecError as exc:
             raise store_error(UNKNOWN_OUTCOME, path, None) from exc
 
     def _decode(self, kind: str, reply: Reply) -> StoredObject:
-        return to_object(kind, decode(reply))
+        return to_object(kind, decode(reply, Document))
 
 
 def new_exchange(address: Address, timeout_s: float) -> 'Exchange':
@@ -171,10 +209,10 @@
     return f'{path}/{quote(name, safe="")}' if name else path
 
 
-def decode(reply: Reply) -> Any:
+def decode(reply: Reply, kind: type[Decoded]) -> Decoded:
     """Decodes a JSON response; an invalid one counts as unavailable."""
     try:
-        return msgspec.json.decode(reply.body)
+        return decode_nested(reply.body, kind)
     except msgspec.MsgspecError as exc:
         raise StoreUnavailableError(
             'The platform sent an invalid JSON document.',
@@ -182,17 +220,24 @@
         ) from exc
 
 
-def decode_page(kind: str, page: Mapping[str, Any]) -> list[StoredObject]:
-    """Decodes the objects of one page of a list."""
-    return [to_object(kind, document) for document in page['items']]
+def to_object(kind: str, document: Document) -> StoredObject:
+    """Converts a document to an object.
 
-
-def to_object(kind: str, document: Mapping[str, Any]) -> StoredObject:
-    """Converts a document to an object."""
-    metadata = document['metadata']
+    What cannot be decoded has no fields: another writer may have written it,
+    and the other objects count.
+    """
+    metadata = document.metadata
     return StoredObject(
         kind=kind,
-        name=str(metadata['name']),
-        version=str(metadata['revision']),
-        body=document.get('spec') or {},
+        name=metadata.name,
+        version=str(metadata.revision),
+        body=decode_spec(document.spec),
     )
+
+
+def decode_spec(spec: msgspec.Raw) -> Mapping[str, Any]:
+    """Returns the fields of an object; none if they cannot be decoded."""
+    try:
+        return msgspec.json.decode(spec, type=dict[str, Any])
+    except msgspec.MsgspecError:
+        return {}
