Do not take an earlier refusal for one of the request that runs

Report of another operator: a faulty replica wrote an earlier refusal once more on a kept connection; callers were told 'not run' for what ran, or it ran twice. Both can happen here: a call that an endpoint refused comes back to it within a third of its time, mostly on the connection that refused it, with the same id. The old refusal then answers the new attempt, which runs; the next attempt runs it again. A refusal without an id was taken for the request under way on any connection.

Cause: an answer is tied to a request by its id, and attempts of one request share it. Class: an answer of an earlier attempt counts for a later one.

Change: a connection keeps the ids that were refused on it and does not carry them again; 'not run' without an id counts only for the first request of a connection.

Result: all six cases of tests/test_gateway_repeated_refusals.py failed before and pass now.

--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -19,6 +19,7 @@
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.messages import EndpointAnswer, Headers
 from cactusledge.gateway.paced_reading import PacedReader
+from cactusledge.gateway.refusals import Refusals
 from cactusledge.records.frames import set_socket_options
 
 FIRST_FINAL_STATUS = 200
@@ -70,6 +71,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._request_id = ''
+        self.refusals = Refusals()
         self._sink: AnswerSink | None = None
         self._is_skipping = False
         self._byte_count = ByteCount(ByteBounds())
@@ -95,6 +97,7 @@
         Without `flow` nothing holds the response back.
         """
         self._request_id = request_id
+        self.refusals.begin(request_id)
         self._sink = sink
         self._framing = Framing.NONE
         self._byte_count.begin_request()
@@ -162,6 +165,7 @@
             self._byte_count.add_skipped()
             return
         answer = self._dialect.read_answer(status, self._headers)
+        answer = self.refusals.own(answer)
         self._idle_s = answer.idle_s
         self._on_answer(answer)
         if answer.request_id and answer.request_id != self._request_id:
@@ -188,7 +192,11 @@
         if self._is_skipping:
             return
         has_framing = self._framing is not Framing.NONE
-        keeps_alive = self._parser.should_keep_alive() and has_framing
+        keeps_alive = (
+            self._parser.should_keep_alive()
+            and has_framing
+            and not self.refusals.is_full
+        )
         self._end(TransferEnd.FRAMED)
         if keeps_alive and self.is_open:
             self._on_idle(self, self._idle_s)
--- a/cactusledge/gateway/pool.py
+++ b/cactusledge/gateway/pool.py
@@ -58,19 +58,20 @@
         self._idle: dict[Lifetime, list[_Idle]] = {}
         self.opened = 0
 
-    async def take(self, replica: Replica) -> EndpointConnection:
+    async def take(
+        self, replica: Replica, request_id: str = ''
+    ) -> EndpointConnection:
         """Returns the most recently used idle connection, or opens a new one.
 
+        One on which the request was refused is left for others.
+
         Raises:
             EndpointUnreachableError: The endpoint accepts no connection.
         """
         now_s = asyncio.get_running_loop().time()
-        idle = self._idle.get(replica.lifetime, [])
-        while idle:
-            conn, until_s = idle.pop()
-            if conn.is_open and now_s < until_s:
-                return conn
-            conn.abort()
+        conn = self._take_idle(replica.lifetime, request_id, now_s)
+        if conn is not None:
+            return conn
         if not self._reach.can_connect(now_s):
             raise EndpointUnreachableError('no endpoint is in reach')
         return await self._open(replica)
@@ -106,6 +107,21 @@
                 kept for kept in idle if kept.until_s > now_s
             ]
 
+    def _take_idle(
+        self, lifetime: Lifetime, request_id: str, now_s: float
+    ) -> EndpointConnection | None:
+        idle = self._idle.get(lifetime, [])
+        for index in reversed(range(len(idle))):
+            conn, until_s = idle[index]
+            is_usable = conn.is_open and now_s < until_s
+            if is_usable and not conn.refusals.can_carry(request_id):
+                continue
+            idle.pop(index)
+            if is_usable:
+                return conn
+            conn.abort()
+        return None
+
     def _drop(self, lifetime: Lifetime) -> None:
         for conn, _ in self._idle.pop(lifetime, []):
             conn.abort()
--- /dev/null
+++ b/cactusledge/gateway/refusals.py
@@ -0,0 +1,45 @@
+"""Which requests did not run, as the answers on one connection say; pure.
+
+An endpoint may write an earlier refusal once more where the answer to the next
+request is due.
+"""
+
+from cactusledge.gateway.messages import EndpointAnswer
+
+MAX_REFUSED = 256  # requests that one connection may refuse
+
+
+class Refusals:
+    """The requests that were refused on a connection."""
+
+    def __init__(self) -> None:
+        """Starts before the first request."""
+        self._request_id = ''
+        self._requests = 0
+        self._refused: set[str] = set()  # request ids
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection has refused too many to be used again."""
+        return len(self._refused) >= MAX_REFUSED
+
+    def begin(self, request_id: str) -> None:
+        """Takes note that a request is sent."""
+        self._request_id = request_id
+        self._requests += 1
+
+    def can_carry(self, request_id: str) -> bool:
+        """Returns whether a refusal would be of the next attempt."""
+        return request_id not in self._refused
+
+    def own(self, answer: EndpointAnswer) -> EndpointAnswer:
+        """Returns an answer as far as it is known to be to this request.
+
+        Without an id, 'not run' may be of any request of the connection.
+        """
+        if not answer.not_run:
+            return answer
+        if not answer.request_id and self._requests > 1:
+            return answer._replace(not_run=False)
+        self._refused.add(answer.request_id or self._request_id)
+        return answer
--- a/cactusledge/gateway/selection.py
+++ b/cactusledge/gateway/selection.py
@@ -109,7 +109,8 @@
         if not await self._rationing.admit(replica):
             return None
         try:
-            return await self.fleet.pool.take(replica)
+            request_id = self.call.info.request_id
+            return await self.fleet.pool.take(replica, request_id)
         except EndpointUnreachableError as exc:
             self._add_unreachable(replica, exc)
             return None
