Do not refuse an unknown route finally while a newer version is known

A 404 is final, callers do not come back, though the gateway knew from the other gateways that it was behind. Accounts had this care already for unknown keys.

Change: such a request gets 503 with Retry-After of 0.3 s, in which a newer version is fetched; else 404 as before.

Result: test_unknown_route_is_not_final_while_a_newer_version_is_known failed before (404 for 503) and passes now.

--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -34,7 +34,7 @@
 from cactusledge.records.gateway_messages import RequestKeys
 
 NOT_READY_RETRY_S = 0.2
-UNSURE_KEY_RETRY_S = 0.3  # for a newer configuration to arrive
+NEWER_VERSION_RETRY_S = 0.3  # for a newer configuration to arrive
 CRASHES_ENDPOINTS = 'crashes endpoints'  # outcome reason
 CALLER_LEFT = 'caller left'  # outcome reason
 OVER_QUOTA = 'over quota'  # outcome reason
@@ -113,7 +113,7 @@
                 NOT_READY_RETRY_S,
             )
         if route is None:
-            return refuse(conn, http.HTTPStatus.NOT_FOUND, 'no route')
+            return refuse_without_route(conn, is_behind=self.news.is_behind)
         now_s = asyncio.get_running_loop().time()
         identity = table.accounts.identify(
             route, info.key_digest, is_current=self.news.is_current(now_s)
@@ -219,11 +219,26 @@
             conn,
             http.HTTPStatus.SERVICE_UNAVAILABLE,
             finding,
-            UNSURE_KEY_RETRY_S,
+            NEWER_VERSION_RETRY_S,
         )
     return refuse(conn, http.HTTPStatus.UNAUTHORIZED, finding)
 
 
+def refuse_without_route(conn: Responder, *, is_behind: bool) -> Outcome:
+    """Refuses a request for an unknown route; finally only if that is certain.
+
+    A newer configuration, which another gateway has, may have the route.
+    """
+    if is_behind:
+        return refuse(
+            conn,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            'no route in this version',
+            NEWER_VERSION_RETRY_S,
+        )
+    return refuse(conn, http.HTTPStatus.NOT_FOUND, 'no route')
+
+
 def is_unanswered(outcome: Outcome) -> bool:
     """Returns whether a request failed without an endpoint's response.
 
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -5,6 +5,7 @@
 import pytest
 from structlog.testing import capture_logs
 
+from cactusledge.records.gateway_messages import KnownVersion
 from tests.gateway_endpoints import (
     SEAL,
     Endpoint,
@@ -239,6 +240,21 @@
     run_scenario(scenario)
 
 
+# A caller that is told 404 does not come back, though the route was there.
+def test_unknown_route_is_not_final_while_a_newer_version_is_known():
+    async def scenario(harness):
+        news = harness.gateway.news
+        for version, expected in ((9, 503), (1, 404)):
+            news.hear(KnownVersion(version, ('10.0.0.2:80',)), 0)
+            caller = await harness.call('/nowhere/x')
+            status, head, _ = await caller.read()
+            assert status == expected
+            retry_after = field(head, 'retry-after')
+            assert bool(retry_after) == (expected == 503)
+
+    run_scenario(scenario)
+
+
 def test_request_inside_a_body_is_not_run():
     async def scenario(harness):
         inner = b'POST /once/evil HTTP/1.1\r\nHost: shop.example\r\n\r\n'
