Run the processes on the users' platform on uvloop's event loop

Profiles of a front and a store under load are flat; the largest part that is not the product's own is asyncio's event loop.

All tests run on it too, so that they test the loop that is in use. A connection that has ended has no socket there: set_linger and the tests' link proxy allow for that.

--- a/cactusledge/gateway/responder.py
+++ b/cactusledge/gateway/responder.py
@@ -149,6 +149,6 @@
 
 def set_linger(transport: asyncio.Transport | None, linger: bytes) -> None:
     """Sets how a connection closes, if it is still open."""
-    if transport is not None:
-        sock = transport.get_extra_info('socket')
+    sock = transport.get_extra_info('socket') if transport else None
+    if sock is not None:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/cactusledge/platform/process.py
+++ b/cactusledge/platform/process.py
@@ -4,6 +4,8 @@
 import os
 import sys
 
+import uvloop
+
 from cactusledge.errors import CactusledgeError
 from cactusledge.platform.roles import ROLES, load_role
 from cactusledge.platform.settings import read_settings
@@ -32,6 +34,7 @@
         instance=settings.instance,
         data_centre=settings.data_centre,
     )
-    asyncio.run(load_role(role)(settings))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(load_role(role)(settings))
     writer.close()
     return ExitStatus.OK
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures that several test modules share."""
 
+import asyncio
 import io
 from collections.abc import Callable, Iterator, Mapping
 from functools import partial
@@ -9,6 +10,7 @@
 
 import hypothesis
 import pytest
+import uvloop
 
 from cactusledge import core
 from cactusledge.environment import Environment
@@ -26,6 +28,9 @@
 hypothesis.settings.register_profile('untimed', deadline=None)
 hypothesis.settings.load_profile('untimed')
 
+# The processes on the users' platform run on this event loop.
+asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+
 NOW = 1_800_000_000.0
 REMEDY = 'Try again.'
 
--- a/tests/link_proxy.py
+++ b/tests/link_proxy.py
@@ -85,6 +85,8 @@
         self._stop_listening()
         for writer in self._writers:
             sock = writer.get_extra_info('socket')
+            if sock is None:  # the connection has ended
+                continue
             with contextlib.suppress(OSError):
                 sock.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
--- a/tests/test_endpoints_unframed_documents.py
+++ b/tests/test_endpoints_unframed_documents.py
@@ -61,6 +61,20 @@
         call(content)
 
 
+WHOLE = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+    b'Content-Length: 2\r\n\r\n12'
+)
+
+
+# An answer that broke off in its head reached callers of others as a whole
+# one, with an empty body.
+@pytest.mark.parametrize('cut', range(WHOLE.index(b'12', 70) + 1))
+def test_answer_cut_in_its_head_is_no_answer(call, cut):
+    with pytest.raises(EndpointFailedError):
+        call(WHOLE[:cut])
+
+
 @pytest.mark.parametrize(
     ('content', 'body'),
     [
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -1,12 +1,15 @@
 """End-to-end tests of the gateway with callers and faulty endpoints."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from structlog.testing import capture_logs
 
+from cactusledge.gateway.responder import set_linger
 from cactusledge.records.gateway_messages import KnownVersion
 from tests.gateway_endpoints import (
+    RESET_AT_CLOSE,
     SEAL,
     Endpoint,
     answered,
@@ -240,6 +243,14 @@
     run_scenario(scenario)
 
 
+# On the event loop of the platform's processes a connection that has ended has
+# no socket any more.
+def test_caller_that_has_left_does_not_fail_the_end_of_its_answer():
+    transport = SimpleNamespace(get_extra_info=lambda name: None)
+    set_linger(transport, RESET_AT_CLOSE)
+    set_linger(None, RESET_AT_CLOSE)
+
+
 # A caller that is told 404 does not come back, though the route was there.
 def test_unknown_route_is_not_final_while_a_newer_version_is_known():
     async def scenario(harness):
