Let the soak silence the connections to the platform

The soak of the real programs did not know of connections that go silent for good, the cause of the last incident. A series of its own lets those of a gateway or a store to the platform do so; the plans of other series stay as they are.

--- a/tests/soak_processes/actions.py
+++ b/tests/soak_processes/actions.py
@@ -39,6 +39,7 @@
             'pause': self._pause,
             'cut platform link': self._cut,
             'cut callers link': self._cut,
+            'silence platform connections': self._silence,
         }
 
     async def run_series(self, events):
@@ -163,6 +164,16 @@
         link.heal()
         self._end_fault(fault)
 
+    async def _silence(self, event):
+        """Lets open connections go silent for good; new ones work."""
+        node = self._take(event)
+        if node is None:
+            return
+        fault = self._begin_fault(event, node)
+        node.links['platform'].silence_open()
+        await asyncio.sleep(event.length_s)
+        self._end_fault(fault)
+
     async def _wait_serving(self, node):
         """Waits until a node serves again, as an operator's roll does."""
         await asyncio.sleep(ROLL_GAP_S)
--- a/tests/soak_processes/plan.py
+++ b/tests/soak_processes/plan.py
@@ -72,6 +72,15 @@
         (1, 8),
         is_planned=False,
     ),
+    Series(
+        'watches',
+        tuple(
+            ('silence platform connections', role)
+            for role in ('front', 'store')
+        ),
+        (2, 8),
+        is_planned=False,
+    ),
 )
 
 
