Let a list show that an endpoint has gone

Cause: a store that lists again after a lost watch told the version of the newest object in the list.

Change: a store keeps the names of the objects; if one is missing from a list, the version of the list counts as the newest change.

--- a/cactusledge/records/platform_changes.py
+++ b/cactusledge/records/platform_changes.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping
 
 from cactusledge.errors import StoreError
-from cactusledge.objects.store import ObjectList, WatchEvent
+from cactusledge.objects.store import DELETED, ObjectList, WatchEvent
 
 
 class PlatformChanges:
@@ -50,19 +50,25 @@
         self._note = note
         self._on_regained = on_regained
         self._has_failed = False
+        self._names: frozenset[str] = frozenset()  # of the objects there are
 
     def on_snapshot(self, listed: ObjectList) -> None:
-        """Notes the newest object of a complete list."""
-        version = max(
-            (int(stored.version) for stored in listed.items), default=0
-        )
-        self._loop.call_soon_threadsafe(self._note, version)
+        """Notes the newest change that a complete list shows."""
+        names = frozenset(stored.name for stored in listed.items)
+        versions = [int(stored.version) for stored in listed.items]
+        if self._names - names:  # the list does not say when they went
+            versions.append(int(listed.version))
+        self._names = names
+        self._loop.call_soon_threadsafe(self._note, max(versions, default=0))
         if self._has_failed:
             self._has_failed = False
             self._loop.call_soon_threadsafe(self._on_regained)
 
     def on_event(self, event: WatchEvent) -> None:
         """Notes a change of one object."""
+        name = frozenset((event.object.name,))
+        is_gone = event.type == DELETED
+        self._names = self._names - name if is_gone else self._names | name
         self._loop.call_soon_threadsafe(self._note, int(event.object.version))
 
     def on_failure(self, exc: StoreError) -> None:
--- a/tests/test_platform_changes.py
+++ b/tests/test_platform_changes.py
@@ -19,9 +19,9 @@
 KIND = 'config'
 
 
-def stored(version):
+def stored(version, name='main'):
     """Returns an object of a version."""
-    return StoredObject(KIND, 'main', str(version), {})
+    return StoredObject(KIND, name, str(version), {})
 
 
 class Calls:
@@ -48,6 +48,19 @@
     assert calls.versions == [7, 0]
 
 
+# A list shows neither that an object is gone nor when: gateways whose watches
+# were silent would go on with it.
+def test_object_that_went_while_the_watch_was_silent_counts():
+    calls = Calls()
+    calls.sink.on_snapshot(ObjectList((stored(3, 'a'), stored(7, 'b')), '8'))
+    calls.sink.on_event(WatchEvent(ADDED, stored(9, 'c')))
+    calls.sink.on_event(WatchEvent(DELETED, stored(10, 'b')))
+    calls.sink.on_snapshot(ObjectList((stored(3, 'a'), stored(9, 'c')), '12'))
+    assert calls.versions == [7, 9, 10, 9]
+    calls.sink.on_snapshot(ObjectList((stored(3, 'a'),), '14'))
+    assert calls.versions[-1] == 14
+
+
 @pytest.mark.parametrize('change', [ADDED, DELETED])
 def test_each_change_counts(change):
     calls = Calls()
