Mend names and comments that read twice in the watches and refusals

In the adapter 'kind' was both a kind of objects and the type to decode, which is 'struct' now. The lock of a watch session says what it is for, a refusal's doc comment what it returns. No behaviour, bound or check is changed.

--- a/cactusledge/gateway/refusals.py
+++ b/cactusledge/gateway/refusals.py
@@ -29,7 +29,7 @@
         self._requests += 1
 
     def can_carry(self, request_id: str) -> bool:
-        """Returns whether a refusal would be of the next attempt."""
+        """Returns whether the request has not been refused here before."""
         return request_id not in self._refused
 
     def own(self, answer: EndpointAnswer) -> EndpointAnswer:
--- a/cactusledge/objects/tolerant_json.py
+++ b/cactusledge/objects/tolerant_json.py
@@ -16,16 +16,16 @@
 Decoded = TypeVar('Decoded')
 
 
-def decode_nested(content: bytes, kind: type[Decoded]) -> Decoded:
+def decode_nested(content: bytes, struct: type[Decoded]) -> Decoded:
     """Decodes a document; values that are nested too deeply become null.
 
     Raises:
         msgspec.MsgspecError: The document is invalid.
     """
     try:
-        return msgspec.json.decode(content, type=kind)
+        return msgspec.json.decode(content, type=struct)
     except RecursionError:
-        return msgspec.json.decode(prune(content), type=kind)
+        return msgspec.json.decode(prune(content), type=struct)
 
 
 def prune(content: bytes) -> bytes:
--- a/cactusledge/objects/watch_session.py
+++ b/cactusledge/objects/watch_session.py
@@ -67,7 +67,9 @@
         self._target = target
         self._sink = sink
         self._ended = threading.Event()
-        self._lock = threading.Lock()  # held while the sink is called
+        self._lock = (
+            threading.Lock()
+        )  # so that nothing is passed on after `end`
         self._failures = 0
         self._thread = threading.Thread(
             target=self._run,
--- a/cactusledge/platform/objects.py
+++ b/cactusledge/platform/objects.py
@@ -209,10 +209,10 @@
     return f'{path}/{quote(name, safe="")}' if name else path
 
 
-def decode(reply: Reply, kind: type[Decoded]) -> Decoded:
+def decode(reply: Reply, struct: type[Decoded]) -> Decoded:
     """Decodes a JSON response; an invalid one counts as unavailable."""
     try:
-        return decode_nested(reply.body, kind)
+        return decode_nested(reply.body, struct)
     except msgspec.MsgspecError as exc:
         raise StoreUnavailableError(
             'The platform sent an invalid JSON document.',
--- a/cactusledge/records/platform_changes.py
+++ b/cactusledge/records/platform_changes.py
@@ -50,7 +50,7 @@
         self._note = note
         self._on_regained = on_regained
         self._has_failed = False
-        self._names: frozenset[str] = frozenset()  # of the objects there are
+        self._names: frozenset[str] = frozenset()  # of the objects that exist
 
     def on_snapshot(self, listed: ObjectList) -> None:
         """Notes the newest change that a complete list shows."""
