--- /dev/null
+++ b/review/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the review's cases: platform, servers, clients, programs."""
