--- a/review/lab/servers.py
+++ b/review/lab/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
+import random
 import time
 from collections.abc import Callable
 from typing import NamedTuple
@@ -52,6 +53,10 @@
         self.broken: list[str] = []  # ids whose caller left before the end
         self.crashes = 0
         self.is_draining = False
+        # Bytes that follow a complete answer, late; none while it is sound.
+        self.leftover = b''
+        self.leftover_share = 0.0
+        self.leftovers = 0
         self._platform = platform
         self._plan = plan
         self._born_ms = 0
@@ -118,11 +123,16 @@
 
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
+        has_leftover = False
         try:
             while (head := await wire.read_head(reader)) is not None:
                 body = await wire.read_body(reader, head)
+                if has_leftover:
+                    self.leftovers += 1
+                    writer.write(self.leftover)
                 if not await self._answer(head, body, reader, writer):
                     return
+                has_leftover = random.random() < self.leftover_share
         finally:
             self._writers.discard(writer)
 
