--- a/review/lab/scenario.py
+++ b/review/lab/scenario.py
@@ -15,6 +15,7 @@
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 SERVER_PORT = 8080
 READY_WAIT_S = 25.0
+LONGEST_S = 115.0  # of a case; a script may take 120
 
 
 class CannotRunError(Exception):
@@ -159,15 +160,18 @@
     task = asyncio.current_task()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-    lab_started: list[Lab] = []
+    started: list[Lab] = []
+    verdict = CANNOT_RUN
     try:
-        has_held = await case(folder, lab_started)
+        async with asyncio.timeout(LONGEST_S):
+            has_held = await case(folder, started)
         verdict = HELD if has_held else BROKEN
-    except CannotRunError as exc:
-        verdict = CANNOT_RUN
-        lab_started[0].note(f'could not run: {exc}')
+    except (Exception, asyncio.CancelledError) as exc:
+        sys.stderr.write(f'{exc!r}\n')
+        for lab in started:
+            lab.note(f'could not run: {exc!r}')
     finally:
-        for lab in lab_started:
+        for lab in started:
             lab.stop()
     sys.stdout.write(f'{("held", "broken", "could not run")[verdict]}\n')
     sys.stdout.flush()
