--- a/review/lab/programs.py
+++ b/review/lab/programs.py
@@ -121,6 +121,7 @@
         self.fronts: list[Machine] = []
         self.stores: list[Machine] = []
         self.platform = (f'{self.net}.1', PLATFORM_PORT)
+        self.tolerated = 1  # machines with a disk that may be lost at once
 
     def move_platform(self) -> None:
         """Gives the platform's store another address."""
@@ -168,7 +169,7 @@
             'limits.memory_mb': '170' if is_store else '150',
             'heartbeat_ms': '1200',
             'discovery': 'platform',
-            'tolerate.machines': '1',
+            'tolerate.machines': str(self.tolerated),
             'tolerate.zones': '1',
             'tolerate.regions': '0',
             **{f'bounds.{name}': found for name, found in BOUNDS.items()},
