--- a/review/3/case.py
+++ b/review/3/case.py
@@ -25,6 +25,7 @@
 TRIES = 6  # the rule asks for five or more
 PAUSE_S = 0.5
 AIM_MS = 8000
+RETENTION_S = 60.0  # later tries don't count
 _programs = itertools.count(1)
 
 
@@ -76,7 +77,7 @@
 
 
 async def continues(lab: Lab, fronts, program: str, parent: Answer) -> bool:
-    """Continues a turn; returns whether any of its tries reached a replica."""
+    """Continues a turn; returns whether the rule held for it."""
     began_s = time.monotonic()
     seen: list[Answer] = []
     while len(seen) < TRIES:
@@ -94,7 +95,7 @@
         f'{[one.status for one in seen]} in {took_s:.1f} s; '
         f'{"reached a replica" if has_run else "reached no replica"}'
     )
-    return has_run
+    return has_run or age_s + took_s >= RETENTION_S
 
 
 def members(lab: Lab) -> list[str]:
