Keep a log's entries in an index of their own

What reads positions (a store that drains, one that catches up) needs none of the rest.

Change: EntryIndex has the entries by position and when each was applied; adopted_generations is a function, as it needs the store and its peers only.

--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -120,7 +120,9 @@
         while True:
             identity = self.store.log.identity
             group = self.store.group
-            self._metrics.put('records_entries', len(self.store.log.entries))
+            self._metrics.put(
+                'records_entries', len(self.store.log.index.entries)
+            )
             self._metrics.put('records_witness', identity.is_witness)
             self._metrics.put(
                 'records_generation', group.generation, shard=str(group.shard)
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -103,7 +103,8 @@
 
     async def is_adopted(self) -> bool:
         """Returns whether a majority has adopted the group of this store."""
-        return may_change(self._store.group, await self._adopted_generations())
+        adopted = await adopted_generations(self._store, self.peers)
+        return may_change(self._store.group, adopted)
 
     async def _step(self) -> None:
         self._store.log.expire(RETENTION_S)
@@ -173,7 +174,8 @@
     ) -> None:
         """Publishes the next group if a majority has adopted the last one."""
         last = published.table.group(group.shard)
-        if not may_change(last, await self._adopted_generations()):
+        adopted = await adopted_generations(self._store, self.peers)
+        if not may_change(last, adopted):
             return
         if await self._objects.replace(published, group):
             log.info(
@@ -199,24 +201,23 @@
             self._store.is_member or self._store.log.head > 0
         )
 
-    async def _adopted_generations(self) -> dict[str, int]:
-        """Returns the generation on disk of each member that answers."""
-        own = self._store.group
-        replies = await asyncio.gather(
-            *(
-                peer.call(Ask(own.generation), ASK_TIMEOUT_S)
-                for peer in self.peers.all()
-            ),
-            return_exceptions=True,
-        )
-        adopted = {
-            reply.name: reply.durable_generation
-            for reply in replies
-            if isinstance(reply, Status)
-        }
-        durable = self._store.adopted_group.durable_generation
-        adopted[self._store.name] = durable
-        return adopted
+
+async def adopted_generations(
+    store: RecordStore, peers: GroupPeers
+) -> dict[str, int]:
+    """Returns the generation on disk of each member that answers."""
+    request = Ask(store.group.generation)
+    replies = await asyncio.gather(
+        *(peer.call(request, ASK_TIMEOUT_S) for peer in peers.all()),
+        return_exceptions=True,
+    )
+    adopted = {
+        reply.name: reply.durable_generation
+        for reply in replies
+        if isinstance(reply, Status)
+    }
+    adopted[store.name] = store.adopted_group.durable_generation
+    return adopted
 
 
 async def announce(group: Group, links: Iterable[Link]) -> None:
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -1,11 +1,10 @@
 """The log of a record store: entries in memory, synced to disk in batches."""
 
 import asyncio
-import bisect
 import time
 from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 import pykka
@@ -20,7 +19,8 @@
     WriteDocument,
     read_folder,
 )
-from cactusledge.records.entries import ENCODER, ENTRY_DECODER, Entry, Turn
+from cactusledge.records.entries import ENCODER, ENTRY_DECODER, Entry
+from cactusledge.records.entry_index import EntryIndex, LogPart
 from cactusledge.records.state import RecordState
 
 PULL_ENTRIES = 2000  # per reply
@@ -29,13 +29,6 @@
 log = structlog.get_logger('records')
 
 
-class LogPart(NamedTuple):
-    """Entries of a log, and the position of the next one."""
-
-    entries: list[Entry]
-    end: int
-
-
 class RecordLog:
     """Applies entries at once and reports when they are on disk.
 
@@ -47,9 +40,7 @@
         loaded = read_folder(folder, is_first_start=is_first_start)
         self.identity: Identity = loaded.identity
         self.state = RecordState()
-        self.entries: list[Entry] = []  # turns without text
-        self._applied_at_s: list[float] = []  # when each entry was applied
-        self._first_position = 0  # of the first entry kept
+        self.index = EntryIndex()
         for encoded in loaded.entries:
             self._replay(encoded)
         self._actor: pykka.ActorRef[DiskActor] = DiskActor.start(folder)
@@ -64,7 +55,7 @@
     @property
     def head(self) -> int:
         """The position of the next entry."""
-        return self._first_position + len(self.entries)
+        return self.index.head
 
     async def append(self, entries: Sequence[Entry]) -> None:
         """Applies the entries and returns once they are on disk.
@@ -77,7 +68,7 @@
         """
         for entry in entries:
             if self.state.apply(entry):
-                self._index(entry)
+                self.index.add(entry)
                 self._pending_entries.append(ENCODER.encode(entry))
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._pending_futures.append(fut)
@@ -90,27 +81,22 @@
 
         Expired entries are skipped.
         """
-        start = max(0, position - self._first_position)
-        entries = self.entries[start : start + most]
-        return LogPart(entries, self._first_position + start + len(entries))
+        return self.index.part(position, most)
 
     def expire(self, retention_s: float) -> None:
         """Drops older entries, and segments that hold only older entries.
 
         Turns that a recent turn continues are kept.
         """
-        oldest_s = time.monotonic() - retention_s
-        count = bisect.bisect_left(self._applied_at_s, oldest_s)
-        if not count:
+        dropped = self.index.drop_before(
+            self.index.position_before(retention_s)
+        )
+        if not dropped:
             return
-        live = self.state.ancestors_of(self.entries[count:])
-        expired = [
-            entry for entry in self.entries[:count] if entry.turn_id not in live
-        ]
-        self.state.discard(expired)
-        self.entries = self.entries[count:]
-        self._applied_at_s = self._applied_at_s[count:]
-        self._first_position += count
+        live = self.state.ancestors_of(self.index.entries)
+        self.state.discard(
+            entry for entry in dropped if entry.turn_id not in live
+        )
         self._actor.tell(
             RemoveSegmentsBefore(
                 time.time() - SEGMENT_RETENTION_FACTOR * retention_s
@@ -161,12 +147,7 @@
             log.exception('records: entry skipped, cannot be decoded')
             return
         if self.state.apply(entry):
-            self._index(entry)
-
-    def _index(self, entry: Entry) -> None:
-        indexed = entry.without_text() if isinstance(entry, Turn) else entry
-        self.entries.append(indexed)
-        self._applied_at_s.append(time.monotonic())
+            self.index.add(entry)
 
     def _sync(self) -> None:
         """Sends all pending entries to the actor as one batch."""
