Offer texts to the stores that should keep them and may not know the turn

Cause: a text is copied only by the store that lacks it, and that store looks at the turns that it has a record of. A store that was away when a turn was recorded has none, and nothing brings it later: a majority has the records, so it stays a witness. Once a holder leaves the group and this store is the replacement, the second copy is never made.

Evidence: a trace on, three stores, 20 turns, one store away while they are recorded, then another replaced: 12 turns whose replacement is the successor have two texts; the 8 whose replacement is the store that was away have one, and it has no record of any of them. Ruled out: a successor that has read too few logs (it has all 20 records), copies still in progress (the same 2 s later), stores that disagree on the replacement.

Change: a store offers the texts that it has to the members that should keep them, by the turns' ids, until each has confirmed that they are on its disk; what is lacking is fetched as before. All texts of the retention are offered anew to a changed group and to a new disk. Offers are an optional field of Fetch, as an older build closes the connection on an unknown message. What is expired by its file's time is not offered after a restart, or restarts would keep texts alive. Gauge records_unconfirmed_texts.

--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -124,6 +124,10 @@
                 'records_entries', len(self.store.log.index.entries)
             )
             self._metrics.put('records_witness', identity.is_witness)
+            self._metrics.put(
+                'records_unconfirmed_texts',
+                self.group_manager.text_offers.unconfirmed,
+            )
             self._metrics.put(
                 'records_generation', group.generation, shard=str(group.shard)
             )
--- a/cactusledge/records/disk.py
+++ b/cactusledge/records/disk.py
@@ -12,6 +12,7 @@
 import pykka
 import structlog
 
+from cactusledge.records.entries import RETENTION_S
 from cactusledge.records.segment import frame_entries, parse_segment
 
 IDENTITY_FILE = 'identity.json'
@@ -38,6 +39,7 @@
 
     identity: Identity
     entries: list[bytes]
+    expired: int = 0  # of the entries, the first ones, by their files' times
 
 
 class AppendBatch(NamedTuple):
@@ -75,9 +77,13 @@
         return FolderContent(identity, [])
     identity = Identity(found['log_id'], found['is_witness'])
     entries: list[bytes] = []
+    expired = 0
+    oldest_s = time.time() - RETENTION_S
     for path in list_segments(folder):
         entries.extend(parse_segment(path.read_bytes()).entries)
-    return FolderContent(identity, entries)
+        if path.stat().st_mtime < oldest_s:
+            expired = len(entries)
+    return FolderContent(identity, entries, expired)
 
 
 def list_segments(folder: Path) -> list[Path]:
--- a/cactusledge/records/entries.py
+++ b/cactusledge/records/entries.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+RETENTION_S = 600.0  # exceeds any route's retention and program's duration
+
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base of all messages and entries; the tag is the class name."""
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -8,7 +8,7 @@
 
 from cactusledge.errors import StoreError
 from cactusledge.records.catch_up import CatchUp
-from cactusledge.records.entries import Group, Member
+from cactusledge.records.entries import RETENTION_S, Group, Member
 from cactusledge.records.group_objects import GroupObjects, PublishedTable
 from cactusledge.records.links import Link
 from cactusledge.records.membership import (
@@ -23,11 +23,11 @@
 from cactusledge.records.reachability import ConnectionLosses
 from cactusledge.records.shards import ShardTable, form_table, own_group
 from cactusledge.records.store import RecordStore
+from cactusledge.records.text_offers import TextOffers
 from cactusledge.records.text_restorer import TextRestorer
 
 FORMATION_DELAY_S = 2.0  # lets the other stores of a first start register
 STEP_INTERVAL_S = 0.3
-RETENTION_S = 600.0  # exceeds any route's retention and program's duration
 ASK_TIMEOUT_S = 0.6
 
 log = structlog.get_logger('records')
@@ -60,22 +60,14 @@
         self._started_s = time.monotonic()
         self._catch_up = CatchUp(store)
         self._restorer = TextRestorer(store, self.peers)
+        self.text_offers = TextOffers(store, self.peers)
         self._is_registered = False
         self._losses = ConnectionLosses()
         store.on_announced_group = self.adopt_group
 
     async def run(self) -> None:
-        """Manages the membership until cancelled."""
-        while True:
-            try:
-                await self._step()
-            except StoreError as exc:
-                log.info('records: platform unavailable', error=exc.message)
-            except OSError as exc:
-                log.warning(
-                    'records: group management step failed', error=repr(exc)
-                )
-            await asyncio.sleep(STEP_INTERVAL_S)
+        """Manages the membership and the texts' copies until cancelled."""
+        await asyncio.gather(self._run_steps(), self.text_offers.run())
 
     def adopt_group(self, group: Group) -> None:
         """Adopts a group if it is newer, and connects to its members."""
@@ -106,6 +98,18 @@
         adopted = await adopted_generations(self._store, self.peers)
         return may_change(self._store.group, adopted)
 
+    async def _run_steps(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except StoreError as exc:
+                log.info('records: platform unavailable', error=exc.message)
+            except OSError as exc:
+                log.warning(
+                    'records: group management step failed', error=repr(exc)
+                )
+            await asyncio.sleep(STEP_INTERVAL_S)
+
     async def _step(self) -> None:
         self._store.log.expire(RETENTION_S)
         self._store.adopted_group.persist()
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -41,7 +41,11 @@
         self.identity: Identity = loaded.identity
         self.state = RecordState()
         self.index = EntryIndex()
-        for encoded in loaded.entries:
+        for encoded in loaded.entries[: loaded.expired]:
+            self._replay(encoded)
+        # Of the first entry that is within the retention, as far as is known.
+        self.first_unexpired = self.head
+        for encoded in loaded.entries[loaded.expired :]:
             self._replay(encoded)
         self._actor: pykka.ActorRef[DiskActor] = DiskActor.start(folder)
         self._pending_entries: list[bytes] = []
@@ -76,6 +80,15 @@
             self._sync()
         await fut
 
+    async def flush(self) -> None:
+        """Returns once all entries that have been applied are on disk.
+
+        Raises:
+            OSError: The write failed.
+        """
+        if self._is_syncing or self._pending_entries:
+            await self.append(())
+
     def pull(self, position: int, most: int = PULL_ENTRIES) -> LogPart:
         """Returns entries from a position on; turns come without text.
 
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -61,17 +61,27 @@
 
 
 class Fetch(Message, frozen=True):
-    """Requests turns with their text."""
+    """Requests turns with their text, and offers others.
+
+    Offers are part of this message as a store of an older build ignores an
+    unknown field, but closes the connection on an unknown message.
+    """
 
     generation: int
     turn_ids: list[str]
     shard: int = 0
+    # Turns whose text the sender has and the receiver should keep as well.
+    offered: list[str] = msgspec.field(default_factory=list)
 
 
 class Fetched(Message, frozen=True):
     """Those of the requested turns whose text this store has."""
 
     turns: list[Turn]
+    # Those of the offered turns whose text this store lacks; it has all the
+    # others on its disk.
+    lacking: list[str] = msgspec.field(default_factory=list)
+    log_id: str = ''  # of that disk; '' from a store of an older build
 
 
 class Pull(Message, frozen=True):
--- a/cactusledge/records/state.py
+++ b/cactusledge/records/state.py
@@ -22,6 +22,11 @@
             return self._settle(entry)
         return self._reserve(entry)
 
+    def has_text(self, turn_id: str) -> bool:
+        """Returns whether a turn is known here with its text."""
+        turn = self.turns.get(turn_id)
+        return turn is not None and turn.has_text
+
     def spent(self, program_id: str) -> Spent:
         """Returns the tokens of a program's turns, by turn id."""
         return self.spending.get(program_id, {})
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -17,6 +17,7 @@
 from cactusledge.records.log import RecordLog
 from cactusledge.records.log_readers import LogReaders
 from cactusledge.records.membership import is_for
+from cactusledge.records.offered_texts import OfferedTexts
 from cactusledge.records.quota_messages import AskQuota
 from cactusledge.records.shards import newer_groups
 
@@ -42,6 +43,7 @@
         self.log = record_log
         self.adopted_group = AdoptedGroup(name, record_log)
         self._log_readers = LogReaders()
+        self.offered_texts = OfferedTexts(record_log.state)
         self.gateways = GatewayRegistry()
         # Of all shards, as published at the platform; may lag behind.
         self.known_groups: tuple[entries.Group, ...] = ()
@@ -113,7 +115,14 @@
         found = [
             turns[turn_id] for turn_id in request.turn_ids if turn_id in turns
         ]
-        return messages.Fetched([turn for turn in found if turn.has_text])
+        lacking = self.offered_texts.note(request.offered)
+        if request.offered:
+            await self.log.flush()
+        return messages.Fetched(
+            [turn for turn in found if turn.has_text],
+            lacking,
+            self.log.identity.log_id,
+        )
 
     async def _pull(self, request: messages.Pull) -> messages.Body:
         identity = self.log.identity
--- /dev/null
+++ b/cactusledge/records/text_offers.py
@@ -0,0 +1,162 @@
+"""Offers the texts of turns to the other stores that should keep them.
+
+A store that was away while a turn was recorded does not know of the turn, so
+it cannot ask for the text. The stores that have the text therefore offer it to
+those that should keep it too, until these have it on their disks.
+"""
+
+import asyncio
+from collections.abc import Iterator
+
+import structlog
+
+from cactusledge.gateway.background_loops import keep_running
+from cactusledge.records.entries import Entry, Group
+from cactusledge.records.holders import text_holders
+from cactusledge.records.links import Link
+from cactusledge.records.log import RecordLog
+from cactusledge.records.messages import Body, Fetch, Fetched
+from cactusledge.records.peers import GroupPeers
+from cactusledge.records.store import RecordStore
+
+OFFER_INTERVAL_S = 0.3
+OFFER_TIMEOUT_S = 0.6
+OFFER_TURNS = 500  # of one message
+SCAN_ENTRIES = 500  # handled without a break
+SETTLED_AFTER_S = 2.0  # a younger turn may still be written by its gateway
+
+log = structlog.get_logger('records')
+
+
+class PendingOffers:
+    """The texts that another store should keep and has not confirmed.
+
+    All texts are offered again to a changed group, whose members may replace a
+    holder, and to a store whose disk has changed.
+    """
+
+    def __init__(self, name: str, record_log: RecordLog) -> None:
+        """Starts with all of this store's log left to scan."""
+        self._name = name
+        self._log = record_log
+        self._group: Group | None = None
+        self._log_id: str | None = None  # of the other store
+        self._position = 0  # of the next entry to scan
+        self._turn_ids: dict[str, None] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of texts that have not been confirmed."""
+        return len(self._turn_ids)
+
+    def scan(self, group: Group) -> bool:
+        """Adds turns of the next entries; returns whether more are left."""
+        if group is not self._group:
+            self._group = group
+            self._start_over()
+        index = self._log.index
+        left = index.position_before(SETTLED_AFTER_S) - self._position
+        part = index.part(self._position, min(SCAN_ENTRIES, max(left, 0)))
+        self._position = part.end
+        self._turn_ids.update(
+            dict.fromkeys(
+                entry.turn_id
+                for entry in part.entries
+                if self._is_kept(entry, group)
+            )
+        )
+        return left > SCAN_ENTRIES
+
+    def batches(self) -> Iterator[list[str]]:
+        """Yields the turns to offer; one empty batch if there are none."""
+        turn_ids = list(self._turn_ids)
+        for start in range(0, max(1, len(turn_ids)), OFFER_TURNS):
+            yield turn_ids[start : start + OFFER_TURNS]
+
+    def note(self, batch: list[str], reply: Fetched) -> bool:
+        """Notes which turns the store confirmed; returns whether it counts.
+
+        It does not if the store's disk is another one than before.
+        """
+        is_known = self._log_id in {None, reply.log_id}
+        self._log_id = reply.log_id
+        if not is_known:
+            self._start_over()
+            return False
+        lacking = set(reply.lacking)
+        for turn_id in batch:
+            if turn_id not in lacking or not self._log.state.has_text(turn_id):
+                self._turn_ids.pop(turn_id, None)
+        return True
+
+    def _start_over(self) -> None:
+        self._turn_ids = {}
+        self._position = self._log.first_unexpired
+
+    def _is_kept(self, entry: Entry, group: Group) -> bool:
+        """Returns whether the other store should keep the text from here."""
+        turn = self._log.state.turns.get(entry.turn_id)
+        if turn is None or not turn.has_text:
+            return False
+        return self._name in text_holders(turn, group)
+
+
+class TextOffers:
+    """Offers this store's texts to the other members of its group."""
+
+    def __init__(self, store: RecordStore, peers: GroupPeers) -> None:
+        """Prepares the offers; `run` makes them."""
+        self._store = store
+        self._peers = peers
+        self._pending: dict[str, PendingOffers] = {}
+
+    @property
+    def unconfirmed(self) -> int:
+        """The number of copies that have not been confirmed."""
+        names = self._store.group.members.keys()
+        return sum(
+            len(pending)
+            for name, pending in self._pending.items()
+            if name in names
+        )
+
+    async def run(self) -> None:
+        """Offers texts until it is cancelled, also after an error."""
+        await keep_running(self._run)
+
+    async def _run(self) -> None:
+        while True:
+            if self._store.group.generation:
+                links = self._peers.all()
+                await asyncio.gather(*(self._offer(link) for link in links))
+            await asyncio.sleep(OFFER_INTERVAL_S)
+
+    async def _offer(self, link: Link) -> None:
+        """Offers a store all that it has not confirmed."""
+        pending = self._pending_of(link.name)
+        while pending.scan(self._store.group):
+            await asyncio.sleep(0)
+        for batch in pending.batches():
+            reply = await self._send(link, batch)
+            if not isinstance(reply, Fetched) or not pending.note(batch, reply):
+                return
+
+    def _pending_of(self, name: str) -> PendingOffers:
+        pending = self._pending.get(name)
+        if pending is None:
+            pending = PendingOffers(name, self._store.log)
+            self._pending[name] = pending
+        return pending
+
+    async def _send(self, link: Link, batch: list[str]) -> Body | None:
+        """Returns the reply to an offer, None if there is none."""
+        group = self._store.group
+        request = Fetch(group.generation, [], group.shard, batch)
+        try:
+            return await link.call(request, OFFER_TIMEOUT_S)
+        except (ConnectionError, TimeoutError) as exc:
+            log.debug(
+                'records: offering texts failed',
+                store=link.name,
+                error=repr(exc),
+            )
+            return None
--- a/cactusledge/records/text_restorer.py
+++ b/cactusledge/records/text_restorer.py
@@ -17,7 +17,11 @@
 
 
 class TextRestorer:
-    """Fetches missing texts after a disk loss or a change of the group."""
+    """Fetches missing texts after a disk loss or a change of the group.
+
+    Also those that other stores have offered: of turns that this store may
+    not know.
+    """
 
     def __init__(self, store: RecordStore, peers: GroupPeers) -> None:
         """Starts with no group checked."""
@@ -33,14 +37,21 @@
     async def run(self) -> None:
         """Fetches missing texts; call again until none is missing."""
         group = self._store.group
-        if self._restored_group is group:
-            return
-        missing = self._missing(group)
+        offered = self._store.offered_texts.take()
+        missing = offered
+        if self._restored_group is not group:
+            missing = list(dict.fromkeys((*self._missing(group), *offered)))
         for start in range(0, len(missing), FETCH_TURNS):
             await self._fetch(missing[start : start + FETCH_TURNS])
-        left = len(self._missing(group))
+        has_text = self._store.log.state.has_text
+        left = sum(not has_text(turn_id) for turn_id in missing)
         if missing:
-            log.info('records: texts restored', wanted=len(missing), left=left)
+            log.info(
+                'records: texts restored',
+                wanted=len(missing),
+                offered=len(offered),
+                left=left,
+            )
         if not left:
             self._restored_group = group
 
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -189,4 +189,8 @@
     _gauge('records_generation', 'Generation of a group of stores.', 'shard'),
     _gauge('records_entries', 'Entries that a store holds.'),
     _gauge('records_witness', '1 while a store has all it should know of.'),
+    _gauge(
+        'records_unconfirmed_texts',
+        'Copies of texts that other stores should have and have not confirmed.',
+    ),
 )
