Take late requests of a stop only by their own time limit

What callers saw (a report of another operator; shown here by a test): in a planned stop of one gateway, in calm, a request that came 2.8 s after SIGTERM was passed on and cut at the end of the grace period. A call that may not be repeated got 502 with an unknown outcome, a stream broke off after its first event.

Cause: a stopping gateway took a request if 1.5 times the longest that its route has lately needed fits in what is left, until its process ended. One request of a usually quick route may take long.

Ruled out: requests on kept connections (closed by then; the test's request comes on a new one), half-read ones (refused at the end), forwarded ones (the same admission).

Change: once the balancer has noticed, only a request whose own time limit fits is taken; the others are refused at once and have not run. Before, callers come as usual, a request has most of the grace period, and the rule by the route's durations holds on.

In tests/test_stopping.py test_what_fits_is_served_until_the_stop_is_over and test_what_does_not_fit_is_refused stated the old rule for the whole stop; each still holds every request to the exact bound, which from the closing state on is the request's own limit.

Result: all tests of the gateway pass.

--- a/cactusledge/gateway/stopping.py
+++ b/cactusledge/gateway/stopping.py
@@ -40,6 +40,15 @@
     return min(need) <= limit_s
 
 
+def admit_certain(need: Need, limit_s: float) -> bool:
+    """Admits a request that ends in time by its own time limit.
+
+    Its caller can still use another instance, and gets no answer here if the
+    request takes longer than its route has lately needed.
+    """
+    return need.until_s <= limit_s
+
+
 def admit_none(need: Need, limit_s: float) -> bool:
     """Admits no request."""
     return False
@@ -75,7 +84,7 @@
         closes_connections=True,
         is_ready=False,
         takes_forwarded=False,
-        admits=admit_likely,
+        admits=admit_certain,
     ),
     StopState.ENDED: Rules(
         accepts_connections=False,
