Forget offers to former members and of texts that have expired

Cause: found by reading text_offers.py once more. A member that is down keeps the ids of the texts offered to it for as long as it is down, and the gauge counted those that have expired meanwhile; offers to a removed member were never dropped.

Change: offers follow the members of the group, and turns without a text are left out as the batches are made. The count is a property: an object whose length is 0 is false, which is easily taken for None.

--- a/cactusledge/records/text_offers.py
+++ b/cactusledge/records/text_offers.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import structlog
 
@@ -44,8 +44,9 @@
         self._position = 0  # of the next entry to scan
         self._turn_ids: dict[str, None] = {}
 
-    def __len__(self) -> int:
-        """Returns the number of texts that have not been confirmed."""
+    @property
+    def unconfirmed(self) -> int:
+        """The number of texts that have not been confirmed."""
         return len(self._turn_ids)
 
     def scan(self, group: Group) -> bool:
@@ -67,8 +68,13 @@
         return left > SCAN_ENTRIES
 
     def batches(self) -> Iterator[list[str]]:
-        """Yields the turns to offer; one empty batch if there are none."""
-        turn_ids = list(self._turn_ids)
+        """Yields the turns to offer; one empty batch if there are none.
+
+        The reply to an empty one tells whether the store's disk has changed.
+        """
+        has_text = self._log.state.has_text
+        turn_ids = [turn_id for turn_id in self._turn_ids if has_text(turn_id)]
+        self._turn_ids = dict.fromkeys(turn_ids)
         for start in range(0, max(1, len(turn_ids)), OFFER_TURNS):
             yield turn_ids[start : start + OFFER_TURNS]
 
@@ -84,7 +90,7 @@
             return False
         lacking = set(reply.lacking)
         for turn_id in batch:
-            if turn_id not in lacking or not self._log.state.has_text(turn_id):
+            if turn_id not in lacking:
                 self._turn_ids.pop(turn_id, None)
         return True
 
@@ -112,12 +118,7 @@
     @property
     def unconfirmed(self) -> int:
         """The number of copies that have not been confirmed."""
-        names = self._store.group.members.keys()
-        return sum(
-            len(pending)
-            for name, pending in self._pending.items()
-            if name in names
-        )
+        return sum(one.unconfirmed for one in self._pending.values())
 
     async def run(self) -> None:
         """Offers texts until it is cancelled, also after an error."""
@@ -125,14 +126,23 @@
 
     async def _run(self) -> None:
         while True:
-            if self._store.group.generation:
-                links = self._peers.all()
-                await asyncio.gather(*(self._offer(link) for link in links))
+            links = self._peers.all()
+            self._follow_members(links)
+            await asyncio.gather(*(self._offer(link) for link in links))
             await asyncio.sleep(OFFER_INTERVAL_S)
 
+    def _follow_members(self, links: Iterable[Link]) -> None:
+        """Starts offers to new members, and forgets those to former ones."""
+        self._pending = {
+            link.name: self._pending.get(
+                link.name, PendingOffers(link.name, self._store.log)
+            )
+            for link in links
+        }
+
     async def _offer(self, link: Link) -> None:
         """Offers a store all that it has not confirmed."""
-        pending = self._pending_of(link.name)
+        pending = self._pending[link.name]
         while pending.scan(self._store.group):
             await asyncio.sleep(0)
         for batch in pending.batches():
@@ -140,13 +150,6 @@
             if not isinstance(reply, Fetched) or not pending.note(batch, reply):
                 return
 
-    def _pending_of(self, name: str) -> PendingOffers:
-        pending = self._pending.get(name)
-        if pending is None:
-            pending = PendingOffers(name, self._store.log)
-            self._pending[name] = pending
-        return pending
-
     async def _send(self, link: Link, batch: list[str]) -> Body | None:
         """Returns the reply to an offer, None if there is none."""
         group = self._store.group
--- a/tests/test_records_text_offers.py
+++ b/tests/test_records_text_offers.py
@@ -227,7 +227,7 @@
     assert offered(pending, group) == ['t3']
     assert confirm(pending, ['t3'])
     assert not offered(pending, group)
-    assert not len(pending)
+    assert not pending.unconfirmed
 
 
 # A member of a changed group was not offered what it keeps from now on.
