--- a/cactusledge/gateway/stopping.py
+++ b/cactusledge/gateway/stopping.py
@@ -43,8 +43,8 @@
 def admit_certain(need: Need, limit_s: float) -> bool:
     """Admits a request that ends in time by its own time limit.
 
-    Its caller can still use another instance, and gets no answer here if the
-    request takes longer than its route has lately needed.
+    What its route has lately needed is no proof: a request that takes longer
+    would be cut, while its caller can still use another instance.
     """
     return need.until_s <= limit_s
 
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -43,7 +43,7 @@
         self.index = EntryIndex()
         for encoded in loaded.entries[: loaded.expired]:
             self._replay(encoded)
-        # Of the first entry that is within the retention, as far as is known.
+        # Position of the first entry within the retention, by its file's time.
         self.first_unexpired = self.head
         for encoded in loaded.entries[loaded.expired :]:
             self._replay(encoded)
--- a/cactusledge/records/offered_texts.py
+++ b/cactusledge/records/offered_texts.py
@@ -9,12 +9,12 @@
     """The offered turns whose text this store lacks."""
 
     def __init__(self, state: RecordState) -> None:
-        """Keeps what tells which texts this store has."""
+        """Stores the index of the turns that this store knows."""
         self._state = state
         self._lacking: dict[str, None] = {}
 
     def note(self, turn_ids: Iterable[str]) -> list[str]:
-        """Adds offered turns; returns those whose text is lacking."""
+        """Adds and returns the offered turns whose text is lacking."""
         lacking = [
             turn_id for turn_id in turn_ids if not self._state.has_text(turn_id)
         ]
@@ -22,7 +22,7 @@
         return lacking
 
     def take(self) -> list[str]:
-        """Returns the turns to fetch, each once for all offers so far."""
+        """Removes and returns the turns to fetch, each once."""
         lacking = list(self._lacking)
         self._lacking.clear()
         return lacking
