--- a/cactusledge/gateway/followers.py
+++ b/cactusledge/gateway/followers.py
@@ -62,6 +62,7 @@
             count=len(self._fleet.replicas),
             version=listing.listed.version,
             after_outage=listing.after_outage,
+            kept=self._fleet.replicas.kept(),
         )
 
     def handle_object(self, stored: StoredObject) -> None:
--- a/cactusledge/gateway/replicas.py
+++ b/cactusledge/gateway/replicas.py
@@ -2,10 +2,14 @@
 
 from collections.abc import Iterable
 
+import structlog
+
 from cactusledge.gateway.messages import Replica
 
 REREGISTRATION_GRACE_S = 2.0  # for entries expired in a platform outage
 
+log = structlog.get_logger('gateway')
+
 
 class ReplicaList:
     """Endpoints by id.
@@ -68,6 +72,10 @@
         if self._replicas.pop(endpoint_id, None) is not None:
             self._index()
 
+    def kept(self) -> list[str]:
+        """Returns the ids of entries that are missing in the last list."""
+        return sorted(self._missing)
+
     def ids(self) -> frozenset[str]:
         """Returns the ids of all endpoints."""
         return frozenset(self._replicas)
@@ -84,6 +92,7 @@
         ]
         for endpoint_id in gone:
             self.remove(endpoint_id)
+            log.info('gateway: endpoint not listed', endpoint_id=endpoint_id)
 
     def _index(self) -> None:
         by_service: dict[str, list[Replica]] = {}
