Tell every instance which endpoints' entries are over

Cause: what endpoints say at the platform was known only to instances that reach it. Others learnt of departures named in answers and of newer configurations, but not of removed or draining entries; and after the cut the first list, which lacked the entry, was taken for one after an outage of the platform, so that the entry was kept for 2 s more.

Change: gateways and record stores report the entry's version that is over (removed, or draining), stores tell each other and their gateways. Whoever had no message for a while is told all that it has missed. Such an entry takes no requests, an older list does not bring it back, and it is not kept after an outage. A newer version of the entry is not affected, so reports may come in any order. After an outage of the platform itself, missing entries are no news until they are dropped.

--- a/cactusledge/gateway/followers.py
+++ b/cactusledge/gateway/followers.py
@@ -51,11 +51,13 @@
 
     def handle_list(self, listing: Listing) -> None:
         """Handles a complete list."""
-        decoded = (self._decode(stored) for stored in listing.listed.items)
+        stored_objects = listing.listed.items
+        decoded = map(self._decode, stored_objects)
         self._fleet.replicas.replace_all(
             [replica for replica in decoded if replica is not None],
             asyncio.get_running_loop().time(),
             after_outage=listing.after_outage,
+            versions={one.name: int(one.version) for one in stored_objects},
         )
         log.info(
             'gateway: endpoints listed',
@@ -71,7 +73,7 @@
         if replica is None:
             self.handle_removal(stored.name)
             return
-        self._fleet.replicas.put(replica)
+        self._fleet.replicas.put(replica, int(stored.version))
         log.info('gateway: endpoint listed', **replica._asdict())
 
     def handle_removal(self, name: str) -> None:
--- a/cactusledge/gateway/new_load_exchange.py
+++ b/cactusledge/gateway/new_load_exchange.py
@@ -5,6 +5,7 @@
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.gateway.version_reports import VersionReports
+from cactusledge.gateway.withdrawal_reports import WithdrawalReports
 from cactusledge.records.load_exchange import LoadExchange, Trackers
 from cactusledge.records.store_peers import StorePeers
 
@@ -22,5 +23,6 @@
         VersionReports(gateway.news, parts.peers),
         fleet.quotas,
         gateway.watches,
+        WithdrawalReports(fleet.replicas, fleet.metrics),
     )
     return LoadExchange(parts.instance, peers, own)
--- a/cactusledge/gateway/replicas.py
+++ b/cactusledge/gateway/replicas.py
@@ -1,12 +1,16 @@
 """Endpoint list that tolerates lag and outages of the platform's list."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 import structlog
 
 from cactusledge.gateway.messages import Replica
+from cactusledge.gateway.withdrawals import Withdrawals
+from cactusledge.records.withdrawal_messages import Withdrawal
 
 REREGISTRATION_GRACE_S = 2.0  # for entries expired in a platform outage
+NO_VERSIONS: Mapping[str, int] = MappingProxyType({})
 
 log = structlog.get_logger('gateway')
 
@@ -16,12 +20,14 @@
 
     Entries missing after an outage are kept for `REREGISTRATION_GRACE_S`, as
     live endpoints register again. Without an outage, a missing entry is removed
-    at once.
+    at once, and so is a withdrawn one.
     """
 
     def __init__(self) -> None:
         """Starts empty."""
+        self.withdrawals = Withdrawals()
         self._replicas: dict[str, Replica] = {}
+        self._versions: dict[str, int] = {}  # of the entries, by id
         self._missing: dict[str, float] = {}  # id -> time of removal
         self._by_service: dict[str, tuple[Replica, ...]] = {}
 
@@ -45,33 +51,66 @@
         now_s: float,
         *,
         after_outage: bool,
+        versions: Mapping[str, int] = NO_VERSIONS,
     ) -> None:
-        """Replaces the list; missing entries expire as the class describes."""
+        """Replaces the list; missing entries expire as the class describes.
+
+        Args:
+            replicas: The endpoints that are listed.
+            now_s: The current time.
+            after_outage: Whether live endpoints may be missing.
+            versions: Of the entries, by endpoint id.
+        """
         listed = {replica.endpoint_id: replica for replica in replicas}
-        wait_s = REREGISTRATION_GRACE_S if after_outage else 0
         missing = self._replicas.keys() - listed.keys()
+        wait_s = REREGISTRATION_GRACE_S if after_outage else 0
         for endpoint_id in missing:
-            self._missing.setdefault(endpoint_id, now_s + wait_s)
-            listed[endpoint_id] = self._replicas[endpoint_id]
+            version = self._versions[endpoint_id]
+            is_over = self.withdrawals.covers(endpoint_id, version)
+            self._missing.setdefault(
+                endpoint_id, now_s if is_over else now_s + wait_s
+            )
         for endpoint_id in tuple(self._missing):
             if endpoint_id not in missing:
                 self._missing.pop(endpoint_id)
-        self._replicas = listed
+        for replica in listed.values():
+            self._store(replica, versions.get(replica.endpoint_id, 0))
         self._expire(now_s)
         self._index()
 
-    def put(self, replica: Replica) -> None:
-        """Adds or updates an entry."""
+    def put(self, replica: Replica, version: int = 0) -> None:
+        """Adds or updates an entry; another gateway's has no version."""
         self._missing.pop(replica.endpoint_id, None)
-        self._replicas[replica.endpoint_id] = replica
+        self._store(replica, version)
         self._index()
 
     def remove(self, endpoint_id: str) -> None:
         """Removes an entry at once."""
         self._missing.pop(endpoint_id, None)
         if self._replicas.pop(endpoint_id, None) is not None:
+            version = self._versions.pop(endpoint_id)
+            self.withdrawals.note(Withdrawal(endpoint_id, version))
             self._index()
 
+    def withdraw(self, withdrawal: Withdrawal) -> bool:
+        """Uses an entry no more that another instance knows to be over.
+
+        Returns whether it was in use. It stays listed until the platform's
+        list is read again, as requests to it may be under way.
+        """
+        endpoint_id = withdrawal.endpoint_id
+        if not self.withdrawals.add(withdrawal):
+            return False
+        replica = self._replicas.get(endpoint_id)
+        if replica is None or replica.is_draining:
+            return False
+        if endpoint_id in self._missing:
+            self.remove(endpoint_id)
+            return True
+        self._store(replica, self._versions[endpoint_id])
+        self._index()
+        return self._replicas[endpoint_id].is_draining
+
     def kept(self) -> list[str]:
         """Returns the ids of entries that are missing in the last list."""
         return sorted(self._missing)
@@ -84,6 +123,16 @@
         """Returns all endpoints, including draining ones."""
         return tuple(self._replicas.values())
 
+    def _store(self, replica: Replica, version: int) -> None:
+        """Stores an entry, as draining if it is over."""
+        endpoint_id = replica.endpoint_id
+        if replica.is_draining and version:
+            self.withdrawals.note(Withdrawal(endpoint_id, version))
+        elif self.withdrawals.covers(endpoint_id, version):
+            replica = replica._replace(is_draining=True)
+        self._replicas[endpoint_id] = replica
+        self._versions[endpoint_id] = version
+
     def _expire(self, now_s: float) -> None:
         gone = [
             endpoint_id
--- a/cactusledge/platform/documents.py
+++ b/cactusledge/platform/documents.py
@@ -122,6 +122,11 @@
         return None
 
 
+def is_ending(stored: StoredObject) -> bool:
+    """Returns whether an endpoint's entry takes no new requests."""
+    return stored.body.get('state') == 'draining'
+
+
 def is_count(found: object) -> bool:
     """Returns whether a field is an integer that messages can carry."""
     return isinstance(found, int) and 0 <= found <= MAX_NUMBER
--- a/cactusledge/platform/store_role.py
+++ b/cactusledge/platform/store_role.py
@@ -4,6 +4,7 @@
 
 from cactusledge.models import Address
 from cactusledge.objects.store import StoredObject
+from cactusledge.platform.documents import is_ending
 from cactusledge.platform.kinds import (
     CONFIGURATION_KIND,
     ENDPOINT_KIND,
@@ -16,6 +17,7 @@
     settings_error,
 )
 from cactusledge.records.app import StoreApplication, StoreParts
+from cactusledge.records.store_watches import GatewayKinds
 
 
 class PlatformRetirement:
@@ -56,6 +58,8 @@
         objects=objects,
         retirement=PlatformRetirement(objects, settings.instance),
         metrics=Address(settings.host, METRICS_PORT),
-        gateway_kinds=(CONFIGURATION_KIND, ENDPOINT_KIND),
+        gateway_kinds=GatewayKinds(
+            CONFIGURATION_KIND, ENDPOINT_KIND, is_ending
+        ),
     )
     await StoreApplication(parts).run()
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -22,7 +22,7 @@
 from cactusledge.records.message_server import MessageServer
 from cactusledge.records.retirement import RetirementFollower, RetirementRequest
 from cactusledge.records.store import RecordStore
-from cactusledge.records.store_watches import StoreWatches
+from cactusledge.records.store_watches import GatewayKinds, StoreWatches
 from cactusledge.telemetry.metrics import Metrics
 
 GAUGE_INTERVAL_S = 1.0
@@ -43,7 +43,7 @@
     objects: ObjectStore
     retirement: RetirementRequest
     metrics: Address
-    gateway_kinds: tuple[str, ...]  # of the objects that gateways watch
+    gateway_kinds: GatewayKinds
 
 
 class StoreApplication:
@@ -141,8 +141,7 @@
             self._parts.retirement.kind,
             RetirementFollower(self._parts.retirement, self.start_retirement),
         )
-        for kind in self._parts.gateway_kinds:
-            watches.note_changes(kind, self.store.gateways.changes)
+        watches.tell(self._parts.gateway_kinds, self.store.gateways)
 
     def _stop(self) -> None:
         log.info('records: stopping')
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -6,6 +6,7 @@
 
 from cactusledge.records.entries import Member, Message
 from cactusledge.records.quota_messages import AccountUse
+from cactusledge.records.withdrawal_messages import Withdrawal
 
 
 class ReadPart(NamedTuple):
@@ -104,6 +105,8 @@
     crashes: CrashReport = CrashReport()
     configuration: KnownVersion = KnownVersion()
     quota_uses: dict[str, AccountUse] = msgspec.field(default_factory=dict)
+    withdrawals: list[Withdrawal] = msgspec.field(default_factory=list)
+    silent_s: float = 0  # since this gateway last had a reply of any store
 
 
 class LoadSums(Message, frozen=True):
@@ -123,6 +126,7 @@
     quota_others: dict[str, int] = msgspec.field(default_factory=dict)
     # Versions of the newest changes by the kind of the platform's objects.
     platform_changes: dict[str, int] = msgspec.field(default_factory=dict)
+    withdrawals: list[Withdrawal] = msgspec.field(default_factory=list)
 
 
 class ShareLoads(Message, frozen=True):
@@ -143,6 +147,7 @@
     quota_demands: dict[str, int] = msgspec.field(default_factory=dict)
     # Versions of the newest changes by the kind of the platform's objects.
     platform_changes: dict[str, int] = msgspec.field(default_factory=dict)
+    withdrawals: list[Withdrawal] = msgspec.field(default_factory=list)
 
 
 class ReadNews(Message, frozen=True):
--- a/cactusledge/records/gateways.py
+++ b/cactusledge/records/gateways.py
@@ -26,7 +26,9 @@
 from cactusledge.records.quota_division import QuotaDivision
 from cactusledge.records.read_parts import ListPosition, ReadParts
 from cactusledge.records.recent_departures import RecentDepartures
+from cactusledge.records.recent_withdrawals import RecentWithdrawals
 from cactusledge.records.version_spread import VersionSpread
+from cactusledge.records.withdrawal_messages import Withdrawal
 
 GATEWAY_TTL_S = 10.0  # since a gateway last registered
 LOAD_TTL_S = 1.5  # since a load was last reported
@@ -49,6 +51,7 @@
         self._store_loads: dict[str, _ReportedLoad] = {}  # by reporting store
         self._read_parts = ReadParts()
         self._departures = RecentDepartures()
+        self._withdrawals = RecentWithdrawals()
         self._gateways_elsewhere: dict[str, int] = {}  # by store
         self.limits = LimitDivision()
         self.quotas = QuotaDivision(time.monotonic())
@@ -78,6 +81,7 @@
         )
         self._read_parts.add(report.read)
         self._departures.add(report.leaving, now_s)
+        self._withdrawals.add(report.withdrawals, now_s)
         self.limits.known.add_reported(report.limits, now_s)
         self.limits.report(report.name, report.demands, now_s)
         self.crashes.add_reported(report.crashes, now_s)
@@ -98,6 +102,7 @@
             configuration=self.versions.newest(now_s),
             quota_others=others,
             platform_changes=self.changes.newest,
+            withdrawals=self._withdrawals.news(now_s, report.silent_s),
         )
 
     async def share(self, request: ShareLoads) -> ReadNews:
@@ -105,6 +110,7 @@
         reported = _ReportedLoad(request.in_flight, time.monotonic())
         self._store_loads[request.name] = reported
         self._departures.add(request.leaving, reported.at_s)
+        self._withdrawals.add(request.withdrawals, reported.at_s)
         self.limits.known.add_reported(request.limits, reported.at_s)
         self.limits.share(request.name, request.demands, reported.at_s)
         self._gateways_elsewhere[request.name] = request.gateways
@@ -132,6 +138,14 @@
         """Returns the departures that were reported recently."""
         return self._departures.recent(time.monotonic())
 
+    def add_withdrawal(self, withdrawal: Withdrawal) -> None:
+        """Adds a withdrawal that this store has seen at the platform."""
+        self._withdrawals.add((withdrawal,), time.monotonic())
+
+    def withdrawals(self, silent_s: float) -> list[Withdrawal]:
+        """Returns what a store that was told nothing for so long may lack."""
+        return self._withdrawals.news(time.monotonic(), silent_s)
+
     def add_read_parts(self, read: Iterable[ReadPart]) -> None:
         """Adds the read parts received from another store."""
         self._read_parts.add(read)
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -1,6 +1,8 @@
 """Reports this gateway's load to the stores and receives the others'."""
 
 import asyncio
+import math
+import time
 from collections.abc import Iterable, Mapping
 from contextlib import suppress
 from typing import NamedTuple, Protocol
@@ -20,6 +22,7 @@
 from cactusledge.records.quota_messages import AccountUse
 from cactusledge.records.read_parts import ListPosition
 from cactusledge.records.store_peers import StorePeers
+from cactusledge.records.withdrawal_messages import Withdrawal
 
 EXCHANGE_INTERVAL_S = 0.1
 INTERVAL_PER_ENDPOINT_S = 0.003  # to limit the bytes sent per second
@@ -57,6 +60,19 @@
         """Adds departures that other gateways have seen."""
 
 
+class WithdrawalTracker(Protocol):
+    """A gateway's record of the endpoints' entries that are over."""
+
+    def drain(self) -> list[Withdrawal]:
+        """Returns and clears what was seen here since the last report."""
+
+    def requeue(self, withdrawals: Iterable[Withdrawal]) -> None:
+        """Queues withdrawals again whose report has failed."""
+
+    def add_reported(self, reported: Iterable[Withdrawal]) -> None:
+        """Adds withdrawals that other instances have seen."""
+
+
 class LimitTracker(Protocol):
     """A gateway's record of the limits that endpoints name."""
 
@@ -125,6 +141,7 @@
     versions: VersionTracker
     quotas: QuotaTracker
     changes: ChangeTracker
+    withdrawals: WithdrawalTracker
 
 
 class LoadExchange:
@@ -140,6 +157,7 @@
         self._own = own
         self._positions: dict[str, ListPosition] = {}  # by store
         self._interval_s = EXCHANGE_INTERVAL_S
+        self._replied_s = -math.inf  # when a store last replied
 
     async def run(self) -> None:
         """Exchanges loads until it is cancelled."""
@@ -156,6 +174,7 @@
             return
         read = self._own.loads.drain_read_parts()
         uses = self._own.quotas.drain_uses()
+        withdrawals = self._own.withdrawals.drain()
         list_position = self._positions.get(nearest.name, ListPosition())
         report = LoadReport(
             self._name,
@@ -168,6 +187,8 @@
             crashes=self._own.crashes.to_report(),
             configuration=self._own.versions.to_report(),
             quota_uses=uses,
+            withdrawals=withdrawals,
+            silent_s=time.monotonic() - self._replied_s,
         )
         try:
             await self._ask(nearest, report)
@@ -179,12 +200,14 @@
             )
             self._own.loads.requeue_read_parts(read)
             self._own.quotas.requeue_uses(uses)
+            self._own.withdrawals.requeue(withdrawals)
 
     async def _ask(self, link: Link, report: LoadReport) -> None:
         """Sends the report and applies the reply; raises like `Link.call`."""
         reply = await link.call(report, EXCHANGE_TIMEOUT_S)
         if not isinstance(reply, LoadSums):
             raise ConnectionError(f'{link.name} did not reply with sums')
+        self._replied_s = time.monotonic()
         self._positions[link.name] = ListPosition(reply.epoch, reply.position)
         self._own.loads.set_remote_loads(reply.in_flight)
         self._own.loads.add_read_parts(reply.read)
@@ -194,6 +217,7 @@
         self._own.crashes.add_reported(reply.crashes)
         self._own.versions.add_reported(reply.configuration)
         self._own.changes.add_reported(reply.platform_changes)
+        self._own.withdrawals.add_reported(reply.withdrawals)
         self._own.quotas.set_others(reply.quota_others, reply.gateways)
         self._interval_s = max(
             EXCHANGE_INTERVAL_S,
--- a/cactusledge/records/load_sharing.py
+++ b/cactusledge/records/load_sharing.py
@@ -1,6 +1,7 @@
 """Shares the loads of this store's gateways with the other stores."""
 
 import asyncio
+import math
 import time
 
 import structlog
@@ -31,6 +32,7 @@
         self._store = store
         self._peers = peers
         self._positions: dict[str, ListPosition] = {}  # by store
+        self._told_s: dict[str, float] = {}  # when each store last replied
 
     async def run(self) -> None:
         """Shares loads until it is cancelled, also after an error."""
@@ -62,6 +64,7 @@
             configuration=gateways.versions.local(now_s),
             quota_demands=gateways.quotas.local_demands(now_s),
             platform_changes=gateways.changes.seen,
+            withdrawals=gateways.withdrawals(self._silent_s(link, now_s)),
         )
         try:
             reply = await link.call(request, SHARE_TIMEOUT_S)
@@ -71,12 +74,17 @@
                 'records: load sharing failed', store=link.name, error=repr(exc)
             )
             return
+        self._told_s[link.name] = now_s
         if isinstance(reply, ReadNews):
             self._positions[link.name] = ListPosition(
                 reply.epoch, reply.position
             )
             self._store.gateways.add_read_parts(reply.read)
 
+    def _silent_s(self, link: Link, now_s: float) -> float:
+        """Returns for how long a store has not replied."""
+        return now_s - self._told_s.get(link.name, -math.inf)
+
 
 def share_interval_s(stores: int, endpoints: int) -> float:
     """Returns the time between two reports to each other store.
--- a/cactusledge/records/platform_changes.py
+++ b/cactusledge/records/platform_changes.py
@@ -5,10 +5,20 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Mapping
+from typing import Protocol
 
 from cactusledge.errors import StoreError
-from cactusledge.objects.store import DELETED, ObjectList, WatchEvent
+from cactusledge.objects.feeds import OUTAGE_THRESHOLD_S
+from cactusledge.objects.store import (
+    DELETED,
+    ObjectList,
+    StoredObject,
+    WatchEvent,
+)
+
+IsEnding = Callable[[StoredObject], bool]
 
 
 class PlatformChanges:
@@ -30,50 +40,95 @@
             keep_newest(self.newest, kind, version)
 
 
+class ChangeListener(Protocol):
+    """Takes what a store sees of a kind of objects, on the event loop."""
+
+    def note_change(self, version: int) -> None:
+        """Takes the version of a change."""
+
+    def note_end(self, name: str, version: int) -> None:
+        """Takes an object that is over: removed, or of no more use."""
+
+    def regain(self) -> None:
+        """Is called when the platform answers after a failure."""
+
+
 class ChangeSink:
-    """A `WatchSink` that notes the changes of a kind on the event loop."""
+    """A `WatchSink` that passes the changes of a kind to the event loop."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        note: Callable[[int], None],
-        on_regained: Callable[[], None],
+        listener: ChangeListener,
+        is_ending: IsEnding,
     ) -> None:
         """Stores the event loop and what is called on it.
 
         Args:
             loop: The event loop of the store.
-            note: Takes the version of a change.
-            on_regained: Is called when the platform answers after a failure.
+            listener: Takes what is seen.
+            is_ending: Tells whether an object is over, though it exists.
         """
         self._loop = loop
-        self._note = note
-        self._on_regained = on_regained
-        self._has_failed = False
-        self._names: frozenset[str] = frozenset()  # of the objects that exist
+        self._listener = listener
+        self._is_ending = is_ending
+        self._failing_since_s: float | None = None
+        self._versions: dict[str, int] = {}  # of the objects that exist
 
     def on_snapshot(self, listed: ObjectList) -> None:
         """Notes the newest change that a complete list shows."""
-        names = frozenset(stored.name for stored in listed.items)
-        versions = [int(stored.version) for stored in listed.items]
-        if self._names - names:  # the list does not say when they went
-            versions.append(int(listed.version))
-        self._names = names
-        self._loop.call_soon_threadsafe(self._note, max(versions, default=0))
-        if self._has_failed:
-            self._has_failed = False
-            self._loop.call_soon_threadsafe(self._on_regained)
+        found = {stored.name: int(stored.version) for stored in listed.items}
+        gone = self._versions.keys() - found.keys()
+        # The list does not say when they went.
+        newest = (int(listed.version),) if gone else ()
+        self._pass_on(
+            self._listener.note_change,
+            max((*found.values(), *newest), default=0),
+        )
+        if not self._was_away():
+            for name in sorted(gone):
+                self._pass_on(
+                    self._listener.note_end, name, self._versions[name]
+                )
+        self._versions = found
+        for stored in listed.items:
+            self._check(stored)
+        if self._failing_since_s is not None:
+            self._failing_since_s = None
+            self._pass_on(self._listener.regain)
 
     def on_event(self, event: WatchEvent) -> None:
         """Notes a change of one object."""
-        name = frozenset((event.object.name,))
-        is_gone = event.type == DELETED
-        self._names = self._names - name if is_gone else self._names | name
-        self._loop.call_soon_threadsafe(self._note, int(event.object.version))
+        stored = event.object
+        version = int(stored.version)
+        if event.type == DELETED:
+            known = self._versions.pop(stored.name, version)
+            self._pass_on(self._listener.note_end, stored.name, known)
+        else:
+            self._versions[stored.name] = version
+            self._check(stored)
+        self._pass_on(self._listener.note_change, version)
 
     def on_failure(self, exc: StoreError) -> None:
         """Takes note that the platform did not answer."""
-        self._has_failed = True
+        if self._failing_since_s is None:
+            self._failing_since_s = time.monotonic()
+
+    def _check(self, stored: StoredObject) -> None:
+        if self._is_ending(stored):
+            self._pass_on(
+                self._listener.note_end, stored.name, int(stored.version)
+            )
+
+    def _was_away(self) -> bool:
+        """Returns whether live objects may have expired meanwhile."""
+        since_s = self._failing_since_s
+        if since_s is None:
+            return False
+        return time.monotonic() - since_s >= OUTAGE_THRESHOLD_S
+
+    def _pass_on(self, take: Callable[..., None], *args: object) -> None:
+        self._loop.call_soon_threadsafe(take, *args)
 
 
 def keep_newest(versions: dict[str, int], kind: str, version: int) -> None:
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -131,6 +131,10 @@
         'Endpoints that said they are leaving, by how that became known.',
         'source',
     ),
+    _counter(
+        'gateway_withdrawals_total',
+        'Endpoints not used any more, as another instance said so.',
+    ),
     _counter(
         'gateway_failed_connects_total',
         'Attempts to connect to endpoints that failed.',
--- a/tests/store_stubs.py
+++ b/tests/store_stubs.py
@@ -6,6 +6,7 @@
 
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.limit_reports import LimitReports
+from cactusledge.gateway.withdrawal_reports import WithdrawalReports
 from cactusledge.records.load_exchange import LoadExchange, Trackers
 from cactusledge.records.quota_messages import AskQuota
 
@@ -53,6 +54,7 @@
             harness.versions,
             fleet.quotas,
             harness.gateway.watches,
+            WithdrawalReports(fleet.replicas, fleet.metrics),
         )
         exchange = LoadExchange(harness.name, store, own)
         tasks.append(asyncio.ensure_future(exchange.run()))
--- a/tests/test_gateway_departure_reports.py
+++ b/tests/test_gateway_departure_reports.py
@@ -13,8 +13,10 @@
 from cactusledge.gateway.grants import NoQuotas
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.messages import Replica
+from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.gateway.version_reports import VersionReports
 from cactusledge.gateway.watches import Watches
+from cactusledge.gateway.withdrawal_reports import WithdrawalReports
 from cactusledge.models import Address
 from cactusledge.records.crash_evidence import CrashEvidence
 from cactusledge.records.gateway_messages import (
@@ -64,6 +66,7 @@
             VersionReports(ConfigurationNews(), Address('127.0.0.1', 9)),
             NoQuotas(),
             Watches(Metrics()),
+            WithdrawalReports(ReplicaList(), Metrics()),
         )
         exchange = LoadExchange(name, StubStore(registry), own)
         return departures, reports, exchange
--- a/tests/test_platform_changes.py
+++ b/tests/test_platform_changes.py
@@ -29,16 +29,27 @@
 
     def __init__(self):
         self.versions = []
+        self.ends = []
         self.regained = 0
-        self.sink = ChangeSink(self, self.versions.append, self.regain)
+        self.sink = ChangeSink(self, self, is_draining)
 
     def call_soon_threadsafe(self, take, *args):
         take(*args)
 
+    def note_change(self, version):
+        self.versions.append(version)
+
+    def note_end(self, name, version):
+        self.ends.append((name, version))
+
     def regain(self):
         self.regained += 1
 
 
+def is_draining(stored):
+    return stored.body.get('state') == 'draining'
+
+
 # A list counts by its objects: its own version is newer with each change of
 # any other kind, which no watch of this kind brings.
 def test_newest_object_of_a_list_counts():
@@ -101,3 +112,25 @@
     changes.share({KIND: 9})
     assert changes.newest == {KIND: 9}
     assert not changes.seen
+
+
+# A gateway that the platform turns away learns from the stores which endpoints
+# have left.
+def test_ends_of_objects_are_told():
+    calls = Calls()
+    calls.sink.on_snapshot(ObjectList((stored(3, 'a'), stored(7, 'b')), '8'))
+    calls.sink.on_event(WatchEvent(DELETED, stored(10, 'b')))
+    draining = StoredObject(KIND, 'c', '11', {'state': 'draining'})
+    calls.sink.on_event(WatchEvent(ADDED, draining))
+    calls.sink.on_snapshot(ObjectList((), '14'))
+    assert calls.ends == [('b', 7), ('c', 11), ('a', 3), ('c', 11)]
+
+
+# Live entries may expire while the platform does not answer.
+def test_object_that_is_missing_after_an_outage_may_come_back(monkeypatch):
+    monkeypatch.setattr(f'{ChangeSink.__module__}.OUTAGE_THRESHOLD_S', 0)
+    calls = Calls()
+    calls.sink.on_snapshot(ObjectList((stored(3, 'a'),), '8'))
+    calls.sink.on_failure(StoreUnavailableError('no', remedy='wait'))
+    calls.sink.on_snapshot(ObjectList((), '9'))
+    assert not calls.ends
--- a/tests/test_removed_endpoints.py
+++ b/tests/test_removed_endpoints.py
@@ -79,22 +79,26 @@
     """Starts a deployment and the endpoint; ends what it started."""
     deployment = Deployment(folder)
     try:
-        await deployment.start()
-        gateway = deployment.fronts[-1]
-        async with asyncio.timeout(START_LIMIT_S):
-            while not await is_ready(gateway):
-                await asyncio.sleep(POLL_S)
-        leaver = LeavingEndpoint(deployment, gateway.zone)
-        await leaver.start()
-        async with asyncio.timeout(START_LIMIT_S):
-            while not await runs_after_calls(leaver, gateway):
-                await asyncio.sleep(POLL_S)
-        await asyncio.sleep(WATCH_S)
-        yield deployment, gateway, leaver
+        yield deployment, *await start(deployment)
     finally:
         deployment.fleet.stop_all()
 
 
+async def start(deployment):
+    """Returns a gateway, and the endpoint once it gets its requests."""
+    await deployment.start()
+    gateway = deployment.fronts[-1]
+    leaver = LeavingEndpoint(deployment, gateway.zone)
+    async with asyncio.timeout(START_LIMIT_S):
+        while not await is_ready(gateway):
+            await asyncio.sleep(POLL_S)
+        await leaver.start()
+        while not await runs_after_calls(leaver, gateway):
+            await asyncio.sleep(POLL_S)
+    await asyncio.sleep(WATCH_S)
+    return gateway, leaver
+
+
 async def is_ready(gateway):
     """Returns whether a gateway is connected to the stores."""
     streams = await asyncio.open_connection(gateway.ip, documents.READY_PORT)
