List the platform's objects within a second after a cut

Cause: a list that was sent just before the heal is lost and was waited for, 1.5 s, and then came a wait of up to 2 s.

Ruled out: a shorter time-out, as a slow platform's lists would never arrive; giving up a try for the next one, for the same reason.

Change: a list that is not answered within 0.4 s is sent again, up to four at a time, and the first answer counts; the wait between two lists is 0.4 s at most. In calm times a list is answered in milliseconds, so no call is added. The waits are random, so that a large site's lists do not come at once.

--- a/cactusledge/objects/watch_session.py
+++ b/cactusledge/objects/watch_session.py
@@ -8,7 +8,8 @@
 
 import structlog
 
-from cactusledge.errors import StoreError, StoreUnavailableError
+from cactusledge.errors import StoreError
+from cactusledge.objects.hedged_list import HedgedList, unexpected
 from cactusledge.objects.outage import backoff_s
 from cactusledge.objects.store import (
     BOOKMARK,
@@ -18,6 +19,7 @@
 )
 
 WATCH_TIMEOUT_S = 60.0
+MAX_WAIT_S = 0.4  # before the objects are listed again
 
 log = structlog.get_logger('platform')
 Received = TypeVar('Received')
@@ -105,7 +107,7 @@
     def _list_and_watch(self) -> None:
         """Lists once, then watches until it is ended; raises on a failure."""
         target = self._target
-        listed = self._store.list(target.kind, target.prefix)
+        listed = HedgedList(self._store, target.kind, target.prefix).fetch()
         self._pass_on(self._sink.on_snapshot, listed)
         version = listed.version
         self.progress = WatchProgress(version)
@@ -149,7 +151,8 @@
         )
         self.progress = WatchProgress(progress.version)
         self._pass_on(self._sink.on_failure, exc)
-        self._ended.wait(backoff_s(self._failures, random.random()))
+        wait_s = backoff_s(self._failures, random.random())
+        self._ended.wait(min(wait_s, MAX_WAIT_S))
 
     def _pass_on(
         self, take: Callable[[Received], None], received: Received
@@ -159,14 +162,6 @@
                 take(received)
 
 
-def unexpected(exc: Exception) -> StoreError:
-    """Returns the error of a list or watch that failed unexpectedly."""
-    return StoreUnavailableError(
-        f'The list or watch failed unexpectedly ({type(exc).__name__}).',
-        remedy='Look for the error in the log; it is tried again.',
-    )
-
-
 def waited_s(progress: WatchProgress, now_s: float) -> float:
     """Returns how long the watch that is open has waited, 0 without one."""
     since_s = progress.waits_since_s
