Keep missing entries only if the platform itself was away

Cause: entries that expire while the platform is away are back about 2 s after its return. A gateway counted these 2 s from its own first list after any outage, also where only it had been cut off or turned away. Class: an instance takes its own loss of contact for an outage of the other side.

Ruled out: dropping the grace, as live endpoints would be missing after a real outage; going by the lists alone, which look the same in both cases.

Change: record stores tell each other and the gateways for how long the platform has answered any of them without an outage, with the loads. A missing entry is kept until 2 s after that return, and removed at once if the platform was up; a word older than a second does not count, and then the own list does.

--- a/cactusledge/gateway/followers.py
+++ b/cactusledge/gateway/followers.py
@@ -53,18 +53,19 @@
         """Handles a complete list."""
         stored_objects = listing.listed.items
         decoded = map(self._decode, stored_objects)
+        versions = {one.name: int(one.version) for one in stored_objects}
         self._fleet.replicas.replace_all(
             [replica for replica in decoded if replica is not None],
             asyncio.get_running_loop().time(),
             after_outage=listing.after_outage,
-            versions={one.name: int(one.version) for one in stored_objects},
+            versions=versions,
         )
         log.info(
             'gateway: endpoints listed',
             count=len(self._fleet.replicas),
             version=listing.listed.version,
             after_outage=listing.after_outage,
-            kept=self._fleet.replicas.kept(),
+            kept=sorted(self._fleet.replicas.ids() - versions.keys()),
         )
 
     def handle_object(self, stored: StoredObject) -> None:
--- a/cactusledge/gateway/replicas.py
+++ b/cactusledge/gateway/replicas.py
@@ -1,5 +1,6 @@
 """Endpoint list that tolerates lag and outages of the platform's list."""
 
+import math
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
@@ -10,6 +11,7 @@
 from cactusledge.records.withdrawal_messages import Withdrawal
 
 REREGISTRATION_GRACE_S = 2.0  # for entries expired in a platform outage
+FRESH_S = 1.0  # for which the stores' word on the platform counts
 NO_VERSIONS: Mapping[str, int] = MappingProxyType({})
 
 log = structlog.get_logger('gateway')
@@ -18,8 +20,9 @@
 class ReplicaList:
     """Endpoints by id.
 
-    Entries missing after an outage are kept for `REREGISTRATION_GRACE_S`, as
-    live endpoints register again. Without an outage, a missing entry is removed
+    Entries missing after an outage are kept for `REREGISTRATION_GRACE_S` from
+    the platform's return, as live endpoints register again. If the stores say
+    that the platform was up, or without an outage, a missing entry is removed
     at once, and so is a withdrawn one.
     """
 
@@ -28,7 +31,9 @@
         self.withdrawals = Withdrawals()
         self._replicas: dict[str, Replica] = {}
         self._versions: dict[str, int] = {}  # of the entries, by id
-        self._missing: dict[str, float] = {}  # id -> time of removal
+        self._missing: dict[str, float] = {}  # id -> latest start of the grace
+        self._up_since_s = math.inf  # when the platform came back, for stores
+        self._heard_s = -math.inf
         self._by_service: dict[str, tuple[Replica, ...]] = {}
 
     def __len__(self) -> int:
@@ -63,12 +68,12 @@
         """
         listed = {replica.endpoint_id: replica for replica in replicas}
         missing = self._replicas.keys() - listed.keys()
-        wait_s = REREGISTRATION_GRACE_S if after_outage else 0
         for endpoint_id in missing:
             version = self._versions[endpoint_id]
             is_over = self.withdrawals.covers(endpoint_id, version)
+            has_grace = after_outage and not is_over
             self._missing.setdefault(
-                endpoint_id, now_s if is_over else now_s + wait_s
+                endpoint_id, now_s if has_grace else -math.inf
             )
         for endpoint_id in tuple(self._missing):
             if endpoint_id not in missing:
@@ -111,9 +116,10 @@
         self._index()
         return self._replicas[endpoint_id].is_draining
 
-    def kept(self) -> list[str]:
-        """Returns the ids of entries that are missing in the last list."""
-        return sorted(self._missing)
+    def hear_platform(self, up_s: float, now_s: float) -> None:
+        """Takes for how long the platform has answered a store, 0 if not."""
+        self._up_since_s = now_s - up_s
+        self._heard_s = now_s
 
     def ids(self) -> frozenset[str]:
         """Returns the ids of all endpoints."""
@@ -134,10 +140,12 @@
         self._versions[endpoint_id] = version
 
     def _expire(self, now_s: float) -> None:
+        is_fresh = now_s - self._heard_s <= FRESH_S
+        back_s = self._up_since_s if is_fresh else math.inf
         gone = [
             endpoint_id
-            for endpoint_id, at_s in self._missing.items()
-            if at_s <= now_s
+            for endpoint_id, since_s in self._missing.items()
+            if min(since_s, back_s) + REREGISTRATION_GRACE_S <= now_s
         ]
         for endpoint_id in gone:
             self.remove(endpoint_id)
--- a/cactusledge/gateway/withdrawal_reports.py
+++ b/cactusledge/gateway/withdrawal_reports.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from cactusledge.gateway.clock import now
 from cactusledge.gateway.replicas import ReplicaList
 from cactusledge.records.withdrawal_messages import Withdrawal
 from cactusledge.telemetry.metrics import Metrics
@@ -33,3 +34,7 @@
             if self._replicas.withdraw(withdrawal):
                 self._metrics.add('gateway_withdrawals_total')
                 log.info('gateway: endpoint withdrawn', **withdrawal._asdict())
+
+    def hear_platform(self, up_s: float) -> None:
+        """Takes for how long the platform has answered a store, 0 if not."""
+        self._replicas.hear_platform(up_s, now())
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -127,6 +127,7 @@
     # Versions of the newest changes by the kind of the platform's objects.
     platform_changes: dict[str, int] = msgspec.field(default_factory=dict)
     withdrawals: list[Withdrawal] = msgspec.field(default_factory=list)
+    platform_up_s: float = 0  # for how long it has answered a store
 
 
 class ShareLoads(Message, frozen=True):
@@ -148,6 +149,7 @@
     # Versions of the newest changes by the kind of the platform's objects.
     platform_changes: dict[str, int] = msgspec.field(default_factory=dict)
     withdrawals: list[Withdrawal] = msgspec.field(default_factory=list)
+    platform_up_s: float = 0  # for how long it has answered this store
 
 
 class ReadNews(Message, frozen=True):
--- a/cactusledge/records/gateways.py
+++ b/cactusledge/records/gateways.py
@@ -23,6 +23,7 @@
 from cactusledge.records.limit_division import LimitDivision
 from cactusledge.records.neighbours import choose_neighbours
 from cactusledge.records.platform_changes import PlatformChanges
+from cactusledge.records.platform_uptime import PlatformUptime
 from cactusledge.records.quota_division import QuotaDivision
 from cactusledge.records.read_parts import ListPosition, ReadParts
 from cactusledge.records.recent_departures import RecentDepartures
@@ -58,6 +59,7 @@
         self.crashes = CrashEvidence()
         self.versions = VersionSpread()
         self.changes = PlatformChanges()
+        self.uptime = PlatformUptime()
 
     async def register(self, hello: Hello) -> Neighbours:
         """Registers a gateway; returns some of the others."""
@@ -103,6 +105,7 @@
             quota_others=others,
             platform_changes=self.changes.newest,
             withdrawals=self._withdrawals.news(now_s, report.silent_s),
+            platform_up_s=self.uptime.longest_s(now_s),
         )
 
     async def share(self, request: ShareLoads) -> ReadNews:
@@ -118,6 +121,7 @@
         self.crashes.add_reported(request.crashes, reported.at_s)
         self.versions.share(request.name, request.configuration, reported.at_s)
         self.changes.share(request.platform_changes)
+        self.uptime.share(request.name, request.platform_up_s, reported.at_s)
         update = self._read_parts.since(
             ListPosition(request.epoch, request.position)
         )
--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -72,6 +72,9 @@
     def add_reported(self, reported: Iterable[Withdrawal]) -> None:
         """Adds withdrawals that other instances have seen."""
 
+    def hear_platform(self, up_s: float) -> None:
+        """Takes for how long the platform has answered a store."""
+
 
 class LimitTracker(Protocol):
     """A gateway's record of the limits that endpoints name."""
@@ -218,6 +221,7 @@
         self._own.versions.add_reported(reply.configuration)
         self._own.changes.add_reported(reply.platform_changes)
         self._own.withdrawals.add_reported(reply.withdrawals)
+        self._own.withdrawals.hear_platform(reply.platform_up_s)
         self._own.quotas.set_others(reply.quota_others, reply.gateways)
         self._interval_s = max(
             EXCHANGE_INTERVAL_S,
--- a/cactusledge/records/load_sharing.py
+++ b/cactusledge/records/load_sharing.py
@@ -65,6 +65,7 @@
             quota_demands=gateways.quotas.local_demands(now_s),
             platform_changes=gateways.changes.seen,
             withdrawals=gateways.withdrawals(self._silent_s(link, now_s)),
+            platform_up_s=gateways.uptime.own_s(now_s),
         )
         try:
             reply = await link.call(request, SHARE_TIMEOUT_S)
--- a/cactusledge/records/platform_changes.py
+++ b/cactusledge/records/platform_changes.py
@@ -49,6 +49,9 @@
     def note_end(self, name: str, version: int) -> None:
         """Takes an object that is over: removed, or of no more use."""
 
+    def note_up(self, since_s: float | None) -> None:
+        """Takes since when the platform answers (monotonic), None if not."""
+
     def regain(self) -> None:
         """Is called when the platform answers after a failure."""
 
@@ -73,24 +76,26 @@
         self._listener = listener
         self._is_ending = is_ending
         self._failing_since_s: float | None = None
+        self._up_since_s: float | None = None
         self._versions: dict[str, int] = {}  # of the objects that exist
 
     def on_snapshot(self, listed: ObjectList) -> None:
         """Notes the newest change that a complete list shows."""
         found = {stored.name: int(stored.version) for stored in listed.items}
-        gone = self._versions.keys() - found.keys()
+        gone = frozenset(self._versions.keys() - found.keys())
         # The list does not say when they went.
         newest = (int(listed.version),) if gone else ()
         self._pass_on(
             self._listener.note_change,
             max((*found.values(), *newest), default=0),
         )
-        if not self._was_away():
-            for name in sorted(gone):
-                self._pass_on(
-                    self._listener.note_end, name, self._versions[name]
-                )
+        if self._was_away():
+            self._up_since_s = None
+            gone = frozenset()  # live ones may have expired
+        for name in sorted(gone):
+            self._pass_on(self._listener.note_end, name, self._versions[name])
         self._versions = found
+        self._note_up()
         for stored in listed.items:
             self._check(stored)
         if self._failing_since_s is not None:
@@ -113,6 +118,12 @@
         """Takes note that the platform did not answer."""
         if self._failing_since_s is None:
             self._failing_since_s = time.monotonic()
+            self._pass_on(self._listener.note_up, None)
+
+    def _note_up(self) -> None:
+        if self._up_since_s is None:
+            self._up_since_s = time.monotonic()
+        self._pass_on(self._listener.note_up, self._up_since_s)
 
     def _check(self, stored: StoredObject) -> None:
         if self._is_ending(stored):
@@ -121,7 +132,7 @@
             )
 
     def _was_away(self) -> bool:
-        """Returns whether live objects may have expired meanwhile."""
+        """Returns whether this list is the first one after an outage."""
         since_s = self._failing_since_s
         if since_s is None:
             return False
--- a/cactusledge/records/store_watches.py
+++ b/cactusledge/records/store_watches.py
@@ -50,6 +50,9 @@
     def note_end(self, name: str, version: int) -> None:
         """Takes no note: a configuration does not end."""
 
+    def note_up(self, since_s: float | None) -> None:
+        """Takes no note: the endpoints' watch tells."""
+
 
 class EndpointNews(KindNews):
     """The same for endpoints, whose entries end."""
@@ -58,6 +61,10 @@
         """Takes note that an endpoint's entry is over."""
         self._gateways.add_withdrawal(Withdrawal(name, version))
 
+    def note_up(self, since_s: float | None) -> None:
+        """Takes note since when the platform answers."""
+        self._gateways.uptime.note(since_s)
+
 
 class StoreWatches:
     """Follows what a store acts on; notes changes of what gateways watch.
--- a/tests/test_platform_changes.py
+++ b/tests/test_platform_changes.py
@@ -27,10 +27,13 @@
 class Calls:
     """Calls at once what is to be called on the event loop."""
 
+    sink_module = ChangeSink.__module__
+
     def __init__(self):
         self.versions = []
         self.ends = []
         self.regained = 0
+        self.up = []
         self.sink = ChangeSink(self, self, is_draining)
 
     def call_soon_threadsafe(self, take, *args):
@@ -42,6 +45,9 @@
     def note_end(self, name, version):
         self.ends.append((name, version))
 
+    def note_up(self, since_s):
+        self.up.append(since_s)
+
     def regain(self):
         self.regained += 1
 
@@ -128,7 +134,7 @@
 
 # Live entries may expire while the platform does not answer.
 def test_object_that_is_missing_after_an_outage_may_come_back(monkeypatch):
-    monkeypatch.setattr(f'{ChangeSink.__module__}.OUTAGE_THRESHOLD_S', 0)
+    monkeypatch.setattr(f'{Calls.sink_module}.OUTAGE_THRESHOLD_S', 0)
     calls = Calls()
     calls.sink.on_snapshot(ObjectList((stored(3, 'a'),), '8'))
     calls.sink.on_failure(StoreUnavailableError('no', remedy='wait'))
