Give up answers of the own interface whose framing does not end

Report of other operators: a faulty replica sent bytes without end that were no answer, and its caller's machine ran out of memory.

Cause: the standard library bounds lines and the headers of one head, not how many heads or trailers follow; the deadline is only checked between reads of the body.

Change: a response bounds the bytes of lines without a byte of the body between them to 256 KB, and fails beyond that like any broken answer.

--- a/cactusledge/endpoints/connections.py
+++ b/cactusledge/endpoints/connections.py
@@ -7,6 +7,8 @@
 from urllib3 import HTTPResponse
 from urllib3.connection import HTTPConnection
 
+from cactusledge.endpoints.bounded_response import BoundedResponse
+
 MAX_IDLE_S = 5
 KEEPALIVE_IDLE_S = 5  # idle time before the kernel sends the first probe
 KEEPALIVE_INTERVAL_S = 2
@@ -33,6 +35,8 @@
             will close the connection and its answer is still unread.
     """
 
+    response_class = BoundedResponse
+
     def __init__(self, *args: Any, **options: Any) -> None:
         """Accepts the arguments of a urllib3 connection."""
         super().__init__(*args, **options)
