Do not tell removals that an outage may have caused

Entries that expire while the platform is away are removed at its return, and a watch that was open all the time brings these removals. Live endpoints are back within 2 s, and gateways that list after the outage bridge that time. Found by reading, after withdrawals were told to all: one such gateway would take the endpoints from the others.

Change: a removal within 2 s of the platform's return, as a store or the stores see it, is not told to others.

--- a/cactusledge/gateway/replicas.py
+++ b/cactusledge/gateway/replicas.py
@@ -8,9 +8,9 @@
 
 from cactusledge.gateway.messages import Replica
 from cactusledge.gateway.withdrawals import Withdrawals
+from cactusledge.objects.feeds import REREGISTRATION_S
 from cactusledge.records.withdrawal_messages import Withdrawal
 
-REREGISTRATION_GRACE_S = 2.0  # for entries expired in a platform outage
 FRESH_S = 1.0  # for which the stores' word on the platform counts
 NO_VERSIONS: Mapping[str, int] = MappingProxyType({})
 
@@ -20,7 +20,7 @@
 class ReplicaList:
     """Endpoints by id.
 
-    Entries missing after an outage are kept for `REREGISTRATION_GRACE_S` from
+    Entries missing after an outage are kept for `REREGISTRATION_S` from
     the platform's return, as live endpoints register again. If the stores say
     that the platform was up, or without an outage, a missing entry is removed
     at once, and so is a withdrawn one.
@@ -34,6 +34,7 @@
         self._missing: dict[str, float] = {}  # id -> latest start of the grace
         self._up_since_s = math.inf  # when the platform came back, for stores
         self._heard_s = -math.inf
+        self._is_settling = False  # removals may be due to an outage
         self._by_service: dict[str, tuple[Replica, ...]] = {}
 
     def __len__(self) -> int:
@@ -94,7 +95,8 @@
         self._missing.pop(endpoint_id, None)
         if self._replicas.pop(endpoint_id, None) is not None:
             version = self._versions.pop(endpoint_id)
-            self.withdrawals.note(Withdrawal(endpoint_id, version))
+            if not self._is_settling:
+                self.withdrawals.note(Withdrawal(endpoint_id, version))
             self._index()
 
     def withdraw(self, withdrawal: Withdrawal) -> bool:
@@ -120,6 +122,7 @@
         """Takes for how long the platform has answered a store, 0 if not."""
         self._up_since_s = now_s - up_s
         self._heard_s = now_s
+        self._is_settling = 0 < up_s < REREGISTRATION_S
 
     def ids(self) -> frozenset[str]:
         """Returns the ids of all endpoints."""
@@ -145,7 +148,7 @@
         gone = [
             endpoint_id
             for endpoint_id, since_s in self._missing.items()
-            if min(since_s, back_s) + REREGISTRATION_GRACE_S <= now_s
+            if min(since_s, back_s) + REREGISTRATION_S <= now_s
         ]
         for endpoint_id in gone:
             self.remove(endpoint_id)
--- a/cactusledge/objects/feeds.py
+++ b/cactusledge/objects/feeds.py
@@ -17,6 +17,7 @@
 
 # Live entries may expire while the platform has been failing for this long.
 OUTAGE_THRESHOLD_S = 1.0
+REREGISTRATION_S = 2.0  # after its return, for those that expired meanwhile
 
 log = structlog.get_logger('platform')
 
--- a/cactusledge/records/platform_changes.py
+++ b/cactusledge/records/platform_changes.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from cactusledge.errors import StoreError
-from cactusledge.objects.feeds import OUTAGE_THRESHOLD_S
+from cactusledge.objects.feeds import OUTAGE_THRESHOLD_S, REREGISTRATION_S
 from cactusledge.objects.store import (
     DELETED,
     ObjectList,
@@ -107,8 +107,7 @@
         stored = event.object
         version = int(stored.version)
         if event.type == DELETED:
-            known = self._versions.pop(stored.name, version)
-            self._pass_on(self._listener.note_end, stored.name, known)
+            self._remove(stored.name, version)
         else:
             self._versions[stored.name] = version
             self._check(stored)
@@ -120,6 +119,13 @@
             self._failing_since_s = time.monotonic()
             self._pass_on(self._listener.note_up, None)
 
+    def _remove(self, name: str, version: int) -> None:
+        """Tells of a removal, unless an outage may have caused it."""
+        known = self._versions.pop(name, version)
+        since_s = self._up_since_s or 0
+        if time.monotonic() - since_s >= REREGISTRATION_S:
+            self._pass_on(self._listener.note_end, name, known)
+
     def _note_up(self) -> None:
         if self._up_since_s is None:
             self._up_since_s = time.monotonic()
