--- a/cactusledge/gateway/bootstrap.py
+++ b/cactusledge/gateway/bootstrap.py
@@ -6,6 +6,7 @@
 that the platform turns away later takes newer configurations from others.
 """
 
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import msgspec
@@ -15,7 +16,6 @@
 from cactusledge.gateway.messages import Configuration, Replica
 from cactusledge.models import Address
 from cactusledge.records.gateway_messages import AskBeliefs, Beliefs
-from cactusledge.records.messages import Body
 from cactusledge.records.peer import call_once
 from cactusledge.records.relays import Relays
 
@@ -53,10 +53,9 @@
     def snapshot(self) -> Beliefs:
         """Returns this gateway's configuration and endpoints, encoded."""
         table = self._gateway.table
-        snapshot = Snapshot(
-            table.cfg if table else None, self._gateway.fleet.replicas.all()
-        )
-        return Beliefs(msgspec.msgpack.encode(snapshot))
+        replicas = self._gateway.fleet.replicas
+        snapshot = Snapshot(table.cfg if table else None, replicas.all())
+        return Beliefs(msgspec.msgpack.encode(snapshot), replicas.versions)
 
     async def run(self, now_s: float) -> None:
         """Asks the other gateways in turn while this one is incomplete."""
@@ -105,19 +104,21 @@
                 error=repr(exc),
             )
             return None
+        if not isinstance(reply, Beliefs):
+            return None
         snapshot = decode_snapshot(reply)
         if snapshot is not None:
-            self._adopt(snapshot)
+            self._adopt(snapshot, reply.versions)
         return snapshot
 
-    def _adopt(self, snapshot: Snapshot) -> None:
+    def _adopt(self, snapshot: Snapshot, versions: Mapping[str, int]) -> None:
         """Applies a newer configuration, and endpoints if none are known."""
         replicas = self._gateway.fleet.replicas
         if snapshot.cfg is not None:
             self._gateway.apply(snapshot.cfg)
         if not len(replicas):
             for replica in snapshot.replicas:
-                replicas.put(replica)
+                replicas.put(replica, versions.get(replica.endpoint_id, 0))
 
     def _adopted(self, address: Address, snapshot: Snapshot) -> dict[str, Any]:
         return {
@@ -127,10 +128,8 @@
         }
 
 
-def decode_snapshot(reply: Body) -> Snapshot | None:
-    """Returns the snapshot in a gateway's reply, None if there is none."""
-    if not isinstance(reply, Beliefs):
-        return None
+def decode_snapshot(reply: Beliefs) -> Snapshot | None:
+    """Returns the snapshot in a gateway's reply, None if it is unreadable."""
     try:
         return SNAPSHOT_DECODER.decode(reply.content)
     except msgspec.MsgspecError as exc:
--- a/cactusledge/gateway/replicas.py
+++ b/cactusledge/gateway/replicas.py
@@ -30,7 +30,7 @@
         """Starts empty."""
         self.withdrawals = Withdrawals()
         self._replicas: dict[str, Replica] = {}
-        self._versions: dict[str, int] = {}  # of the entries, by id
+        self.versions: dict[str, int] = {}  # of the entries, by id
         self._missing: dict[str, float] = {}  # id -> latest start of the grace
         self._up_since_s = math.inf  # when the platform came back, for stores
         self._heard_s = -math.inf
@@ -70,7 +70,7 @@
         listed = {replica.endpoint_id: replica for replica in replicas}
         missing = self._replicas.keys() - listed.keys()
         for endpoint_id in missing:
-            version = self._versions[endpoint_id]
+            version = self.versions[endpoint_id]
             is_over = self.withdrawals.covers(endpoint_id, version)
             has_grace = after_outage and not is_over
             self._missing.setdefault(
@@ -85,7 +85,7 @@
         self._index()
 
     def put(self, replica: Replica, version: int = 0) -> None:
-        """Adds or updates an entry; another gateway's has no version."""
+        """Adds or updates an entry; version 0 is older than any other."""
         self._missing.pop(replica.endpoint_id, None)
         self._store(replica, version)
         self._index()
@@ -94,7 +94,7 @@
         """Removes an entry at once."""
         self._missing.pop(endpoint_id, None)
         if self._replicas.pop(endpoint_id, None) is not None:
-            version = self._versions.pop(endpoint_id)
+            version = self.versions.pop(endpoint_id)
             if not self._is_settling:
                 self.withdrawals.note(Withdrawal(endpoint_id, version))
             self._index()
@@ -114,7 +114,7 @@
         if endpoint_id in self._missing:
             self.remove(endpoint_id)
             return True
-        self._store(replica, self._versions[endpoint_id])
+        self._store(replica, self.versions[endpoint_id])
         self._index()
         return self._replicas[endpoint_id].is_draining
 
@@ -140,7 +140,7 @@
         elif self.withdrawals.covers(endpoint_id, version):
             replica = replica._replace(is_draining=True)
         self._replicas[endpoint_id] = replica
-        self._versions[endpoint_id] = version
+        self.versions[endpoint_id] = version
 
     def _expire(self, now_s: float) -> None:
         is_fresh = now_s - self._heard_s <= FRESH_S
--- a/cactusledge/records/gateway_messages.py
+++ b/cactusledge/records/gateway_messages.py
@@ -205,6 +205,8 @@
     """A gateway's configuration and endpoints, encoded by the gateway."""
 
     content: bytes
+    # Of the endpoints' entries at the platform, by endpoint id.
+    versions: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class Relay(Message, frozen=True):
--- a/tests/test_gateway_bootstrap.py
+++ b/tests/test_gateway_bootstrap.py
@@ -12,6 +12,7 @@
 from cactusledge.models import Address
 from cactusledge.records.gateway_messages import AskBeliefs, Beliefs
 from cactusledge.records.message_server import MessageServer
+from cactusledge.records.withdrawal_messages import Withdrawal
 from tests.gateway_endpoints import Endpoint, answered
 from tests.gateway_support import FakeRecords, running_gateway
 from tests.records_support import free_port
@@ -79,6 +80,24 @@
     run_scenario(scenario)
 
 
+# The stores tell a gateway that has just started of all ends that they know.
+# An endpoint that has registered again since would not have been used.
+@pytest.mark.parametrize(('version', 'is_used'), [(7, False), (8, True)])
+def test_endpoints_of_another_gateway_keep_their_versions(
+    run_scenario, version, is_used
+):
+    async def scenario(running, address):
+        replica = running.fleet.replicas.all()[0]
+        running.fleet.replicas.put(replica, version)
+        gateway = empty_gateway(running)
+        gateway.fleet.replicas.withdraw(Withdrawal(replica.endpoint_id, 7))
+        await ask(gateway, address)
+        found = gateway.fleet.replicas.usable(replica.service, 0)
+        assert bool(found) is is_used
+
+    run_scenario(scenario)
+
+
 def test_unreachable_gateway_is_skipped(run_scenario):
     async def scenario(running, address):
         gateway = empty_gateway(running)
