Play answers without framing or with a false length on more routes

Report of other operators (bytes without end): the memory test had no answer that ends with its connection on routes for idempotent calls, streams, turns and resumable turns, and no false length for turns.

--- a/tests/test_gateway_answer_memory.py
+++ b/tests/test_gateway_answer_memory.py
@@ -71,13 +71,18 @@
     ('/once/x', 'refusal'),
     ('/safe/x', 'chunks'),
     ('/safe/x', 'error'),
+    ('/safe/x', 'no-framing'),
     ('/stream/x', 'chunks'),
     ('/stream/x', 'events'),
     ('/stream/x', 'error'),
+    ('/stream/x', 'no-framing'),
     ('/turn/x', 'chunks'),
     ('/turn/x', 'events'),
+    ('/turn/x', 'length'),
+    ('/turn/x', 'no-framing'),
     ('/resumable/x', 'chunks'),
     ('/resumable/x', 'events'),
+    ('/resumable/x', 'no-framing'),
 )
 
 
