Count a suspension of the machine as silence of the stores

A suspended process misses what stores tell. The steady clock stands still meanwhile, so that a gateway that wakes after more than 4 s would not ask for the withdrawals of that time; its own watch normally brings them.

Change: the time since the last reply is taken from the boot clock.

Result: test_suspension_counts_as_silence.

--- a/cactusledge/records/load_exchange.py
+++ b/cactusledge/records/load_exchange.py
@@ -160,7 +160,7 @@
         self._own = own
         self._positions: dict[str, ListPosition] = {}  # by store
         self._interval_s = EXCHANGE_INTERVAL_S
-        self._replied_s = -math.inf  # when a store last replied
+        self._replied_s = -math.inf  # when a store last replied; boot clock
 
     async def run(self) -> None:
         """Exchanges loads until it is cancelled."""
@@ -191,7 +191,7 @@
             configuration=self._own.versions.to_report(),
             quota_uses=uses,
             withdrawals=withdrawals,
-            silent_s=time.monotonic() - self._replied_s,
+            silent_s=boot_s() - self._replied_s,
         )
         try:
             await self._ask(nearest, report)
@@ -210,7 +210,7 @@
         reply = await link.call(report, EXCHANGE_TIMEOUT_S)
         if not isinstance(reply, LoadSums):
             raise ConnectionError(f'{link.name} did not reply with sums')
-        self._replied_s = time.monotonic()
+        self._replied_s = boot_s()
         self._positions[link.name] = ListPosition(reply.epoch, reply.position)
         self._own.loads.set_remote_loads(reply.in_flight)
         self._own.loads.add_read_parts(reply.read)
@@ -227,3 +227,8 @@
             EXCHANGE_INTERVAL_S,
             len(reply.in_flight) * INTERVAL_PER_ENDPOINT_S,
         )
+
+
+def boot_s() -> float:
+    """Returns the seconds since the boot; a suspended process misses news."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/tests/test_gateway_departure_reports.py
+++ b/tests/test_gateway_departure_reports.py
@@ -1,6 +1,8 @@
 """Departures that an instance learns from another one, through the stores."""
 
 import asyncio
+import itertools
+import math
 
 import pytest
 from structlog.testing import capture_logs
@@ -108,3 +110,33 @@
     reply = asyncio.run(main())
     assert isinstance(reply, LoadSums)
     assert reply.leaving == [LEAVING]
+
+
+class RecordingRegistry(GatewayRegistry):
+    """Keeps for how long the gateways have had no reply."""
+
+    def __init__(self):
+        super().__init__()
+        self.silent_s = []
+
+    async def report(self, report):
+        self.silent_s.append(report.silent_s)
+        return await super().report(report)
+
+
+# The steady clock stands still while the machine is suspended: what others told
+# meanwhile would have been missed.
+def test_suspension_counts_as_silence(gateway, monkeypatch):
+    clock_s = itertools.cycle([100, 100, 108])
+
+    async def main():
+        registry = RecordingRegistry()
+        _, _, exchange = gateway('f1', registry)
+        await exchange_once(exchange)
+        await exchange_once(exchange)
+        return registry.silent_s
+
+    monkeypatch.setattr(
+        f'{LoadExchange.__module__}.boot_s', lambda: next(clock_s)
+    )
+    assert asyncio.run(main()) == [math.inf, 8]
