--- a/cactusledge/records/platform_changes.py
+++ b/cactusledge/records/platform_changes.py
@@ -1,7 +1,8 @@
 """The newest changes of the platform's objects that stores have seen.
 
 Gateways watch these objects themselves. What the stores have seen shows them
-a watch that the platform will never answer.
+a watch that the platform will never answer, which endpoints have left while a
+gateway was out of touch, and whether the platform was up meanwhile.
 """
 
 import asyncio
@@ -47,7 +48,7 @@
         """Takes the version of a change."""
 
     def note_end(self, name: str, version: int) -> None:
-        """Takes an object that is over: removed, or of no more use."""
+        """Takes the last version of an object that was removed or is ending."""
 
     def note_up(self, since_s: float | None) -> None:
         """Takes since when the platform answers (monotonic), None if not."""
@@ -70,7 +71,7 @@
         Args:
             loop: The event loop of the store.
             listener: Takes what is seen.
-            is_ending: Tells whether an object is over, though it exists.
+            is_ending: Tells whether an object that exists is of no more use.
         """
         self._loop = loop
         self._listener = listener
@@ -127,6 +128,7 @@
             self._pass_on(self._listener.note_end, name, known)
 
     def _note_up(self) -> None:
+        """Tells since when the platform answers; an outage begins it anew."""
         if self._up_since_s is None:
             self._up_since_s = time.monotonic()
         self._pass_on(self._listener.note_up, self._up_since_s)
