--- a/tests/soak_processes/fleet.py
+++ b/tests/soak_processes/fleet.py
@@ -89,14 +89,18 @@
         command = ('tests.soak_processes.platform', node.ip, port)
         self._spawn(node, command)
 
-    def new_node(self, role):
-        """Adds a node with an address of its own; it is not started."""
+    def new_node(self, role, zone=''):
+        """Adds a node with an address of its own; it is not started.
+
+        Its name begins with its zone, as on the users' platform.
+        """
         host = self._next_host
         self._next_host += 1
         if host > LAST_HOST:
             raise RuntimeError('Too many nodes were added in one run.')
-        zone = documents.ZONES[host % len(documents.ZONES)]
-        node = Node(f'{role}-{host}', role, f'{self._net}.{host}', zone)
+        zone = zone or documents.ZONES[host % len(documents.ZONES)]
+        name = f'{role}-{zone}-{host}'
+        node = Node(name, role, f'{self._net}.{host}', zone)
         self.nodes[node.name] = node
         if role == 'store':
             self._seeds = (*self._seeds, node.ip)[-3:]
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -32,8 +32,9 @@
 class Deployment:
     """A platform, stores, gateways and an endpoint, and their operator."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, roles=ROLES):
         self.folder = folder
+        self.roles = roles
         self.fleet = Fleet(folder)
         self.operator = Configurations(self.fleet)
 
@@ -47,7 +48,7 @@
         self.fleet.start_platform()
         async with asyncio.timeout(START_LIMIT_S):
             await self._publish_first()
-            for role in ROLES:
+            for role in self.roles:
                 self.fleet.new_node(role)
             for node in tuple(self.fleet.nodes.values())[1:]:
                 await self.fleet.start(node)
