Say how many further losses a group of stores bears

Each store now asks the other members for their state after a change, and tells what it knows of its group: a line `records: condition of the group changed`, a gauge records_losses_borne.

--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -131,6 +131,13 @@
             self._metrics.put(
                 'records_generation', group.generation, shard=str(group.shard)
             )
+            condition = self.group_manager.losses.condition
+            if condition is not None:
+                self._metrics.put(
+                    'records_losses_borne',
+                    condition.losses_borne,
+                    shard=str(group.shard),
+                )
             await asyncio.sleep(GAUGE_INTERVAL_S)
 
     def _start_watches(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -11,6 +11,8 @@
 from cactusledge.records.entries import RETENTION_S, Group, Member
 from cactusledge.records.group_objects import GroupObjects, PublishedTable
 from cactusledge.records.links import Link
+from cactusledge.records.losses import LossMonitor
+from cactusledge.records.member_statuses import ASK_TIMEOUT_S, ask_members
 from cactusledge.records.membership import (
     is_first,
     may_change,
@@ -18,7 +20,7 @@
     with_member,
     without_member,
 )
-from cactusledge.records.messages import Announce, Ask, Status
+from cactusledge.records.messages import Announce
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.reachability import ConnectionLosses
 from cactusledge.records.shards import ShardTable, form_table, own_group
@@ -28,7 +30,6 @@
 
 FORMATION_DELAY_S = 2.0  # lets the other stores of a first start register
 STEP_INTERVAL_S = 0.3
-ASK_TIMEOUT_S = 0.6
 
 log = structlog.get_logger('records')
 
@@ -61,13 +62,18 @@
         self._catch_up = CatchUp(store)
         self._restorer = TextRestorer(store, self.peers)
         self.text_offers = TextOffers(store, self.peers)
+        self.losses = LossMonitor(
+            store, self.peers, self.text_offers.is_complete
+        )
         self._is_registered = False
         self._losses = ConnectionLosses()
         store.on_announced_group = self.adopt_group
 
     async def run(self) -> None:
         """Manages the membership and the texts' copies until cancelled."""
-        await asyncio.gather(self._run_steps(), self.text_offers.run())
+        await asyncio.gather(
+            self._run_steps(), self.text_offers.run(), self.losses.run()
+        )
 
     def adopt_group(self, group: Group) -> None:
         """Adopts a group if it is newer, and connects to its members."""
@@ -210,15 +216,9 @@
     store: RecordStore, peers: GroupPeers
 ) -> dict[str, int]:
     """Returns the generation on disk of each member that answers."""
-    request = Ask(store.group.generation)
-    replies = await asyncio.gather(
-        *(peer.call(request, ASK_TIMEOUT_S) for peer in peers.all()),
-        return_exceptions=True,
-    )
+    statuses = await ask_members(store, peers)
     adopted = {
-        reply.name: reply.durable_generation
-        for reply in replies
-        if isinstance(reply, Status)
+        name: status.durable_generation for name, status in statuses.items()
     }
     adopted[store.name] = store.adopted_group.durable_generation
     return adopted
--- a/cactusledge/records/text_offers.py
+++ b/cactusledge/records/text_offers.py
@@ -42,6 +42,7 @@
         self._group: Group | None = None
         self._log_id: str | None = None  # of the other store
         self._position = 0  # of the next entry to scan
+        self._end = 0  # position after the entries made before the group
         self._turn_ids: dict[str, None] = {}
 
     @property
@@ -49,12 +50,18 @@
         """The number of texts that have not been confirmed."""
         return len(self._turn_ids)
 
+    def is_complete(self, group: Group) -> bool:
+        """Whether all texts of before a group are on its members' disks."""
+        is_scanned = self._group is group and self._position >= self._end
+        return is_scanned and not self._turn_ids
+
     def scan(self, group: Group) -> bool:
         """Adds turns of the next entries; returns whether more are left."""
+        index = self._log.index
         if group is not self._group:
             self._group = group
+            self._end = index.head
             self._start_over()
-        index = self._log.index
         left = index.position_before(SETTLED_AFTER_S) - self._position
         part = index.part(self._position, min(SCAN_ENTRIES, max(left, 0)))
         self._position = part.end
@@ -120,6 +127,14 @@
         """The number of copies that have not been confirmed."""
         return sum(one.unconfirmed for one in self._pending.values())
 
+    def is_complete(self) -> bool:
+        """Whether each member has confirmed all texts that it should keep."""
+        group = self._store.group
+        names = self._peers.names()
+        return names == self._pending.keys() and all(
+            one.is_complete(group) for one in self._pending.values()
+        )
+
     async def run(self) -> None:
         """Offers texts until it is cancelled, also after an error."""
         await keep_running(self._run)
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -191,6 +191,11 @@
     _gauge('gateway_quorum', '1 while a quorum of the stores is in reach.'),
     _gauge('gateway_connections', 'Open connections of callers.'),
     _gauge('records_generation', 'Generation of a group of stores.', 'shard'),
+    _gauge(
+        'records_losses_borne',
+        'Further stores of a group that may be lost for good, as one sees it.',
+        'shard',
+    ),
     _gauge('records_entries', 'Entries that a store holds.'),
     _gauge('records_witness', '1 while a store has all it should know of.'),
     _gauge(
