Failing tests: stores that are lost for good one after the other

In one process: copies are not made good within the time that a successor has; half of an even group can't change it, after a loss beside a replaced member, of an added one and in a group of two.

--- /dev/null
+++ b/tests/test_records_replacements.py
@@ -0,0 +1,147 @@
+"""Changes of a group of stores after losses, one after the other."""
+
+import asyncio
+
+import pytest
+
+from cactusledge.records import group_manager
+from cactusledge.records.draining import StoreDrain
+from cactusledge.records.entries import Turn
+from cactusledge.records.quorum import Verdict
+from tests.records_support import cluster_of, turn_start, wait_until
+
+pytestmark = pytest.mark.process
+
+TURNS = 20
+SUCCESSOR_AFTER_S = 2.0
+CATCH_UP_S = 4.6  # a new store counts as lost for so long after its start
+FIRST_BY_NAME = 'store'  # of all stores, like a successor of the first one
+
+
+@pytest.fixture(autouse=True)
+def _short_formation_delay(monkeypatch):
+    monkeypatch.setattr(group_manager, 'FORMATION_DELAY_S', 0.5)
+
+
+@pytest.fixture
+def run_scenario(tmp_path, store):
+    """Returns a function that runs a scenario in a cluster of a given size."""
+
+    def run(size, scenario):
+        async def run_in_cluster():
+            async with cluster_of(size, tmp_path, store) as cluster:
+                await scenario(cluster)
+
+        asyncio.run(run_in_cluster())
+
+    return run
+
+
+async def record_turns(cluster):
+    """Records turns; returns their ids."""
+    turn_ids = [f't{index}' for index in range(TURNS)]
+    for turn_id in turn_ids:
+        turn = Turn(turn_id, '', 'p', b'in', b'out', 1, 'engine-1', ())
+        assert await cluster.client.record(turn)
+    return turn_ids
+
+
+async def lose(cluster, name):
+    """Loses a store for good."""
+    await cluster.nodes.pop(name).kill()
+
+
+async def until_served(cluster, parent_id):
+    """Waits until a turn is granted that continues an earlier one."""
+    async with asyncio.timeout(CATCH_UP_S):
+        for number in range(1000):
+            start = turn_start(f'next-{number}', parent_id, budget=None)
+            grant = await cluster.client.begin(start)
+            assert grant.verdict is not Verdict.NO_PARENT
+            if grant.verdict is Verdict.GRANTED:
+                return
+            await asyncio.sleep(0.1)
+
+
+def has_adopted(node, *names):
+    """Whether a store has caught up as a member beside others."""
+    return node.is_witness and set(names) <= node.store.group.members.keys()
+
+
+def copies(cluster, turn_id):
+    """Returns how many stores have a turn's text."""
+    return sum(
+        node.store.log.state.has_text(turn_id)
+        for node in cluster.nodes.values()
+    )
+
+
+# The next lost store took the last copies with it: they were made good only
+# after the dead member had gone, 6 s after its successor had started.
+@pytest.mark.parametrize('size', [3, 4])
+def test_copies_are_whole_before_a_successor_counts(run_scenario, size):
+    async def scenario(cluster):
+        turn_ids = await record_turns(cluster)
+        await lose(cluster, 'store-0')
+        await asyncio.sleep(SUCCESSOR_AFTER_S)
+        await cluster.add(FIRST_BY_NAME)
+        await wait_until(
+            lambda: all(copies(cluster, one) == 2 for one in turn_ids),
+            CATCH_UP_S,
+        )
+
+    run_scenario(size, scenario)
+
+
+# Two of four members were left, with all records, and no turn was ever served
+# again: no change of the group was possible any more.
+def test_group_goes_on_after_a_loss_beside_a_replaced_member(run_scenario):
+    async def scenario(cluster):
+        turn_ids = await record_turns(cluster)
+        await lose(cluster, 'store-0')
+        added = await cluster.add('store-9')
+        await wait_until(lambda: has_adopted(added, 'store-9', 'store-0'))
+        await asyncio.sleep(0.5)
+        await lose(cluster, 'store-1')
+        await until_served(cluster, turn_ids[0])
+        await cluster.add('store-8')
+        await wait_until(
+            lambda: (
+                added.store.group.members.keys()
+                == {'store-2', 'store-8', 'store-9'}
+            )
+        )
+
+    run_scenario(3, scenario)
+
+
+# The same with a member that had been added: the loss of both stores of its
+# data centre ended service for good.
+def test_group_goes_on_after_the_loss_of_an_added_member(run_scenario):
+    async def scenario(cluster):
+        turn_ids = await record_turns(cluster)
+        added = await cluster.add('store-9')
+        await wait_until(lambda: has_adopted(added, 'store-9'))
+        await asyncio.sleep(0.5)
+        await lose(cluster, 'store-9')
+        await lose(cluster, 'store-0')
+        await until_served(cluster, turn_ids[0])
+
+    run_scenario(3, scenario)
+
+
+# The same with a store that had been drained: the two that were left did not
+# bear the loss of one of them.
+def test_group_of_two_goes_on_after_the_loss_of_one(run_scenario):
+    async def scenario(cluster):
+        turn_ids = await record_turns(cluster)
+        drained = cluster.nodes['store-0']
+        await StoreDrain(drained.store, drained.group_manager).run()
+        await lose(cluster, 'store-0')
+        await asyncio.sleep(0.5)
+        await lose(cluster, 'store-1')
+        await until_served(cluster, turn_ids[0])
+        added = await cluster.add('store-9')
+        await wait_until(lambda: has_adopted(added, 'store-2', 'store-9'))
+
+    run_scenario(3, scenario)
