Remove a replaced store before its successor counts

What callers saw: answered turns that reach no engine again, and with three stores no turn served at all, after stores that were lost for good one after the other, each 2 s later with a successor, the next loss 4.6 s after its start.

Cause: a dead member was removed by the first living one by name, 6 s after that one had seen the loss. A successor in the same data centre is usually the first by name, and has seen nothing before its own start: the removal came 8.3 to 8.7 s after the loss, the copies of its texts after it. Until then the group bears no further loss (records_losses_borne 0 for 10.2 s).

Ruled out: that the platform or the adoption of changes is slow (a change takes some ms, successors join 2.3 s after the loss, have caught up at once); that the order of the losses alone matters (with successors last by name, no loss at 8.0 s).

Now each store may remove a dead member, after 2 s and 0.4 s more for each reachable one before it by name, and in a loop of its own, which calls for logs and texts do not hold up. Consecutive groups still differ in one member and wait for a majority, so that two stores that try at once change nothing twice.

A living member that is cut off for 2 s while the group is above its first size is removed, and joins again when it is back.

--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
 
@@ -14,9 +14,9 @@
 from cactusledge.records.losses import LossMonitor
 from cactusledge.records.member_statuses import ASK_TIMEOUT_S, ask_members
 from cactusledge.records.membership import (
-    is_first,
     may_change,
     removable_member,
+    removal_delay_s,
     with_member,
     without_member,
 )
@@ -72,7 +72,10 @@
     async def run(self) -> None:
         """Manages the membership and the texts' copies until cancelled."""
         await asyncio.gather(
-            self._run_steps(), self.text_offers.run(), self.losses.run()
+            run_steps(self._step),
+            run_steps(self._remove_dead_member),
+            self.text_offers.run(),
+            self.losses.run(),
         )
 
     def adopt_group(self, group: Group) -> None:
@@ -104,18 +107,6 @@
         adopted = await adopted_generations(self._store, self.peers)
         return may_change(self._store.group, adopted)
 
-    async def _run_steps(self) -> None:
-        while True:
-            try:
-                await self._step()
-            except StoreError as exc:
-                log.info('records: platform unavailable', error=exc.message)
-            except OSError as exc:
-                log.warning(
-                    'records: group management step failed', error=repr(exc)
-                )
-            await asyncio.sleep(STEP_INTERVAL_S)
-
     async def _step(self) -> None:
         self._store.log.expire(RETENTION_S)
         self._store.adopted_group.persist()
@@ -128,7 +119,6 @@
             await self._catch_up.run(self.peers.all())
             self._restorer.recheck()
         await self._restorer.run()
-        await self._remove_dead_member()
 
     async def _form_group(self) -> None:
         """Forms the first groups at the first start of the whole system.
@@ -170,9 +160,13 @@
 
     async def _remove_dead_member(self) -> None:
         group = self._store.group
-        name = removable_member(group, self._losses.update(self.peers))
         reachable = {peer.name for peer in self.peers.connected()}
-        if name is None or not is_first(self._store.name, group, reachable):
+        name = removable_member(
+            group,
+            self._losses.update(self.peers),
+            removal_delay_s(self._store.name, reachable),
+        )
+        if name is None or not self._store.is_member:
             return
         published = await self._read_published()
         if published is not None and published.table.group_of(name) == group:
@@ -212,6 +206,20 @@
         )
 
 
+async def run_steps(step: Callable[[], Awaitable[None]]) -> None:
+    """Takes a step again and again until it is cancelled."""
+    while True:
+        try:
+            await step()
+        except StoreError as exc:
+            log.info('records: platform unavailable', error=exc.message)
+        except OSError as exc:
+            log.warning(
+                'records: group management step failed', error=repr(exc)
+            )
+        await asyncio.sleep(STEP_INTERVAL_S)
+
+
 async def adopted_generations(
     store: RecordStore, peers: GroupPeers
 ) -> dict[str, int]:
--- a/cactusledge/records/membership.py
+++ b/cactusledge/records/membership.py
@@ -12,7 +12,8 @@
 from cactusledge.records.entries import Group, Member
 from cactusledge.records.quorum import majority
 
-DEAD_AFTER_S = 6.0  # unreachable for this long, a member may be removed
+DEAD_AFTER_S = 2.0  # unreachable for this long, a member may be removed
+TURN_S = 0.4  # between the stores that may remove it, in the order of names
 
 
 def first_group(members: Mapping[str, Member], copies: int) -> Group:
@@ -80,18 +81,24 @@
 def removable_member(
     group: Group,
     unreachable_s: Mapping[str, float],
+    dead_after_s: float,
 ) -> str | None:
     """Returns the dead member to remove, None if there is none.
 
     Members are only removed while the group is above its target size, that is
     after a replacement has joined. The living members must be a majority.
+
+    Args:
+        group: The group as published at the platform.
+        unreachable_s: The seconds for which members have been unreachable.
+        dead_after_s: For so long an unreachable member is not taken for dead.
     """
     if len(group.members) <= group.target_size:
         return None
     dead = [
         name
         for name in group.members
-        if unreachable_s.get(name, 0) >= DEAD_AFTER_S
+        if unreachable_s.get(name, 0) >= dead_after_s
     ]
     alive = len(group.members) - len(dead)
     if not dead or alive < majority(len(group.members)):
@@ -99,9 +106,13 @@
     return max(dead, key=lambda name: unreachable_s[name])
 
 
-def is_first(name: str, group: Group, reachable: Collection[str]) -> bool:
-    """Returns whether a member is the first by name of the reachable ones."""
-    return name in group.members and name <= min(reachable, default=name)
+def removal_delay_s(name: str, reachable: Collection[str]) -> float:
+    """Returns how long a store waits before it removes a dead member.
+
+    The stores take turns, so that usually one of them makes the change. The
+    first by name may have started only just now and not know of the loss.
+    """
+    return DEAD_AFTER_S + TURN_S * sum(other < name for other in reachable)
 
 
 def sources_needed(size: int) -> int:
--- a/tests/test_records_quorum.py
+++ b/tests/test_records_quorum.py
@@ -9,11 +9,13 @@
 from cactusledge.records.entries import Member
 from cactusledge.records.membership import (
     DEAD_AFTER_S,
+    TURN_S,
     decode_group,
     encode_group,
     first_group,
     may_change,
     removable_member,
+    removal_delay_s,
     sources_needed,
     with_member,
     without_member,
@@ -116,19 +118,32 @@
     assert may_change(group, {**adopted, 'store-c': 2})
 
 
+def removable(group, *names, unreachable_s=DEAD_AFTER_S):
+    """Returns what is removed from a group whose named members are dead."""
+    unreachable = dict.fromkeys(names, unreachable_s)
+    return removable_member(group, unreachable, DEAD_AFTER_S)
+
+
 def test_dead_member_goes_only_once_it_is_replaced():
-    dead = {'store-a': DEAD_AFTER_S}
     group = group_of(4)
-    assert removable_member(group, dead) is None
+    assert removable(group, 'store-a') is None
     grown = with_member(group, 'store-e', Member('10.0.0.9:1', 'e'))
-    assert removable_member(grown, dead) == 'store-a'
-    assert removable_member(grown, {'store-a': DEAD_AFTER_S - 1}) is None
+    assert removable(grown, 'store-a') == 'store-a'
+    early_s = DEAD_AFTER_S - 1
+    assert removable(grown, 'store-a', unreachable_s=early_s) is None
 
 
 def test_dead_members_that_are_a_minority_no_more_stay():
     grown = with_member(group_of(3), 'store-e', Member('10.0.0.9:1', 'e'))
-    dead = dict.fromkeys(('store-a', 'store-b'), DEAD_AFTER_S)
-    assert removable_member(grown, dead) is None
+    assert removable(grown, 'store-a', 'store-b') is None
+
+
+def test_stores_take_turns_to_remove_a_dead_member():
+    names = ('store-a', 'store-b', 'store-c')
+    delays = [
+        removal_delay_s(name, set(names) - {name, 'store-a'}) for name in names
+    ]
+    assert delays == [DEAD_AFTER_S, DEAD_AFTER_S, DEAD_AFTER_S + TURN_S]
 
 
 def test_planned_leaving_lowers_the_target():
