Let half of an even group of stores go on without a dead member

Cause: a change needs the adoption of the last group by a majority that answers now, and the removal of a dead member a living majority. With an even number of members every record is on one more than half, so half of them have every record between them and are a majority of the group without one dead member; and no older group can act once a majority has adopted a newer one, whatever becomes of that majority.

Now stores remember (and tell each other) that a group was adopted by a majority, and half of the logs, all complete, are enough to remove a dead member. The group says whether each record is on a majority of it (survives_half): not after the removal of a dead member, until another one has joined; not after a drain, until the drained store has confirmed its copies. A dead member is removed only with enough complete logs beside it. The platform's conditional update decides between halves that cannot reach each other. A gateway without a quorum asks the stores in reach for newer groups.

--- a/cactusledge/records/adopted_group.py
+++ b/cactusledge/records/adopted_group.py
@@ -31,6 +31,9 @@
         """Starts without a group."""
         self.group: entries.Group = entries.EMPTY_GROUP
         self.durable_generation = 0  # of the group on disk
+        # The newest one that a majority is known to have had on disk. It stays
+        # so if members are lost: none of them uses an older group any more.
+        self.established_generation = 0
         self._name = name
         self._log = record_log
         self._generation_in_flight = 0  # being written to disk, 0 if none
@@ -46,6 +49,7 @@
             return False
         if group.shard != self.group.shard:
             self.durable_generation = 0
+            self.established_generation = 0
             self._generation_in_flight = 0
         self.group = group
         self.persist()
--- a/cactusledge/records/draining.py
+++ b/cactusledge/records/draining.py
@@ -28,6 +28,8 @@
         self._store = store
         self._group_manager = group_manager
         self._pushed_entries = 0
+        self._others: frozenset[str] = frozenset()  # that have got these
+        self._is_confirmed = False
 
     async def run(self) -> None:
         """Returns once the disk of the store is no longer needed.
@@ -42,21 +44,37 @@
     async def _is_done(self) -> bool:
         if not await self._push():
             return False
-        if not self._store.is_member:
-            is_adopted = await self._group_manager.is_adopted()
-            return is_adopted and self._pushed_entries == self._store.log.head
         try:
-            await self._group_manager.leave()
+            return await self._take_leave()
         except StoreError as exc:
             log.info('records: platform unavailable', error=exc.message)
         return False
 
+    async def _take_leave(self) -> bool:
+        """Takes the next step of leaving; returns whether that was the last."""
+        if self._store.is_member:
+            await self._group_manager.changes.leave()
+            return False
+        is_adopted = await self._group_manager.changes.is_established()
+        if not is_adopted or self._pushed_entries < self._store.log.head:
+            return False
+        if not self._is_confirmed:
+            await self._group_manager.changes.confirm_drained()
+            self._is_confirmed = True
+            return False
+        return True
+
     async def _push(self) -> bool:
         """Sends the present entries; returns whether all were accepted.
 
         While this store is a member, clients go on to write to it. What comes
-        meanwhile is sent by the next calls, the last once it has left.
+        meanwhile is sent by the next calls, the last once it has left. If the
+        other members change, they get all entries again.
         """
+        others = frozenset(self._store.group.members) - {self._store.name}
+        if others != self._others:
+            self._others = others
+            self._pushed_entries = 0
         head = self._store.log.head
         while self._pushed_entries < head:
             part = self._store.log.pull(self._pushed_entries, PUSH_ENTRIES)
@@ -68,7 +86,7 @@
     async def _is_accepted(self, entries: list[Entry]) -> bool:
         """Returns whether all reachable stores, and a majority, accepted."""
         next_group = without_member(
-            self._store.group, self._store.name, lowers_target=True
+            self._store.group, self._store.name, is_drained=True
         )
         replies = await asyncio.gather(
             *(
--- a/cactusledge/records/entries.py
+++ b/cactusledge/records/entries.py
@@ -67,6 +67,10 @@
 
     Consecutive generations differ in one member, so that a majority of one
     meets every majority of the next.
+
+    Of an even number of members, half hold every record if each record is on a
+    majority. That is so unless a member has left since the last one was added,
+    and has not confirmed that its records are on a majority of the others.
     """
 
     generation: int
@@ -75,6 +79,7 @@
     copies: int  # instances that keep each turn's text
     shard: int = 0
     shards: int = 1  # of the whole system
+    survives_half: bool = False  # whether each record is on a majority
 
 
 EMPTY_GROUP = Group(generation=0, members={}, target_size=0, copies=1)
--- a/cactusledge/records/group_finder.py
+++ b/cactusledge/records/group_finder.py
@@ -10,7 +10,8 @@
 from cactusledge.models import Address
 from cactusledge.records.client import RecordClient
 from cactusledge.records.group_objects import GroupObjects
-from cactusledge.records.messages import Ask, Status
+from cactusledge.records.links import Link
+from cactusledge.records.messages import Ask, Body, Status
 from cactusledge.records.peer import call_once
 
 ASK_TIMEOUT_S = 0.4
@@ -20,10 +21,11 @@
 
 
 class GroupFinder:
-    """Asks the seed addresses, which may be stale, and the platform.
+    """Asks the stores in reach, the seed addresses and the platform.
 
-    It only has to run while a quorum is missing: members of a group in use
-    refuse requests of an older generation, and so report the newer group.
+    The seeds may be stale. It only has to run while a quorum is missing:
+    members of a group in use refuse requests of an older generation, and so
+    report the newer group.
     """
 
     def __init__(
@@ -47,7 +49,10 @@
         now_s = time.monotonic()
         if self._began_s is None:
             self._began_s = now_s
-        await asyncio.gather(*map(self._ask_seed, self._seeds))
+        await asyncio.gather(
+            *map(self._ask_seed, self._seeds),
+            *map(self._ask_member, self._records.peers.connected()),
+        )
         is_recent = now_s - self._began_s < PLATFORM_READ_INTERVAL_S
         if self._records.knows_all_groups and is_recent:
             return  # the connections are being opened
@@ -62,6 +67,17 @@
         except (ConnectionError, TimeoutError):
             log.info('records: seed unreachable', address=str(address))
             return
+        self._adopt_groups(reply)
+
+    async def _ask_member(self, link: Link) -> None:
+        """Adopts the groups that a connected store knows."""
+        try:
+            reply = await link.call(Ask(0), ASK_TIMEOUT_S)
+        except (ConnectionError, TimeoutError):
+            return  # its connection is checked elsewhere
+        self._adopt_groups(reply)
+
+    def _adopt_groups(self, reply: Body) -> None:
         if isinstance(reply, Status):
             for group in (reply.group, *reply.groups):
                 self._records.adopt_group(group)
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -2,25 +2,17 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 import structlog
 
 from cactusledge.errors import StoreError
 from cactusledge.records.catch_up import CatchUp
 from cactusledge.records.entries import RETENTION_S, Group, Member
-from cactusledge.records.group_objects import GroupObjects, PublishedTable
-from cactusledge.records.links import Link
+from cactusledge.records.group_changes import GroupChanges
+from cactusledge.records.group_objects import GroupObjects
 from cactusledge.records.losses import LossMonitor
-from cactusledge.records.member_statuses import ASK_TIMEOUT_S, ask_members
-from cactusledge.records.membership import (
-    may_change,
-    removable_member,
-    removal_delay_s,
-    with_member,
-    without_member,
-)
-from cactusledge.records.messages import Announce
+from cactusledge.records.membership import removable_member, removal_delay_s
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.reachability import ConnectionLosses
 from cactusledge.records.shards import ShardTable, form_table, own_group
@@ -35,11 +27,7 @@
 
 
 class GroupManager:
-    """Forms and joins the group, and removes dead members from it.
-
-    Each change is a conditional update at the platform, so several stores may
-    try it at once.
-    """
+    """Forms and joins the group, and removes dead members from it."""
 
     def __init__(
         self,
@@ -66,7 +54,10 @@
             store, self.peers, self.text_offers.is_complete
         )
         self._is_registered = False
-        self._losses = ConnectionLosses()
+        self._unreachable = ConnectionLosses()
+        self.changes = GroupChanges(
+            store, objects, self.peers, self.adopt_table
+        )
         store.on_announced_group = self.adopt_group
 
     async def run(self) -> None:
@@ -91,22 +82,6 @@
         kept = self._store.group if self._has_shard() else None
         self.adopt_group(own_group(table, self._store.name, self._member, kept))
 
-    async def leave(self) -> None:
-        """Removes this store from the group; raises StoreError."""
-        published = await self._read_published()
-        if published is not None and self._store.is_member:
-            group = without_member(
-                published.table.group(self._store.group.shard),
-                self._store.name,
-                lowers_target=True,
-            )
-            await self._publish_change(published, group)
-
-    async def is_adopted(self) -> bool:
-        """Returns whether a majority has adopted the group of this store."""
-        adopted = await adopted_generations(self._store, self.peers)
-        return may_change(self._store.group, adopted)
-
     async def _step(self) -> None:
         self._store.log.expire(RETENTION_S)
         self._store.adopted_group.persist()
@@ -149,54 +124,19 @@
         if self._store.log.identity.is_witness:
             await self._store.log.clear_witness()
             self._catch_up = CatchUp(self._store)
-        published = await self._read_published()
-        if published is not None and not self._store.is_member:
-            group = with_member(
-                published.table.group(self._store.group.shard),
-                self._store.name,
-                self._member,
-            )
-            await self._publish_change(published, group)
+        await self.changes.join(self._member)
 
     async def _remove_dead_member(self) -> None:
         group = self._store.group
         reachable = {peer.name for peer in self.peers.connected()}
         name = removable_member(
             group,
-            self._losses.update(self.peers),
+            self._unreachable.update(self.peers),
+            self.losses.statuses.witnesses,
             removal_delay_s(self._store.name, reachable),
         )
-        if name is None or not self._store.is_member:
-            return
-        published = await self._read_published()
-        if published is not None and published.table.group_of(name) == group:
-            changed = without_member(group, name, lowers_target=False)
-            await self._publish_change(published, changed)
-
-    async def _publish_change(
-        self, published: PublishedTable, group: Group
-    ) -> None:
-        """Publishes the next group if a majority has adopted the last one."""
-        last = published.table.group(group.shard)
-        adopted = await adopted_generations(self._store, self.peers)
-        if not may_change(last, adopted):
-            return
-        if await self._objects.replace(published, group):
-            log.info(
-                'records: group changed',
-                generation=group.generation,
-                shard=group.shard,
-                members=sorted(group.members),
-            )
-            told = set(self.peers.all())
-            self.adopt_group(group)
-            await announce(group, told.union(self.peers.all()))
-
-    async def _read_published(self) -> PublishedTable | None:
-        published = await self._objects.read()
-        if published is not None:
-            self.adopt_table(published.table)
-        return published
+        if name is not None and self._store.is_member:
+            await self.changes.remove(name, group)
 
     def _has_shard(self) -> bool:
         """Whether this store is in its shard or keeps records of it."""
@@ -218,23 +158,3 @@
                 'records: group management step failed', error=repr(exc)
             )
         await asyncio.sleep(STEP_INTERVAL_S)
-
-
-async def adopted_generations(
-    store: RecordStore, peers: GroupPeers
-) -> dict[str, int]:
-    """Returns the generation on disk of each member that answers."""
-    statuses = await ask_members(store, peers)
-    adopted = {
-        name: status.durable_generation for name, status in statuses.items()
-    }
-    adopted[store.name] = store.adopted_group.durable_generation
-    return adopted
-
-
-async def announce(group: Group, links: Iterable[Link]) -> None:
-    """Sends a changed group to its old and new members, as far as possible."""
-    await asyncio.gather(
-        *(link.call(Announce(group), ASK_TIMEOUT_S) for link in links),
-        return_exceptions=True,
-    )
--- a/cactusledge/records/member_statuses.py
+++ b/cactusledge/records/member_statuses.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 
+from cactusledge.records.entries import Group
+from cactusledge.records.membership import may_change
 from cactusledge.records.messages import Ask, Status
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.store import RecordStore
@@ -23,6 +26,27 @@
     return {reply.name: reply for reply in replies if isinstance(reply, Status)}
 
 
+def is_established(
+    store: RecordStore, group: Group, statuses: Mapping[str, Status]
+) -> bool:
+    """Returns whether a majority is known to have had a group on disk.
+
+    Known to this store, or to a member that replied.
+    """
+    adopted = {
+        name: status.durable_generation for name, status in statuses.items()
+    }
+    adopted[store.name] = store.adopted_group.durable_generation
+    if may_change(group, adopted):
+        return True
+    known = [store.adopted_group.established_generation] + [
+        status.established_generation
+        for status in statuses.values()
+        if status.group.shard == group.shard
+    ]
+    return max(known) >= group.generation
+
+
 class MemberStatuses:
     """The last known status of each other member in reach.
 
@@ -61,6 +85,10 @@
         self._asked_for = wanted
         self._asked_s = time.monotonic()
         self._known = await ask_members(self._store, self._peers)
+        group = self._store.group
+        if is_established(self._store, group, self._known):
+            adopted = self._store.adopted_group
+            adopted.established_generation = group.generation
 
     def _is_complete(self) -> bool:
         """Whether each member in reach has caught up with the group."""
--- a/cactusledge/records/membership.py
+++ b/cactusledge/records/membership.py
@@ -3,6 +3,9 @@
 One member is added or removed at a time, and the next change waits until a
 majority has adopted the last one. Any two groups in use at the same time
 therefore differ in one member, and their majorities intersect.
+
+A dead member is removed once its successor has joined, or if the living ones
+are exactly half and go on without it.
 """
 
 from collections.abc import Collection, Mapping
@@ -18,21 +21,28 @@
 
 def first_group(members: Mapping[str, Member], copies: int) -> Group:
     """Returns the group formed at the first start of the system."""
-    return Group(1, dict(members), len(members), copies)
+    return Group(1, dict(members), len(members), copies, survives_half=True)
 
 
 def with_member(group: Group, name: str, member: Member) -> Group:
-    """Returns the next group, with a member added or its address changed."""
-    members = {**group.members, name: member}
+    """Returns the next group, with a member added or its address changed.
+
+    An added member has read all records before it counts.
+    """
+    is_added = name not in group.members
     return msgspec.structs.replace(
-        group, generation=group.generation + 1, members=members
+        group,
+        generation=group.generation + 1,
+        members={**group.members, name: member},
+        survives_half=is_added or group.survives_half,
     )
 
 
-def without_member(group: Group, name: str, *, lowers_target: bool) -> Group:
+def without_member(group: Group, name: str, *, is_drained: bool) -> Group:
     """Returns the next group without a member.
 
-    With `lowers_target` the target size is at most the new size.
+    A drained member is not to be replaced: the target size is then at most the
+    new size.
     """
     members = {
         other: member
@@ -40,13 +50,14 @@
         if other != name
     }
     target = group.target_size
-    if lowers_target:
+    if is_drained:
         target = min(target, len(members))
     return msgspec.structs.replace(
         group,
         generation=group.generation + 1,
         members=members,
         target_size=target,
+        survives_half=False,
     )
 
 
@@ -81,31 +92,44 @@
 def removable_member(
     group: Group,
     unreachable_s: Mapping[str, float],
+    witnesses: Collection[str],
     dead_after_s: float,
 ) -> str | None:
     """Returns the dead member to remove, None if there is none.
 
-    Members are only removed while the group is above its target size, that is
-    after a replacement has joined. The living members must be a majority.
+    That is one of a group above its target size, in which a successor has
+    joined, or of one whose living members are exactly half.
 
     Args:
         group: The group as published at the platform.
         unreachable_s: The seconds for which members have been unreachable.
+        witnesses: The members in reach whose logs are complete.
         dead_after_s: For so long an unreachable member is not taken for dead.
     """
-    if len(group.members) <= group.target_size:
-        return None
     dead = [
         name
         for name in group.members
         if unreachable_s.get(name, 0) >= dead_after_s
     ]
-    alive = len(group.members) - len(dead)
-    if not dead or alive < majority(len(group.members)):
+    complete = len(set(witnesses).difference(dead))
+    if not dead or complete < fewest_to_go_on(group):
+        return None
+    size = len(group.members)
+    is_replaced = size > group.target_size
+    if not is_replaced and size - len(dead) >= majority(size):
         return None
     return max(dead, key=lambda name: unreachable_s[name])
 
 
+def fewest_to_go_on(group: Group) -> int:
+    """Returns how many complete logs are needed to remove a dead member.
+
+    They have every record and are a majority of the group without it.
+    """
+    size = len(group.members)
+    return majority(size - 1) if group.survives_half else majority(size)
+
+
 def removal_delay_s(name: str, reachable: Collection[str]) -> float:
     """Returns how long a store waits before it removes a dead member.
 
@@ -137,6 +161,7 @@
         int(str(document['copies'])),
         int(str(document.get('shard', 0))),
         int(str(document.get('shards', 1))),
+        survives_half=document.get('survives_half') is True,
     )
 
 
@@ -152,4 +177,5 @@
         'copies': group.copies,
         'shard': group.shard,
         'shards': group.shards,
+        'survives_half': group.survives_half,
     }
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -130,6 +130,8 @@
     durable_generation: int = 0  # of the group on its disk
     # The groups of all shards, as far as this store knows them.
     groups: list[Group] = msgspec.field(default_factory=list)
+    # Generation that a majority is known to have on disk, of its own shard.
+    established_generation: int = 0
 
 
 class Ping(Message, frozen=True):
--- a/cactusledge/records/shards.py
+++ b/cactusledge/records/shards.py
@@ -11,6 +11,8 @@
 from operator import attrgetter
 from typing import NamedTuple
 
+import msgspec
+
 from cactusledge.records.entries import Group, Member
 from cactusledge.records.holders import rank
 from cactusledge.records.membership import (
@@ -98,7 +100,10 @@
     groups: list[Group] = []
     for shard in range(shards):
         chosen = {name: members[name] for name in ordered[shard::shards]}
-        groups.append(Group(1, chosen, len(chosen), copies, shard, shards))
+        group = first_group(chosen, copies)
+        groups.append(
+            msgspec.structs.replace(group, shard=shard, shards=shards)
+        )
     return tuple(groups)
 
 
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -149,6 +149,7 @@
             log_id=self.log.identity.log_id,
             durable_generation=self.adopted_group.durable_generation,
             groups=list(newer_groups(self.known_groups, (self.group,))),
+            established_generation=self.adopted_group.established_generation,
         )
 
     async def _grant(self, ask: AskGrant) -> messages.Body:
--- a/tests/test_records_group_finder.py
+++ b/tests/test_records_group_finder.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
@@ -30,6 +31,7 @@
 
     def __init__(self):
         self.adopted = set()
+        self.peers = SimpleNamespace(connected=tuple)
 
     @property
     def knows_all_groups(self):
