Count what a joining store has read only once it is sent what is new

What callers could see: 404 for a turn that had been answered whole, from any gateway, after a store had been added or replaced.

Cause: a store that joins reads the logs of the others and then counts as complete. It read them also before it was a member (if another change came before its join), and when it was one but a majority did not know it yet: entries were still written to the members of before only. Class: a copy is taken for complete from before the writers know of it.

Now logs are read only from when a majority has adopted the group with the store, and anew after each join.

Before: test_store_that_joins_late_has_what_was_written_before lacked all 20 turns written meanwhile, and test_store_copies_logs_only_once_its_group_is_in_use found a complete log after 1.2 s; both fail on each time, and the store answers that such a turn does not exist.

--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -91,8 +91,7 @@
         if not self._store.is_member and not self.is_retiring:
             await self._join_group()
         if not self._store.log.identity.is_witness:
-            await self._catch_up.run(self.peers.all())
-            self._restorer.recheck()
+            await self._copy_logs()
         await self._restorer.run()
 
     async def _form_group(self) -> None:
@@ -123,9 +122,21 @@
         """
         if self._store.log.identity.is_witness:
             await self._store.log.clear_witness()
-            self._catch_up = CatchUp(self._store)
+        self._catch_up = CatchUp(self._store)
         await self.changes.join(self._member)
 
+    async def _copy_logs(self) -> None:
+        """Copies what this store lacks, from when it is sent what is new.
+
+        Until a majority has adopted the group, entries may still be written to
+        the members of the one before only.
+        """
+        if not self._store.is_member:
+            return
+        if await self.changes.is_established():
+            await self._catch_up.run(self.peers.all())
+            self._restorer.recheck()
+
     async def _remove_dead_member(self) -> None:
         group = self._store.group
         reachable = {peer.name for peer in self.peers.connected()}
--- a/tests/test_records_replacements.py
+++ b/tests/test_records_replacements.py
@@ -7,7 +7,13 @@
 from cactusledge.records.draining import StoreDrain
 from cactusledge.records.entries import Turn
 from cactusledge.records.group_finder import GroupFinder
-from cactusledge.records.group_objects import GroupObjects
+from cactusledge.records.group_manager import STEP_INTERVAL_S
+from cactusledge.records.group_objects import (
+    GROUP_KIND,
+    GROUP_NAME,
+    GroupObjects,
+)
+from cactusledge.records.messages import Announce
 from cactusledge.records.quorum import Verdict
 from tests.conftest import FakeStore
 from tests.records_support import cluster_of, turn_start, wait_until
@@ -18,6 +24,7 @@
 SUCCESSOR_AFTER_S = 2.0
 CATCH_UP_S = 4.6  # a new store counts as lost for so long after its start
 MANAGER = 'cactusledge.records.group_manager'
+FAILED_JOINS = 6
 FIRST_BY_NAME = 'store'  # of all stores, like a successor of the first one
 
 
@@ -161,3 +168,51 @@
         await wait_until(lambda: has_adopted(added, 'store-2', 'store-9'))
 
     run_scenario(3, scenario)
+
+
+# A store whose join took several tries counted its reads of before: it lacked
+# what was written meanwhile, and told callers that it did not exist.
+def test_store_that_joins_late_has_what_was_written_before(run_scenario):
+    async def scenario(cluster):
+        for _ in range(FAILED_JOINS):
+            cluster._objects.faults.append(lambda: touch_groups(cluster))
+        added = await cluster.add('store-9')
+        await asyncio.sleep(FAILED_JOINS * STEP_INTERVAL_S / 2)
+        assert not added.store.is_member
+        turn_ids = await record_turns(cluster)
+        await wait_until(lambda: added.is_witness)
+        assert set(turn_ids) <= added.store.log.state.turns.keys()
+
+    run_scenario(3, scenario)
+
+
+# Until a majority knew of the store that joined, entries were still written to
+# the members of before only; it had read their logs by then.
+def test_store_copies_logs_only_once_its_group_is_in_use(run_scenario):
+    async def scenario(cluster):
+        await record_turns(cluster)
+        late = [cluster.nodes[name] for name in ('store-0', 'store-1')]
+        for node in late:
+            node.pause()
+            node.on_request = refuse_announcement
+        added = await cluster.add('store-9')
+        await wait_until(lambda: added.store.is_member)
+        await asyncio.sleep(4 * STEP_INTERVAL_S)
+        assert not added.is_witness
+        for node in late:
+            node.group_manager.adopt_group(added.store.group)
+        await wait_until(lambda: added.is_witness)
+
+    run_scenario(3, scenario)
+
+
+def touch_groups(cluster):
+    """Writes the groups once more, so that the next change comes too late."""
+    published = cluster._objects.read(GROUP_KIND, GROUP_NAME)
+    cluster._objects.put(GROUP_KIND, GROUP_NAME, published.body)
+
+
+async def refuse_announcement(body):
+    """Closes the connection that brings a changed group."""
+    if isinstance(body, Announce):
+        raise ConnectionError('refused by the test')
