Let a successor join the group that has lost a store

Cause: a new store joined the group furthest below its size, and a lost member still counted until it was removed, which happens only once its group has got another one. So a successor usually joined another group; the one that had lost a store stayed short, and its texts got no further copy.

Now the members that do not reply to the new store do not count.

--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -12,6 +12,7 @@
 from cactusledge.records.group_changes import GroupChanges
 from cactusledge.records.group_objects import GroupObjects
 from cactusledge.records.losses import LossMonitor
+from cactusledge.records.member_statuses import unreachable_members
 from cactusledge.records.membership import removable_member, removal_delay_s
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.reachability import ConnectionLosses
@@ -55,6 +56,8 @@
         )
         self._is_registered = False
         self._unreachable = ConnectionLosses()
+        # Of any group, when this store last looked for one to join.
+        self._unreached: frozenset[str] = frozenset()
         self.changes = GroupChanges(
             store, objects, self.peers, self.adopt_table
         )
@@ -80,7 +83,10 @@
             self._store.known_groups = table.groups
             self._store.adopted_group.persist_table(table)
         kept = self._store.group if self._has_shard() else None
-        self.adopt_group(own_group(table, self._store.name, self._member, kept))
+        group = own_group(
+            table, self._store.name, self._member, kept, self._unreached
+        )
+        self.adopt_group(group)
 
     async def _step(self) -> None:
         self._store.log.expire(RETENTION_S)
@@ -123,6 +129,9 @@
         if self._store.log.identity.is_witness:
             await self._store.log.clear_witness()
         self._catch_up = CatchUp(self._store)
+        if not self._has_shard():
+            groups = self._store.known_groups
+            self._unreached = await unreachable_members(groups)
         await self.changes.join(self._member)
 
     async def _copy_logs(self) -> None:
--- a/cactusledge/records/member_statuses.py
+++ b/cactusledge/records/member_statuses.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from cactusledge.records.entries import Group
 from cactusledge.records.membership import may_change
 from cactusledge.records.messages import Ask, Status
-from cactusledge.records.peers import GroupPeers
+from cactusledge.records.peer import call_once
+from cactusledge.records.peers import GroupPeers, address_of
 from cactusledge.records.store import RecordStore
 
 ASK_TIMEOUT_S = 0.6
@@ -26,6 +27,27 @@
     return {reply.name: reply for reply in replies if isinstance(reply, Status)}
 
 
+async def unreachable_members(groups: Iterable[Group]) -> frozenset[str]:
+    """Returns the members of any group that do not reply."""
+    members = {
+        name: member
+        for group in groups
+        for name, member in group.members.items()
+    }
+    replies = await asyncio.gather(
+        *(
+            call_once(address_of(member), Ask(0), ASK_TIMEOUT_S)
+            for member in members.values()
+        ),
+        return_exceptions=True,
+    )
+    return frozenset(
+        name
+        for name, reply in zip(members, replies, strict=True)
+        if not isinstance(reply, Status)
+    )
+
+
 def is_established(
     store: RecordStore, group: Group, statuses: Mapping[str, Status]
 ) -> bool:
--- a/cactusledge/records/shards.py
+++ b/cactusledge/records/shards.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from operator import attrgetter
 from typing import NamedTuple
 
@@ -120,26 +120,39 @@
     return size - largest_loss >= majority(size)
 
 
-def shard_to_join(groups: Iterable[Group], member: Member) -> Group:
+def shard_to_join(
+    groups: Iterable[Group],
+    member: Member,
+    unreachable: Collection[str] = (),
+) -> Group:
     """Returns the group that needs a new member most.
 
     That is the one furthest below its target, then the one with the fewest
-    members in the data centre of the new one, then the smallest.
+    members in the data centre of the new one, then the smallest. Members that
+    are unreachable do not count.
     """
 
     def rank_of(group: Group) -> tuple[int, int, int, int]:  # noqa: WPS430
+        living = [
+            other
+            for name, other in group.members.items()
+            if name not in unreachable
+        ]
         neighbours = sum(
-            other.data_centre == member.data_centre
-            for other in group.members.values()
+            other.data_centre == member.data_centre for other in living
         )
-        size = len(group.members)
+        size = len(living)
         return size - group.target_size, neighbours, size, group.shard
 
     return min(groups, key=rank_of)
 
 
 def own_group(
-    table: ShardTable, instance: str, member: Member, kept: Group | None
+    table: ShardTable,
+    instance: str,
+    member: Member,
+    kept: Group | None,
+    unreachable: Collection[str] = (),
 ) -> Group:
     """Returns the group of a store's shard, or of the one that it should join.
 
@@ -149,13 +162,14 @@
         member: Its address and data centre.
         kept: The group of the shard that it keeps records of, if any. The
             store returns to that shard.
+        unreachable: Members of any group that the store does not reach.
     """
     found = table.group_of(instance)
     if found is not None:
         return found
     if kept is not None:
         return table.group(kept.shard)
-    return shard_to_join(table.groups, member)
+    return shard_to_join(table.groups, member, unreachable)
 
 
 def newer_groups(
--- a/tests/test_records_shard_cluster.py
+++ b/tests/test_records_shard_cluster.py
@@ -136,6 +136,22 @@
     run_scenario(scenario)
 
 
+# The successor of a lost store joined another shard, so the next losses of the
+# one that was short took the last copies of texts with them.
+@pytest.mark.parametrize('shard', range(SHARDS))
+def test_successor_joins_the_shard_that_lost_a_store(run_scenario, shard):
+    async def scenario(cluster):
+        await take_turns(cluster, 0)
+        lost = cluster.nodes_of(shard)[-1]
+        await cluster.nodes.pop(lost.name).kill()
+        added = await cluster.add('new')
+        await wait_until(lambda: added.is_witness)
+        assert added.store.group.shard == shard
+        await wait_until(lambda: len(added.store.group.members) == 4)
+
+    run_scenario(scenario)
+
+
 def test_shard_without_a_quorum_stops_only_its_own_programs(run_scenario):
     async def scenario(cluster):
         await take_turns(cluster, 0)
--- a/tests/test_records_shards.py
+++ b/tests/test_records_shards.py
@@ -123,6 +123,16 @@
     assert joined.shard == changed.shard
 
 
+# The successor of a lost store joined another group: the one that had lost it
+# stayed short, and its texts got no further copy.
+def test_store_joins_the_shard_whose_member_is_unreachable():
+    table = form_table(stores(24, 6), COPIES)
+    for group in table.groups:
+        lost = min(group.members)
+        joined = shard_to_join(table.groups, group.members[lost], {lost})
+        assert joined.shard == group.shard
+
+
 def test_added_stores_are_spread_over_the_shards():
     table = form_table(stores(24, 6), COPIES)
     for index in range(4):
