Let the next store form the groups if the first one does not

Cause: only the first registered store by name formed the groups. Now the next one does a second later if there is none; the platform's conditional creation decides.

--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -22,6 +22,7 @@
 from cactusledge.records.text_restorer import TextRestorer
 
 FORMATION_DELAY_S = 2.0  # lets the other stores of a first start register
+FORMATION_TURN_S = 1.0  # between those that may form it, in the order of names
 STEP_INTERVAL_S = 0.3
 
 log = structlog.get_logger('records')
@@ -103,18 +104,20 @@
     async def _form_group(self) -> None:
         """Forms the first groups at the first start of the whole system.
 
-        Every store registers; the first one by name publishes the groups. The
-        others learn of them by their watch.
+        Every store registers; the first one by name publishes the groups, or
+        the next ones if it does not. The others learn of them by their watch.
         """
         if not self._is_first_start:
             return
         if not self._is_registered:
             await self._objects.register(self._store.name, self._member)
             self._is_registered = True
-        if time.monotonic() - self._started_s < FORMATION_DELAY_S:
+        waited_s = time.monotonic() - self._started_s - FORMATION_DELAY_S
+        if waited_s < 0:
             return
         members = await self._objects.registered()
-        if self._store.name != min(members, default=''):
+        before = sum(name < self._store.name for name in members)
+        if waited_s < before * FORMATION_TURN_S:
             return
         table = form_table(members, self._copies)
         if await self._objects.create(table):
--- a/tests/test_records_replacements.py
+++ b/tests/test_records_replacements.py
@@ -1,6 +1,7 @@
 """Changes of a group of stores after losses, one after the other."""
 
 import asyncio
+from contextlib import AsyncExitStack
 
 import pytest
 
@@ -11,12 +12,13 @@
 from cactusledge.records.group_objects import (
     GROUP_KIND,
     GROUP_NAME,
+    STORE_KIND,
     GroupObjects,
 )
 from cactusledge.records.messages import Announce
 from cactusledge.records.quorum import Verdict
 from tests.conftest import FakeStore
-from tests.records_support import cluster_of, turn_start, wait_until
+from tests.records_support import Cluster, cluster_of, turn_start, wait_until
 
 pytestmark = pytest.mark.process
 
@@ -170,6 +172,27 @@
     run_scenario(3, scenario)
 
 
+# The store that was first by name was lost at the first start, after it had
+# registered: no group was ever formed.
+def test_stores_form_a_group_though_the_first_of_them_is_lost(tmp_path, store):
+    async def main():
+        async with AsyncExitStack() as stack:
+            cluster = Cluster(tmp_path, store)
+            stack.push_async_callback(cluster.stop)
+            for index in range(3):
+                await cluster.add(f'store-{index}', is_first_start=True)
+            await wait_until(lambda: len(registered(store)) == 3)
+            await lose(cluster, 'store-0')
+            await wait_until(lambda: cluster.member_count() == 2)
+
+    asyncio.run(main())
+
+
+def registered(objects):
+    """Returns the names of the stores that have registered."""
+    return [name for kind, name in objects.objects if kind == STORE_KIND]
+
+
 # A store whose join took several tries counted its reads of before: it lacked
 # what was written meanwhile, and told callers that it did not exist.
 def test_store_that_joins_late_has_what_was_written_before(run_scenario):
