Tests: share the cluster of stores, and lose stores when they say so

Three modules had the same two fixtures; they are in conftest.py now. A series of losses can wait until all stores say that another loss is borne (--rest-s -1), and is part of make soak. No product code.

--- a/Makefile
+++ b/Makefile
@@ -15,10 +15,11 @@
 	$(PY) -m pytest -n 6 --dist worksteal $(KNOWN_RED)
 
 # Random faults on the record stores in one process, then on the real programs
-# in processes of their own; takes some minutes.
+# in processes of their own, then stores lost in turn; takes some minutes.
 soak: $(STAMP)
 	$(PY) -m tests.soak --seeds 50
 	$(PY) -m tests.soak_processes --seeds 3 --minutes 2 --processes 12
+	$(PY) -m tests.store_losses --losses 8 --senders 4 --places 0,-1
 
 demo: $(STAMP)
 	$(PY) -m examples.demo
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,7 @@
     StoreUnavailableError,
 )
 from cactusledge.status import ExitStatus
+from tests.records_support import cluster_of
 
 pytest_plugins = ('tests.api_support',)
 
@@ -197,3 +198,27 @@
         path = folder / f'{name}.cactusledge.yaml'
         path.write_text(text, encoding='utf-8')
     return folder
+
+
+@pytest.fixture
+def short_formation_delay(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lets a first start of stores form their group early."""
+    monkeypatch.setattr(
+        'cactusledge.records.group_manager.FORMATION_DELAY_S', 0.5
+    )
+
+
+@pytest.fixture
+def run_scenario(
+    tmp_path: Path, store: FakeStore, short_formation_delay: None
+) -> Callable[..., None]:
+    """Returns a function that runs a scenario in a cluster of a given size."""
+
+    def run(size: int, scenario: Callable[[Any], Any]) -> None:
+        async def run_in_cluster() -> None:
+            async with cluster_of(size, tmp_path, store) as cluster:
+                await scenario(cluster)
+
+        asyncio.run(run_in_cluster())
+
+    return run
--- a/tests/store_losses.py
+++ b/tests/store_losses.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 import typer
+import urllib3
 
 from tests.soak_processes import documents
 from tests.soak_processes.exchange import Ask, Channel, Seen, exchange
@@ -26,6 +27,8 @@
 SETTLED_S = 4.0  # after the last change
 TRIES = 6
 TRY_PAUSE_S = 0.5
+GAUGE_INTERVAL_S = 1.5  # after which the stores' metrics are up to date
+LONGEST_WAIT_S = 30.0  # until another loss is borne
 MOST_CONTINUED = 400
 OK = 200
 
@@ -35,7 +38,9 @@
 
     stores: int
     losses: int
-    rest_s: float = CATCH_UP_S  # after the start of each successor
+    # After the start of each successor; below 0, until all stores say that
+    # another loss is borne.
+    rest_s: float = CATCH_UP_S
     senders: int = 1
     body_bytes: int = 0  # of each turn's input
     is_stopped: bool = False  # by SIGTERM, not SIGKILL
@@ -115,13 +120,43 @@
         successor.is_first_start = False
         await self._fleet.start(successor)
         self._note(f'{successor.name} is started')
-        await asyncio.sleep(rest_s)
+        if rest_s < 0:
+            await self._until_borne()
+        await asyncio.sleep(max(0, rest_s))
+
+    async def _until_borne(self):
+        """Waits until all stores say that they bear another loss."""
+        async with asyncio.timeout(LONGEST_WAIT_S):
+            await asyncio.sleep(GAUGE_INTERVAL_S)
+            while not await self._is_borne():
+                await asyncio.sleep(TRY_PAUSE_S)
+        self._note('another loss is borne')
+
+    async def _is_borne(self):
+        stores = self._fleet.of_role('store')
+        told = await asyncio.gather(
+            *(asyncio.to_thread(losses_borne, store) for store in stores)
+        )
+        return min(told) > 0
 
     def _note(self, text):
         now_s = asyncio.get_running_loop().time()
         self.notes.append(f'{now_s - self._began_s:7.2f} {text}')
 
 
+def losses_borne(store):
+    """Returns how many further losses a store says that its group bears."""
+    url = f'http://{store.ip}:{documents.METRICS_PORT}/metrics'
+    try:
+        text = urllib3.request('GET', url, timeout=1, retries=False).data
+    except urllib3.exceptions.HTTPError:
+        return 0
+    for line in text.decode().splitlines():
+        if line.startswith('cactusledge_records_losses_borne{'):
+            return float(line.rpartition(' ')[2])
+    return 0
+
+
 async def send(front, ask):
     """Sends a request on a new connection; returns what was seen."""
     try:
--- a/tests/test_records_cluster.py
+++ b/tests/test_records_cluster.py
@@ -4,34 +4,14 @@
 
 import pytest
 
-from cactusledge.records import group_manager
 from cactusledge.records.draining import StoreDrain
 from cactusledge.records.entries import Turn
 from cactusledge.records.quorum import Verdict
-from tests.records_support import cluster_of, turn_start, wait_until
+from tests.records_support import turn_start, wait_until
 
 pytestmark = pytest.mark.process
 
 
-@pytest.fixture(autouse=True)
-def _short_formation_delay(monkeypatch):
-    monkeypatch.setattr(group_manager, 'FORMATION_DELAY_S', 0.5)
-
-
-@pytest.fixture
-def run_scenario(tmp_path, store):
-    """Returns a function that runs a scenario in a cluster of a given size."""
-
-    def run(size, scenario):
-        async def run_in_cluster():
-            async with cluster_of(size, tmp_path, store) as cluster:
-                await scenario(cluster)
-
-        asyncio.run(run_in_cluster())
-
-    return run
-
-
 def turn(turn_id, parent_id='', tokens=10):
     return Turn(turn_id, parent_id, 'p', b'in', b'out', tokens, 'engine-1', ())
 
--- a/tests/test_records_replacements.py
+++ b/tests/test_records_replacements.py
@@ -18,7 +18,7 @@
 from cactusledge.records.messages import Announce
 from cactusledge.records.quorum import Verdict
 from tests.conftest import FakeStore
-from tests.records_support import Cluster, cluster_of, turn_start, wait_until
+from tests.records_support import Cluster, turn_start, wait_until
 
 pytestmark = pytest.mark.process
 
@@ -30,25 +30,6 @@
 FIRST_BY_NAME = 'store'  # of all stores, like a successor of the first one
 
 
-@pytest.fixture(autouse=True)
-def _short_formation_delay(monkeypatch):
-    monkeypatch.setattr(f'{MANAGER}.FORMATION_DELAY_S', 0.5)
-
-
-@pytest.fixture
-def run_scenario(tmp_path, store):
-    """Returns a function that runs a scenario in a cluster of a given size."""
-
-    def run(size, scenario):
-        async def run_in_cluster():
-            async with cluster_of(size, tmp_path, store) as cluster:
-                await scenario(cluster)
-
-        asyncio.run(run_in_cluster())
-
-    return run
-
-
 async def record_turns(cluster):
     """Records turns; returns their ids."""
     turn_ids = [f't{index}' for index in range(TURNS)]
@@ -174,6 +155,7 @@
 
 # The store that was first by name was lost at the first start, after it had
 # registered: no group was ever formed.
+@pytest.mark.usefixtures('short_formation_delay')
 def test_stores_form_a_group_though_the_first_of_them_is_lost(tmp_path, store):
     async def main():
         async with AsyncExitStack() as stack:
--- a/tests/test_records_slow_stores.py
+++ b/tests/test_records_slow_stores.py
@@ -4,10 +4,8 @@
 
 import pytest
 
-from cactusledge.records import group_manager
 from cactusledge.records.entries import Turn
 from cactusledge.records.messages import Append
-from tests.records_support import cluster_of
 
 pytestmark = pytest.mark.process
 
@@ -16,25 +14,6 @@
 ROUNDS_WITH_TEXT = 2
 
 
-@pytest.fixture(autouse=True)
-def _short_formation_delay(monkeypatch):
-    monkeypatch.setattr(group_manager, 'FORMATION_DELAY_S', 0.5)
-
-
-@pytest.fixture
-def run_scenario(tmp_path, store):
-    """Returns a function that runs a scenario in a cluster of a given size."""
-
-    def run(size, scenario):
-        async def run_in_cluster():
-            async with cluster_of(size, tmp_path, store) as cluster:
-                await scenario(cluster)
-
-        asyncio.run(run_in_cluster())
-
-    return run
-
-
 def turn(turn_id):
     return Turn(turn_id, '', 'p', b'in', b'out', 10, 'engine-1', ())
 
