Bound the texts in one message between stores in bytes

Cause: a store that lacks texts asks for 40 turns at a time and got all in one reply; one over 16 MiB makes the reader close the connection, and it asks for the same again, for good. A drained store sends 200 entries with their texts in one message, with the same end: it was never drained.

Now a store replies with the first texts that fit in 4 MiB and is asked again for the others, and a drained store cuts its messages there too. A reply of an older build is read as before.

--- a/cactusledge/records/draining.py
+++ b/cactusledge/records/draining.py
@@ -6,9 +6,11 @@
 
 from cactusledge.errors import StoreError
 from cactusledge.records.entries import Entry, Group, Turn
+from cactusledge.records.entry_index import LogPart
 from cactusledge.records.group_manager import GroupManager
 from cactusledge.records.holders import text_holders
 from cactusledge.records.membership import without_member
+from cactusledge.records.message_texts import first_that_fit
 from cactusledge.records.messages import Append, Appended
 from cactusledge.records.quorum import majority
 from cactusledge.records.store import RecordStore
@@ -77,12 +79,32 @@
             self._pushed_entries = 0
         head = self._store.log.head
         while self._pushed_entries < head:
-            part = self._store.log.pull(self._pushed_entries, PUSH_ENTRIES)
+            part = self._next_part()
             if not await self._is_accepted(part.entries):
                 return False
             self._pushed_entries = part.end
         return True
 
+    def _next_part(self) -> LogPart:
+        """Returns the next entries whose texts fit in a message."""
+        log_part = self._store.log.pull(self._pushed_entries, PUSH_ENTRIES)
+        turns = self._store.log.state.turns
+        known = [
+            turns[entry.turn_id]
+            for entry in log_part.entries
+            if isinstance(entry, Turn) and entry.turn_id in turns
+        ]
+        fitting = first_that_fit(known)
+        if len(fitting) == len(known):
+            return log_part
+        following = known[len(fitting)].turn_id
+        count = next(
+            number
+            for number, entry in enumerate(log_part.entries)
+            if isinstance(entry, Turn) and entry.turn_id == following
+        )
+        return self._store.log.pull(self._pushed_entries, count)
+
     async def _is_accepted(self, entries: list[Entry]) -> bool:
         """Returns whether all reachable stores, and a majority, accepted."""
         next_group = without_member(
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -75,7 +75,10 @@
 
 
 class Fetched(Message, frozen=True):
-    """Those of the requested turns whose text this store has."""
+    """Those of the requested turns whose text this store has.
+
+    The first ones that fit in a message; the others have to be asked for again.
+    """
 
     turns: list[Turn]
     # Those of the offered turns whose text this store lacks; it has all the
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -17,6 +17,7 @@
 from cactusledge.records.log import RecordLog
 from cactusledge.records.log_readers import LogReaders
 from cactusledge.records.membership import is_for
+from cactusledge.records.message_texts import first_that_fit
 from cactusledge.records.offered_texts import OfferedTexts
 from cactusledge.records.quota_messages import AskQuota
 from cactusledge.records.shards import newer_groups
@@ -112,14 +113,14 @@
 
     async def _fetch(self, request: messages.Fetch) -> messages.Body:
         turns = self.log.state.turns
-        found = [
+        found = (
             turns[turn_id] for turn_id in request.turn_ids if turn_id in turns
-        ]
+        )
         lacking = self.offered_texts.note(request.offered)
         if request.offered:
             await self.log.flush()
         return messages.Fetched(
-            [turn for turn in found if turn.has_text],
+            first_that_fit(turn for turn in found if turn.has_text),
             lacking,
             self.log.identity.log_id,
         )
--- a/cactusledge/records/text_restorer.py
+++ b/cactusledge/records/text_restorer.py
@@ -4,8 +4,9 @@
 
 import structlog
 
-from cactusledge.records.entries import Group
+from cactusledge.records.entries import Group, Turn
 from cactusledge.records.holders import text_holders
+from cactusledge.records.links import Link
 from cactusledge.records.messages import Fetch, Fetched
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.store import RecordStore
@@ -66,23 +67,36 @@
 
     async def _fetch(self, turn_ids: list[str]) -> None:
         """Asks the peers in turn, so that each text is transferred once."""
-        wanted = list(turn_ids)
+        wanted = turn_ids
         for peer in self._peers.nearest_first():
             if not wanted or not peer.is_connected:
                 return
-            group = self._store.group
-            request = Fetch(group.generation, wanted, group.shard)
-            try:
-                reply = await peer.call(request, FETCH_TIMEOUT_S)
-            except (ConnectionError, TimeoutError) as exc:
-                log.info(
-                    'records: fetching texts failed',
-                    source=peer.name,
-                    error=repr(exc),
-                )
-                continue
-            if isinstance(reply, Fetched):
-                await self._store.log.append(reply.turns)
-                found = {turn.turn_id for turn in reply.turns}
-                wanted = [key for key in wanted if key not in found]
+            wanted = await self._fetch_from(peer, wanted)
+
+    async def _fetch_from(self, peer: Link, turn_ids: list[str]) -> list[str]:
+        """Asks a peer until it has no more; returns the turns still wanted."""
+        wanted = turn_ids
+        while wanted:
+            turns = await self._ask(peer, wanted)
+            if not turns:
+                break
+            await self._store.log.append(turns)
+            found = {turn.turn_id for turn in turns}
+            wanted = [key for key in wanted if key not in found]
             await asyncio.sleep(0)
+        return wanted
+
+    async def _ask(self, peer: Link, turn_ids: list[str]) -> list[Turn]:
+        """Returns the turns that a peer sends, none if it does not reply."""
+        group = self._store.group
+        request = Fetch(group.generation, turn_ids, group.shard)
+        try:
+            reply = await peer.call(request, FETCH_TIMEOUT_S)
+        except (ConnectionError, TimeoutError) as exc:
+            log.info(
+                'records: fetching texts failed',
+                source=peer.name,
+                error=repr(exc),
+            )
+            return []
+        return reply.turns if isinstance(reply, Fetched) else []
