Cut a drained store's messages by position, not by a turn's id

If a log held a turn twice, the search for where to cut could find the first of them and never go on. The new code is shorter, too.

--- a/cactusledge/records/draining.py
+++ b/cactusledge/records/draining.py
@@ -10,7 +10,7 @@
 from cactusledge.records.group_manager import GroupManager
 from cactusledge.records.holders import text_holders
 from cactusledge.records.membership import without_member
-from cactusledge.records.message_texts import first_that_fit
+from cactusledge.records.message_texts import count_that_fit, text_bytes
 from cactusledge.records.messages import Append, Appended
 from cactusledge.records.quorum import majority
 from cactusledge.records.store import RecordStore
@@ -87,23 +87,17 @@
 
     def _next_part(self) -> LogPart:
         """Returns the next entries whose texts fit in a message."""
-        log_part = self._store.log.pull(self._pushed_entries, PUSH_ENTRIES)
-        turns = self._store.log.state.turns
-        known = [
-            turns[entry.turn_id]
-            for entry in log_part.entries
-            if isinstance(entry, Turn) and entry.turn_id in turns
-        ]
-        fitting = first_that_fit(known)
-        if len(fitting) == len(known):
-            return log_part
-        following = known[len(fitting)].turn_id
-        count = next(
-            number
-            for number, entry in enumerate(log_part.entries)
-            if isinstance(entry, Turn) and entry.turn_id == following
-        )
-        return self._store.log.pull(self._pushed_entries, count)
+        position = self._pushed_entries
+        entries = self._store.log.pull(position, PUSH_ENTRIES).entries
+        count = count_that_fit([self._text_bytes(entry) for entry in entries])
+        return self._store.log.pull(position, count)
+
+    def _text_bytes(self, entry: Entry) -> int:
+        """Returns the size of an entry's text, 0 if it has none."""
+        turn = self._store.log.state.turns.get(entry.turn_id)
+        if turn is None or not isinstance(entry, Turn):
+            return 0
+        return text_bytes(turn)
 
     async def _is_accepted(self, entries: list[Entry]) -> bool:
         """Returns whether all reachable stores, and a majority, accepted."""
--- a/cactusledge/records/message_texts.py
+++ b/cactusledge/records/message_texts.py
@@ -1,6 +1,7 @@
 """Bounds the texts of turns in one message between stores; pure functions."""
 
-from collections.abc import Iterable
+import itertools
+from collections.abc import Sequence
 
 from cactusledge.records.entries import Turn
 
@@ -12,13 +13,13 @@
     return len(turn.request) + len(turn.response)
 
 
-def first_that_fit(turns: Iterable[Turn]) -> list[Turn]:
+def count_that_fit(sizes: Sequence[int]) -> int:
+    """Returns how many of the first texts fit in one message, one at least."""
+    totals = itertools.accumulate(sizes)
+    fitting = sum(total <= MESSAGE_BYTES for total in totals)
+    return max(fitting, min(1, len(sizes)))
+
+
+def first_that_fit(turns: Sequence[Turn]) -> Sequence[Turn]:
     """Returns the first turns whose texts fit in one message, one at least."""
-    chosen: list[Turn] = []
-    left = MESSAGE_BYTES
-    for turn in turns:
-        left -= text_bytes(turn)
-        if chosen and left < 0:
-            break
-        chosen.append(turn)
-    return chosen
+    return turns[: count_that_fit([text_bytes(turn) for turn in turns])]
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -113,14 +113,14 @@
 
     async def _fetch(self, request: messages.Fetch) -> messages.Body:
         turns = self.log.state.turns
-        found = (
+        found = [
             turns[turn_id] for turn_id in request.turn_ids if turn_id in turns
-        )
+        ]
         lacking = self.offered_texts.note(request.offered)
         if request.offered:
             await self.log.flush()
         return messages.Fetched(
-            first_that_fit(turn for turn in found if turn.has_text),
+            list(first_that_fit([turn for turn in found if turn.has_text])),
             lacking,
             self.log.identity.log_id,
         )
