--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -56,9 +56,9 @@
             store, self.peers, self.text_offers.is_complete
         )
         self._is_registered = False
-        self._unreachable = ConnectionLosses()
+        self._connection_losses = ConnectionLosses()
         # Of any group, when this store last looked for one to join.
-        self._unreached: frozenset[str] = frozenset()
+        self._unreachable: frozenset[str] = frozenset()
         self.changes = GroupChanges(
             store, objects, self.peers, self.adopt_table
         )
@@ -85,7 +85,7 @@
             self._store.adopted_group.persist_table(table)
         kept = self._store.group if self._has_shard() else None
         group = own_group(
-            table, self._store.name, self._member, kept, self._unreached
+            table, self._store.name, self._member, kept, self._unreachable
         )
         self.adopt_group(group)
 
@@ -134,7 +134,7 @@
         self._catch_up = CatchUp(self._store)
         if not self._has_shard():
             groups = self._store.known_groups
-            self._unreached = await unreachable_members(groups)
+            self._unreachable = await unreachable_members(groups)
         await self.changes.join(self._member)
 
     async def _copy_logs(self) -> None:
@@ -154,7 +154,7 @@
         reachable = {peer.name for peer in self.peers.connected()}
         name = removable_member(
             group,
-            self._unreachable.update(self.peers),
+            self._connection_losses.update(self.peers),
             self.losses.statuses.witnesses,
             removal_delay_s(self._store.name, reachable),
         )
