Let a store join only a group that has a majority in reach

Cause, from the stores' new lines: the successor came 1.9 s after it was seen that one of the two stores was lost, 0.1 s before that one was to be removed. It joined beside it; of three members two logs have to be read, and one was left. A join had needed a majority that answers; since a group may be known as adopted without one, it did not any more.

Before: test_successor_waits_until_the_half_that_is_left_goes_on timed out on the commit before. The model of changes takes the rule over.

--- a/cactusledge/records/group_changes.py
+++ b/cactusledge/records/group_changes.py
@@ -17,6 +17,7 @@
 from cactusledge.records.membership import with_member, without_member
 from cactusledge.records.messages import Announce
 from cactusledge.records.peers import GroupPeers
+from cactusledge.records.quorum import is_quorum
 from cactusledge.records.shards import ShardTable
 from cactusledge.records.store import RecordStore
 
@@ -55,13 +56,19 @@
         return await self._is_established(self._store.group)
 
     async def join(self, member: Member) -> None:
-        """Adds the store to the group of its shard, if it is no member."""
+        """Adds the store to the group of its shard, if it is no member.
+
+        A group without a majority in reach has to remove a dead member first:
+        the store could not read enough logs in a larger one.
+        """
         published = await self.read()
         if published is None or self._store.is_member:
             return
         last = published.table.group(self._store.group.shard)
-        changed = with_member(last, self._store.name, member)
-        await self._publish(published, changed)
+        replied = await ask_members(self._store, self._peers)
+        if is_quorum(len(replied.keys() & last.members.keys()), last):
+            changed = with_member(last, self._store.name, member)
+            await self._publish(published, changed)
 
     async def leave(self) -> None:
         """Removes the store from its group, not to be replaced."""
--- a/tests/test_records_group_changes_model.py
+++ b/tests/test_records_group_changes_model.py
@@ -193,7 +193,8 @@
     """Yields the changes that production code may publish."""
     used = {name for change, name in state.history if change == ADD}
     fresh = [name for name in ADDED if name not in used]
-    yield from ((ADD, name) for name in fresh[:1])
+    if len(alive) >= majority(len(group.members)):
+        yield from ((ADD, name) for name in fresh[:1])
     has_drained = any(change == LEAVE for change, _ in state.history)
     if not has_drained and not state.wiped:
         yield from ((LEAVE, name) for name in alive & state.witnesses)
--- a/tests/test_records_replacements.py
+++ b/tests/test_records_replacements.py
@@ -153,6 +153,23 @@
     run_scenario(3, scenario)
 
 
+# A successor that came before the dead member was removed joined beside it, and
+# could never read enough logs.
+def test_successor_waits_until_the_half_that_is_left_goes_on(run_scenario):
+    async def scenario(cluster):
+        turn_ids = await record_turns(cluster)
+        drained = cluster.nodes['store-0']
+        await StoreDrain(drained.store, drained.group_manager).run()
+        await lose(cluster, 'store-0')
+        await asyncio.sleep(0.5)
+        await lose(cluster, 'store-1')
+        added = await cluster.add('store-9')
+        await until_served(cluster, turn_ids[0])
+        await wait_until(lambda: has_adopted(added, 'store-2', 'store-9'))
+
+    run_scenario(3, scenario)
+
+
 # The store that was first by name was lost at the first start, after it had
 # registered: no group was ever formed.
 @pytest.mark.usefixtures('short_formation_delay')
