Copy logs as soon as the group with a joining store is in use

Since it waits until a majority has the group on disk; it asked once, at once, and then after 0.3 s. Of four members with one dead and one that has not caught up two complete logs are left, and three are needed. Now it asks every 0.02 s.

Before: test_store_copies_logs_as_soon_as_its_group_is_in_use timed out.

--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -24,6 +24,9 @@
 FORMATION_DELAY_S = 2.0  # lets the other stores of a first start register
 FORMATION_TURN_S = 1.0  # between those that may form it, in the order of names
 STEP_INTERVAL_S = 0.3
+# A store that has joined does not count before others have the group on disk.
+ADOPTION_POLL_S = 0.02
+ADOPTION_POLLS = 15
 
 log = structlog.get_logger('records')
 
@@ -145,9 +148,12 @@
         """
         if not self._store.is_member:
             return
-        if await self.changes.is_established():
-            await self._catch_up.run(self.peers.all())
-            self._restorer.recheck()
+        for _ in range(ADOPTION_POLLS):
+            if await self.changes.is_established():
+                await self._catch_up.run(self.peers.all())
+                self._restorer.recheck()
+                return
+            await asyncio.sleep(ADOPTION_POLL_S)
 
     async def _remove_dead_member(self) -> None:
         group = self._store.group
--- a/tests/test_records_replacements.py
+++ b/tests/test_records_replacements.py
@@ -15,6 +15,7 @@
     STORE_KIND,
     GroupObjects,
 )
+from cactusledge.records.log import RecordLog
 from cactusledge.records.messages import Announce
 from cactusledge.records.quorum import Verdict
 from tests.conftest import FakeStore
@@ -27,6 +28,8 @@
 CATCH_UP_S = 4.6  # a new store counts as lost for so long after its start
 MANAGER = 'cactusledge.records.group_manager'
 FAILED_JOINS = 6
+SLOW_WRITE_S = 0.1
+LONG_STEP_S = 4.0
 FIRST_BY_NAME = 'store'  # of all stores, like a successor of the first one
 
 
@@ -234,6 +237,34 @@
     cluster._objects.put(GROUP_KIND, GROUP_NAME, published.body)
 
 
+# While one member is dead and its successor has not caught up, the others are
+# no quorum: turns were refused until the next step of the successor.
+def test_store_copies_logs_as_soon_as_its_group_is_in_use(
+    run_scenario, monkeypatch
+):
+    async def scenario(cluster):
+        monkeypatch.setattr(RecordLog, 'write_document', write_slowly)
+        monkeypatch.setattr(f'{MANAGER}.STEP_INTERVAL_S', LONG_STEP_S)
+        added = await cluster.add('store-9')
+        await wait_until(lambda: added.store.is_member)
+        await wait_until(lambda: added.is_witness, LONG_STEP_S / 2)
+
+    run_scenario(3, scenario)
+
+
+write_at_once = RecordLog.write_document
+
+
+def write_slowly(log, name, document):
+    """Writes a document as on a slow disk."""
+
+    async def write():
+        await asyncio.sleep(SLOW_WRITE_S)
+        await write_at_once(log, name, document)
+
+    return asyncio.ensure_future(write())
+
+
 async def refuse_announcement(body):
     """Closes the connection that brings a changed group."""
     if isinstance(body, Announce):
