--- a/cactusledge/records/group_changes.py
+++ b/cactusledge/records/group_changes.py
@@ -52,7 +52,7 @@
         return published
 
     async def is_established(self) -> bool:
-        """Returns whether a majority has adopted the group of this store."""
+        """Returns whether a majority is known to have adopted this group."""
         return await self._is_established(self._store.group)
 
     async def join(self, member: Member) -> None:
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -22,7 +22,7 @@
 from cactusledge.records.text_restorer import TextRestorer
 
 FORMATION_DELAY_S = 2.0  # lets the other stores of a first start register
-FORMATION_TURN_S = 1.0  # between those that may form it, in the order of names
+FORMATION_STAGGER_S = 1.0  # between stores that may form it, by name
 STEP_INTERVAL_S = 0.3
 # A store that has joined does not count before others have the group on disk.
 ADOPTION_POLL_S = 0.02
@@ -120,7 +120,7 @@
             return
         members = await self._objects.registered()
         before = sum(name < self._store.name for name in members)
-        if waited_s < before * FORMATION_TURN_S:
+        if waited_s < before * FORMATION_STAGGER_S:
             return
         table = form_table(members, self._copies)
         if await self._objects.create(table):
--- a/cactusledge/records/membership.py
+++ b/cactusledge/records/membership.py
@@ -16,7 +16,7 @@
 from cactusledge.records.quorum import majority
 
 DEAD_AFTER_S = 2.0  # unreachable for this long, a member may be removed
-TURN_S = 0.4  # between the stores that may remove it, in the order of names
+REMOVAL_STAGGER_S = 0.4  # between stores that may remove it, by name
 
 
 def first_group(members: Mapping[str, Member], copies: int) -> Group:
@@ -136,7 +136,9 @@
     The stores take turns, so that usually one of them makes the change. The
     first by name may have started only just now and not know of the loss.
     """
-    return DEAD_AFTER_S + TURN_S * sum(other < name for other in reachable)
+    return DEAD_AFTER_S + REMOVAL_STAGGER_S * sum(
+        other < name for other in reachable
+    )
 
 
 def sources_needed(size: int) -> int:
--- a/cactusledge/records/text_offers.py
+++ b/cactusledge/records/text_offers.py
@@ -42,7 +42,7 @@
         self._group: Group | None = None
         self._log_id: str | None = None  # of the other store
         self._position = 0  # of the next entry to scan
-        self._end = 0  # position after the entries made before the group
+        self._end = 0  # position after the entries older than the group
         self._turn_ids: dict[str, None] = {}
 
     @property
@@ -51,7 +51,7 @@
         return len(self._turn_ids)
 
     def is_complete(self, group: Group) -> bool:
-        """Whether all texts of before a group are on its members' disks."""
+        """Whether the store has confirmed all texts older than a group."""
         is_scanned = self._group is group and self._position >= self._end
         return is_scanned and not self._turn_ids
 
--- a/tests/test_records_quorum.py
+++ b/tests/test_records_quorum.py
@@ -9,7 +9,7 @@
 from cactusledge.records.entries import Member
 from cactusledge.records.membership import (
     DEAD_AFTER_S,
-    TURN_S,
+    REMOVAL_STAGGER_S,
     decode_group,
     encode_group,
     first_group,
@@ -172,7 +172,11 @@
     delays = [
         removal_delay_s(name, set(names) - {name, 'store-a'}) for name in names
     ]
-    assert delays == [DEAD_AFTER_S, DEAD_AFTER_S, DEAD_AFTER_S + TURN_S]
+    assert delays == [
+        DEAD_AFTER_S,
+        DEAD_AFTER_S,
+        DEAD_AFTER_S + REMOVAL_STAGGER_S,
+    ]
 
 
 def test_planned_leaving_lowers_the_target():
