--- a/benchmarks/gateway_dialect.py
+++ b/benchmarks/gateway_dialect.py
@@ -57,7 +57,9 @@
             len(outgoing.body),
         )
 
-    def read_answer(self, status: int, headers: Headers) -> EndpointAnswer:
+    def read_answer(
+        self, status: int, headers: Headers, reason: bytes = b''
+    ) -> EndpointAnswer:
         """Returns what the head of an endpoint's answer says."""
         found = {name.lower(): content for name, content in headers}
         return EndpointAnswer(
--- a/cactusledge/gateway/dialect.py
+++ b/cactusledge/gateway/dialect.py
@@ -30,8 +30,16 @@
         The blank line that ends the head is included.
         """
 
-    def read_answer(self, status: int, headers: Headers) -> EndpointAnswer:
-        """Returns the parsed head of an endpoint's response."""
+    def read_answer(
+        self, status: int, headers: Headers, reason: bytes = b''
+    ) -> EndpointAnswer:
+        """Returns the parsed head of an endpoint's response.
+
+        Args:
+            status: The status code.
+            headers: Names and values, as received.
+            reason: The text after the status code.
+        """
 
     def response_headers(self, headers: Headers) -> bytes:
         """Returns the header lines to forward to the caller.
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -17,8 +17,9 @@
 from cactusledge.gateway.buffer_space import BufferSpace
 from cactusledge.gateway.byte_bounds import ByteBounds, ByteCount
 from cactusledge.gateway.dialect import Dialect
-from cactusledge.gateway.messages import EndpointAnswer, Headers
+from cactusledge.gateway.messages import EndpointAnswer
 from cactusledge.gateway.paced_reading import PacedReader
+from cactusledge.gateway.received_head import ReceivedHead
 from cactusledge.gateway.refusals import Refusals
 from cactusledge.records.frames import set_socket_options
 
@@ -68,8 +69,11 @@
         self._dialect = dialect
         self._on_idle = on_idle
         self._on_answer = on_answer
+        self._head = ReceivedHead()
+        # Callbacks of the parser, beside the methods below.
+        self.on_status = self._head.add_reason
+        self.on_header = self._head.add_header
         self._parser = httptools.HttpResponseParser(self)
-        self._headers: Headers = []
         self._request_id = ''
         self.refusals = Refusals()
         self._sink: AnswerSink | None = None
@@ -147,24 +151,28 @@
 
     def on_message_begin(self) -> None:
         """Starts a response; an unsolicited one closes the connection."""
-        self._headers = []
+        self._head.begin()
         self._is_skipping = False
         if self._sink is None:
             self.abort()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects one header."""
-        self._headers.append((name, value))
-
     def on_headers_complete(self) -> None:
-        """Handles the head; skips a late response to another request."""
+        """Handles the head; skips a late response to another request.
+
+        A head that nobody can have sent as such ends the connection.
+        """
         status = self._parser.get_status_code()
         sink = self._sink
         self._is_skipping = sink is None or status < FIRST_FINAL_STATUS
         if sink is None or self._is_skipping:
             self._byte_count.add_skipped()
             return
-        answer = self._dialect.read_answer(status, self._headers)
+        head = self._head
+        answer = self._dialect.read_answer(status, head.headers, head.reason)
+        if not answer.is_sound:
+            self._is_skipping = True
+            self.abandon()
+            return
         answer = self.refusals.own(answer)
         self._idle_s = answer.idle_s
         self._on_answer(answer)
@@ -173,7 +181,7 @@
             self._byte_count.add_skipped()
             return
         self._byte_count.add_progress()
-        self._framing = framing_of(self._headers)
+        self._framing = framing_of(head.headers)
         sink.on_head(answer, self._framing)
 
     def on_body(self, body: bytes) -> None:
--- a/cactusledge/gateway/messages.py
+++ b/cactusledge/gateway/messages.py
@@ -182,3 +182,4 @@
     # Requests a second that the endpoint takes from all instances together.
     limit_per_s: float | None = None
     invalid_limit: str = ''  # the text of a limit that is not usable
+    is_sound: bool = True  # False: not the head of one answer
--- a/cactusledge/platform/headers.py
+++ b/cactusledge/platform/headers.py
@@ -14,8 +14,13 @@
     Request,
 )
 from cactusledge.platform.accounts import digest_of
+from cactusledge.platform.answer_heads import (
+    NOT_EXECUTED,
+    REQUEST_ID,
+    RESPONSE_SEAL,
+    is_sound,
+)
 
-REQUEST_ID = b'x-cactusledge-request-id'
 DEADLINE = b'x-cactusledge-deadline-ms'  # remaining time, not a timestamp
 PROGRAM_ID = b'x-cactusledge-program-id'
 # Remaining time of the whole program, not a timestamp.
@@ -27,8 +32,6 @@
 # Describes the whole prompt, not only its beginning.
 PROMPT_PARTS = b'x-cactusledge-prompt-prefix'
 EXPECT_INSTANCE = b'x-cactusledge-expect-instance'  # an endpoint's id
-RESPONSE_SEAL = b'x-cactusledge-response-seal'  # MAC over an endpoint's answer
-NOT_EXECUTED = b'x-cactusledge-not-executed'
 FORWARDED = b'x-cactusledge-forwarded'  # by another gateway, to this one
 LEAVING = b'server-leaving'  # on all answers of an endpoint that leaves
 RATE_LIMIT = b'server-limit'  # requests a second, of all instances together
@@ -138,8 +141,10 @@
         lines.append(b'\r\n')
         return b''.join(lines)
 
-    def read_answer(self, status: int, headers: Headers) -> EndpointAnswer:
-        """Parses the status and headers of an endpoint's answer."""
+    def read_answer(
+        self, status: int, headers: Headers, reason: bytes = b''
+    ) -> EndpointAnswer:
+        """Parses the status line and the headers of an endpoint's answer."""
         by_name = headers_by_name(headers)
         limit_text = header_text(by_name, RATE_LIMIT)
         limit_per_s = parse_rate_limit(limit_text)
@@ -157,6 +162,7 @@
             invalid_limit=(
                 limit_text[:MAX_INVALID_CHARS] if limit_per_s is None else ''
             ),
+            is_sound=is_sound(status, reason, headers),
         )
 
     def response_headers(self, headers: Headers) -> bytes:
