--- a/cactusledge/gateway/forwarding.py
+++ b/cactusledge/gateway/forwarding.py
@@ -130,7 +130,8 @@
         self._dialect = dialect
         self._reach = reach
         self._space = space
-        self._pool = ConnectionPool(dialect, space=space)
+        # A gateway's own refusals name no request.
+        self._pool = ConnectionPool(dialect, space=space, echoes_ids=False)
 
     def can_forward(self, call: Call) -> bool:
         """Returns whether another gateway should take the call.
@@ -153,7 +154,9 @@
                 break
             excluded.add(peer.name)
             try:
-                conn = await self._pool.take(as_replica(peer))
+                conn = await self._pool.take(
+                    as_replica(peer), call.info.request_id
+                )
             except EndpointUnreachableError:
                 continue
             answer = await self._exchange(call, peer, conn)
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -56,6 +56,8 @@
         on_idle: Callable[['EndpointConnection', float | None], None],
         on_answer: Callable[[EndpointAnswer], None],
         space: BufferSpace | None = None,
+        *,
+        echoes_ids: bool = True,
     ) -> None:
         """Stores the callbacks.
 
@@ -64,6 +66,7 @@
             on_idle: Takes the connection for reuse, and for how long.
             on_answer: Called with the head of each response.
             space: Counts the bytes of all answers.
+            echoes_ids: Whether each response names its request.
         """
         super().__init__(space or BufferSpace())
         self._dialect = dialect
@@ -75,7 +78,7 @@
         self.on_header = self._head.add_header
         self._parser = httptools.HttpResponseParser(self)
         self._request_id = ''
-        self.refusals = Refusals()
+        self.refusals = Refusals(echoes_ids=echoes_ids)
         self._sink: AnswerSink | None = None
         self._is_skipping = False
         self._byte_count = ByteCount(ByteBounds())
@@ -159,7 +162,8 @@
     def on_headers_complete(self) -> None:
         """Handles the head; skips a late response to another request.
 
-        A head that nobody can have sent as such ends the connection.
+        A head that nobody can have sent as such, or that names no request
+        where it may be to an earlier one, ends the connection.
         """
         status = self._parser.get_status_code()
         sink = self._sink
@@ -169,7 +173,7 @@
             return
         head = self._head
         answer = self._dialect.read_answer(status, head.headers, head.reason)
-        if not answer.is_sound:
+        if not (answer.is_sound and self.refusals.can_assign(answer)):
             self._is_skipping = True
             self.abandon()
             return
--- a/cactusledge/gateway/pool.py
+++ b/cactusledge/gateway/pool.py
@@ -42,6 +42,8 @@
         on_answer: Callable[[Replica, EndpointAnswer], None] = do_nothing,
         reach: EndpointReach | None = None,
         space: BufferSpace | None = None,
+        *,
+        echoes_ids: bool = True,
     ) -> None:
         """Starts without connections.
 
@@ -50,20 +52,22 @@
             on_answer: Called with an endpoint and the head of its answer.
             reach: Told of attempts to connect; stops them if all fail.
             space: Counts the bytes of all answers.
+            echoes_ids: Whether each answer names its request.
         """
         self._dialect = dialect
         self._on_answer = on_answer
         self._reach = reach or EndpointReach()
         self.space = space or BufferSpace()
+        self._echoes_ids = echoes_ids
         self._idle: dict[Lifetime, list[_Idle]] = {}
         self.opened = 0
 
     async def take(
-        self, replica: Replica, request_id: str = ''
+        self, replica: Replica, request_id: str
     ) -> EndpointConnection:
         """Returns the most recently used idle connection, or opens a new one.
 
-        One on which the request was refused is left for others.
+        One on which its answer might be taken for another is left for others.
 
         Raises:
             EndpointUnreachableError: The endpoint accepts no connection.
@@ -143,6 +147,7 @@
                         put,
                         partial(self._on_answer, replica),
                         self.space,
+                        echoes_ids=self._echoes_ids,
                     ),
                     replica.host,
                     replica.port,
--- a/cactusledge/gateway/refusals.py
+++ b/cactusledge/gateway/refusals.py
@@ -12,8 +12,13 @@
 class Refusals:
     """The requests that were refused on a connection."""
 
-    def __init__(self) -> None:
-        """Starts before the first request."""
+    def __init__(self, *, echoes_ids: bool = True) -> None:
+        """Starts before the first request.
+
+        Args:
+            echoes_ids: Whether each answer names its request.
+        """
+        self._echoes_ids = echoes_ids
         self._request_id = ''
         self._requests = 0
         self._refused: set[str] = set()  # request ids
@@ -29,9 +34,20 @@
         self._requests += 1
 
     def can_carry(self, request_id: str) -> bool:
-        """Returns whether the request has not been refused here before."""
+        """Returns whether an answer here can be told to be the request's.
+
+        It must not have been refused here before. Without an id it needs a
+        connection that has carried no other.
+        """
+        if not request_id:
+            return not self._requests
         return request_id not in self._refused
 
+    def can_assign(self, answer: EndpointAnswer) -> bool:
+        """Returns whether it is known to which request an answer is."""
+        is_named = bool(answer.request_id) or not self._echoes_ids
+        return is_named or self._requests <= 1
+
     def own(self, answer: EndpointAnswer) -> EndpointAnswer:
         """Returns an answer as far as it is known to be to this request.
 
--- a/tests/test_gateway_joined_answers.py
+++ b/tests/test_gateway_joined_answers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cactusledge.gateway.http_client import EndpointConnection
+from cactusledge.gateway.refusals import Refusals
 from cactusledge.gateway.sinks import BufferedAnswer, ExchangeEnd
 from cactusledge.platform.headers import HeaderDialect
 from tests.gateway_endpoints import (
@@ -21,6 +22,7 @@
 EVENT = b'id: 1\ndata: a\n\n'
 NOT_RUN = 'X-Cactusledge-Not-Executed: 1'
 DATE = 'Date: Sun, 06 Dec 2026 06:00:00 GMT'
+LEFTOVER = b'HTTP/1.1 500 X\r\nContent-Length: 9\r\n\r\nleftovers'
 
 
 class StillTransport(asyncio.Transport):
@@ -151,3 +153,35 @@
         assert exchanges.end_of(answer) is ExchangeEnd.BROKEN
 
     asyncio.run(scenario())
+
+
+# Bytes without a request id that came after a complete answer were given to
+# the next caller on the connection as the answer to its call.
+def test_bytes_that_belong_to_nobody_answer_no_later_request():
+    async def scenario():
+        exchanges = Exchanges()
+        exchanges.exchange(answered(head_of(1)))
+        answer = exchanges.exchange(LEFTOVER + answered(head_of(2)))
+        assert exchanges.end_of(answer) is ExchangeEnd.BROKEN
+        assert exchanges.transport.is_closed
+
+    asyncio.run(scenario())
+
+
+# An answer to a request without an id cannot be told from additional bytes.
+def test_request_without_an_id_needs_a_new_connection():
+    refusals = Refusals()
+    assert refusals.can_carry('')
+    refusals.begin('r1')
+    assert refusals.can_carry('r2')
+    assert not refusals.can_carry('')
+
+
+# An endpoint's own failure on a new connection can only be for its request.
+def test_first_failure_of_a_connection_needs_no_id():
+    async def scenario():
+        exchanges = Exchanges()
+        answer = exchanges.exchange(LEFTOVER)
+        assert exchanges.end_of(answer) is ExchangeEnd.ANSWERED
+
+    asyncio.run(scenario())
