Platform: an entry that cannot be read hides no other (CONFIG)

Cause: lists and watches were decoded as a whole. msgspec refuses half of a pair of surrogates even in what it only skips, and entries without a name or version failed the page. Class: input of many writers that is judged as one.

Change: documents are decoded one by one, what has no usable name or version is left out and told once a version (stored_documents.py). Where a page cannot be decoded, halves of pairs become an invalid byte, which fails the entry that they are in only.

--- a/cactusledge/platform/objects.py
+++ b/cactusledge/platform/objects.py
@@ -26,6 +26,11 @@
     WatchEvent,
 )
 from cactusledge.objects.tolerant_json import decode_nested
+from cactusledge.platform.stored_documents import (
+    Document,
+    DocumentReader,
+    stored_object_of,
+)
 
 if TYPE_CHECKING:
     from cactusledge.objects.exchange import Exchange
@@ -33,29 +38,14 @@
 API_ROOT = '/api/objects'
 REQUEST_TIMEOUT_S = 1.5
 WATCH_MARGIN_S = 1.0  # at most, for the response after the full wait
-EMPTY_SPEC = msgspec.Raw(b'{}')
 
 Decoded = TypeVar('Decoded')
 
 
-class Metadata(msgspec.Struct):
-    """Name and version of an object."""
-
-    name: str
-    revision: int
-
-
-class Document(msgspec.Struct):
-    """An object; its fields are decoded by themselves."""
-
-    metadata: Metadata
-    spec: msgspec.Raw = EMPTY_SPEC
-
-
 class Page(msgspec.Struct):
     """One page of a list."""
 
-    items: list[Document]
+    items: list[msgspec.Raw]
     as_of: int
     has_more: bool = False
 
@@ -63,7 +53,7 @@
 class Event(msgspec.Struct):
     """A change of one object."""
 
-    object: Document
+    object: msgspec.Raw
     deleted: bool = False
 
 
@@ -80,6 +70,7 @@
     def __init__(self, address: Address) -> None:
         """Stores the address; connections are opened by requests."""
         self._address = address
+        self._documents = DocumentReader()
 
     def close(self) -> None:
         """Closes the idle connections."""
@@ -91,13 +82,14 @@
 
     def list(self, kind: str, prefix: str = '') -> ObjectList:
         """Returns all objects of a kind whose names start with `prefix`."""
-        items: list[StoredObject] = []
         page = self._fetch_page(kind, {})
         version = str(page.as_of)
-        items.extend(to_object(kind, document) for document in page.items)
-        while page.has_more and items:
-            page = self._fetch_page(kind, {'after': items[-1].name})
-            items.extend(to_object(kind, document) for document in page.items)
+        read = self._documents.read_all(kind, page.items)
+        items = read
+        while page.has_more and read:
+            page = self._fetch_page(kind, {'after': read[-1].name})
+            read = self._documents.read_all(kind, page.items)
+            items += read
         matching = (
             stored for stored in items if stored.name.startswith(prefix)
         )
@@ -150,8 +142,8 @@
             exchange.close()
         changes = decode(reply, Changes)
         for event in changes.events:
-            stored = to_object(kind, event.object)
-            if stored.name.startswith(prefix):
+            stored = self._documents.read(kind, event.object)
+            if stored is not None and stored.name.startswith(prefix):
                 yield WatchEvent(DELETED if event.deleted else ADDED, stored)
         bookmark = StoredObject(kind, '', str(changes.as_of), {})
         yield WatchEvent(BOOKMARK, bookmark)
@@ -184,12 +176,12 @@
         reply = self._exchange.send(method, path, content)
         check_status(path, reply)
         try:
-            return to_object(kind, decode_nested(reply.body, Document))
+            return stored_object_of(kind, decode_nested(reply.body, Document))
         except msgspec.MsgspecError as exc:
             raise store_error(UNKNOWN_OUTCOME, path, None) from exc
 
     def _decode(self, kind: str, reply: Reply) -> StoredObject:
-        return to_object(kind, decode(reply, Document))
+        return stored_object_of(kind, decode(reply, Document))
 
 
 def new_exchange(address: Address, timeout_s: float) -> 'Exchange':
@@ -218,26 +210,3 @@
             'The platform sent an invalid JSON document.',
             remedy='Try again later.',
         ) from exc
-
-
-def to_object(kind: str, document: Document) -> StoredObject:
-    """Converts a document to an object.
-
-    What cannot be decoded has no fields: another writer may have written it,
-    and the other objects count.
-    """
-    metadata = document.metadata
-    return StoredObject(
-        kind=kind,
-        name=metadata.name,
-        version=str(metadata.revision),
-        body=decode_spec(document.spec),
-    )
-
-
-def decode_spec(spec: msgspec.Raw) -> Mapping[str, Any]:
-    """Returns the fields of an object; none if they cannot be decoded."""
-    try:
-        return msgspec.json.decode(spec, type=dict[str, Any])
-    except msgspec.MsgspecError:
-        return {}
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -1,10 +1,10 @@
 """Entries of another writer among those of the endpoints."""
 
 import time
-from itertools import starmap
 
 import msgspec
 import pytest
+import structlog
 
 from cactusledge.gateway.messages import Replica
 from cactusledge.models import Address
@@ -33,6 +33,8 @@
 OPEN, CLOSED = '[' * DEPTH, ']' * DEPTH
 NESTED = f'{OPEN}{CLOSED}'
 QUOTE = r'\"'  # inside a text
+HALF = r'\udcff'  # of a pair of surrogates, as some writers encode bytes
+ESCAPED = r'\\'
 ODD = {
     'nested': f'{{"deep":{NESTED}}}',
     'nested value': NESTED,
@@ -43,6 +45,8 @@
     'number over 64 bits': entry(born='9' * 30),
     'slots over 64 bits': entry(slots='9' * 30),
     'negative slots': entry(slots='-1'),
+    'half of a pair of surrogates': entry(more=f',"note":"{HALF}"'),
+    'the same as an escape': entry(host=f'{ESCAPED}{HALF}'),
     'port': entry(port='70000'),
     'name for an address': entry(host='a..b'),
     'text': '"here"',
@@ -58,12 +62,32 @@
     return f'{{"metadata":{metadata},"spec":{spec},"status":null}}'
 
 
+# Entries whose metadata tell no name or no version.
+UNNAMED = {
+    'null': 'null',
+    'number': '7',
+    'list': '[{}]',
+    'no metadata': f'{{"spec":{SOUND}}}',
+    'metadata of another type': f'{{"metadata":[1],"spec":{SOUND}}}',
+    'no name': f'{{"metadata":{{"revision":7}},"spec":{SOUND}}}',
+    'null for a name': document('odd', SOUND).replace('"odd"', 'null'),
+    'half of a pair of surrogates': document(HALF, SOUND),
+    'text for a version': document('odd', SOUND).replace('7', '"7"', 1),
+}
+unnamed_entries = pytest.mark.parametrize(
+    'unnamed', UNNAMED.values(), ids=UNNAMED.keys()
+)
+
+
 class Platform:
     """Answers lists and watches with an odd entry between sound ones."""
 
     def __init__(self, odd):
-        names = {'sound-1': SOUND, 'odd': odd, 'sound-2': SOUND}
-        self._documents = list(starmap(document, names.items()))
+        self._documents = [
+            document('sound-1', SOUND),
+            odd,
+            document('sound-2', SOUND),
+        ]
 
     def send(self, method, path):
         if 'watch' in path:
@@ -85,8 +109,8 @@
 def client(monkeypatch):
     """Returns the client of a platform that has an odd entry."""
 
-    def connect(odd):
-        platform = Platform(odd)
+    def connect(odd, name='odd'):
+        platform = Platform(document(name, odd) if name else odd)
         monkeypatch.setattr(
             platform_objects, 'new_exchange', lambda *_: platform
         )
@@ -118,6 +142,25 @@
     assert usable(one.object for one in events) == ['sound-1', 'sound-2']
 
 
+# One entry without a name hid all endpoints, and every change.
+@unnamed_entries
+def test_unnamed_entry_hides_no_other(client, unnamed):
+    platform = client(unnamed, name='')
+    listed = platform.list(KIND)
+    *events, _ = platform.watch(KIND, '8', 1)
+    assert usable(listed.items) == ['sound-1', 'sound-2']
+    assert usable(one.object for one in events) == ['sound-1', 'sound-2']
+
+
+# Lists are read again and again while the entry is there.
+def test_unnamed_entry_is_told_once_a_version(client):
+    platform = client('null', name='')
+    with structlog.testing.capture_logs() as logs:
+        platform.list(KIND)
+        platform.list(KIND)
+    assert len(logs) == 1
+
+
 # Numbers over 64 bits cannot be sent to other instances.
 @odd_entries
 def test_what_an_odd_entry_names_can_be_sent(client, odd):
