Platform: an endpoint without slots, or with a truth value for them, is none (CONFIG)

Cause: bool is a subclass of int, and 0 slots passed as a number of them. Class: a value of another type that the type check lets through.

Change: neither counts; the entry is left out with a log line, like others of a wrong type.

Result: 9 cases of test_platform_odd_entries.py failed before, none now.

--- a/cactusledge/platform/documents.py
+++ b/cactusledge/platform/documents.py
@@ -129,7 +129,9 @@
 
 def is_count(found: object) -> bool:
     """Returns whether a field is an integer that messages can carry."""
-    return isinstance(found, int) and 0 <= found <= MAX_NUMBER
+    if isinstance(found, bool) or not isinstance(found, int):
+        return False
+    return 0 <= found <= MAX_NUMBER
 
 
 def to_replica(endpoint_id: str, spec: Mapping[str, Any]) -> Replica:
@@ -148,8 +150,8 @@
         raise TypeError('service and zone must be non-empty strings')
     if state not in ENDPOINT_STATES:
         raise ValueError(f'unknown state {state}')
-    if not is_count(slots) or not is_count(born):
-        raise TypeError('slots and born must be integers of 0 or more')
+    if not is_count(slots) or not is_count(born) or not slots:
+        raise TypeError('slots must be 1 or more, born an integer of 0 or more')
     return Replica(
         endpoint_id=endpoint_id,
         service=service,
