--- a/cactusledge/platform/answer_heads.py
+++ b/cactusledge/platform/answer_heads.py
@@ -6,7 +6,6 @@
 """
 
 import re
-from collections import Counter
 from types import MappingProxyType
 
 from cactusledge.gateway.messages import Headers
@@ -40,22 +39,20 @@
         reason: The text after it.
         headers: Names and values, as received.
     """
-    if STATUS_LINE.search(reason):
+    contents = b'\n'.join([reason, *(content for _, content in headers)])
+    if STATUS_LINE.search(contents):
         return False
-    if any(STATUS_LINE.search(content) for _, content in headers):
+    lowered = ((name.lower(), content) for name, content in headers)
+    known = [header for header in lowered if header[0] in SINGLE]
+    by_name = dict(known)
+    if len(by_name) < len(known):
         return False
-    lowered = [(name.lower(), content) for name, content in headers]
-    counts = Counter(name for name, _ in lowered)
-    if any(counts[name] > 1 for name in SINGLE):
+    if not all(
+        grammar.fullmatch(by_name[name].strip())
+        for name, grammar in GRAMMARS.items()
+        if name in by_name
+    ):
         return False
-    if not all(map(_has_valid_content, lowered)):
-        return False
-    return not counts[NOT_EXECUTED] or (
-        status >= FIRST_ERROR and not counts[RESPONSE_SEAL]
+    return NOT_EXECUTED not in by_name or (
+        status >= FIRST_ERROR and RESPONSE_SEAL not in by_name
     )
-
-
-def _has_valid_content(header: tuple[bytes, bytes]) -> bool:
-    name, content = header
-    grammar = GRAMMARS.get(name)
-    return grammar is None or grammar.fullmatch(content.strip()) is not None
