--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,7 +23,11 @@
 from cactusledge.status import ExitStatus
 from tests.records_support import cluster_of
 
-pytest_plugins = ('tests.api_support', 'tests.pauses')
+pytest_plugins = (
+    'tests.api_support',
+    'tests.engine_support',
+    'tests.pauses',
+)
 
 # The time of an example depends on what else the machine runs.
 hypothesis.settings.register_profile('untimed', deadline=None)
