Platform: remember hashes of unreadable entries, not their texts

Cause: read in the review of the diff: 256 entries of any size would have stayed in the memory of each process, to be told once. Change: their hashes are kept. Result: test_unnamed_entry_is_told_once_a_version and the other 67 of its module pass.

--- a/cactusledge/platform/stored_documents.py
+++ b/cactusledge/platform/stored_documents.py
@@ -13,7 +13,7 @@
 from cactusledge.objects.store import StoredObject
 
 EMPTY_SPEC = msgspec.Raw(b'{}')
-MAX_TOLD = 256  # unreadable documents that are kept apart
+MAX_TOLD = 256  # unreadable documents that are remembered
 MAX_LOGGED = 200  # bytes of one
 
 log = structlog.get_logger('platform')
@@ -38,7 +38,7 @@
 
     def __init__(self) -> None:
         """Starts with none told."""
-        self._told: set[bytes] = set()
+        self._told: set[int] = set()  # hashes of the documents
 
     def read(self, kind: str, content: msgspec.Raw) -> StoredObject | None:
         """Returns the object, None if it has no usable name or version."""
@@ -58,11 +58,12 @@
         return [stored for stored in read if stored is not None]
 
     def _tell(self, kind: str, content: bytes, exc: Exception) -> None:
-        if content in self._told:
+        digest = hash(content)
+        if digest in self._told:
             return
         if len(self._told) >= MAX_TOLD:
             self._told.clear()
-        self._told.add(content)
+        self._told.add(digest)
         log.warning(
             'platform: unreadable entry left out',
             kind=kind,
