Records: a start reads its folder one entry at a time (Fault)

Cause: all entries of all segments were read into a list, which was held while they were decoded into turns with texts of their own: twice the memory of the texts. Class: a pass over stored data that holds all of it.

Ruled out: the copies of texts between stores, which are bounded in bytes a message.

Change: read_folder names the segments; the log replays one entry after the other, with one segment in memory. Where the retention begins is decided as before. The list of entries that tests compare comes from tests/records_support.py.

--- a/cactusledge/records/disk.py
+++ b/cactusledge/records/disk.py
@@ -4,7 +4,7 @@
 import os
 import secrets
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from io import FileIO
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -34,12 +34,22 @@
     is_witness: bool
 
 
+class StoredSegment(NamedTuple):
+    """A segment file; read when its entries are asked for."""
+
+    path: Path
+    is_expired: bool  # last written before the retention
+
+    def entries(self) -> Iterator[bytes]:
+        """Yields its entries."""
+        yield from parse_segment(self.path.read_bytes())
+
+
 class FolderContent(NamedTuple):
-    """The identity and the entries read from a data folder."""
+    """The identity and the segments of a data folder, oldest first."""
 
     identity: Identity
-    entries: list[bytes]
-    expired: int = 0  # of the entries, the first ones, by their files' times
+    segments: tuple[StoredSegment, ...] = ()
 
 
 class AppendBatch(NamedTuple):
@@ -74,16 +84,14 @@
     if found is None:
         identity = Identity(secrets.token_hex(ID_BYTES), is_first_start)
         write_document(folder, IDENTITY_FILE, identity._asdict())
-        return FolderContent(identity, [])
+        return FolderContent(identity)
     identity = Identity(found['log_id'], found['is_witness'])
-    entries: list[bytes] = []
-    expired = 0
     oldest_s = time.time() - RETENTION_S
-    for path in list_segments(folder):
-        entries.extend(parse_segment(path.read_bytes()).entries)
-        if path.stat().st_mtime < oldest_s:
-            expired = len(entries)
-    return FolderContent(identity, entries, expired)
+    segments = tuple(
+        StoredSegment(path, is_expired=path.stat().st_mtime < oldest_s)
+        for path in list_segments(folder)
+    )
+    return FolderContent(identity, segments)
 
 
 def list_segments(folder: Path) -> list[Path]:
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -41,12 +41,13 @@
         self.identity: Identity = loaded.identity
         self.state = RecordState()
         self.index = EntryIndex()
-        for encoded in loaded.entries[: loaded.expired]:
-            self._replay(encoded)
         # Position of the first entry within the retention, by its file's time.
         self.first_unexpired = self.head
-        for encoded in loaded.entries[loaded.expired :]:
-            self._replay(encoded)
+        for segment in loaded.segments:
+            for encoded in segment.entries():
+                self._replay(encoded)
+            if segment.is_expired:
+                self.first_unexpired = self.head
         self._actor: pykka.ActorRef[DiskActor] = DiskActor.start(folder)
         self._pending_entries: list[bytes] = []
         self._pending_futures: list[asyncio.Future[None]] = []
--- a/cactusledge/records/segment.py
+++ b/cactusledge/records/segment.py
@@ -5,8 +5,7 @@
 """
 
 import struct
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Iterable, Iterator
 
 import xxhash
 
@@ -14,13 +13,6 @@
 MAX_ENTRY_BYTES = 1 << 24
 
 
-class SegmentContent(NamedTuple):
-    """The entries of a segment and the length of its valid part."""
-
-    entries: list[bytes]
-    valid_bytes: int
-
-
 def frame_entry(entry: bytes) -> bytes:
     """Returns an entry as it is written to a segment."""
     return HEADER.pack(len(entry), xxhash.xxh64_intdigest(entry)) + entry
@@ -31,15 +23,14 @@
     return b''.join(frame_entry(entry) for entry in entries)
 
 
-def parse_segment(content: bytes) -> SegmentContent:
-    """Returns the entries ahead of the first invalid frame."""
-    entries: list[bytes] = []
+def parse_segment(content: bytes) -> Iterator[bytes]:
+    """Yields the entries ahead of the first invalid frame."""
     position = 0
     while True:
         entry = entry_at(content, position)
         if entry is None:
-            return SegmentContent(entries, position)
-        entries.append(entry)
+            return
+        yield entry
         position += HEADER.size + len(entry)
 
 
--- a/tests/records_support.py
+++ b/tests/records_support.py
@@ -11,6 +11,7 @@
 from cactusledge.errors import StoreError
 from cactusledge.models import Address
 from cactusledge.records.client import RecordClient
+from cactusledge.records.disk import read_folder
 from cactusledge.records.entries import Member
 from cactusledge.records.group_manager import GroupManager
 from cactusledge.records.group_objects import GroupObjects
@@ -45,6 +46,12 @@
     """The default for `StoreNode.on_request`."""
 
 
+def read_entries(folder):
+    """Returns all entries of a data folder, as they are on disk."""
+    found = read_folder(folder, is_first_start=False)
+    return [entry for segment in found.segments for entry in segment.entries()]
+
+
 class StoreNode:
     """A record store that can be killed, wiped and restarted."""
 
--- a/tests/test_records_bad_disk.py
+++ b/tests/test_records_bad_disk.py
@@ -9,7 +9,7 @@
 from cactusledge.records import disk
 from cactusledge.records.entries import Reserved, Turn
 from cactusledge.records.log import RecordLog
-from tests.records_support import cluster_of, wait_until
+from tests.records_support import cluster_of, read_entries, wait_until
 
 
 def turn(turn_id):
@@ -78,9 +78,8 @@
         log.stop()
 
     asyncio.run(scenario())
-    found = disk.read_folder(tmp_path, is_first_start=False)
     assert durable_turns(tmp_path) == {'t1'}
-    assert len(found.entries) == 2
+    assert len(read_entries(tmp_path)) == 2
 
 
 def no_space(*_args, **_options):
--- a/tests/test_records_disk.py
+++ b/tests/test_records_disk.py
@@ -1,12 +1,15 @@
 """Segment files and the log after crashes, torn tails and lost disks."""
 
 import asyncio
+import random
+import tracemalloc
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cactusledge.records.disk import list_segments, read_folder
+from cactusledge.records.disk import SEGMENT_BYTES, list_segments, read_folder
 from cactusledge.records.entries import (
     ENCODER,
     ENTRY_DECODER,
@@ -18,6 +21,9 @@
 from cactusledge.records.segment import frame_entries, parse_segment
 from cactusledge.records.state import RecordState
 
+TEXTS = 60
+TEXT_BYTES = 1024 * 1024
+MOST_FOR_A_START = SEGMENT_BYTES + 4 * TEXT_BYTES
 ENTRIES = st.lists(st.binary(min_size=1, max_size=60), max_size=12)
 
 
@@ -28,14 +34,14 @@
 @given(ENTRIES)
 def test_segment_is_read_back(entries):
     content = frame_entries(entries)
-    assert parse_segment(content) == (entries, len(content))
+    assert list(parse_segment(content)) == entries
 
 
 @given(ENTRIES, st.data())
 def test_torn_tail_keeps_the_entries_before_it(entries, data):
     content = frame_entries(entries)
     cut = data.draw(st.integers(0, len(content)))
-    found = parse_segment(content[:cut]).entries
+    found = list(parse_segment(content[:cut]))
     assert found == entries[: len(found)]
     assert len(frame_entries(found)) <= cut
 
@@ -45,14 +51,14 @@
     content = bytearray(frame_entries(entries))
     position = data.draw(st.integers(0, len(content) - 1))
     content[position] ^= data.draw(st.integers(1, 255))
-    found = parse_segment(bytes(content)).entries
+    found = list(parse_segment(bytes(content)))
     assert found == entries[: len(found)]
     assert len(frame_entries(found)) <= position
 
 
 @given(st.binary(max_size=200))
 def test_any_bytes_are_read_without_an_error(content):
-    assert parse_segment(content).valid_bytes <= len(content)
+    assert len(frame_entries(parse_segment(content))) <= len(content)
 
 
 @pytest.mark.parametrize(
@@ -94,6 +100,28 @@
     found.stop()
 
 
+# A start took twice the memory of the texts: a store that was near its limit
+# was killed at each start, for good.
+def test_start_takes_little_more_memory_than_the_texts(tmp_path):
+    async def fill():
+        log = RecordLog(tmp_path, is_first_start=True)
+        for number in range(TEXTS):
+            text = random.randbytes(TEXT_BYTES)
+            found = msgspec.structs.replace(turn(f't{number}'), request=text)
+            await log.append((found,))
+        log.stop()
+
+    asyncio.run(fill())
+    tracemalloc.start()
+    log = RecordLog(tmp_path, is_first_start=False)
+    kept, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    log.stop()
+    assert len(log.state.turns) == TEXTS
+    assert kept >= TEXTS * TEXT_BYTES
+    assert peak - kept <= MOST_FOR_A_START
+
+
 def test_empty_disk_is_a_witness_only_at_the_first_start(tmp_path):
     first = read_folder(tmp_path / 'first', is_first_start=True)
     wiped = read_folder(tmp_path / 'wiped', is_first_start=False)
--- a/tests/test_records_power_loss.py
+++ b/tests/test_records_power_loss.py
@@ -19,6 +19,7 @@
 from hypothesis import strategies as st
 
 from cactusledge.records import disk
+from tests.records_support import read_entries
 
 ENTRY = st.binary(min_size=1, max_size=40)
 BATCHES = st.lists(st.lists(ENTRY, min_size=1, max_size=4), max_size=6)
@@ -160,9 +161,7 @@
             if append(actor, batch):
                 durable.extend(batch)
         unsynced = lose_power(segments, data.draw)
-        recovered = disk.read_folder(
-            segments.folder, is_first_start=False
-        ).entries
+        recovered = read_entries(segments.folder)
     written = [*unsynced, *itertools.chain.from_iterable(batches)]
     assert not Counter(durable) - Counter(recovered)
     assert not Counter(recovered) - Counter(written)
