--- a/cactusledge/cli/app.py
+++ b/cactusledge/cli/app.py
@@ -24,6 +24,7 @@
     'plan': 'cactusledge.cli.plan',
     'publish': 'cactusledge.cli.publish',
     'status': 'cactusledge.cli.status',
+    'groups': 'cactusledge.cli.groups',
     'entry': 'cactusledge.cli.entry',
     'call': 'cactusledge.cli.call',
     'history': 'cactusledge.cli.history',
