Tests: draw ports below those of outgoing connections everywhere

Two copies of free_port bound port 0, so they drew from the range that the kernel gives to outgoing connections, and one took the port before the gateway did. The stand-ins' free_port avoids that range for this very reason. Class: logic that stands twice.

Change: the copies go. free_port walks through the ports from a random one on, so that two processes hardly come to the same port at the same time.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,7 +1,9 @@
 """Free TCP ports of loopback for processes that are about to start."""
 
+import itertools
 import random
 import socket
+from collections.abc import Iterator
 
 LOOPBACK = '127.0.0.1'
 # Below the ports that the kernel gives to outgoing connections, so that none
@@ -10,13 +12,24 @@
 LAST_PORT = 32_000
 ATTEMPTS = 100
 
-_random = random.SystemRandom()
+
+def _ports_in_turn() -> Iterator[int]:
+    """Yields all ports again and again, from a random one on.
+
+    So two processes hardly ever come to the same port within the time in which
+    one of them starts to listen on it.
+    """
+    ports = range(FIRST_PORT, LAST_PORT + 1)
+    skipped = random.SystemRandom().randrange(len(ports))
+    return itertools.islice(itertools.cycle(ports), skipped, None)
+
+
+_ports = _ports_in_turn()
 
 
 def free_port() -> int:
     """Returns a port that nothing listens on; raises OSError."""
-    for _ in range(ATTEMPTS):
-        port = _random.randint(FIRST_PORT, LAST_PORT)
+    for port in itertools.islice(_ports, ATTEMPTS):
         if _is_free(port):
             return port
     raise OSError(f'No free port in {ATTEMPTS} attempts.')
--- a/tests/gateway_peers.py
+++ b/tests/gateway_peers.py
@@ -1,7 +1,6 @@
 """Gateways under test that know of each other and answer each other."""
 
 import asyncio
-import socket
 from contextlib import asynccontextmanager
 
 from cactusledge.gateway.bootstrap import PeerBootstrap
@@ -11,6 +10,7 @@
 from cactusledge.models import Address
 from cactusledge.records.entries import Member
 from cactusledge.records.message_server import MessageServer
+from standins.ports import free_port
 
 LOOPBACK = '127.0.0.1'
 STEP_S = 0.1
@@ -83,9 +83,3 @@
     finally:
         for end in ends:
             end.stop()
-
-
-def free_port():
-    """Returns a port that nothing listens on."""
-    with socket.create_server((LOOPBACK, 0)) as sock:
-        return sock.getsockname()[1]
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -6,6 +6,7 @@
 import sys
 from contextlib import asynccontextmanager
 
+from standins.ports import free_port
 from tests.gateway_callers import Caller
 from tests.gateway_endpoints import (
     LAST_CHUNK,
@@ -18,7 +19,6 @@
     read_head,
     reply_of,
 )
-from tests.gateway_peers import free_port
 
 HOST = '127.0.0.1'
 START_LIMIT_S = 20
--- a/tests/records_support.py
+++ b/tests/records_support.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import shutil
-import socket
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
@@ -20,19 +19,13 @@
 from cactusledge.records.quorum import Demand
 from cactusledge.records.store import RecordStore
 from cactusledge.records.turn_start import TurnStart
+from standins.ports import free_port
 
 WAIT_S = 8.0
 POLL_INTERVAL_S = 0.02
 GROUP_POLL_INTERVAL_S = 0.5
 
 
-def free_port():
-    """Returns a port that was free when checked."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
-
-
 async def wait_until(condition, wait_s=WAIT_S):
     """Waits for a condition; fails the test on time-out."""
     loop = asyncio.get_running_loop()
--- a/tests/test_gateway_bootstrap.py
+++ b/tests/test_gateway_bootstrap.py
@@ -13,9 +13,9 @@
 from cactusledge.records.gateway_messages import AskBeliefs, Beliefs
 from cactusledge.records.message_server import MessageServer
 from cactusledge.records.withdrawal_messages import Withdrawal
+from standins.ports import free_port
 from tests.gateway_endpoints import Endpoint, answered
 from tests.gateway_support import FakeRecords, running_gateway
-from tests.records_support import free_port
 
 AFTER_PLATFORM_WAIT_S = PLATFORM_WAIT_S + 0.1  # after the wait for the platform
 
--- a/tests/test_gateway_stop_process.py
+++ b/tests/test_gateway_stop_process.py
@@ -9,8 +9,8 @@
 from cactusledge.gateway.draining import LAST_WORK_S
 from cactusledge.gateway.stopping import READINESS_PROPAGATION_S
 from cactusledge.models import Address
+from standins.ports import free_port
 from tests.gateway_endpoints import field, request_id
-from tests.gateway_peers import free_port
 from tests.gateway_process import (
     TimedEndpoint,
     TimedStreams,
--- a/tests/test_records_peer_check.py
+++ b/tests/test_records_peer_check.py
@@ -19,7 +19,7 @@
     Peer,
     call_once,
 )
-from tests.records_support import free_port
+from standins.ports import free_port
 
 pytestmark = pytest.mark.process
 
--- a/tests/test_records_relays.py
+++ b/tests/test_records_relays.py
@@ -16,7 +16,8 @@
 from cactusledge.records.peer import Peer
 from cactusledge.records.quorum import Verdict
 from cactusledge.records.relays import Relays
-from tests.records_support import cluster_of, free_port, turn_start, wait_until
+from standins.ports import free_port
+from tests.records_support import cluster_of, turn_start, wait_until
 
 pytestmark = pytest.mark.process
 
--- a/tests/test_version_fetch.py
+++ b/tests/test_version_fetch.py
@@ -35,9 +35,9 @@
 from cactusledge.records.version_spread import (
     MAX_HOLDERS,
 )
+from standins.ports import free_port
 from tests.gateway_endpoints import Endpoint, answered
 from tests.gateway_support import running_gateway, running_gateways
-from tests.records_support import free_port
 from tests.store_stubs import exchanging
 
 ACME = Account('acme', frozenset((b'digest',)))
