--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -162,8 +162,8 @@
     def on_headers_complete(self) -> None:
         """Handles the head; skips a late response to another request.
 
-        A head that nobody can have sent as such, or that names no request
-        where it may be to an earlier one, ends the connection.
+        A head that two answers make up ends the connection, and so does one
+        without a request id on a connection that has carried other requests.
         """
         status = self._parser.get_status_code()
         sink = self._sink
--- a/cactusledge/gateway/refusals.py
+++ b/cactusledge/gateway/refusals.py
@@ -1,7 +1,7 @@
-"""Which requests did not run, as the answers on one connection say; pure.
+"""To which request an answer on a connection belongs, and which were refused.
 
-An endpoint may write an earlier refusal once more where the answer to the next
-request is due.
+Pure. An endpoint may write an earlier refusal once more, or bytes that belong
+to no request, where the answer to the next request is due.
 """
 
 from cactusledge.gateway.messages import EndpointAnswer
@@ -34,10 +34,10 @@
         self._requests += 1
 
     def can_carry(self, request_id: str) -> bool:
-        """Returns whether an answer here can be told to be the request's.
+        """Returns whether the request may be sent on this connection.
 
-        It must not have been refused here before. Without an id it needs a
-        connection that has carried no other.
+        Its answer must be told from others: it must not have been refused here
+        before, and without an id it needs a connection that has carried none.
         """
         if not request_id:
             return not self._requests
--- a/cactusledge/platform/stored_documents.py
+++ b/cactusledge/platform/stored_documents.py
@@ -73,7 +73,7 @@
 
 
 def stored_object_of(kind: str, document: Document) -> StoredObject:
-    """Converts a document to an object; without fields if it has no usable."""
+    """Converts a document; fields that cannot be decoded are left out."""
     metadata = document.metadata
     return StoredObject(
         kind=kind,
