--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -476,6 +476,58 @@
     return '\r\n'.join(head).encode() + body
 
 
+async def answer_stream(request, writer, events, pace_s=0.02):
+    """Answers with an event stream in chunks, as a model engine does."""
+    lines = ('Content-Type: text/event-stream', 'Transfer-Encoding: chunked')
+    writer.write(answer_head(request, *lines))
+    for number in range(1, events + 1):
+        event = f'id: {number}\ndata: {request}.{number}\n\n'
+        writer.write(f'{len(event):x}\r\n{event}\r\n'.encode())
+        await writer.drain()
+        await asyncio.sleep(pace_s)
+    writer.write(b'0\r\n\r\n')
+    await writer.drain()
+
+
+async def read_body(reader, headers):
+    """Returns the body of an answer and whether it came whole."""
+    body = bytearray()
+    if 'chunked' not in headers.get('transfer-encoding', ''):
+        length = int(headers.get('content-length', 0))
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            body += await reader.readexactly(length)
+        return bytes(body), len(body) == length
+    with contextlib.suppress(asyncio.IncompleteReadError, ValueError):
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+        return bytes(body), True
+    return bytes(body), False
+
+
+async def exchange(ip, content, limit_s):
+    """Sends a request on a new channel; returns status, headers, body, whole.
+
+    The status is 0 if there was no answer in time.
+    """
+    status, headers, body, whole = 0, {}, b'', False
+    writer = None
+    try:
+        async with asyncio.timeout(limit_s):
+            reader, writer = await asyncio.open_connection(ip, FRONT_PORT)
+            writer.write(content)
+            head = await read_head(reader)
+            if head is not None:
+                status, headers = status_of(head[0]), head[1]
+                body, whole = await read_body(reader, headers)
+    except OSError:
+        whole = False
+    if writer is not None:
+        writer.close()
+    return status, headers, body, whole
+
+
 async def connect(ip, port, window_bytes=65536):
     """Opens a channel with a small window, as links have them."""
     sock = socket.socket()
