--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -24,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = 'review.example'
+READ_BYTES = 16384
 FRONT_PORT, READY_PORT, PEER_PORT, PLATFORM_PORT = 8149, 8141, 7380, 8142
 ENDPOINT_PORT = 8080
 GRACE_S = 8
@@ -36,6 +37,7 @@
 }
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HELD, BROKEN, UNUSABLE = 0, 1, 2
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 
 
 class CannotRunError(Exception):
@@ -262,10 +264,13 @@
         self.ip = world.next_ip()
         self.id = f'i-{random.randrange(1 << 32):08x}'
         self.runs = []  # request ids
+        self.read_bytes_per_s = 0  # of each channel; 0: as they come
 
-    async def start(self):
+    async def start(self, window_bytes=None):
         """Listens, and registers at the platform."""
-        await self.world.listen(self.serve, self.ip, ENDPOINT_PORT)
+        await self.world.listen(
+            self.serve, self.ip, ENDPOINT_PORT, window_bytes
+        )
         spec = {
             'service': self.service,
             'address': f'{self.ip}:{ENDPOINT_PORT}',
@@ -279,12 +284,24 @@
         }
         await self.world.platform.put('servers', self.id, spec)
 
+    async def read_body(self, reader, length):
+        """Returns the body of a request; reads at `read_bytes_per_s`."""
+        body = bytearray()
+        while len(body) < length:
+            part = await reader.read(min(READ_BYTES, length - len(body)))
+            if not part:
+                raise ConnectionError('the body broke off')
+            body += part
+            if self.read_bytes_per_s:
+                await asyncio.sleep(len(part) / self.read_bytes_per_s)
+        return bytes(body)
+
     async def serve(self, reader, writer):
         """Serves the requests of one channel."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError):
             while head := await read_head(reader):
                 length = int(head[1].get('content-length', 0))
-                body = await reader.readexactly(length)
+                body = await self.read_body(reader, length)
                 expected = head[1].get('x-cactusledge-expect-instance')
                 if expected not in {None, self.id}:
                     writer.write(
@@ -323,6 +340,17 @@
         self.ip = ip
         self.process = None
         self.starts = 0
+        self.memory_mb = 300
+        self.ends = 0  # by itself
+        self.peak_mb = 0
+
+    def resident_mb(self):
+        """Returns the memory that the program uses."""
+        try:
+            statm = Path(f'/proc/{self.process.pid}/statm').read_text()
+        except OSError:
+            return 0
+        return int(statm.split()[1]) * PAGE_BYTES / 1_000_000
 
 
 class World:
@@ -345,9 +373,14 @@
         self._next_host += 1
         return f'{self._net}.{self._next_host}'
 
-    async def listen(self, serve, ip, port):
-        """Opens a port of a stand-in."""
-        server = await asyncio.start_server(serve, ip, port, backlog=512)
+    async def listen(self, serve, ip, port, window_bytes=None):
+        """Opens a port of a stand-in, whose channels may have small windows."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if window_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
+        sock.bind((ip, port))
+        server = await asyncio.start_server(serve, sock=sock, backlog=512)
         self._servers.append(server)
         return server
 
@@ -391,6 +424,25 @@
         await asyncio.to_thread(node.process.wait)
         self.record.note(f'{node.name} ended with {node.process.returncode}')
 
+    async def bound_memory(self, node):
+        """Kills a program over its memory and starts it again, as machines do.
+
+        Runs until it is cancelled.
+        """
+        while True:
+            await asyncio.sleep(0.02)
+            used_mb = node.resident_mb()
+            node.peak_mb = max(node.peak_mb, used_mb)
+            if used_mb <= node.memory_mb:
+                continue
+            self.record.note(
+                f'{node.name} uses {used_mb:.0f} MB, over {node.memory_mb} MB'
+            )
+            node.ends += 1
+            await self.kill(node)
+            await asyncio.sleep(0.5)
+            self.start(node)
+
     async def is_ready(self, node):
         """Asks a front whether it is ready, as the platform does."""
         try:
@@ -447,6 +499,7 @@
             'port_range': f'{PEER_PORT},{PEER_PORT + 15}',
             'seeds': ','.join(self.seeds),
             'bootstrap': 'false' if node.starts else 'true',
+            'limits.memory_mb': str(node.memory_mb),
             'tolerate.machines': '1',
             'tolerate.zones': '1',
             'bounds.grace_s': str(GRACE_S),
