--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -117,6 +117,7 @@
         self.events = []
         self.changed = asyncio.Condition()
         self.is_down = False
+        self.channels = set()
 
     async def put(self, kind, name, spec):
         """Writes an object as the operator or a replica does."""
@@ -140,6 +141,7 @@
 
     async def serve(self, reader, writer):
         """Serves the calls of one channel."""
+        self.channels.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while head := await read_head(reader):
                 length = int(head[1].get('content-length', 0))
@@ -152,6 +154,7 @@
                     + content
                 )
                 await writer.drain()
+        self.channels.discard(writer)
         writer.close()
 
     async def _answer(self, line, body):
@@ -389,6 +392,26 @@
         self.platform_ip = self.next_ip()
         await self.listen(self.platform.serve, self.platform_ip, PLATFORM_PORT)
 
+    async def move_platform(self):
+        """Moves the platform's store to another address, as settings tell.
+
+        The settings of all machines change, each program gets SIGHUP, and a
+        second later nothing listens at the old address any more.
+        """
+        old, old_ip = self._servers[0], self.platform_ip
+        await self.start_platform()
+        self.record.note(f'platform moves: {old_ip} to {self.platform_ip}')
+        for node in self.nodes:
+            self._write_settings(node)
+            node.process.send_signal(signal.SIGHUP)
+            self.record.note(f'SIGHUP to {node.name}')
+        await asyncio.sleep(1)
+        old.close()
+        for writer in tuple(self.platform.channels):
+            if writer.get_extra_info('sockname')[0] == old_ip:
+                writer.transport.abort()
+        self.record.note(f'{old_ip} closed')
+
     def add(self, role, number, zone=None):
         """Adds a machine; it is not started."""
         zone = zone or ZONES[(number - 1) % len(ZONES)]
