--- a/cactusledge/records/chain_reader.py
+++ b/cactusledge/records/chain_reader.py
@@ -1,5 +1,6 @@
 """Reads the chain of a turn from the record stores."""
 
+import asyncio
 from collections.abc import Callable, Iterable, Sequence
 
 import structlog
@@ -20,13 +21,25 @@
 
 
 class ChainPass:
-    """What one pass over the stores has read, and who did not answer."""
+    """What one pass over the stores has read, and who did not answer.
+
+    A pass ends when the stores that answer have nothing new. The others are
+    asked once in a pass, as each of them may cost it the read timeout.
+    """
 
     def __init__(self, assembly: ChainAssembly) -> None:
         """Starts with what earlier passes have read."""
         self.assembly = assembly
         self.unanswered: set[str] = set()
 
+    def answering(self, peers: GroupPeers) -> list[Link]:
+        """Returns the stores of a shard to ask, the nearest first."""
+        return [
+            peer
+            for peer in peers.nearest_first()
+            if peer.name not in self.unanswered
+        ]
+
     def may_gain(self, shards: Iterable[GroupPeers]) -> bool:
         """Returns whether another pass may read more.
 
@@ -62,7 +75,7 @@
     """Assembles chains, as each store may lack different turns.
 
     A program may continue a turn of another one, so a part of its chain may
-    be in another shard.
+    be in another shard, and lead back from there to one that was read before.
     """
 
     def __init__(
@@ -86,34 +99,63 @@
         retries = Retries(self._shards, RetryLimits(total_s=RETRY_S))
         while True:
             reading = ChainPass(assembly)
-            await self._read_shards(start, reading)
+            await self._read_all(start, reading)
             if assembly.is_complete():
                 return assembly.chain()
             has_more = reading.may_gain(self._shards())
             if not has_more or not await retries.wait():
                 return ()
 
-    async def _read_shards(self, start: TurnStart, reading: ChainPass) -> None:
-        for peers in self._shards():
-            await self._read_shard(peers, start, reading)
-            if reading.assembly.is_complete():
-                return
+    async def _read_all(self, start: TurnStart, reading: ChainPass) -> None:
+        """Reads from all shards as long as any of them yields new turns."""
+        has_new_turns = True
+        while has_new_turns and not reading.assembly.is_complete():
+            has_new_turns = await self._read_shards(start, reading)
+
+    async def _read_shards(self, start: TurnStart, reading: ChainPass) -> bool:
+        """Reads from the program's own shard, then from the others at once.
+
+        Returns whether any new turns arrived.
+        """
+        own, *others = self._shards()
+        has_new_turns = await self._read_shard(own, start, reading)
+        if reading.assembly.is_complete():
+            return has_new_turns
+        found = await asyncio.gather(
+            *(self._read_shard(peers, start, reading) for peers in others)
+        )
+        return has_new_turns or any(found)
 
     async def _read_shard(
         self, peers: GroupPeers, start: TurnStart, reading: ChainPass
-    ) -> None:
+    ) -> bool:
         """Reads from the stores of one shard, the nearest first.
 
-        The stores are asked again as long as a pass yields new turns.
+        The stores are asked again as long as that yields new turns. Returns
+        whether any arrived.
         """
+        assembly = reading.assembly
+        rounds = 0
         has_new_turns = True
-        while has_new_turns and not reading.assembly.is_complete():
-            has_new_turns = False
-            for peer in peers.nearest_first():
-                if await self._read_from(peer, peers.group, start, reading):
-                    has_new_turns = True
-                if reading.assembly.is_complete():
-                    break
+        while has_new_turns and not assembly.is_complete():
+            rounds += 1
+            has_new_turns = await self._ask_each(peers, start, reading)
+        return rounds > 1 or has_new_turns
+
+    async def _ask_each(
+        self, peers: GroupPeers, start: TurnStart, reading: ChainPass
+    ) -> bool:
+        """Asks the stores of a shard in turn; returns whether any turn is new.
+
+        Stops once the chain is complete.
+        """
+        has_new_turns = False
+        for peer in reading.answering(peers):
+            if await self._read_from(peer, peers.group, start, reading):
+                has_new_turns = True
+            if reading.assembly.is_complete():
+                break
+        return has_new_turns
 
     async def _read_from(
         self,
--- a/tests/test_records_shard_cluster.py
+++ b/tests/test_records_shard_cluster.py
@@ -201,6 +201,46 @@
     run_scenario(scenario)
 
 
+async def record_line(cluster, programs):
+    """Records a chain of turns, each of the next program; returns their ids."""
+    ids = [f'line-{number}' for number in range(len(programs))]
+    for program_id, turn_id, parent_id in zip(
+        programs, ids, ['', *ids], strict=False
+    ):
+        cached = start_of(program_id, turn_id, parent_id)
+        grant = await cluster.client.begin(cached._replace(wants_chain=False))
+        assert grant.verdict is Verdict.GRANTED
+        turn = Turn(turn_id, parent_id, program_id, b'in', b'out', 10, 'e', ())
+        assert (await cluster.client.record(turn)).is_durable
+    return ids
+
+
+# A restarted gateway refused each try of a turn whose chain led from one shard
+# to another and back, as it read each shard once.
+@pytest.mark.parametrize('stores_down', [0, 1])
+def test_chain_across_shards_is_read_by_a_restarted_gateway(
+    run_scenario, stores_down
+):
+    async def scenario(cluster):
+        first, second = programs_of_both_shards()
+        ids = await record_line(cluster, (first, second) * 3)
+        for shard in range(SHARDS):
+            for node in cluster.nodes_of(shard)[:stores_down]:
+                await node.kill()
+        restarted = RecordClient('front-2', 'store-1')
+        for node in cluster.nodes.values():
+            restarted.adopt_group(node.store.group)
+        await wait_until(lambda: restarted.has_all_quorums)
+        for program_id in (first, second):
+            start = start_of(program_id, f'after-{program_id}', ids[-1])
+            grant = await restarted.begin(start)
+            assert grant.verdict is Verdict.GRANTED, grant
+            assert [found.turn_id for found in grant.chain] == ids
+        restarted.stop()
+
+    run_scenario(scenario)
+
+
 def test_budget_holds_for_a_turn_that_continues_another_shard(run_scenario):
     async def scenario(cluster):
         await take_turns(cluster, 0)
