--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -19,6 +19,7 @@
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.messages import EndpointAnswer
 from cactusledge.gateway.paced_reading import PacedReader
+from cactusledge.gateway.peer_end import is_end_in_order
 from cactusledge.gateway.received_head import ReceivedHead
 from cactusledge.gateway.refusals import Refusals
 from cactusledge.records.frames import set_socket_options
@@ -145,6 +146,19 @@
         if not self._byte_count.add_received(len(data)):
             self.abandon()
 
+    def eof_received(self) -> None:
+        """Ends the response in progress unless the endpoint ended in order.
+
+        One that did not take the whole request has not sent all of its response
+        for sure, whatever came before the end.
+        """
+        transport = self._transport
+        if transport is None or self._sink is None:
+            return
+        if not is_end_in_order(transport):
+            self._end(TransferEnd.RESET)
+            transport.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the response in progress by a close or a failure."""
         self._transport = None
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -124,6 +124,12 @@
         reader, writer = await asyncio.open_connection(HOST, self.port)
         return Caller(reader, writer, request_id)
 
+    async def call(self, path, *headers, body=b''):
+        """Sends one request on a new connection."""
+        caller = await self.connect()
+        await caller.send(path, *headers, body=body)
+        return caller
+
     async def ask(self, path, takes_s=0, request_id='r1'):
         """Sends a request on a new connection; returns its answer."""
         caller = await self.connect(request_id)
