--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -24,7 +24,9 @@
 from cactusledge.gateway.refusals import Refusals
 from cactusledge.records.frames import set_socket_options
 
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 
 
 class AnswerTooLargeError(Exception):
@@ -177,9 +179,14 @@
         """Handles the head; skips a late response to another request.
 
         A head that two answers make up ends the connection, and so does one
-        without a request id on a connection that has carried other requests.
+        with an invalid status, or without a request id on a connection that has
+        carried other requests.
         """
         status = self._parser.get_status_code()
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self._is_skipping = True
+            self.abandon()
+            return
         sink = self._sink
         self._is_skipping = sink is None or status < FIRST_FINAL_STATUS
         if sink is None or self._is_skipping:
