Records: a turn that would continue itself ends no chain for ever (Fault)

Not seen in operation.

What would be seen: a caller uses a request id again, in a program of another shard, for a turn that continues its first one. Each shard takes its turn. The next read of that chain never ended in the store of the second shard, and in the gateway: both follow parents without looking where they have been.

Change: a chain ends before a turn that it has already.

--- a/cactusledge/records/chain_assembly.py
+++ b/cactusledge/records/chain_assembly.py
@@ -15,9 +15,15 @@
 
     @property
     def youngest_missing(self) -> str:
-        """Id of the youngest turn not received yet, '' if none is missing."""
+        """Id of the youngest turn not received yet, '' if none is missing.
+
+        A turn that would follow itself is missing for ever: callers of two
+        programs have used its id, and only one of the two turns is known.
+        """
+        seen: set[str] = set()
         turn_id = self._last_id
-        while turn_id in self._turns:
+        while turn_id in self._turns and turn_id not in seen:
+            seen.add(turn_id)
             turn_id = self._turns[turn_id].parent_id
         return turn_id
 
--- a/cactusledge/records/state.py
+++ b/cactusledge/records/state.py
@@ -36,15 +36,15 @@
 
         It starts after the latest turn that is unknown here. A record is only
         on a majority of the stores, so each store may lack different turns.
-        Texts may be missing.
+        Texts may be missing. It ends before a turn that it has already, as
+        callers of two programs may have used one id.
         """
-        chain: list[Turn] = []
+        chain: dict[str, Turn] = {}
         turn = self.turns.get(turn_id)
-        while turn is not None:
-            chain.append(turn)
+        while turn is not None and turn.turn_id not in chain:
+            chain[turn.turn_id] = turn
             turn = self.turns.get(turn.parent_id)
-        chain.reverse()
-        return chain
+        return list(reversed(chain.values()))
 
     def ancestors_of(self, entries: Iterable[Entry]) -> set[str]:
         """Returns the ids of the entries' turns and of their ancestors."""
--- a/tests/test_records_shard_cluster.py
+++ b/tests/test_records_shard_cluster.py
@@ -19,6 +19,7 @@
 
 STORES = 8  # with two copies of each text: two shards of four stores
 SHARDS = 2
+REFUSAL_S = 3.0  # of a chain that cannot be read
 PROGRAMS = tuple(f'p{number}' for number in range(6))
 
 
@@ -241,6 +242,23 @@
     run_scenario(scenario)
 
 
+# A caller that used an id again, in a program of another shard, made a chain
+# without a beginning; the stores and gateways that read it never came back.
+def test_turn_that_would_continue_itself_is_refused(run_scenario):
+    async def scenario(cluster):
+        first, second = programs_of_both_shards()
+        ids = await record_line(cluster, (first, second))
+        again = Turn(ids[0], ids[1], second, b'in', b'out', 10, 'e', ())
+        assert (await cluster.client.record(again)).is_durable
+        for program_id in (first, second):
+            start = start_of(program_id, f'after-{program_id}', ids[1])
+            async with asyncio.timeout(REFUSAL_S):
+                grant = await cluster.client.begin(start)
+            assert grant.verdict is Verdict.UNSURE, grant
+
+    run_scenario(scenario)
+
+
 def test_budget_holds_for_a_turn_that_continues_another_shard(run_scenario):
     async def scenario(cluster):
         await take_turns(cluster, 0)
