Tests: the wait of a starting process cannot swallow the stop

test_stop_during_the_start_ends_the_process_cleanly was red in two of five whole runs: not ended 5 s after SIGTERM.

Cause, shown: the process of the test reads its settings from a named pipe. A signal that comes after the interpreter has last looked for signals and before the kernel has begun that read is only noted; the read then waits for ever. A settings file has no such wait.

Change: the test ends the pipe after the signal, so the read returns and the noted signal is handled. What is asked is the same: status 0 within 5 s.

No other test waits on a named pipe.

--- a/tests/test_platform_early_signals.py
+++ b/tests/test_platform_early_signals.py
@@ -19,7 +19,11 @@
 
 @contextmanager
 def starting(folder, role):
-    """Starts a process that waits for its settings to be written."""
+    """Starts a process; yields it, and the pipe from which it reads settings.
+
+    A signal that its interpreter has noted and not yet handled does not end
+    that wait. The end of the pipe does; settings that are a file have no wait.
+    """
     settings = folder / 'settings'
     os.mkfifo(settings)
     process = subprocess.Popen(
@@ -29,8 +33,8 @@
     with ExitStack() as stack:
         stack.callback(process.wait)
         stack.callback(process.kill)
-        stack.callback(os.close, open_when_read(settings))
-        yield process
+        pipe = os.fdopen(open_when_read(settings), 'wb')
+        yield process, stack.enter_context(pipe)
 
 
 def open_when_read(settings):
@@ -46,7 +50,7 @@
 # A SIGHUP in the first 0.2 s ended the process.
 @pytest.mark.parametrize('role', ['front', 'store'])
 def test_reload_during_the_start_does_not_end_the_process(tmp_path, role):
-    with starting(tmp_path, role) as process:
+    with starting(tmp_path, role) as (process, _):
         process.send_signal(signal.SIGHUP)
         time.sleep(EFFECT_S)
         assert process.poll() is None
@@ -55,6 +59,7 @@
 # A stop before the process served ended it by the signal, like a crash.
 @pytest.mark.parametrize('role', ['front', 'store'])
 def test_stop_during_the_start_ends_the_process_cleanly(tmp_path, role):
-    with starting(tmp_path, role) as process:
+    with starting(tmp_path, role) as (process, pipe):
         process.send_signal(signal.SIGTERM)
+        pipe.close()
         assert process.wait(END_LIMIT_S) == 0
