Tests: a call after the window of a leaving replica comes after it

test_call_is_refused_at_once_if_all_replicas_have_left was red in two of five whole runs: 200 for 503.

Cause, shown: the loop counts time in whole milliseconds, and the test has a window of 0 s. A call of the same millisecond as the departure was received in the window and may be served. 400 runs of the test in one process: 263 failed.

Change: the call comes two steps of the clock after the departure. 400 runs: 0 failed. The bounds are the same.

No other test has a window or limit of 0 s on the loop's clock; those in test_api_stop and test_journal_writer that are 0 ask for no waiting at all.

--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -21,6 +21,7 @@
 
 EVENT = b'id: 1\ndata: a\n\n'
 AT_ONCE_S = 0.2
+CLOCK_STEP_S = 0.001  # of the event loop's time
 LEAVING = 'Server-Leaving: 1'
 
 
@@ -82,6 +83,8 @@
             harness.fleet.departures.window_s = 0
             caller = await harness.call('/once/x')
             await caller.read()
+            # A call of the moment at which the window ends is still in it.
+            await asyncio.sleep(2 * CLOCK_STEP_S)
             started_s = asyncio.get_running_loop().time()
             caller = await harness.call('/once/y')
             status, _, _ = await caller.read()
