--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -60,7 +60,6 @@
             self.store,
             GroupObjects(parts.objects),
             Member(str(parts.address), parts.data_centre),
-            is_first_start=parts.is_first_start,
             copies=parts.copies,
         )
         self._metrics = Metrics()
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -40,7 +40,6 @@
         objects: GroupObjects,
         member: Member,
         *,
-        is_first_start: bool,
         copies: int,
     ) -> None:
         """Registers for announced groups; `run` does the rest."""
@@ -50,7 +49,6 @@
         self._store = store
         self._objects = objects
         self._member = member
-        self._is_first_start = is_first_start
         self._started_s = time.monotonic()
         self._catch_up = CatchUp(store)
         self._restorer = TextRestorer(store, self.peers)
@@ -105,12 +103,13 @@
         await self._restorer.run()
 
     async def _form_group(self) -> None:
-        """Forms the first groups at the first start of the whole system.
+        """Forms the first groups, at the first start of the whole system.
 
         Every store registers; the first one by name publishes the groups, or
         the next ones if it does not. The others learn of them by their watch.
+        All of them may have restarted since the first start.
         """
-        if not self._is_first_start:
+        if self._store.log.head or not await self._is_first_disk():
             return
         if not self._is_registered:
             await self._objects.register(self._store.name, self._member)
@@ -126,6 +125,18 @@
         if await self._objects.create(table):
             self.adopt_table(table)
 
+    async def _is_first_disk(self) -> bool:
+        """Returns whether this store cannot have lost a disk with records.
+
+        There are none before the first groups have been published.
+        """
+        if self._store.log.identity.is_witness:
+            return True
+        if await self._objects.read() is not None:
+            return False
+        await self._store.log.mark_witness()
+        return True
+
     async def _join_group(self) -> None:
         """Adds this store to the group of its shard.
 
--- a/tests/records_support.py
+++ b/tests/records_support.py
@@ -66,7 +66,6 @@
             self.store,
             GroupObjects(self._objects),
             Member(str(self.address), self.name),
-            is_first_start=is_first_start,
             copies=2,
         )
         self._server = MessageServer(self._handle)
--- a/tests/test_records_replacements.py
+++ b/tests/test_records_replacements.py
@@ -190,6 +190,60 @@
     asyncio.run(main())
 
 
+# All stores were killed before one of them had formed the group: each waited
+# for another one, for ever, as no later start is a first start.
+@pytest.mark.usefixtures('short_formation_delay')
+@pytest.mark.parametrize('disks_lost', range(4))
+def test_stores_that_all_restart_form_the_first_group(
+    tmp_path, store, disks_lost
+):
+    async def main():
+        async with AsyncExitStack() as stack:
+            cluster = Cluster(tmp_path, store)
+            stack.push_async_callback(cluster.stop)
+            for index in range(3):
+                await cluster.add(f'store-{index}', is_first_start=True)
+            nodes = list(cluster.nodes.values())
+            for node in nodes:
+                await node.kill()
+            for node in nodes[:disks_lost]:
+                node.wipe()
+            assert not groups_published(store)
+            for node in nodes:
+                await node.start()
+            await wait_until(lambda: cluster.member_count() == 3)
+            await cluster.connect()
+            await record_turns(cluster)
+
+    asyncio.run(main())
+
+
+def groups_published(objects):
+    """Returns whether the first groups have been published."""
+    return (GROUP_KIND, GROUP_NAME) in objects.objects
+
+
+# A store that has lost its disk may not take part in forming a group anew, nor
+# count as complete, once there is one.
+def test_lost_disk_is_no_first_disk_once_a_group_exists(run_scenario):
+    async def scenario(cluster):
+        turn_ids = await record_turns(cluster)
+        lost = cluster.nodes['store-0']
+        await lost.kill()
+        lost.wipe()
+        for name in ('store-1', 'store-2'):
+            await cluster.nodes[name].kill()
+        await lost.start()
+        await asyncio.sleep(5 * STEP_INTERVAL_S)
+        assert not lost.is_witness
+        for name in ('store-1', 'store-2'):
+            await cluster.nodes[name].start()
+        await wait_until(lambda: lost.is_witness)
+        assert set(turn_ids) <= lost.store.log.state.turns.keys()
+
+    run_scenario(3, scenario)
+
+
 def registered(objects):
     """Returns the names of the stores that have registered."""
     return [name for kind, name in objects.objects if kind == STORE_KIND]
