--- a/cactusledge/gateway/backpressure.py
+++ b/cactusledge/gateway/backpressure.py
@@ -1,9 +1,14 @@
 """Slows an endpoint down to the pace at which its caller takes the answer."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 
+def do_nothing() -> None:
+    """Takes no note of a transport that has drained."""
+
+
 class Source(Protocol):
     """Where the bytes of an answer come from."""
 
@@ -17,10 +22,15 @@
 class Backpressure:
     """Pauses the source of an answer while its caller takes no bytes."""
 
-    def __init__(self) -> None:
-        """Starts writable, without a source."""
+    def __init__(self, on_resumed: Callable[[], None] = do_nothing) -> None:
+        """Starts writable, without a source.
+
+        Args:
+            on_resumed: Called when the transport has drained.
+        """
         self.is_paused = False  # caller's transport is above its mark
         self._source: Source | None = None
+        self._on_resumed = on_resumed
 
     def connect(self, source: Source) -> None:
         """Sets the source of what is written next."""
@@ -44,6 +54,7 @@
         self.is_paused = False
         if self._source is not None:
             self._source.resume_reading()
+        self._on_resumed()
 
 
 class PacedWriter(asyncio.Protocol):
--- a/cactusledge/gateway/http_server.py
+++ b/cactusledge/gateway/http_server.py
@@ -66,6 +66,7 @@
         self._pipelined: deque[Request] = deque()
         self._task: asyncio.Task[None] | None = None
         self._timer = Timer(self._expire)
+        self._is_ending = False  # no further request is served
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection and starts its idle timer."""
@@ -78,7 +79,13 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        """Parses the data; an unparsable request is answered with 400."""
+        """Parses the data; an unparsable request is answered with 400.
+
+        What comes after the last response is dropped: left unread, it would
+        reset the connection at its close.
+        """
+        if self._is_ending:
+            return
         try:
             self._parser.feed(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError) as exc:
@@ -166,6 +173,7 @@
             log.error('gateway: request failed', exc_info=task.exception())
             self._responder.keeps_alive = False
         if not self._responder.keeps_alive:
+            self._is_ending = True
             self._responder.close()
         elif self._pipelined:
             self._start(self._pipelined.popleft())
--- a/cactusledge/gateway/responder.py
+++ b/cactusledge/gateway/responder.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import http
-import socket
-import struct
 from collections.abc import Mapping
 from types import MappingProxyType
 
 from cactusledge.gateway.backpressure import Backpressure
+from cactusledge.gateway.unframed_end import UnframedEnd
 
 LAST_CHUNK = b'0\r\n\r\n'
 CLOSE_HEADER = b'Connection: close\r\n'
@@ -18,16 +17,12 @@
 })
 
 
-RESET_AT_CLOSE = struct.pack('ii', 1, 0)  # SO_LINGER: on, for no time
-CLOSE_IN_ORDER = struct.pack('ii', 0, 0)  # SO_LINGER: off
-
-
 class Responder:
     """Writes responses; does nothing once the connection is lost.
 
     A response without a framing ends with its connection. Until it is ended as
-    whole, any close of its connection is a reset, also that of a killed
-    process, so that the caller does not take a part for the whole.
+    whole and written, any close of its connection is a reset, also that of a
+    killed process, so that the caller does not take a part for the whole.
     """
 
     def __init__(self) -> None:
@@ -35,7 +30,8 @@
         self.has_head = False  # head of the current response is written
         self.has_framing = True  # of the current response
         self.keeps_alive = True
-        self.flow = Backpressure()
+        self._unframed = UnframedEnd()
+        self.flow = Backpressure(self._unframed.close_if_written)
         self._is_chunked = False
         self._transport: asyncio.Transport | None = None
 
@@ -54,7 +50,7 @@
 
     def close(self) -> None:
         """Closes the connection after pending data is written."""
-        if self._transport is not None:
+        if self._transport is not None and not self._unframed.is_pending:
             self._transport.close()
 
     def begin(self, *, is_last: bool) -> None:
@@ -90,7 +86,7 @@
         self._is_chunked = has_framing and length is None
         if not has_framing:
             self.keeps_alive = False
-            set_linger(self._transport, RESET_AT_CLOSE)
+            self._unframed.begin(self._transport)
         framing = CHUNKED_HEADER if self._is_chunked else b''
         if length is not None:
             framing = length_header(length)
@@ -107,8 +103,7 @@
         if self._is_chunked:
             self._write(LAST_CHUNK)
         elif not self.has_framing:
-            set_linger(self._transport, CLOSE_IN_ORDER)
-            self.close()
+            self._unframed.end()
 
     def close_incomplete(self) -> None:
         """Closes the connection so that the response shows as truncated.
@@ -145,10 +140,3 @@
 def length_header(length: int) -> bytes:
     """Returns the header line of a length in bytes."""
     return f'Content-Length: {length}\r\n'.encode()
-
-
-def set_linger(transport: asyncio.Transport | None, linger: bytes) -> None:
-    """Sets how a connection closes, if it is still open."""
-    sock = transport.get_extra_info('socket') if transport else None
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/early_answers.py
+++ b/tests/early_answers.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import socket
-import struct
 
-from tests.gateway_endpoints import Endpoint, length_of, read_head
+from tests.gateway_endpoints import (
+    RESET_AT_CLOSE,
+    Endpoint,
+    length_of,
+    read_head,
+)
 
 UPLOAD = b'u' * 1_000_000  # more than the endpoint's socket takes unread
 RECEIVE_BUFFER_BYTES = 16384
 PAUSE_S = 0.1  # for the answer to be read, and between two ends
-RESET_AT_CLOSE = struct.pack('ii', 1, 0)  # linger for no time
 
 
 class EarlyEndpoint(Endpoint):
--- a/tests/test_gateway_unknown_routes.py
+++ b/tests/test_gateway_unknown_routes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cactusledge.gateway.responder import set_linger
+from cactusledge.gateway.unframed_end import set_linger
 from cactusledge.records.gateway_messages import KnownVersion
 from tests.gateway_endpoints import RESET_AT_CLOSE, field
 from tests.gateway_support import run_scenario
