--- a/cactusledge/gateway/http_server.py
+++ b/cactusledge/gateway/http_server.py
@@ -14,7 +14,7 @@
 from cactusledge.gateway.request_parser import ParserTarget, RequestParser
 from cactusledge.gateway.responder import Responder
 from cactusledge.gateway.timer import Timer
-from cactusledge.records.frames import set_socket_options
+from cactusledge.records.frames import set_keepalive
 
 # Callers reuse connections up to 0.8 of the idle timeout.
 IDLE_TIMEOUT_FACTOR = 1.25
@@ -67,16 +67,18 @@
         self._task: asyncio.Task[None] | None = None
         self._timer = Timer(self._expire)
         self._is_ending = False  # no further request is served
+        self._unsent = 0  # bytes, when the timer last expired
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Registers the connection and starts its idle timer."""
-        set_socket_options(transport.get_extra_info('socket'))
+        """Registers the connection and starts its idle timer.
+
+        A caller may take its answer slowly, also with a full window.
+        """
+        set_keepalive(transport.get_extra_info('socket'))
         self._transport = transport  # type: ignore[assignment]
         self._responder.attach(transport)  # type: ignore[arg-type]
         self._server.connections.add(self)
-        self._timer.start(
-            self._server.limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR
-        )
+        self._timer.start(idle_ms(self._server.limits))
 
     def data_received(self, data: bytes) -> None:
         """Parses the data; an unparsable request is answered with 400.
@@ -177,14 +179,29 @@
             self._responder.close()
         elif self._pipelined:
             self._start(self._pipelined.popleft())
-        elif self._responder.is_open:
-            self._timer.start(
-                self._server.limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR
-            )
+            return
+        if self._transport is not None:
+            self._timer.start(idle_ms(self._server.limits))
 
     def _expire(self) -> None:
-        """Closes an idle connection; responds 408 to a partial request."""
-        if self._parser.is_reading:
+        """Closes an idle connection; responds 408 to a partial request.
+
+        What is not sent yet is waited for as long as the caller takes any.
+        """
+        transport = self._transport
+        if self._parser.is_reading and not self._is_ending:
             self.on_rejected(http.HTTPStatus.REQUEST_TIMEOUT)
-        else:
-            self._responder.close()
+        elif transport is not None:
+            unsent = transport.get_write_buffer_size()
+            is_stalled = unsent > 0 and unsent == self._unsent
+            self._unsent = unsent
+            self._timer.start(idle_ms(self._server.limits))
+            if is_stalled:
+                transport.abort()
+            else:
+                self._responder.close()
+
+
+def idle_ms(limits: Limits) -> float:
+    """Returns how long a connection may be idle."""
+    return limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR
--- a/cactusledge/records/frames.py
+++ b/cactusledge/records/frames.py
@@ -18,14 +18,24 @@
 
 
 def set_socket_options(sock: socket.socket) -> None:
-    """Disables Nagle and has the kernel close connections to silent peers."""
+    """Has the kernel close connections whose peer is silent or takes nothing.
+
+    Also disables Nagle.
+    """
+    set_keepalive(sock)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
+
+
+def set_keepalive(sock: socket.socket) -> None:
+    """Has the kernel close connections to silent peers, and disables Nagle."""
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
 def encode_frame(number: int, body: Body) -> bytes:
