--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -151,8 +151,8 @@
     def eof_received(self) -> None:
         """Ends the response in progress unless the endpoint ended in order.
 
-        One that did not take the whole request has not sent all of its response
-        for sure, whatever came before the end.
+        What came from an endpoint that has not taken the whole request may be a
+        part of its response only.
         """
         transport = self._transport
         if transport is None or self._sink is None:
--- a/cactusledge/gateway/http_server.py
+++ b/cactusledge/gateway/http_server.py
@@ -72,7 +72,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection and starts its idle timer.
 
-        A caller may take its answer slowly, also with a full window.
+        The kernel does not bound how long a caller takes nothing of its answer;
+        the timer does.
         """
         set_keepalive(transport.get_extra_info('socket'))
         self._transport = transport  # type: ignore[assignment]
--- a/cactusledge/gateway/peer_end.py
+++ b/cactusledge/gateway/peer_end.py
@@ -1,7 +1,8 @@
 """Whether a peer ended its side of a connection in order, as the kernel has it.
 
 A peer that closes with a part of a request unread resets the connection, and
-what it had sent may be lost with that. Its end can arrive before the reset.
+what it had sent may be lost with that. If it ends its own side before that, the
+end arrives first and looks orderly.
 """
 
 import asyncio
--- a/cactusledge/gateway/unframed_end.py
+++ b/cactusledge/gateway/unframed_end.py
@@ -14,7 +14,7 @@
 
 
 class UnframedEnd:
-    """The end of the last response of a connection."""
+    """The end of a response without a framing, the last of its connection."""
 
     def __init__(self) -> None:
         """Starts before the response."""
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -38,7 +38,7 @@
     data_centre: str
     address: Address
     folder: Path
-    is_first_start: bool
+    is_first_start: bool  # of the whole system: empty disks are as expected
     copies: int  # disks holding each text: one more than may be lost
     objects: ObjectStore
     retirement: RetirementRequest
--- a/cactusledge/records/disk.py
+++ b/cactusledge/records/disk.py
@@ -77,7 +77,8 @@
     """Reads the data folder; an empty one gets a new identity.
 
     An empty disk counts as a complete log (see `Identity`) only at the first
-    start of the whole system, when there are no records yet.
+    start of the whole system, when there are no records yet. After it, the
+    group manager decides whether there can be any.
     """
     folder.mkdir(parents=True, exist_ok=True)
     found = read_document(folder, IDENTITY_FILE)
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -103,11 +103,11 @@
         await self._restorer.run()
 
     async def _form_group(self) -> None:
-        """Forms the first groups, at the first start of the whole system.
+        """Forms the first groups if the platform has none.
 
         Every store registers; the first one by name publishes the groups, or
         the next ones if it does not. The others learn of them by their watch.
-        All of them may have restarted since the first start.
+        Any of them may have restarted since the first start of the system.
         """
         if self._store.log.head or not await self._is_first_disk():
             return
--- a/cactusledge/records/state.py
+++ b/cactusledge/records/state.py
@@ -36,8 +36,8 @@
 
         It starts after the latest turn that is unknown here. A record is only
         on a majority of the stores, so each store may lack different turns.
-        Texts may be missing. It ends before a turn that it has already, as
-        callers of two programs may have used one id.
+        Texts may be missing. No turn is in the chain twice, although a caller
+        who uses one id in two programs can make a turn its own ancestor.
         """
         chain: dict[str, Turn] = {}
         turn = self.turns.get(turn_id)
