Gateway: what clients send and hold is bounded, by request and by process

Cause: a request was judged when it was complete. Heads, trailers, chunk parts, requests behind the one in service and answers that are not taken had no bound, nor had the sum of what is inside the limits, nor connections. Ruled out: time limits alone (a crowd fills the memory within a second). Change: sizes are counted by phase as bytes arrive; parsing stops at a complete request until it is served and its answer taken; one account of the process's memory, from limits.memory_mb, also for answers of endpoints; three fifths of limits.fds for callers; refusals can be read before the close. Modules of one function each were joined, as a start may load 400 modules. The parts share their code and land in one commit.

--- a/cactusledge/gateway/app.py
+++ b/cactusledge/gateway/app.py
@@ -7,13 +7,19 @@
 import structlog
 
 from cactusledge.gateway.background import BackgroundTasks, log_failure
+from cactusledge.gateway.buffer_space import bounds_of
+from cactusledge.gateway.client_bounds import caller_bounds
 from cactusledge.gateway.context import Fleet
 from cactusledge.gateway.draining import Drain
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.heartbeat import Heartbeat
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.new_fleet import Place, new_fleet
-from cactusledge.gateway.pages import metrics_page, open_page, readiness_page
+from cactusledge.gateway.pages import (
+    metrics_page,
+    open_page,
+    readiness_page,
+)
 from cactusledge.gateway.parts import GatewayParts, start_watchers
 from cactusledge.gateway.start_gate import StartGate
 from cactusledge.objects.watcher import Watcher
@@ -33,14 +39,22 @@
         """Creates the components; no socket is opened yet."""
         self._parts = parts
         self.records = RecordClient(parts.instance, parts.data_centre)
+        self._bounds = bounds_of(parts.machine)
         self.fleet = new_fleet(
             parts.dialect,
             Place(parts.instance, parts.data_centre),
             StoreGrants(self.records.peers),
             parts.drain_s,
             parts.cross_ms_per_mb,
+            self._bounds.new_space(),
+        )
+        self.gateway = Gateway(
+            self.fleet,
+            self.records,
+            caller_bounds(
+                self.fleet.metrics, self.fleet.pool.space, self._bounds
+            ),
         )
-        self.gateway = Gateway(self.fleet, self.records)
         self._gate = StartGate(self.gateway, lambda: self.records.has_quorum)
         self._background = BackgroundTasks(parts, self.gateway, self.records)
         self._watchers: list[Watcher] = []
@@ -95,13 +109,16 @@
         A stop requested before that leaves nothing to drain.
         """
         self._beats = asyncio.ensure_future(self._heartbeat.run())
+        clients = self.gateway.bounds
+        pages = (
+            (self._parts.readiness, readiness_page(lambda: self.is_ready)),
+            (self._parts.metrics, metrics_page(self.fleet.metrics)),
+        )
         self._servers = [
             await open_page(
-                self._parts.readiness, readiness_page(lambda: self.is_ready)
-            ),
-            await open_page(
-                self._parts.metrics, metrics_page(self.fleet.metrics)
-            ),
+                address, page, clients.for_port(self._bounds.page_clients)
+            )
+            for address, page in pages
         ]
         await self._background.start()
         if self._stop_requested.is_set():
--- a/cactusledge/gateway/background.py
+++ b/cactusledge/gateway/background.py
@@ -7,6 +7,7 @@
 
 from cactusledge.gateway.background_loops import keep_running
 from cactusledge.gateway.bootstrap import PeerBootstrap
+from cactusledge.gateway.clock import next_tick
 from cactusledge.gateway.end_watch import EndWatch
 from cactusledge.gateway.forward_peers import ForwardPeers
 from cactusledge.gateway.gateway import Gateway
@@ -14,7 +15,6 @@
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.gateway.peer_requests import PeerRequests
 from cactusledge.gateway.reach_watch import ReachWatch
-from cactusledge.gateway.ticks import next_tick
 from cactusledge.gateway.version_fetch import VersionFetch
 from cactusledge.records.client import RecordClient
 from cactusledge.records.entries import Member
@@ -155,6 +155,8 @@
     metrics = gateway.fleet.metrics
     metrics.put('gateway_endpoints', len(gateway.fleet.replicas))
     metrics.put('gateway_quorum', records.has_quorum)
+    metrics.put('gateway_connections', len(gateway.connections))
+    metrics.put('gateway_held_bytes', gateway.fleet.pool.space.used)
     metrics.put('gateway_configuration_version', gateway.news.version)
     gateway.watches.update_gauges()
     for shard, peers in records.peers.by_shard.items():
--- a/cactusledge/gateway/configuration_news.py
+++ b/cactusledge/gateway/configuration_news.py
@@ -6,6 +6,8 @@
 
 import math
 
+from cactusledge.gateway.clock import now
+from cactusledge.models import Address
 from cactusledge.records.gateway_messages import KnownVersion
 
 FAILING_LIMIT_S = 1.0  # of the watch, until a newer version may be in force
@@ -65,3 +67,21 @@
         if since_s is None or now_s - since_s < FETCH_WAIT_S:
             return ()
         return self._heard.holders if self.version else ()
+
+
+class VersionReports:
+    """Implements `records.load_exchange.VersionTracker`."""
+
+    def __init__(self, news: ConfigurationNews, peers: Address) -> None:
+        """Stores the news, and where this gateway takes peers' messages."""
+        self._news = news
+        self._holders = (str(peers),)
+
+    def to_report(self) -> KnownVersion:
+        """Returns the version in force here."""
+        version = self._news.version
+        return KnownVersion(version, self._holders if version else ())
+
+    def add_reported(self, known: KnownVersion) -> None:
+        """Adds the newest version that any gateway has."""
+        self._news.hear(known, now())
--- a/cactusledge/gateway/draining.py
+++ b/cactusledge/gateway/draining.py
@@ -1,7 +1,6 @@
 """Carries out a gateway's stop: ends what is in progress, then the rest."""
 
 import asyncio
-import http
 from collections.abc import Callable, Collection, Mapping
 
 import structlog
@@ -94,7 +93,7 @@
             await asyncio.sleep(POLL_S)
             self._close_connections()
         for conn in tuple(self._half_read_now()):
-            conn.on_rejected(http.HTTPStatus.SERVICE_UNAVAILABLE)
+            conn.refuse_half_read()
 
     def _has_last_work(self) -> bool:
         return bool(self._gateway.connections or self._settling)
--- a/cactusledge/gateway/forward_peers.py
+++ b/cactusledge/gateway/forward_peers.py
@@ -7,8 +7,8 @@
 
 import structlog
 
+from cactusledge.gateway.clock import next_tick
 from cactusledge.gateway.reach import EndpointReach
-from cactusledge.gateway.ticks import next_tick
 from cactusledge.models import Address
 from cactusledge.records.entries import Member
 from cactusledge.records.gateway_messages import AskEndpoints, EndpointsInReach
--- a/cactusledge/gateway/gateway.py
+++ b/cactusledge/gateway/gateway.py
@@ -12,10 +12,10 @@
 from cactusledge.gateway.answer_end import end_fields
 from cactusledge.gateway.answers import ANSWERED, refuse
 from cactusledge.gateway.calls import serve_call
+from cactusledge.gateway.client_bounds import ClientBounds, caller_bounds
 from cactusledge.gateway.configuration_news import ConfigurationNews
 from cactusledge.gateway.context import Call, Fleet, Outcome, Progress
 from cactusledge.gateway.forwarding import FORWARDED
-from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.messages import (
     CallInfo,
     Configuration,
@@ -53,7 +53,12 @@
 class Gateway:
     """Dispatches the requests of all connections."""
 
-    def __init__(self, fleet: Fleet, records: RecordClient) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        records: RecordClient,
+        bounds: ClientBounds | None = None,
+    ) -> None:
         """Starts without a configuration; responds 503 until one is applied."""
         self.fleet = fleet
         self.records = records
@@ -63,7 +68,8 @@
         self.watches = Watches(fleet.metrics)
         self.is_closing = False
         self.admission = Admission()
-        self.connections: set[ServerConnection] = set()
+        self.bounds = bounds or caller_bounds(fleet.metrics, fleet.pool.space)
+        self.connections = self.bounds.connections
         self._turns = TurnServer(fleet, records)
 
     def apply(self, cfg: Configuration) -> bool:
--- a/cactusledge/gateway/heartbeat.py
+++ b/cactusledge/gateway/heartbeat.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cactusledge.gateway.ticks import next_tick
+from cactusledge.gateway.clock import next_tick
 
 BEAT_S = 0.1
 
--- a/cactusledge/gateway/http_server.py
+++ b/cactusledge/gateway/http_server.py
@@ -1,23 +1,22 @@
 """HTTP/1.1 server connection from a caller, on asyncio."""
 
 import asyncio
-import http
-from collections import deque
 from collections.abc import Coroutine
 from typing import Any, NamedTuple, Protocol
 
-import httptools
 import structlog
 
-from cactusledge.gateway.backpressure import PacedWriter
-from cactusledge.gateway.messages import Limits, Request
-from cactusledge.gateway.request_parser import ParserTarget, RequestParser
+from cactusledge.gateway.client_bounds import Bound, BoundMetError
+from cactusledge.gateway.client_connection import (
+    ClientConnection,
+    ClientServer,
+    idle_ms,
+)
+from cactusledge.gateway.connection_slots import Stage
+from cactusledge.gateway.messages import Request
+from cactusledge.gateway.request_input import RequestInput
+from cactusledge.gateway.request_parser import Arrived
 from cactusledge.gateway.responder import Responder
-from cactusledge.gateway.timer import Timer
-from cactusledge.records.frames import set_keepalive
-
-# Callers reuse connections up to 0.8 of the idle timeout.
-IDLE_TIMEOUT_FACTOR = 1.25
 
 log = structlog.get_logger('gateway')
 
@@ -30,117 +29,68 @@
     is_sending: bool  # a response has not gone out in full
 
 
-class Server(Protocol):
+class Server(ClientServer, Protocol):
     """What a connection needs from its server."""
 
-    @property
-    def limits(self) -> Limits:
-        """The limits on requests."""
-
-    @property
-    def is_closing(self) -> bool:
-        """Whether responses carry `Connection: close`."""
-
-    @property
-    def connections(self) -> set['ServerConnection']:
-        """The open connections."""
-
     def serve(
         self, request: Request, conn: Responder
     ) -> Coroutine[Any, Any, None]:
         """Serves one request on the connection."""
 
 
-class ServerConnection(PacedWriter, ParserTarget):
+class ServerConnection(ClientConnection):
     """Serves the requests of one connection in order, one at a time."""
 
     def __init__(self, server: Server) -> None:
-        """Creates the parser and the responder of the connection."""
-        self._server = server
-        self._loop = asyncio.get_running_loop()
-        self._parser = RequestParser(self, server.limits.body_bytes)
-        self._responder = Responder()
-        super().__init__(self._responder.flow)
-        self._transport: asyncio.Transport | None = None
-        self._is_new = True  # no request has begun to arrive
-        self._pipelined: deque[Request] = deque()
+        """Starts before the first request."""
+        requests = RequestInput(
+            lambda: server.limits,
+            server.bounds.memory.admits,
+            self._begin_reading,
+            self._expect_continue,
+        )
+        super().__init__(server, requests)
+        self._serve = server.serve
         self._task: asyncio.Task[None] | None = None
-        self._timer = Timer(self._expire)
-        self._is_ending = False  # no further request is served
-        self._unsent = 0  # bytes, when the timer last expired
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Registers the connection and starts its idle timer.
-
-        The kernel does not bound how long a caller takes nothing of its answer;
-        the timer does.
-        """
-        set_keepalive(transport.get_extra_info('socket'))
-        self._transport = transport  # type: ignore[assignment]
-        self._responder.attach(transport)  # type: ignore[arg-type]
-        self._server.connections.add(self)
-        self._timer.start(idle_ms(self._server.limits))
 
-    def data_received(self, data: bytes) -> None:
-        """Parses the data; an unparsable request is answered with 400.
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request is being served."""
+        return self._task is not None
 
-        What comes after the last response is dropped: left unread, it would
-        reset the connection at its close.
-        """
-        if self._is_ending:
-            return
-        try:
-            self._parser.feed(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as exc:
-            log.info('gateway: cannot parse request', error=str(exc))
-            self.on_rejected(http.HTTPStatus.BAD_REQUEST)
+    @property
+    def activity(self) -> Activity:
+        """What is in progress."""
+        return Activity(
+            self.is_serving, self._requests.is_reading, self._link.unsent > 0
+        )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancels the request in progress and drops the pipelined ones."""
-        self._transport = None
-        self._responder.detach()
-        self._timer.stop()
-        self._server.connections.discard(self)
-        self._pipelined.clear()
+        """Cancels the request in progress and drops those behind it."""
+        super().connection_lost(exc)
         if self._task is not None:
             self._task.cancel()
 
-    def on_begin(self) -> None:
-        """Bounds the time until the request is complete."""
-        self._is_new = False
-        if self._task is None:
-            self._timer.start(self._server.limits.header_timeout_ms)
-
-    def on_expect_continue(self) -> None:
-        """Sends `100 Continue` unless a request is in progress."""
-        if self._task is None:
-            self._responder.send_continue()
-
-    def on_request(self, request: Request, *, keeps_alive: bool) -> None:
-        """Serves a request, after any that are still in progress."""
-        if not keeps_alive:
-            self._responder.keeps_alive = False
-        if self._task is None:
-            self._start(request)
-        else:
-            self._pipelined.append(request)
+    def advance(self) -> None:
+        """Serves the next request once the last response is taken.
 
-    def on_rejected(self, status: int) -> None:
-        """Responds with an error status and closes the connection."""
-        self._responder.keeps_alive = False
-        if self._task is None:
-            self._responder.answer(status, b'', b'')
-            self._responder.close()
-
-    @property
-    def activity(self) -> Activity:
-        """What is in progress."""
-        return Activity(
-            self._task is not None,
-            self._parser.is_reading,
-            self._transport is not None
-            and self._transport.get_write_buffer_size() > 0,
-        )
+        The next one is begun only then: what is not taken would pile up.
+        """
+        is_busy = self.is_serving or self._is_ending
+        if is_busy or self._responder.flow.is_paused:
+            return
+        arrived = self._requests.take()
+        if arrived is not None:
+            self._start(arrived)
+        elif self._requests.refusal is not None:
+            self.refuse(self._requests.refusal)
+        if not self._requests.is_full:
+            self._link.set_reading(reads=True)
+
+    def refuse_half_read(self) -> None:
+        """Refuses a request that has arrived in part, as the process stops."""
+        if not self.is_serving:
+            self.refuse(BoundMetError(Bound.STOP))
 
     def close_after_response(self) -> None:
         """Closes the connection, after the request in progress if any.
@@ -149,8 +99,8 @@
         first one of a new connection may be on its way.
         """
         self._responder.keeps_alive = False
-        is_awaited = self._is_new or self._parser.is_reading
-        if self._task is None and not is_awaited:
+        is_awaited = self._is_new or self._requests.is_reading
+        if not (self.is_serving or is_awaited or self._link.is_lingering):
             self._responder.close()
 
     def cut(self) -> None:
@@ -161,48 +111,57 @@
         if self._task is not None:
             self._loop.call_soon(self._task.cancel)
 
-    def _start(self, request: Request) -> None:
+    def _begin_reading(self) -> None:
+        """Bounds the time until the request is complete."""
+        self._is_new = False
+        if not self.is_serving:
+            self._await(Stage.READING, self._server.limits.header_timeout_ms)
+
+    def _expect_continue(self) -> None:
+        """Sends `100 Continue` unless a request is in progress."""
+        if not self.is_serving:
+            self._responder.send_continue()
+
+    def _start(self, arrived: Arrived) -> None:
+        if not self._server.bounds.memory.admits(arrived.held):
+            self.refuse(BoundMetError(Bound.MEMORY))
+            return
         self._timer.stop()
+        self._server.bounds.connections.move(self, Stage.SERVING)
+        self._server.bounds.memory.begin_serving(arrived.held)
+        self._holdings.serving = arrived.held
         self._responder.begin(is_last=self._server.is_closing)
+        if not arrived.keeps_alive:
+            self._responder.keeps_alive = False
         task = self._loop.create_task(
-            self._server.serve(request, self._responder)
+            self._serve(arrived.request, self._responder)
         )
         self._task = task
         task.add_done_callback(self._finish)
 
     def _finish(self, task: asyncio.Task[None]) -> None:
         self._task = None
+        self._server.bounds.memory.end_serving(self._holdings.serving)
+        self._holdings.serving = 0
         if not task.cancelled() and task.exception() is not None:
             log.error('gateway: request failed', exc_info=task.exception())
             self._responder.keeps_alive = False
-        if not self._responder.keeps_alive:
+        if self._link.transport is None:
+            return
+        self._await_client()
+        self._charge()
+        if not self._is_ending:
+            self.advance()
+
+    def _await_client(self) -> None:
+        """Waits for the client to take the response, or to send more."""
+        limits = self._server.limits
+        if self._responder.keeps_alive:
+            is_reading = self._requests.is_reading
+            stage = Stage.READING if is_reading else Stage.IDLE
+            timeout_ms = limits.header_timeout_ms
+            self._await(stage, timeout_ms if is_reading else idle_ms(limits))
+        else:
             self._is_ending = True
+            self._await(Stage.SERVING, idle_ms(limits))
             self._responder.close()
-        elif self._pipelined:
-            self._start(self._pipelined.popleft())
-            return
-        if self._transport is not None:
-            self._timer.start(idle_ms(self._server.limits))
-
-    def _expire(self) -> None:
-        """Closes an idle connection; responds 408 to a partial request.
-
-        What is not sent yet is waited for as long as the caller takes any.
-        """
-        transport = self._transport
-        if self._parser.is_reading and not self._is_ending:
-            self.on_rejected(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif transport is not None:
-            unsent = transport.get_write_buffer_size()
-            is_stalled = unsent > 0 and unsent == self._unsent
-            self._unsent = unsent
-            self._timer.start(idle_ms(self._server.limits))
-            if is_stalled:
-                transport.abort()
-            else:
-                self._responder.close()
-
-
-def idle_ms(limits: Limits) -> float:
-    """Returns how long a connection may be idle."""
-    return limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR
--- a/cactusledge/gateway/new_fleet.py
+++ b/cactusledge/gateway/new_fleet.py
@@ -42,6 +42,7 @@
     grants: GrantSource | None = None,
     drain_s: float = DEFAULT_WINDOW_S,
     cross_ms_per_mb: float | None = None,
+    space: BufferSpace | None = None,
 ) -> Fleet:
     """Returns a fleet without endpoints.
 
@@ -52,13 +53,14 @@
         drain_s: How long an endpoint still serves once it is leaving.
         cross_ms_per_mb: What a megabyte between data centres is worth in time
             of a caller; None: requests leave only by cost.
+        space: What all connections share.
     """
     metrics = Metrics()
     departures = Departures(drain_s)
     reach = EndpointReach()
     limits = EndpointLimits(place.instance)
     evidence = CrashEvidence()
-    space = BufferSpace()
+    space = space or BufferSpace()
     seen = cross_rooms.Surroundings(
         place.data_centre, ReplicaList(), Loads(), departures, Partitions()
     )
--- a/cactusledge/gateway/new_load_exchange.py
+++ b/cactusledge/gateway/new_load_exchange.py
@@ -1,10 +1,10 @@
 """Creates the exchange of what gateways tell each other by way of a store."""
 
+from cactusledge.gateway.configuration_news import VersionReports
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.parts import GatewayParts
-from cactusledge.gateway.version_reports import VersionReports
 from cactusledge.gateway.withdrawal_reports import WithdrawalReports
 from cactusledge.records.load_exchange import LoadExchange, Trackers
 from cactusledge.records.store_peers import StorePeers
--- a/cactusledge/gateway/paced_reading.py
+++ b/cactusledge/gateway/paced_reading.py
@@ -11,8 +11,8 @@
 
 # One for all connections: what is read is parsed before the next read.
 _READ_BUFFER = memoryview(bytearray(READ_BYTES))
-HIGH_WATER_BYTES = 65536  # at which a transport pauses its protocol
-PAUSED_BYTES = HIGH_WATER_BYTES + READ_BYTES  # held for a caller at most
+# Of an answer that is held back; the caller's connection counts what it has.
+PAUSED_BYTES = READ_BYTES
 
 
 class PacedReader(asyncio.BufferedProtocol):
--- a/cactusledge/gateway/parts.py
+++ b/cactusledge/gateway/parts.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import NamedTuple
 
+from cactusledge.gateway.buffer_space import MachineLimits
 from cactusledge.gateway.dialect import Dialect
 from cactusledge.gateway.followers import (
     ConfigurationFollower,
@@ -42,6 +43,7 @@
     decode_replica: DecodeReplica
     # What a megabyte between data centres is worth, in ms of a caller's time.
     cross_ms_per_mb: float | None = None
+    machine: MachineLimits = MachineLimits()
 
 
 def start_watchers(parts: GatewayParts, gateway: Gateway) -> list[Watcher]:
--- a/cactusledge/gateway/start_gate.py
+++ b/cactusledge/gateway/start_gate.py
@@ -6,6 +6,8 @@
 import structlog
 
 from cactusledge.gateway.admission import cut
+from cactusledge.gateway.client_bounds import ClientBounds
+from cactusledge.gateway.connection_slots import ConnectionSlots
 from cactusledge.gateway.context import Progress
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
@@ -54,10 +56,15 @@
         return self._gateway.is_closing
 
     @property
-    def connections(self) -> set[ServerConnection]:
+    def connections(self) -> ConnectionSlots[ServerConnection]:
         """The open connections."""
         return self._gateway.connections
 
+    @property
+    def bounds(self) -> ClientBounds:
+        """What bounds the clients."""
+        return self._gateway.bounds
+
     async def run(self) -> None:
         """Returns once the start is complete, or its window is over."""
         loop = asyncio.get_running_loop()
--- a/cactusledge/gateway/version_fetch.py
+++ b/cactusledge/gateway/version_fetch.py
@@ -6,8 +6,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from cactusledge.gateway.clock import next_tick
 from cactusledge.gateway.configuration_news import ConfigurationNews
-from cactusledge.gateway.ticks import next_tick
 from cactusledge.models import Address
 from cactusledge.records.entries import Member
 from cactusledge.records.peers import address_of
--- a/cactusledge/gateway/watches.py
+++ b/cactusledge/gateway/watches.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from cactusledge.gateway.ticks import next_tick
+from cactusledge.gateway.clock import next_tick
 from cactusledge.objects.watch_session import WatchProgress, waited_s
 from cactusledge.objects.watcher import Watcher
 from cactusledge.telemetry.metrics import Metrics
--- a/cactusledge/platform/front_role.py
+++ b/cactusledge/platform/front_role.py
@@ -1,6 +1,7 @@
 """Builds and runs a gateway on the users' platform."""
 
 from cactusledge.gateway.app import GatewayApplication
+from cactusledge.gateway.buffer_space import MachineLimits
 from cactusledge.gateway.departures import DEFAULT_WINDOW_S
 from cactusledge.gateway.parts import GatewayParts
 from cactusledge.models import Address
@@ -43,5 +44,6 @@
         decode_configuration=decode_configuration,
         decode_replica=decode_replica,
         cross_ms_per_mb=settings.cross_ms_per_mb,
+        machine=MachineLimits(settings.memory_mb, settings.descriptors),
     )
     await GatewayApplication(parts).run()
--- a/cactusledge/platform/settings.py
+++ b/cactusledge/platform/settings.py
@@ -33,6 +33,8 @@
     grace_s: float  # from SIGTERM to SIGKILL
     drain_s: float | None  # bounds.drain_ms, which is in milliseconds
     platform_address: Address  # platform.address
+    memory_mb: float | None = None  # limits.memory_mb, of the machine
+    descriptors: int | None = None  # limits.fds, of the machine
     # What a megabyte between data centres is worth, in ms of a caller's time.
     # Price of traffic between data centres; None: requests leave only by cost.
     cross_ms_per_mb: float | None = None
@@ -76,6 +78,8 @@
         grace_s=reader.convert('bounds.grace_s', float),
         drain_s=reader.optional('bounds.drain_ms', parse_milliseconds),
         platform_address=reader.convert('platform.address', parse_address),
+        memory_mb=reader.optional('limits.memory_mb', parse_positive),
+        descriptors=reader.optional('limits.fds', int),
     )
 
 
@@ -110,6 +114,18 @@
     return tuple(parse_address(part) for part in text.split(',') if part)
 
 
+def parse_positive(text: str) -> float:
+    """Parses a number above 0.
+
+    Raises:
+        ValueError: It is not one.
+    """
+    number = float(text)
+    if not 0 < number < math.inf:
+        raise ValueError('not above 0')
+    return number
+
+
 def parse_milliseconds(text: str) -> float:
     """Returns milliseconds as seconds."""
     return float(text) / 1000
--- a/cactusledge/records/app.py
+++ b/cactusledge/records/app.py
@@ -8,7 +8,11 @@
 
 import structlog
 
-from cactusledge.gateway.pages import metrics_page, open_page
+from cactusledge.gateway.pages import (
+    lone_page_bounds,
+    metrics_page,
+    open_page,
+)
 from cactusledge.models import Address
 from cactusledge.objects.store import ObjectStore
 from cactusledge.records.adopted_group import read_group, read_table
@@ -77,7 +81,11 @@
             self.group_manager.adopt_group(known)
         self.store.known_groups = read_table(self._parts.folder).groups
         await self._server.start(self._parts.address)
-        await open_page(self._parts.metrics, metrics_page(self._metrics))
+        await open_page(
+            self._parts.metrics,
+            metrics_page(self._metrics),
+            lone_page_bounds(self._metrics),
+        )
         self._start_watches(loop)
         sharing = LoadSharing(self.store, self.group_manager.peers)
         for work in (
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -190,6 +190,12 @@
     _gauge('gateway_endpoints', 'Endpoints listed.'),
     _gauge('gateway_quorum', '1 while a quorum of the stores is in reach.'),
     _gauge('gateway_connections', 'Open connections of callers.'),
+    _gauge('gateway_held_bytes', 'Bytes held for callers and their answers.'),
+    _counter(
+        'gateway_bounds_met_total',
+        'Requests refused and connections closed, by the bound they met.',
+        'bound',
+    ),
     _gauge('records_generation', 'Generation of a group of stores.', 'shard'),
     _gauge(
         'records_losses_borne',
--- a/tests/gateway_program.py
+++ b/tests/gateway_program.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from cactusledge.gateway.app import GatewayApplication
+from cactusledge.gateway.buffer_space import MachineLimits
 from cactusledge.gateway.messages import (
     Configuration,
     Engine,
@@ -51,6 +52,9 @@
         endpoint_kind='servers',
         decode_configuration=lambda stored: None,
         decode_replica=lambda stored: None,
+        machine=MachineLimits(
+            document.get('memory_mb'), document.get('descriptors')
+        ),
     )
 
 
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+from cactusledge.gateway.configuration_news import VersionReports
 from cactusledge.gateway.gateway import Gateway
 from cactusledge.gateway.http_server import ServerConnection
 from cactusledge.gateway.messages import (
@@ -16,7 +17,6 @@
     Share,
 )
 from cactusledge.gateway.new_fleet import Place, new_fleet
-from cactusledge.gateway.version_reports import VersionReports
 from cactusledge.models import Address
 from cactusledge.platform.headers import HeaderDialect
 from tests.fakes_records import FakeRecords
--- a/tests/slow_callers.py
+++ b/tests/slow_callers.py
@@ -18,6 +18,6 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
     await wait_until(lambda: harness.gateway.connections)
     conn = next(iter(harness.gateway.connections))
-    sock = conn._transport.get_extra_info('socket')
+    sock = conn._link.transport.get_extra_info('socket')
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
-    return caller, conn._transport
+    return caller, conn._link.transport
--- a/tests/test_gateway_departure_reports.py
+++ b/tests/test_gateway_departure_reports.py
@@ -7,7 +7,10 @@
 import pytest
 from structlog.testing import capture_logs
 
-from cactusledge.gateway.configuration_news import ConfigurationNews
+from cactusledge.gateway.configuration_news import (
+    ConfigurationNews,
+    VersionReports,
+)
 from cactusledge.gateway.crash_reports import CrashReports
 from cactusledge.gateway.departure_reports import DepartureReports
 from cactusledge.gateway.departures import Departures
@@ -16,7 +19,6 @@
 from cactusledge.gateway.limit_reports import LimitReports
 from cactusledge.gateway.messages import Replica
 from cactusledge.gateway.replicas import ReplicaList
-from cactusledge.gateway.version_reports import VersionReports
 from cactusledge.gateway.watches import Watches
 from cactusledge.gateway.withdrawal_reports import WithdrawalReports
 from cactusledge.models import Address
--- a/tests/test_ticks.py
+++ b/tests/test_ticks.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cactusledge.gateway.ticks import SHORTEST_SHARE, next_tick, wait_s
+from cactusledge.gateway.clock import SHORTEST_SHARE, next_tick, wait_s
 from cactusledge.records.load_sharing import SHARE_INTERVAL_S, share_interval_s
 
 INTERVAL_S = 0.05
--- a/tests/test_version_fetch.py
+++ b/tests/test_version_fetch.py
@@ -14,6 +14,7 @@
 )
 from cactusledge.gateway.configuration_news import (
     FETCH_WAIT_S,
+    VersionReports,
 )
 from cactusledge.gateway.messages import (
     Account,
@@ -23,7 +24,6 @@
 )
 from cactusledge.gateway.peer_requests import PeerRequests
 from cactusledge.gateway.version_fetch import VersionFetch
-from cactusledge.gateway.version_reports import VersionReports
 from cactusledge.models import Address
 from cactusledge.records.gateway_messages import (
     AskBeliefs,
