--- a/cactusledge/gateway/buffer_space.py
+++ b/cactusledge/gateway/buffer_space.py
@@ -17,9 +17,11 @@
 SCARCE_KEPT_BYTES = 16384
 
 DEFAULT_MEMORY_MB = 150
-PROCESS_MB = 56  # of a gateway without clients, with room for short copies
+PROCESS_MB = 48  # of a gateway without clients, with room for short copies
+CONNECTION_BYTES = 12288  # an open one, beside what is held for its client
 CLIENT_MEMORY_SHARE = 0.5  # of the rest, as freed memory is not all reusable
 LEAST_CLIENT_BYTES = 8388608
+MOST_CONNECTIONS_SHARE = 0.3  # of the memory beside the process
 FILE_DESCRIPTORS = 200  # set aside for files
 CALLER_SHARE = 0.6  # of the others; endpoints, peers and stores have the rest
 PAGE_SHARE = 0.05  # of the others, for each page
@@ -99,9 +101,15 @@
     free_bytes = (memory_mb - PROCESS_MB) * MIB
     descriptors = machine.descriptors or open_files()
     free_descriptors = descriptors - FILE_DESCRIPTORS
+    by_memory = free_bytes * MOST_CONNECTIONS_SHARE / CONNECTION_BYTES
+    callers = max(
+        int(min(free_descriptors * CALLER_SHARE, by_memory)),
+        LEAST_CONNECTIONS,
+    )
+    free_bytes -= callers * CONNECTION_BYTES
     return ProcessBounds(
         max(int(free_bytes * CLIENT_MEMORY_SHARE), LEAST_CLIENT_BYTES),
-        max(int(free_descriptors * CALLER_SHARE), LEAST_CONNECTIONS),
+        callers,
         max(int(free_descriptors * PAGE_SHARE), LEAST_CONNECTIONS),
     )
 
--- a/cactusledge/gateway/client_link.py
+++ b/cactusledge/gateway/client_link.py
@@ -6,8 +6,6 @@
 from cactusledge.gateway.backpressure import Backpressure
 from cactusledge.gateway.request_input import RequestInput
 
-CONNECTION_BYTES = 8192  # what an open connection takes in memory
-
 LINGER_MS = 2000  # for a refused client to read why
 
 
@@ -99,7 +97,7 @@
     @property
     def held(self) -> int:
         """The bytes that the connection holds now."""
-        return CONNECTION_BYTES + self.serving + self._waiting
+        return self.serving + self._waiting
 
     @property
     def spare(self) -> int:
--- a/cactusledge/gateway/client_memory.py
+++ b/cactusledge/gateway/client_memory.py
@@ -11,6 +11,8 @@
 
 # Of the space: what is left after connections have given way.
 KEPT_SHARE = 0.875
+# Requests in service may take this share of the space; the others arrive.
+SERVING_SHARE = 0.75
 # A request is served if so many of its size are free, so that one of a usual
 # size still finds room beside the largest ones.
 HEADROOM = 4
@@ -56,7 +58,8 @@
 
     def admits(self, size: int) -> bool:
         """Returns whether a request of so many bytes may be served."""
-        return self._serving + size * HEADROOM <= self._space.full_bytes
+        most = self._space.full_bytes * SERVING_SHARE
+        return self._serving + size * HEADROOM <= most
 
     def begin_serving(self, size: int) -> None:
         """Adds a request in service."""
--- a/cactusledge/gateway/forwarding.py
+++ b/cactusledge/gateway/forwarding.py
@@ -197,7 +197,7 @@
         start = b'%b %b HTTP/1.1\r\n' % (request.method, request.target)
         try:
             conn.send(
-                start + head + request.body,
+                (start + head, request.body),
                 call.info.request_id,
                 answer,
                 call.conn.flow,
--- a/cactusledge/gateway/http_client.py
+++ b/cactusledge/gateway/http_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import httptools
@@ -97,14 +97,15 @@
 
     def send(
         self,
-        content: bytes,
+        parts: Sequence[bytes],
         request_id: str,
         sink: AnswerSink,
         flow: Backpressure | None = None,
     ) -> None:
         """Sends a request; the response goes to the sink, as fast as it flows.
 
-        Without `flow` nothing holds the response back.
+        The parts are not joined: a body that the endpoint takes slowly is not
+        held twice. Without `flow` nothing holds the response back.
         """
         self._request_id = request_id
         self.refusals.begin(request_id)
@@ -117,7 +118,7 @@
             return
         if flow is not None:
             self.join_flow(flow)
-        self._transport.write(content)
+        self._transport.writelines(parts)
 
     def abort(self) -> None:
         """Closes the connection without any further call of the sink."""
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -238,18 +238,20 @@
             if not answer.ended.done() or answer.ended.cancelled():
                 conn.abort()
 
-    def _encode(self, replica: Replica, outgoing: Outgoing) -> bytes:
+    def _encode(
+        self, replica: Replica, outgoing: Outgoing
+    ) -> tuple[bytes, bytes]:
+        """Returns the head and the body."""
         request = outgoing.request
-        return b''.join((
+        fields = self.fleet.dialect.request_headers(
+            outgoing, replica, self.call.remaining_ms()
+        )
+        head = b'%b %b HTTP/1.1\r\n%b' % (
             request.method,
-            b' ',
             request.target,
-            b' HTTP/1.1\r\n',
-            self.fleet.dialect.request_headers(
-                outgoing, replica, self.call.remaining_ms()
-            ),
-            outgoing.body,
-        ))
+            fields,
+        )
+        return head, outgoing.body
 
     def _doubt(self, replica: Replica, answer: BufferedAnswer) -> None:
         """Notes a connection that broke although the endpoint should stay."""
--- a/tests/gateway_crowds.py
+++ b/tests/gateway_crowds.py
@@ -68,6 +68,10 @@
         ENDLESS,
     ),
 )
+DEAF = head_of('/once/x', 'X-Deaf: 1', length=BODY_BYTES)
+UNREAD_REQUESTS = (
+    Crowd('unread_requests', 300, b'%b%b' % (DEAF, bytes(BODY_BYTES))),
+)
 UNREAD_ANSWERS = (Crowd('unread_answers', 400, LARGE_ANSWER * 50),)
 CONNECTIONS = (Crowd('connections', 700, b'', descriptors=FEW_DESCRIPTORS),)
 EMPTY_LINES = Crowd('empty_lines', 20, b'', b'\r\n', 8 * MIB)
@@ -78,6 +82,7 @@
     *ENDLESS_TRAILERS,
     *BODIES,
     *QUEUES,
+    *UNREAD_REQUESTS,
     *UNREAD_ANSWERS,
     *CONNECTIONS,
 )
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -44,13 +44,16 @@
         head = await read_head(reader)
         if not head:
             return False
-        body = await reader.readexactly(length_of(head))
+        body = await self._body_of(head, reader)
         self.requests.append((head, body))
         writer.write(self.sent_at_once(head))
         await asyncio.sleep(float(field(head, 'x-takes-s') or 0))
         writer.write(self.sent_at_the_end(head))
         return True
 
+    async def _body_of(self, head, reader):
+        return await reader.readexactly(length_of(head))
+
 
 class TimedStreams(TimedEndpoint):
     """Streams an event at once and another after the seconds asked for."""
@@ -119,7 +122,8 @@
         """Ends the process if it still runs."""
         if self.process and self.process.returncode is None:
             self.process.kill()
-            await self.process.wait()
+            # With its output unread, the process may be waited for in vain.
+            await self.process.communicate()
 
     async def connect(self, request_id='r1'):
         """Returns a caller on a new connection."""
--- a/tests/test_gateway_crowds.py
+++ b/tests/test_gateway_crowds.py
@@ -23,6 +23,7 @@
 pytestmark = [pytest.mark.process, pytest.mark.alone]
 
 GRACE_S = 4.5
+DEAF_S = 25
 ORDINARY = head_of('/once/x')
 PAGE = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 PAGE_ANSWERS = {200, 503}  # ready or not
@@ -30,12 +31,20 @@
 
 
 class SizedEndpoint(TimedEndpoint):
-    """Answers with as many bytes as the caller asks for."""
+    """Answers with as many bytes as the caller asks for.
+
+    It takes no body of a request that says so.
+    """
 
     def sent_at_the_end(self, head):
         size = int(field(head, 'x-answer-bytes') or 4)
         return reply_of(200, head, SEAL, body=bytes(size))
 
+    async def _body_of(self, head, reader):
+        if field(head, 'x-deaf'):
+            await asyncio.sleep(DEAF_S)
+        return await super()._body_of(head, reader)
+
 
 def named(crowds):
     """Returns a case for each crowd."""
