Own interface: chunk lines, idle connections and bodies are bounded

Cause: the server's library reads the line of a chunk without a limit, has a thread wait for the first byte of each new connection, and each thread could hold a whole body. Ruled out: a lower max_body_bytes (the sum has no bound), other libraries. Change: bounded lines; new connections wait in the selector, the longest one gives way above max_connections; bodies in parts that share limits.max_bodies_bytes; what is left of a refused body is dropped in parts.

--- a/cactusledge/api/app.py
+++ b/cactusledge/api/app.py
@@ -10,6 +10,7 @@
 from opentelemetry.trace import SpanKind
 
 from cactusledge.api import handlers
+from cactusledge.api.body_memory import BodyMemory
 from cactusledge.api.errors import (
     NotFoundError,
     error_document,
@@ -67,8 +68,14 @@
 class ApiApp:
     """WSGI application that serves the caller API and the status API."""
 
-    def __init__(self, ctx: handlers.ApiContext, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        ctx: handlers.ApiContext,
+        max_body_bytes: int,
+        memory: BodyMemory | None = None,
+    ) -> None:
         """Compiles the route patterns."""
+        self._memory = memory or BodyMemory()
         self._ctx = ctx
         self._max_body_bytes = max_body_bytes
         self._log = get_logger('api')
@@ -96,7 +103,11 @@
         return send_response(response, start_response)
 
     def _respond(self, environ: Mapping[str, Any]) -> Response:
-        req = read_request(environ, self._max_body_bytes)
+        with self._memory.holding() as held:
+            req = read_request(environ, self._max_body_bytes, held)
+            return self._serve(req)
+
+    def _serve(self, req: Request) -> Response:
         route, path_args = self._find_route(req)
         with self._ctx.traces.span(
             f'{route.method} {route.pattern.pattern}',
--- a/cactusledge/api/http.py
+++ b/cactusledge/api/http.py
@@ -5,11 +5,13 @@
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
+from cactusledge.api.body_memory import HeldBody
 from cactusledge.api.errors import BadRequestError, TooLargeError
 
 JSON_TYPE = 'application/json'
 EVENT_STREAM_TYPE = 'text/event-stream'
-READ_SIZE_BYTES = 65536
+PIECE_BYTES = 16384  # of a body with a length
+READ_SIZE_BYTES = 4096  # cheroot joins the chunks of a read one by one
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -49,10 +51,13 @@
     return Response(status, [data], headers=(*headers, length))
 
 
-def read_request(environ: Mapping[str, Any], max_body_bytes: int) -> Request:
-    """Reads a request from its WSGI environment.
+def read_request(
+    environ: Mapping[str, Any], max_body_bytes: int, held: HeldBody
+) -> Request:
+    """Reads a request from its WSGI environment; its body is held.
 
     Raises:
+        BodiesTooLargeError: All bodies together are too large.
         TooLargeError: The body exceeds `max_body_bytes`.
         BadRequestError: Content-Length is not a number, or the body is
             shorter than it.
@@ -67,7 +72,7 @@
         path=environ.get('PATH_INFO', '/'),
         query=environ.get('QUERY_STRING', ''),
         headers=headers,
-        body=_read_body(environ, max_body_bytes),
+        body=_read_body(environ, max_body_bytes, held),
     )
 
 
@@ -82,7 +87,9 @@
     return response.chunks
 
 
-def _read_body(environ: Mapping[str, Any], max_body_bytes: int) -> bytes:
+def _read_body(
+    environ: Mapping[str, Any], max_body_bytes: int, held: HeldBody
+) -> bytes:
     length = _content_length(environ)
     if length is not None and length > max_body_bytes:
         raise TooLargeError(
@@ -90,14 +97,19 @@
             remedy=f'Send at most {max_body_bytes} bytes.',
         )
     if length is None:
-        return _read_chunked(environ, max_body_bytes)
-    data: bytes = environ['wsgi.input'].read(length) if length else b''
-    if len(data) < length:
-        raise BadRequestError(
-            'The request body is shorter than its Content-Length.',
-            remedy='Send the complete body.',
-        )
-    return data
+        return _read_chunked(environ, max_body_bytes, held)
+    data = bytearray()
+    while len(data) < length:
+        size = min(length - len(data), PIECE_BYTES)
+        held.add(size)
+        piece = environ['wsgi.input'].read(size)
+        if len(piece) < size:
+            raise BadRequestError(
+                'The request body is shorter than its Content-Length.',
+                remedy='Send the complete body.',
+            )
+        data += piece
+    return bytes(data)
 
 
 def _content_length(environ: Mapping[str, Any]) -> int | None:
@@ -114,13 +126,16 @@
     return int(text)
 
 
-def _read_chunked(environ: Mapping[str, Any], max_body_bytes: int) -> bytes:
-    data = b''
+def _read_chunked(
+    environ: Mapping[str, Any], max_body_bytes: int, held: HeldBody
+) -> bytes:
+    data = bytearray()
     while chunk := environ['wsgi.input'].read(READ_SIZE_BYTES):
+        held.add(len(chunk))
         data += chunk
         if len(data) > max_body_bytes:
             raise TooLargeError(
                 'The request body is too long.',
                 remedy=f'Send at most {max_body_bytes} bytes.',
             )
-    return data
+    return bytes(data)
--- a/cactusledge/api/server.py
+++ b/cactusledge/api/server.py
@@ -3,9 +3,8 @@
 import threading
 from typing import NamedTuple
 
-from cheroot import wsgi
-
 from cactusledge.api.app import ApiApp
+from cactusledge.api.bounded_server import BoundedServer
 from cactusledge.models import Address
 
 SERVER_NAME = 'cactusledge'
@@ -34,7 +33,7 @@
         limits: ServerLimits,
     ) -> None:
         """Configures the server; `start` binds the port."""
-        self._server = wsgi.Server(
+        self._server = BoundedServer(
             tuple(address),
             app,
             numthreads=limits.worker_threads,
@@ -46,6 +45,7 @@
         self._server.max_request_body_size = limits.max_body_bytes
         self._server.max_request_header_size = limits.max_header_bytes
         self._server.keep_alive_conn_limit = limits.max_connections
+        self._server.max_waiting = limits.max_connections
         self._thread = threading.Thread(
             target=self._server.serve,
             name='api-server',
--- a/cactusledge/assembly/api.py
+++ b/cactusledge/assembly/api.py
@@ -4,6 +4,7 @@
 from importlib.resources import files
 
 from cactusledge.api.app import ApiApp
+from cactusledge.api.body_memory import BodyMemory
 from cactusledge.api.handlers import ApiContext
 from cactusledge.api.server import ApiServer, ServerLimits
 from cactusledge.api.service import InstanceReport, ProgramService
@@ -30,7 +31,7 @@
     )
     return ApiServer(
         base.settings.listen.api,
-        ApiApp(ctx, limits.max_body_bytes),
+        ApiApp(ctx, limits.max_body_bytes, BodyMemory(limits.max_bodies_bytes)),
         ServerLimits(
             worker_threads=limits.worker_threads,
             max_connections=limits.max_connections,
--- a/cactusledge/settings/sections.py
+++ b/cactusledge/settings/sections.py
@@ -26,6 +26,7 @@
 BALANCER_GRACE_S = 3.0
 DRAIN_TIMEOUT_S = 60.0
 MAX_BODY_BYTES = MIB * 4
+MAX_BODIES_BYTES = 67_108_864
 MAX_WAITING_BYTES = MIB * 8
 
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
@@ -102,6 +103,10 @@
     max_body_bytes: PositiveInt = Field(
         default=MAX_BODY_BYTES, description='Largest request body.'
     )
+    max_bodies_bytes: PositiveInt = Field(
+        default=MAX_BODIES_BYTES,
+        description='Request bodies that are held at the same time.',
+    )
     max_header_bytes: PositiveInt = Field(
         default=MAX_HEADER_BYTES, description='Largest request header.'
     )
