Own interface: its threads share one heap

Cause: the C library gives each thread a heap of its own, and keeps in it what the thread has freed. Change: the entry command sets the number of heaps where glibc is used.

--- a/cactusledge/cli/entry.py
+++ b/cactusledge/cli/entry.py
@@ -8,6 +8,7 @@
 import typer
 
 from cactusledge.application import Application
+from cactusledge.cli.heap import share_heap
 from cactusledge.cli.options import get_environment
 from cactusledge.settings.instance import load_settings
 from cactusledge.status import ExitStatus
@@ -28,6 +29,7 @@
 
     Example: cactusledge entry --settings entry.yaml
     """
+    share_heap()
     env = get_environment(ctx)
     app = Application(load_settings(settings, env.environ), env)
     stop = StopSignal()
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -29,8 +29,8 @@
 
 # A refusal must say that the request has not run, and when to come back.
 def test_refusal_says_that_the_request_has_not_run():
-    with BodyMemory(MOST).holding() as held:
-        with pytest.raises(BodiesTooLargeError) as caught:
-            held.add(MOST + 1)
+    refused = pytest.raises(BodiesTooLargeError)
+    with BodyMemory(MOST).holding() as held, refused as caught:
+        held.add(MOST + 1)
     assert str(caught.value.outcome) == 'NOT_RUN'
     assert caught.value.retry_after_s
