Gateway: in calm any request that fits is served; one place paces reading

What callers saw: nothing yet; read in the diff. A request inside the limits, but above a quarter of what may be in service, would always have been refused. Cause: four times its size had to be free. Change: twice its size, or its size while little is in service. Reading was paused and resumed around each request; now once, and only if requests wait.

--- a/cactusledge/gateway/client_connection.py
+++ b/cactusledge/gateway/client_connection.py
@@ -85,8 +85,6 @@
             return
         self._requests.feed(data)
         self._charge()
-        if self._requests.is_full:
-            self._link.set_reading(reads=False)
         self.advance()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/cactusledge/gateway/client_memory.py
+++ b/cactusledge/gateway/client_memory.py
@@ -15,7 +15,7 @@
 SERVING_SHARE = 0.75
 # A request is served if so many of its size are free, so that one of a usual
 # size still finds room beside the largest ones.
-HEADROOM = 4
+HEADROOM = 2
 LEAST_STALL_S = 0.001
 
 
@@ -57,9 +57,14 @@
         self._space.used -= self._charges.pop(holder, 0)
 
     def admits(self, size: int) -> bool:
-        """Returns whether a request of so many bytes may be served."""
+        """Returns whether a request of so many bytes may be served.
+
+        In calm any that fits is.
+        """
         most = self._space.full_bytes * SERVING_SHARE
-        return self._serving + size * HEADROOM <= most
+        free = most - self._serving
+        is_calm = self._serving * HEADROOM <= most
+        return size * HEADROOM <= free or (is_calm and size <= free)
 
     def begin_serving(self, size: int) -> None:
         """Adds a request in service."""
--- a/cactusledge/gateway/http_server.py
+++ b/cactusledge/gateway/http_server.py
@@ -74,18 +74,15 @@
     def advance(self) -> None:
         """Serves the next request once the last response is taken.
 
-        The next one is begun only then: what is not taken would pile up.
+        The next one is begun only then: what is not taken would pile up. While
+        requests wait nothing more is read.
         """
-        is_busy = self.is_serving or self._is_ending
-        if is_busy or self._responder.flow.is_paused:
+        if self._is_ending:
             return
-        arrived = self._requests.take()
-        if arrived is not None:
-            self._start(arrived)
-        elif self._requests.refusal is not None:
-            self.refuse(self._requests.refusal)
-        if not self._requests.is_full:
-            self._link.set_reading(reads=True)
+        if not (self.is_serving or self._responder.flow.is_paused):
+            self._begin_next()
+        if not self._is_ending:
+            self._link.set_reading(reads=not self._requests.is_full)
 
     def refuse_half_read(self) -> None:
         """Refuses a request that has arrived in part, as the process stops."""
@@ -122,6 +119,13 @@
         if not self.is_serving:
             self._responder.send_continue()
 
+    def _begin_next(self) -> None:
+        arrived = self._requests.take()
+        if arrived is not None:
+            self._start(arrived)
+        elif self._requests.refusal is not None:
+            self.refuse(self._requests.refusal)
+
     def _start(self, arrived: Arrived) -> None:
         if not self._server.bounds.memory.admits(arrived.held):
             self.refuse(BoundMetError(Bound.MEMORY))
