Gateway: memory that is short takes no answer that is being taken

What callers saw: nothing yet; found in a reading of the diff. A kept-alive connection with part of its last answer unsent could have been sent a refusal that no request had asked for, which the next request would take as its answer. Cause: its unsent bytes counted as ones that giving way frees. Ruled out: closing it at once (an answer that is ready is delivered). Change: only what has arrived, or an answer that is not taken, gives way.

--- a/cactusledge/gateway/client_connection.py
+++ b/cactusledge/gateway/client_connection.py
@@ -147,7 +147,7 @@
             self._link.abort()
         elif self.is_serving:
             self._requests.refuse(Bound.MEMORY)
-        else:
+        elif self._requests.is_reading:
             self.refuse(BoundMetError(Bound.MEMORY))
 
     def _expire(self) -> None:
--- a/cactusledge/gateway/client_link.py
+++ b/cactusledge/gateway/client_link.py
@@ -97,17 +97,16 @@
     @property
     def held(self) -> int:
         """The bytes that the connection holds now."""
-        return self.serving + self._waiting
+        return self.serving + self._requests.held + self._link.unsent
 
     @property
     def spare(self) -> int:
         """The bytes that giving way frees.
 
-        A request in service is kept unless its client does not take the answer.
+        A request in service is kept unless its client does not take the answer,
+        and so is the end of an answer that is being taken.
         """
-        if self._flow.is_paused:
-            return self.held
-        return self._requests.held if self.serving else self._waiting
+        return self.held if self._flow.is_paused else self._requests.held
 
     def stalled_s(self, now_s: float) -> float:
         """Returns for how long the request or the answer has not ended."""
@@ -116,7 +115,3 @@
     def give_back(self) -> None:
         """Drops what can be spared."""
         self._drop()
-
-    @property
-    def _waiting(self) -> int:
-        return self._requests.held + self._link.unsent
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -1,5 +1,7 @@
 """Which connections give way when memory or descriptors are short."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from cactusledge.gateway.buffer_space import (
@@ -9,6 +11,7 @@
     MachineLimits,
     bounds_of,
 )
+from cactusledge.gateway.client_link import ClientHoldings
 from cactusledge.gateway.client_memory import ClientMemory
 from cactusledge.gateway.connection_slots import ConnectionSlots, Stage
 
@@ -122,6 +125,19 @@
     assert len(slots) == len(stages)
 
 
+# A refusal without a request would be taken for the next request's answer.
+@pytest.mark.parametrize(('is_paused', 'spare'), [(False, 0), (True, 700)])
+def test_end_of_an_answer_is_kept_while_it_is_taken(is_paused, spare):
+    holdings = ClientHoldings(
+        SimpleNamespace(held=0),
+        SimpleNamespace(unsent=700),
+        SimpleNamespace(is_paused=is_paused),
+        None,
+    )
+    assert holdings.held == 700
+    assert holdings.spare == spare
+
+
 # The limits of the machine were not known to the process.
 def test_bounds_leave_descriptors_and_memory_for_the_rest():
     bounds = bounds_of(MachineLimits(memory_mb=150, descriptors=4100))
