--- a/cactusledge/api/body_memory.py
+++ b/cactusledge/api/body_memory.py
@@ -27,7 +27,7 @@
         self._memory = memory
 
     def add(self, size: int) -> None:
-        """Adds bytes that are about to be read.
+        """Adds bytes that are held from now on.
 
         Raises:
             BodiesTooLargeError: There is no room for them.
--- a/cactusledge/gateway/buffer_space.py
+++ b/cactusledge/gateway/buffer_space.py
@@ -1,4 +1,6 @@
-"""Counts the bytes that a gateway holds for all connections; pure.
+"""Counts the bytes that a gateway holds for all connections.
+
+How many there may be follows from what the machine gives the process.
 
 When they are scarce no answer is dropped: reads become small, and answers that
 may be passed on are passed on early, so that each goes at its caller's pace.
@@ -16,7 +18,7 @@
 KEPT_BYTES = 262144  # of one answer
 SCARCE_KEPT_BYTES = 16384
 
-DEFAULT_MEMORY_MB = 150
+DEFAULT_MEMORY_MB = 150  # of a machine that names none
 PROCESS_MB = 48  # of a gateway without clients, with room for short copies
 CONNECTION_BYTES = 12288  # an open one, beside what is held for its client
 CLIENT_MEMORY_SHARE = 0.5  # of the rest, as freed memory is not all reusable
--- a/cactusledge/gateway/client_bounds.py
+++ b/cactusledge/gateway/client_bounds.py
@@ -83,7 +83,7 @@
     """Notes each bound that is met; logs a crowd of them in one line."""
 
     def __init__(self, metrics: Metrics) -> None:
-        """Starts with nothing noted."""
+        """Stores the metrics that count the bounds."""
         self._metrics = metrics
         self._times: Counter[Bound] = Counter()  # since the last line
         self._logged_s: dict[Bound, float] = {}  # loop clock
@@ -104,7 +104,7 @@
 
 
 class ClientBounds(NamedTuple):
-    """What bounds the clients of one port."""
+    """The connections and the memory that clients of one port may take."""
 
     connections: ConnectionSlots[Any]  # the open ones
     memory: ClientMemory  # of all ports of the process
@@ -121,7 +121,7 @@
     """Returns the bounds of the port for callers.
 
     Args:
-        metrics: Count the bounds that are met.
+        metrics: Counts the bounds that are met.
         space: Shared with the answers of endpoints.
         bounds: What clients may take; None: of a usual machine.
     """
--- a/cactusledge/gateway/client_connection.py
+++ b/cactusledge/gateway/client_connection.py
@@ -129,7 +129,7 @@
         self._link.abort()
 
     def _await(self, stage: Stage, timeout_ms: float) -> None:
-        """Waits for the client, for a time."""
+        """Waits for the client, as long as the timer runs."""
         self._holdings.since_s = self._loop.time()
         self._server.bounds.connections.move(self, stage)
         self._timer.start(timeout_ms)
--- a/cactusledge/gateway/client_memory.py
+++ b/cactusledge/gateway/client_memory.py
@@ -59,7 +59,8 @@
     def admits(self, size: int) -> bool:
         """Returns whether a request of so many bytes may be served.
 
-        In calm any that fits is.
+        Any that fits is, while requests in service take less than half of their
+        share.
         """
         most = self._space.full_bytes * SERVING_SHARE
         free = most - self._serving
--- a/cactusledge/gateway/configuration_news.py
+++ b/cactusledge/gateway/configuration_news.py
@@ -1,4 +1,4 @@
-"""Tells whether this gateway's configuration may be outdated; pure.
+"""Tells whether this gateway's configuration may be outdated.
 
 A gateway learns of a newer version from the other gateways, by way of the
 stores, also while the platform turns it away.
--- a/cactusledge/gateway/request_sizes.py
+++ b/cactusledge/gateway/request_sizes.py
@@ -14,7 +14,7 @@
 FIELD_OBJECTS_BYTES = 150  # what a field takes in memory beside its text
 REQUEST_OBJECTS_BYTES = 2048  # what a request takes beside its text
 FRAMING_BYTES = 4096  # of a body, beside its trailers
-FRAMING_BYTES_PER_BODY_BYTE = 32
+FRAMING_BYTES_PER_BODY_BYTE = 32  # a chunk may be of one byte
 
 
 class Phase(enum.Enum):
@@ -72,13 +72,13 @@
             raise BoundMetError(Bound.HEADER)
 
     def add_body(self, size: int) -> None:
-        """Adds bytes of the body, or those that are announced."""
+        """Adds a part of the body."""
         self.body += size
         if self.body > self.limits.body_bytes:
             raise BoundMetError(Bound.BODY)
 
     def add_received(self, size: int) -> None:
-        """Adds a piece that belongs to the present phase alone."""
+        """Adds a parsed piece that was all of the present phase."""
         self._received += size
         header_bytes = self.limits.header_bytes
         if self.phase is Phase.BODY:
--- a/cactusledge/platform/settings.py
+++ b/cactusledge/platform/settings.py
@@ -35,8 +35,8 @@
     platform_address: Address  # platform.address
     memory_mb: float | None = None  # limits.memory_mb, of the machine
     descriptors: int | None = None  # limits.fds, of the machine
-    # What a megabyte between data centres is worth, in ms of a caller's time.
-    # Price of traffic between data centres; None: requests leave only by cost.
+    # Price of traffic between data centres, in ms of a caller's time for a
+    # megabyte; None: requests leave only by cost.
     cross_ms_per_mb: float | None = None
 
 
