--- a/review/rig3/client.py
+++ b/review/rig3/client.py
@@ -36,9 +36,9 @@
     record.add(
         'sent',
         id=request_id,
-        front=front[0],
-        line=ask['line'],
-        body_bytes=len(ask['body']),
+        to=front[0],
+        path=ask['line'].partition(' ')[2][:40],
+        bytes=len(ask['body']),
         previous=ask['fields'].get('X-Cactusledge-Previous-Turn', ''),
     )
     seen = await exchange(front, ask, timeout_s)
@@ -46,7 +46,7 @@
         'answered',
         id=request_id,
         status=seen.status,
-        is_whole=seen.is_whole,
+        whole=seen.is_whole,
         retry_after_s=seen.retry_s,
         error=seen.error,
     )
--- a/review/rig3/record.py
+++ b/review/rig3/record.py
@@ -2,16 +2,18 @@
 
 import json
 import time
-from collections import Counter
 from pathlib import Path
 
 
 class Record:
-    """Writes the record of a case."""
+    """Writes the record of a case.
+
+    A line has the seconds since the start, what happened, and fields; those
+    that are empty or 0 are left out.
+    """
 
     def __init__(self, path):
         """Starts the file anew."""
-        self.counts = Counter()
         self._path = Path(path)
         self._path.write_text('')
         self._lines = []
@@ -19,10 +21,13 @@
 
     def add(self, what, **fields):
         """Adds a line; it is written at the end."""
-        self.counts[what] += 1
-        at_s = round(time.monotonic() - self._began_s, 3)
-        line = json.dumps({'at_s': at_s, 'what': what, **fields})
-        self._lines.append(line)
+        at_s = time.monotonic() - self._began_s
+        told = [
+            f'{name}={json.dumps(found).strip(chr(34))}'
+            for name, found in fields.items()
+            if found or what == 'judged'
+        ]
+        self._lines.append(' '.join((f'{at_s:.3f}', what, *told)))
 
     def close(self):
         """Writes the file."""
--- a/review/rig3/replica.py
+++ b/review/rig3/replica.py
@@ -92,10 +92,9 @@
         self._record.add(
             'run',
             id=request_id,
-            replica=self.id,
-            line=request.first,
-            body_bytes=len(request.body),
-            body_sha=hashlib.sha256(request.body).hexdigest()[:16],
+            by=self.id,
+            bytes=len(request.body),
+            sha=hashlib.sha256(request.body).hexdigest()[:8],
         )
 
     async def run(self, request, writer):
