--- a/cactusledge/gateway/retry_times.py
+++ b/cactusledge/gateway/retry_times.py
@@ -10,6 +10,7 @@
 BALANCER_FAILOVER_S = 2.2  # for the balancer to switch to other instances
 CONNECT_RETRY_S = 0.4  # for a starting instance to connect to the stores
 UNSURE_RETRY_S = 0.25  # for the record stores to answer again
+NO_ROOM_RETRY_S = 5.0  # for old records to leave the stores
 
 
 def quorum_retry_s(lost_for_s: float, *, was_connected: bool) -> float:
--- a/cactusledge/gateway/turn_needs.py
+++ b/cactusledge/gateway/turn_needs.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from cactusledge.gateway.messages import CallInfo, Route
+from cactusledge.records.entries import RETENTION_S
 
 
 class TurnNeeds(NamedTuple):
@@ -28,6 +29,11 @@
     )
 
 
+def retention_of(route: Route) -> float:
+    """Returns the seconds for which a turn on a route may be continued."""
+    return route.retention_s if route.retention_s > 0 else RETENTION_S
+
+
 def budget_id_of(info: CallInfo) -> str:
     """Returns the program that pays for a turn's tokens.
 
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -25,7 +25,11 @@
 from cactusledge.gateway.chains import Chain, ChainCache, compress, join
 from cactusledge.gateway.context import Call, Fleet, Outcome
 from cactusledge.gateway.events import event_data
-from cactusledge.gateway.retry_times import UNSURE_RETRY_S, quorum_retry_s
+from cactusledge.gateway.retry_times import (
+    NO_ROOM_RETRY_S,
+    UNSURE_RETRY_S,
+    quorum_retry_s,
+)
 from cactusledge.gateway.sending import (
     Attempts,
     ExchangeResult,
@@ -33,10 +37,15 @@
     status_of,
 )
 from cactusledge.gateway.sinks import ExchangeEnd
-from cactusledge.gateway.turn_needs import TurnNeeds, budget_id_of, needs_of
+from cactusledge.gateway.turn_needs import (
+    TurnNeeds,
+    budget_id_of,
+    needs_of,
+    retention_of,
+)
 from cactusledge.gateway.turn_stream import TurnStream
 from cactusledge.records.client import RecordClient
-from cactusledge.records.entries import Turn
+from cactusledge.records.entries import Settled, Turn
 from cactusledge.records.quorum import Demand, Verdict
 from cactusledge.records.reservations import Grant
 from cactusledge.records.turn_start import TurnStart
@@ -62,6 +71,9 @@
     Verdict.UNSURE: Refusal(
         http.HTTPStatus.SERVICE_UNAVAILABLE, UNSURE_RETRY_S
     ),
+    Verdict.NO_ROOM: Refusal(
+        http.HTTPStatus.SERVICE_UNAVAILABLE, NO_ROOM_RETRY_S
+    ),
 })
 
 
@@ -97,7 +109,12 @@
             is_open = not (stream.is_recorded or call.progress.forwarded_to)
             if is_open and (needs.has_budget or stream.tokens):
                 self._records.settle(
-                    budget_id_of(info), info.request_id, stream.tokens
+                    Settled(
+                        budget_id_of(info),
+                        info.request_id,
+                        stream.tokens,
+                        retention_of(call.route),
+                    )
                 )
 
     async def _serve_stream(
@@ -122,6 +139,7 @@
             Demand(info.request_id, info.max_tokens, info.budget, parent_id),
             budget_id_of(info),
             wants_chain=bool(parent_id) and cached is None,
+            retention_s=retention_of(call.route),
         )
         grant = await self._records.begin(start)
         self._fleet.metrics.add('gateway_turns_total', verdict=grant.verdict)
@@ -245,6 +263,8 @@
             endpoint_id=result.replica.endpoint_id,
             holders=(),  # chosen by the record client
             account=call.account_name,
+            retention_s=retention_of(call.route),
+            has_budget=info.budget is not None,
         )
         started_s = time.monotonic()
         recorded = await self._records.record(turn)
--- a/cactusledge/platform/settings.py
+++ b/cactusledge/platform/settings.py
@@ -35,6 +35,7 @@
     platform_address: Address  # platform.address
     memory_mb: float | None = None  # limits.memory_mb, of the machine
     descriptors: int | None = None  # limits.fds, of the machine
+    disk_mb: float | None = None  # limits.disk_mb, of a machine with a disk
     # Price of traffic between data centres, in ms of a caller's time for a
     # megabyte; None: requests leave only by cost.
     cross_ms_per_mb: float | None = None
@@ -80,6 +81,7 @@
         platform_address=reader.convert('platform.address', parse_address),
         memory_mb=reader.optional('limits.memory_mb', parse_positive),
         descriptors=reader.optional('limits.fds', int),
+        disk_mb=reader.optional('limits.disk_mb', parse_disk),
     )
 
 
@@ -126,6 +128,15 @@
     return number
 
 
+def parse_disk(text: str) -> float | None:
+    """Parses the size of a disk; None if the machine has none, which is 0.
+
+    Raises:
+        ValueError: It is not a number of at least 0.
+    """
+    return parse_positive(text) if float(text) else None
+
+
 def parse_milliseconds(text: str) -> float:
     """Returns milliseconds as seconds."""
     return float(text) / 1000
--- a/cactusledge/platform/store_role.py
+++ b/cactusledge/platform/store_role.py
@@ -16,7 +16,9 @@
     PlatformSettings,
     settings_error,
 )
-from cactusledge.records.app import StoreApplication, StoreParts
+from cactusledge.records.app import StoreApplication
+from cactusledge.records.room_account import StoreLimits
+from cactusledge.records.store_setup import StoreSetup
 from cactusledge.records.store_watches import GatewayKinds
 
 
@@ -48,7 +50,7 @@
     if folder is None:
         raise settings_error('data_dir', 'data_dir is missing.')
     objects = PlatformObjects(settings.platform_address)
-    parts = StoreParts(
+    setup = StoreSetup(
         instance=settings.instance,
         data_centre=settings.data_centre,
         address=Address(settings.host, settings.peer_port),
@@ -61,5 +63,6 @@
         gateway_kinds=GatewayKinds(
             CONFIGURATION_KIND, ENDPOINT_KIND, is_ending
         ),
+        limits=StoreLimits(settings.memory_mb, settings.disk_mb),
     )
-    await StoreApplication(parts).run()
+    await StoreApplication(setup).run()
--- a/cactusledge/records/chain_reader.py
+++ b/cactusledge/records/chain_reader.py
@@ -10,8 +10,7 @@
 from cactusledge.records.links import Link
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.quorum import is_quorum
-from cactusledge.records.retries import Retries
-from cactusledge.records.retry_pauses import RetryLimits
+from cactusledge.records.retries import Retries, RetryLimits
 from cactusledge.records.turn_start import TurnStart, chain_query
 
 READ_TIMEOUT_S = 0.35  # of one chain request to one store
--- a/cactusledge/records/client.py
+++ b/cactusledge/records/client.py
@@ -6,7 +6,7 @@
 import structlog
 
 from cactusledge.records.chain_reader import ChainReader
-from cactusledge.records.entries import EMPTY_GROUP, Group, Turn
+from cactusledge.records.entries import EMPTY_GROUP, Group, Settled, Turn
 from cactusledge.records.quorum import Verdict
 from cactusledge.records.quorum_state import QuorumState
 from cactusledge.records.reservations import Grant
@@ -114,11 +114,11 @@
             return Recorded(is_durable=False, rounds=0)
         return await shard.record(turn)
 
-    def settle(self, program_id: str, turn_id: str, tokens: int) -> None:
+    def settle(self, entry: Settled) -> None:
         """Records, in the background, what an incomplete turn spent."""
-        shard = self._shard_of(program_id)
+        shard = self._shard_of(entry.program_id)
         if shard is not None:
-            shard.settle(program_id, turn_id, tokens)
+            shard.settle(entry)
 
     def _shard_of(self, program_id: str) -> ShardClient | None:
         return self._shards.get(shard_of(program_id, self._count))
--- a/cactusledge/records/disk.py
+++ b/cactusledge/records/disk.py
@@ -4,7 +4,7 @@
 import os
 import secrets
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from io import FileIO
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -12,12 +12,18 @@
 import pykka
 import structlog
 
-from cactusledge.records.entries import RETENTION_S
-from cactusledge.records.segment import frame_entries, parse_segment
+from cactusledge.records.segment import (
+    HEADER,
+    FramedEntry,
+    entry_at,
+    frame_entries,
+    framed_entries,
+)
 
 IDENTITY_FILE = 'identity.json'
 SEGMENT_SUFFIX = '.log'
 SEGMENT_BYTES = 8 * 1024 * 1024
+SEGMENT_S = 10.0  # of writing; the age of an entry is known as precisely
 ID_BYTES = 8
 
 log = structlog.get_logger('records')
@@ -38,11 +44,27 @@
     """A segment file; read when its entries are asked for."""
 
     path: Path
-    is_expired: bool  # last written before the retention
+    age_s: float  # since it was last written
+
+    def frames(self) -> Iterator[FramedEntry]:
+        """Yields its entries and where they are."""
+        yield from framed_entries(self.path.read_bytes())
 
     def entries(self) -> Iterator[bytes]:
         """Yields its entries."""
-        yield from parse_segment(self.path.read_bytes())
+        for framed in self.frames():
+            yield framed.entry
+
+    def newest_first(self) -> Iterator[FramedEntry]:
+        """Yields its entries from the last one on, in little memory."""
+        content = self.path.read_bytes()
+        places = [
+            (framed.offset, len(framed.entry))
+            for framed in framed_entries(content)
+        ]
+        for offset, size in reversed(places):
+            start = offset + HEADER.size
+            yield FramedEntry(offset, content[start : start + size])
 
 
 class FolderContent(NamedTuple):
@@ -52,11 +74,21 @@
     segments: tuple[StoredSegment, ...] = ()
 
 
+class BatchPlace(NamedTuple):
+    """Where a batch is on disk; its frames follow each other."""
+
+    segment: str  # name of the file
+    offset: int  # bytes, of the first frame
+
+
 class AppendBatch(NamedTuple):
-    """Entries to append; `on_synced` is called in the actor's thread."""
+    """Entries to append; `on_synced` is called in the actor's thread.
+
+    With where they are, or with why they are not durable.
+    """
 
     entries: list[bytes]
-    on_synced: Callable[[OSError | None], None]
+    on_synced: Callable[[BatchPlace | OSError], None]
 
 
 class WriteDocument(NamedTuple):
@@ -67,10 +99,10 @@
     on_synced: Callable[[OSError | None], None]
 
 
-class RemoveSegmentsBefore(NamedTuple):
-    """Remove segments last written before a Unix time in seconds."""
+class RemoveSegments(NamedTuple):
+    """Remove segments by the names of their files."""
 
-    finished_before_s: float
+    names: tuple[str, ...]
 
 
 def read_folder(folder: Path, *, is_first_start: bool) -> FolderContent:
@@ -87,9 +119,9 @@
         write_document(folder, IDENTITY_FILE, identity._asdict())
         return FolderContent(identity)
     identity = Identity(found['log_id'], found['is_witness'])
-    oldest_s = time.time() - RETENTION_S
+    now_s = time.time()
     segments = tuple(
-        StoredSegment(path, is_expired=path.stat().st_mtime < oldest_s)
+        StoredSegment(path, max(now_s - path.stat().st_mtime, 0))
         for path in list_segments(folder)
     )
     return FolderContent(identity, segments)
@@ -100,6 +132,17 @@
     return sorted(folder.glob(f'*{SEGMENT_SUFFIX}'))
 
 
+def read_entry(path: Path, offset: int, size: int) -> bytes | None:
+    """Returns an entry of a segment, None if its frame is invalid.
+
+    Raises:
+        OSError: The file cannot be read, as when it has been removed.
+    """
+    with path.open('rb', buffering=0) as stream:
+        stream.seek(offset)
+        return entry_at(stream.read(HEADER.size + size), 0)
+
+
 def read_document(folder: Path, name: str) -> Any:
     """Returns the content of a JSON file, None if it is absent or torn."""
     try:
@@ -143,6 +186,8 @@
         super().__init__()
         self._folder = folder
         self._stream: FileIO | None = None
+        self._segment = ''  # name of the current one
+        self._opened_s = float(0)
         self._synced_bytes = 0  # in the current segment
 
     def on_receive(self, message: Any) -> None:
@@ -152,7 +197,7 @@
         elif isinstance(message, WriteDocument):
             self._write_document(message)
         else:
-            self._remove_segments(message.finished_before_s)
+            self._remove_segments(message.names)
 
     def on_stop(self) -> None:
         """Closes the current segment."""
@@ -160,13 +205,15 @@
             self._stream.close()
 
     def _append_batch(self, batch: AppendBatch) -> None:
+        content = frame_entries(batch.entries)
         try:
-            self._write(frame_entries(batch.entries))
+            self._write(content)
         except OSError as exc:
             self._truncate_to_synced()
             batch.on_synced(exc)
         else:
-            batch.on_synced(None)
+            offset = self._synced_bytes - len(content)
+            batch.on_synced(BatchPlace(self._segment, offset))
 
     def _truncate_to_synced(self) -> None:
         """Removes what a failed write has left behind.
@@ -195,8 +242,9 @@
             message.on_synced(None)
 
     def _write(self, content: bytes) -> None:
-        if self._stream is None or self._synced_bytes > SEGMENT_BYTES:
+        if self._stream is None or self._is_complete():
             self._open_segment()
+            self._opened_s = time.monotonic()
         stream = self._stream
         if stream is None:
             raise OSError('no segment is open')
@@ -204,6 +252,11 @@
         os.fdatasync(stream.fileno())
         self._synced_bytes += len(content)
 
+    def _is_complete(self) -> bool:
+        """Returns whether the current segment is large or old enough."""
+        is_old = time.monotonic() - self._opened_s > SEGMENT_S
+        return is_old or self._synced_bytes > SEGMENT_BYTES
+
     def _open_segment(self) -> None:
         stream = self._stream
         self._stream = None  # also when opening the next segment fails
@@ -212,18 +265,15 @@
         name = f'{time.time_ns():020d}-{secrets.token_hex(2)}{SEGMENT_SUFFIX}'
         path = self._folder / name
         self._stream = path.open('ab', buffering=0)
+        self._segment = name
         self._synced_bytes = 0
         sync_folder(self._folder)
 
-    def _remove_segments(self, finished_before_s: float) -> None:
-        """Removes old segments; those left by an error go the next time."""
+    def _remove_segments(self, names: Iterable[str]) -> None:
+        """Removes segments; those left by an error go at the next start."""
         try:
-            self._unlink_older(finished_before_s)
+            for name in names:
+                (self._folder / name).unlink(missing_ok=True)
+            sync_folder(self._folder)
         except OSError as exc:
             log.warning('records: old segments not removed', error=repr(exc))
-
-    def _unlink_older(self, finished_before_s: float) -> None:
-        for path in list_segments(self._folder)[:-1]:
-            if path.stat().st_mtime < finished_before_s:
-                path.unlink()
-        sync_folder(self._folder)
--- a/cactusledge/records/draining.py
+++ b/cactusledge/records/draining.py
@@ -1,6 +1,7 @@
 """Drains a store: copies its records to the others, then leaves the group."""
 
 import asyncio
+from collections.abc import Mapping
 
 import structlog
 
@@ -10,7 +11,7 @@
 from cactusledge.records.group_manager import GroupManager
 from cactusledge.records.holders import text_holders
 from cactusledge.records.membership import without_member
-from cactusledge.records.message_texts import count_that_fit, text_bytes
+from cactusledge.records.message_texts import count_that_fit, entry_bytes
 from cactusledge.records.messages import Append, Appended
 from cactusledge.records.quorum import majority
 from cactusledge.records.store import RecordStore
@@ -89,25 +90,25 @@
         """Returns the next entries whose texts fit in a message."""
         position = self._pushed_entries
         entries = self._store.log.pull(position, PUSH_ENTRIES).entries
-        count = count_that_fit([self._text_bytes(entry) for entry in entries])
+        count = count_that_fit([self._bytes_of(entry) for entry in entries])
         return self._store.log.pull(position, count)
 
-    def _text_bytes(self, entry: Entry) -> int:
-        """Returns the size of an entry's text, 0 if it has none."""
-        turn = self._store.log.state.turns.get(entry.turn_id)
-        if turn is None or not isinstance(entry, Turn):
-            return 0
-        return text_bytes(turn)
+    def _bytes_of(self, entry: Entry) -> int:
+        """Returns the size of an entry with its text, if it has one."""
+        if not isinstance(entry, Turn):
+            return entry_bytes(entry)
+        return entry_bytes(entry) + self._store.log.texts.size_of(entry.turn_id)
 
     async def _is_accepted(self, entries: list[Entry]) -> bool:
         """Returns whether all reachable stores, and a majority, accepted."""
         next_group = without_member(
             self._store.group, self._store.name, is_drained=True
         )
+        texts = await self._texts_of(entries)
         replies = await asyncio.gather(
             *(
                 peer.call(
-                    self._entries_for(peer.name, entries, next_group),
+                    self._entries_for(peer.name, entries, texts, next_group),
                     PUSH_TIMEOUT_S,
                 )
                 for peer in self._group_manager.peers.connected()
@@ -118,14 +119,25 @@
         others = len(self._group_manager.peers.all())
         return accepted == len(replies) and accepted >= majority(others)
 
+    async def _texts_of(self, entries: list[Entry]) -> dict[str, Turn]:
+        """Returns the turns of the entries whose text is known here, by id."""
+        turn_ids = [
+            entry.turn_id for entry in entries if isinstance(entry, Turn)
+        ]
+        turns = await self._store.log.texts.read(turn_ids)
+        return {turn.turn_id: turn for turn in turns}
+
     def _entries_for(
-        self, name: str, entries: list[Entry], next_group: Group
+        self,
+        name: str,
+        entries: list[Entry],
+        texts: Mapping[str, Turn],
+        next_group: Group,
     ) -> Append:
         """Returns the entries for one store, with the texts it should keep."""
-        turns = self._store.log.state.turns
         entries_for_store: list[Entry] = []
         for entry in entries:
-            turn = turns.get(entry.turn_id)
+            turn = texts.get(entry.turn_id)
             keeps_text = turn is not None and name in text_holders(
                 turn, next_group
             )
--- a/cactusledge/records/entries.py
+++ b/cactusledge/records/entries.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-RETENTION_S = 600.0  # exceeds any route's retention and program's duration
+# Of entries without a retention period of their own: those of older builds,
+# and of routes that keep no turns. It exceeds any program's duration.
+RETENTION_S = 600.0
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -25,6 +27,8 @@
     endpoint_id: str  # the engine that holds the chain in its cache
     holders: tuple[str, ...]  # instances assigned to keep the text
     account: str = ''  # name of the caller's account; '': open to all
+    retention_s: float = RETENTION_S  # how long it may be continued
+    has_budget: bool = True  # whether its tokens count towards a budget
 
     @property
     def has_text(self) -> bool:
@@ -42,6 +46,7 @@
     program_id: str
     turn_id: str
     tokens: int
+    retention_s: float = RETENTION_S  # how long the program may be idle
 
 
 class Settled(Message, frozen=True):
@@ -50,6 +55,7 @@
     program_id: str
     turn_id: str
     tokens: int
+    retention_s: float = RETENTION_S  # how long the program may be idle
 
 
 Entry = Turn | Reserved | Settled
--- a/cactusledge/records/group_manager.py
+++ b/cactusledge/records/group_manager.py
@@ -8,7 +8,7 @@
 
 from cactusledge.errors import StoreError
 from cactusledge.records.catch_up import CatchUp
-from cactusledge.records.entries import RETENTION_S, Group, Member
+from cactusledge.records.entries import Group, Member
 from cactusledge.records.group_changes import GroupChanges
 from cactusledge.records.group_objects import GroupObjects
 from cactusledge.records.losses import LossMonitor
@@ -70,6 +70,7 @@
         await asyncio.gather(
             run_steps(self._step),
             run_steps(self._remove_dead_member),
+            run_steps(self._tidy_log),
             self.text_offers.run(),
             self.losses.run(),
         )
@@ -90,8 +91,11 @@
         )
         self.adopt_group(group)
 
+    async def _tidy_log(self) -> None:
+        self._store.log.expire()
+        await self._store.log.clean()
+
     async def _step(self) -> None:
-        self._store.log.expire(RETENTION_S)
         self._store.adopted_group.persist()
         if not self._store.group.generation:
             await self._form_group()
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -1,57 +1,72 @@
-"""The log of a record store: entries in memory, synced to disk in batches."""
+"""The log of a record store: entries in memory, synced to disk in batches.
+
+Texts are in memory until they are on disk, and a while longer.
+"""
 
 import asyncio
 import time
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
-import msgspec
 import pykka
-import structlog
 
 from cactusledge.records.disk import (
     IDENTITY_FILE,
-    AppendBatch,
+    BatchPlace,
     DiskActor,
     Identity,
-    RemoveSegmentsBefore,
+    RemoveSegments,
     WriteDocument,
     read_folder,
 )
-from cactusledge.records.entries import ENCODER, ENTRY_DECODER, Entry
-from cactusledge.records.entry_index import EntryIndex, LogPart
-from cactusledge.records.state import RecordState
+from cactusledge.records.entries import ENCODER, Entry, Turn
+from cactusledge.records.entry_index import LogPart, Record
+from cactusledge.records.log_replay import add_record, new_tables, replay
+from cactusledge.records.log_texts import TextCache, TextReader
+from cactusledge.records.log_tidying import LogTidying
+from cactusledge.records.log_writer import (
+    LogWriter,
+    PendingWrite,
+    complete_futures,
+)
+from cactusledge.records.room_account import (
+    NO_LIMITS,
+    RoomAccount,
+    StoreLimits,
+    Use,
+)
+from cactusledge.records.segment import HEADER
 
 PULL_ENTRIES = 2000  # per reply
-SEGMENT_RETENTION_FACTOR = 2  # older segments hold ancestors of recent turns
-
-log = structlog.get_logger('records')
 
 
 class RecordLog:
-    """Applies entries at once and reports when they are on disk.
-
-    Entries that arrive while a batch is being synced form the next batch.
-    """
+    """Applies entries at once and reports when they are on disk."""
 
-    def __init__(self, folder: Path, *, is_first_start: bool) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        is_first_start: bool,
+        limits: StoreLimits = NO_LIMITS,
+    ) -> None:
         """Reads the data folder and starts the disk actor."""
         loaded = read_folder(folder, is_first_start=is_first_start)
         self.identity: Identity = loaded.identity
-        self.state = RecordState()
-        self.index = EntryIndex()
-        # Position of the first entry within the retention, by its file's time.
-        self.first_unexpired = self.head
-        for segment in loaded.segments:
-            for encoded in segment.entries():
-                self._replay(encoded)
-            if segment.is_expired:
-                self.first_unexpired = self.head
+        self._tables = new_tables()
+        self.state = self._tables.state
+        self.index = self._tables.entries
+        replay(loaded.segments, self._tables)
+        self.texts = TextReader(folder, self.state)
+        self.account = RoomAccount(limits)
+        self._cache = TextCache(self.state)
         self._actor: pykka.ActorRef[DiskActor] = DiskActor.start(folder)
-        self._pending_entries: list[bytes] = []
-        self._pending_futures: list[asyncio.Future[None]] = []
-        self._is_syncing = False
+        self._writer = LogWriter(self._actor, self._on_written)
+        self._tidying = LogTidying(
+            folder, self._tables, self._writer, self._cache.forget
+        )
+        self._update_use()
 
     def stop(self) -> None:
         """Stops the disk actor after it has handled its queue."""
@@ -73,13 +88,8 @@
         """
         for entry in entries:
             if self.state.apply(entry):
-                self.index.add(entry)
-                self._pending_entries.append(ENCODER.encode(entry))
-        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._pending_futures.append(fut)
-        if not self._is_syncing:
-            self._sync()
-        await fut
+                self._add(entry)
+        await self._writer.sync()
 
     async def flush(self) -> None:
         """Returns once all entries that have been applied are on disk.
@@ -87,8 +97,8 @@
         Raises:
             OSError: The write failed.
         """
-        if self._is_syncing or self._pending_entries:
-            await self.append(())
+        if not self._writer.is_idle:
+            await self._writer.sync()
 
     def pull(self, position: int, most: int = PULL_ENTRIES) -> LogPart:
         """Returns entries from a position on; turns come without text.
@@ -97,25 +107,23 @@
         """
         return self.index.part(position, most)
 
-    def expire(self, retention_s: float) -> None:
-        """Drops older entries, and segments that hold only older entries.
+    def expire(self, now_s: float | None = None) -> None:
+        """Drops entries that are needed no more, and their segments."""
+        unused = self._tidying.expire(
+            time.monotonic() if now_s is None else now_s
+        )
+        if unused:
+            self._actor.tell(RemoveSegments(tuple(unused)))
+        self._update_use()
 
-        Turns that a recent turn continues are kept.
+    async def clean(self) -> None:
+        """Wins back space on disk if it is scarce.
+
+        Raises:
+            OSError: Reading or writing failed.
         """
-        dropped = self.index.drop_before(
-            self.index.position_before(retention_s)
-        )
-        if not dropped:
-            return
-        live = self.state.ancestors_of(self.index.entries)
-        self.state.discard(
-            entry for entry in dropped if entry.turn_id not in live
-        )
-        self._actor.tell(
-            RemoveSegmentsBefore(
-                time.time() - SEGMENT_RETENTION_FACTOR * retention_s
-            )
-        )
+        if self.account.needs_cleaning:
+            await self._tidying.clean()
 
     async def mark_witness(self) -> None:
         """Records on disk that the log is complete (see `Identity`).
@@ -154,55 +162,33 @@
         self._actor.tell(WriteDocument(name, content, on_synced))
         return fut
 
-    def _replay(self, encoded: bytes) -> None:
-        try:
-            entry = ENTRY_DECODER.decode(encoded)
-        except msgspec.MsgspecError:
-            log.exception('records: entry skipped, cannot be decoded')
-            return
-        if self.state.apply(entry):
-            self.index.add(entry)
-
-    def _sync(self) -> None:
-        """Sends all pending entries to the actor as one batch."""
-        loop = asyncio.get_running_loop()
-        futures = self._pending_futures
-        batch = self._pending_entries
-        self._pending_futures = []
-        self._pending_entries = []
-        self._is_syncing = True
-
-        def on_synced(exc: OSError | None) -> None:  # noqa: WPS430
-            loop.call_soon_threadsafe(
-                self._on_batch_written, batch, futures, exc
-            )
-
-        self._actor.tell(AppendBatch(batch, on_synced))
-
-    def _on_batch_written(
-        self,
-        batch: list[bytes],
-        futures: list[asyncio.Future[None]],
-        exc: OSError | None,
+    def _add(self, entry: Entry) -> None:
+        """Indexes an entry that has been applied, and queues it for disk."""
+        record = Record(entry, time.monotonic())
+        self._tables.lifetimes.note(record.entry, record.applied_at_s)
+        add_record(self._tables, record)
+        if isinstance(entry, Turn) and entry.has_text:
+            self._cache.add(entry)
+        self._writer.queue([PendingWrite(record, ENCODER.encode(entry))])
+
+    def _on_written(
+        self, batch: Sequence[PendingWrite], place: BatchPlace
     ) -> None:
-        """Completes a batch; a failed one is written with the next."""
-        self._is_syncing = False
-        if exc is not None:
-            log.warning('records: write failed', error=repr(exc))
-            self._pending_entries = batch + self._pending_entries
-        complete_futures(futures, exc)
-        if self._pending_futures:
-            self._sync()
-
-
-def complete_futures(
-    futures: Iterable[asyncio.Future[None]], exc: OSError | None
-) -> None:
-    """Completes the futures that are still pending, or fails them."""
-    for fut in futures:
-        if fut.done():
-            continue
-        if exc is None:
-            fut.set_result(None)
-        else:
-            fut.set_exception(exc)
+        """Notes where the entries of a batch are on disk."""
+        offset = place.offset
+        segment = self._tables.segments.grow(place.segment, offset)
+        for record, encoded in batch:
+            segment.size = offset + HEADER.size + len(encoded)
+            record.put(segment, offset, len(encoded))
+            if record.has_text and not record.is_dropped:
+                self._cache.on_written(record)
+            offset = segment.size
+        self._update_use()
+
+    def _update_use(self) -> None:
+        segments = self._tables.segments
+        self.account.use = Use(
+            self.index.memory_bytes + self._cache.memory_bytes,
+            segments.live_bytes,
+            segments.total_bytes,
+        )
--- a/cactusledge/records/message_texts.py
+++ b/cactusledge/records/message_texts.py
@@ -1,11 +1,12 @@
-"""Bounds the texts of turns in one message between stores; pure functions."""
+"""Bounds what goes into one message between instances; pure functions."""
 
 import itertools
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
-from cactusledge.records.entries import Turn
+from cactusledge.records.entries import Entry, Turn
 
 MESSAGE_BYTES = 4 * 1024 * 1024  # a single larger turn goes alone
+FIXED_BYTES = 96  # of an entry, beside its ids
 
 
 def text_bytes(turn: Turn) -> int:
@@ -20,6 +21,20 @@
     return max(fitting, min(1, len(sizes)))
 
 
-def first_that_fit(turns: Sequence[Turn]) -> Sequence[Turn]:
-    """Returns the first turns whose texts fit in one message, one at least."""
-    return turns[: count_that_fit([text_bytes(turn) for turn in turns])]
+def entry_bytes(entry: Entry) -> int:
+    """Returns about the size of an encoded entry without text."""
+    size = FIXED_BYTES + len(entry.turn_id) + len(entry.program_id)
+    if not isinstance(entry, Turn):
+        return size
+    holders = sum(len(name) for name in entry.holders)
+    return size + len(entry.parent_id) + len(entry.account) + holders
+
+
+def total_bytes(entries: Iterable[Entry]) -> int:
+    """Returns about the size of encoded entries with their texts."""
+    total = 0
+    for entry in entries:
+        total += entry_bytes(entry)
+        if isinstance(entry, Turn):
+            total += text_bytes(entry)
+    return total
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -11,6 +11,7 @@
     Turn,
 )
 from cactusledge.records.quota_messages import AskQuota
+from cactusledge.records.room import Room
 
 
 class Reserve(Message, frozen=True):
@@ -32,6 +33,7 @@
     log_id: str = ''  # of the disk that holds the reservation
     # Store -> its current log id, for stores that recently lost a disk.
     replaced: dict[str, str] = msgspec.field(default_factory=dict)
+    room: int = Room.FREE  # what the store has room for
 
 
 class Append(Message, frozen=True):
@@ -48,6 +50,7 @@
     log_id: str = ''  # of the disk that holds them
     # Store -> its current log id, for stores that recently lost a disk.
     replaced: dict[str, str] = msgspec.field(default_factory=dict)
+    room: int = Room.FREE  # what the store has room for
 
 
 class Query(Message, frozen=True):
--- a/cactusledge/records/peers.py
+++ b/cactusledge/records/peers.py
@@ -8,6 +8,7 @@
 from cactusledge.records.links import Link, RelayRoute
 from cactusledge.records.peer import Peer
 from cactusledge.records.quorum import is_quorum
+from cactusledge.records.room import StoreRooms
 
 
 class GroupPeers:
@@ -25,6 +26,7 @@
         self.data_centre = data_centre
         self._peers: dict[str, Peer] = {}
         self.relay_route = relay_route or RelayRoute()
+        self.rooms = StoreRooms()
 
     @property
     def has_quorum(self) -> bool:
--- a/cactusledge/records/quorum.py
+++ b/cactusledge/records/quorum.py
@@ -31,6 +31,7 @@
     GRANTED = 'granted'
     SPENT = 'spent'  # the turn would exceed the budget
     NO_PARENT = 'no_parent'  # the turn to be continued does not exist
+    NO_ROOM = 'no_room'  # the stores have no room for what is new
     UNSURE = 'unsure'  # not decidable, such as when too few stores replied
 
 
--- a/cactusledge/records/reservations.py
+++ b/cactusledge/records/reservations.py
@@ -14,8 +14,8 @@
     is_undecidable,
     quorum,
 )
-from cactusledge.records.retries import Retries
-from cactusledge.records.retry_pauses import RetryLimits
+from cactusledge.records.retries import Retries, RetryLimits
+from cactusledge.records.room import Room
 from cactusledge.records.round import WitnessRound, prepare_requests
 from cactusledge.records.round_summary import RoundName, log_unconfirmed
 from cactusledge.records.turn_start import TurnStart, program_query
@@ -54,6 +54,9 @@
 STALE = Attempt(Grant(Verdict.UNSURE, reason='group changed'), is_final=False)
 
 
+NO_ROOM = Grant(Verdict.NO_ROOM, reason='too few stores have room')
+
+
 class StaleGroupError(Exception):
     """The stores had a newer group, which has been adopted."""
 
@@ -76,10 +79,12 @@
         """Reserves a turn's tokens and reads its chain concurrently."""
         if not self._peers.has_quorum:
             return Grant(Verdict.UNSURE, reason='no quorum connected')
+        if not self._has_room_for(start):
+            return NO_ROOM
         if start.is_free:
             return Grant(Verdict.GRANTED, reason='nothing to reserve')
         if not start.wants_chain:
-            return await self._repeat(self._reserve, start)
+            return await self._reserve_with_room(start)
         reading = asyncio.ensure_future(self._chains.read(start))
         try:
             return await self._with_chain(start, reading)
@@ -93,12 +98,29 @@
         grant = await self._repeat(self._find_parent, start)
         return grant.verdict is Verdict.NO_PARENT
 
+    def _has_room_for(self, start: TurnStart) -> bool:
+        """Returns whether enough stores have room to record a turn."""
+        group = self._peers.group
+        connected = [peer.name for peer in self._peers.connected()]
+        least = Room.SHORT if start.is_first else Room.FULL
+        needed = max(quorum(group), min(group.copies, len(connected)))
+        with_room = self._peers.rooms.with_room(connected, least)
+        return len(with_room) >= needed
+
+    async def _reserve_with_room(self, start: TurnStart) -> Grant:
+        """Reserves a turn's tokens, if the stores say that they have room."""
+        grant = await self._repeat(self._reserve, start)
+        is_granted = grant.verdict is Verdict.GRANTED
+        if is_granted and not self._has_room_for(start):
+            return NO_ROOM
+        return grant
+
     async def _with_chain(
         self,
         start: TurnStart,
         reading: 'asyncio.Task[tuple[entries.Turn, ...]]',
     ) -> Grant:
-        grant = await self._repeat(self._reserve, start)
+        grant = await self._reserve_with_room(start)
         if grant.verdict is not Verdict.GRANTED:
             return grant
         chain = await reading
@@ -167,7 +189,10 @@
 
     def _reservation(self, start: TurnStart) -> messages.Reserve:
         entry = entries.Reserved(
-            start.program_id, start.demand.turn_id, start.demand.tokens
+            start.program_id,
+            start.demand.turn_id,
+            start.demand.tokens,
+            start.retention_s,
         )
         group = self._peers.group
         return messages.Reserve(
@@ -186,4 +211,5 @@
         if collected.stale is not None:
             self._adopt_group(collected.stale.group)
             raise StaleGroupError
+        self._peers.rooms.note(collected.replies)
         return collected.replies
--- a/cactusledge/records/segment.py
+++ b/cactusledge/records/segment.py
@@ -6,6 +6,7 @@
 
 import struct
 from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
 import xxhash
 
@@ -13,6 +14,13 @@
 MAX_ENTRY_BYTES = 1 << 24
 
 
+class FramedEntry(NamedTuple):
+    """An entry of a segment, and where its frame begins."""
+
+    offset: int  # bytes
+    entry: bytes
+
+
 def frame_entry(entry: bytes) -> bytes:
     """Returns an entry as it is written to a segment."""
     return HEADER.pack(len(entry), xxhash.xxh64_intdigest(entry)) + entry
@@ -23,17 +31,23 @@
     return b''.join(frame_entry(entry) for entry in entries)
 
 
-def parse_segment(content: bytes) -> Iterator[bytes]:
-    """Yields the entries ahead of the first invalid frame."""
+def framed_entries(content: bytes) -> Iterator[FramedEntry]:
+    """Yields the entries ahead of the first invalid frame, with offsets."""
     position = 0
     while True:
         entry = entry_at(content, position)
         if entry is None:
             return
-        yield entry
+        yield FramedEntry(position, entry)
         position += HEADER.size + len(entry)
 
 
+def parse_segment(content: bytes) -> Iterator[bytes]:
+    """Yields the entries ahead of the first invalid frame."""
+    for framed in framed_entries(content):
+        yield framed.entry
+
+
 def entry_at(content: bytes, position: int) -> bytes | None:
     """Returns the entry at a position, None if its frame is invalid."""
     start = position + HEADER.size
--- a/cactusledge/records/shard_client.py
+++ b/cactusledge/records/shard_client.py
@@ -61,9 +61,8 @@
         """Writes a turn; returns whether it is durable."""
         return await self._writer.record(turn)
 
-    def settle(self, program_id: str, turn_id: str, tokens: int) -> None:
+    def settle(self, entry: entries.Settled) -> None:
         """Records, in the background, what an incomplete turn spent."""
-        entry = entries.Settled(program_id, turn_id, tokens)
         task = asyncio.ensure_future(self._writer.settle(entry))
         self._settling.add(task)
         task.add_done_callback(self._settling.discard)
--- a/cactusledge/records/state.py
+++ b/cactusledge/records/state.py
@@ -3,16 +3,21 @@
 from collections.abc import Iterable
 
 from cactusledge.records.entries import Entry, Reserved, Settled, Turn
+from cactusledge.records.entry_index import Record
 from cactusledge.records.quorum import Spent
 
 
 class RecordState:
-    """Index of the log; applying an entry twice changes nothing."""
+    """Index of the log; applying an entry twice changes nothing.
+
+    The text of a turn may be in memory, as part of the turn, or on disk.
+    """
 
     def __init__(self) -> None:
         """Starts empty."""
         self.turns: dict[str, Turn] = {}
         self.spending: dict[str, Spent] = {}
+        self.texts_on_disk: dict[str, Record] = {}  # by turn id
 
     def apply(self, entry: Entry) -> bool:
         """Applies an entry; returns whether it changed the index."""
@@ -25,7 +30,9 @@
     def has_text(self, turn_id: str) -> bool:
         """Returns whether a turn is known here with its text."""
         turn = self.turns.get(turn_id)
-        return turn is not None and turn.has_text
+        if turn is None:
+            return False
+        return turn.has_text or turn_id in self.texts_on_disk
 
     def spent(self, program_id: str) -> Spent:
         """Returns the tokens of a program's turns, by turn id."""
@@ -46,22 +53,18 @@
             turn = self.turns.get(turn.parent_id)
         return list(reversed(chain.values()))
 
-    def ancestors_of(self, entries: Iterable[Entry]) -> set[str]:
-        """Returns the ids of the entries' turns and of their ancestors."""
-        found: set[str] = set()
-        for entry in entries:
-            turn_id = entry.turn_id
-            while turn_id and turn_id not in found:
-                found.add(turn_id)
-                turn = self.turns.get(turn_id)
-                turn_id = turn.parent_id if turn else ''
-        return found
+    def drop_text(self, record: Record) -> None:
+        """Removes a turn's text from memory; it is on disk."""
+        turn = record.entry
+        if isinstance(turn, Turn):
+            self.turns[turn.turn_id] = turn
 
     def discard(self, entries: Iterable[Entry]) -> None:
         """Removes entries whose retention period has passed."""
         for entry in entries:
             if isinstance(entry, Turn):
                 self.turns.pop(entry.turn_id, None)
+                self.texts_on_disk.pop(entry.turn_id, None)
             spent = self.spending.get(entry.program_id, {})
             spent.pop(entry.turn_id, None)
             if not spent:
@@ -69,7 +72,9 @@
 
     def _apply_turn(self, turn: Turn) -> bool:
         known = self.turns.get(turn.turn_id)
-        if known is not None and (known.has_text or not turn.has_text):
+        if known is not None and (
+            not turn.has_text or self.has_text(turn.turn_id)
+        ):
             return False
         self.turns[turn.turn_id] = turn
         spent = self.spending.setdefault(turn.program_id, {})
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -1,7 +1,7 @@
 """A record store: handles messages of gateways and of other stores."""
 
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from types import MappingProxyType
 from typing import Any
 
@@ -17,9 +17,10 @@
 from cactusledge.records.log import RecordLog
 from cactusledge.records.log_readers import LogReaders
 from cactusledge.records.membership import is_for
-from cactusledge.records.message_texts import first_that_fit
+from cactusledge.records.message_texts import total_bytes
 from cactusledge.records.offered_texts import OfferedTexts
 from cactusledge.records.quota_messages import AskQuota
+from cactusledge.records.record_views import RecordViews
 from cactusledge.records.shards import newer_groups
 
 ANY_GENERATION = (
@@ -32,6 +33,8 @@
     ShareLoads,
 )
 
+NO_SPACE = messages.Failed('no space left for records')
+
 RequestHandler = Callable[[Any], Awaitable[messages.Body]]
 
 
@@ -44,6 +47,7 @@
         self.log = record_log
         self.adopted_group = AdoptedGroup(name, record_log)
         self._log_readers = LogReaders()
+        self._views = RecordViews(record_log, self._log_readers)
         self.offered_texts = OfferedTexts(record_log.state)
         self.gateways = GatewayRegistry()
         # Of all shards, as published at the platform; may lag behind.
@@ -90,37 +94,36 @@
         return await handler(body)
 
     async def _reserve(self, request: messages.Reserve) -> messages.Body:
+        if not self._has_space_for((request.entry,)):
+            return NO_SPACE
         await self.log.append((request.entry,))
-        return self._program_view(
-            request.entry.program_id,
-            request.parent_id,
-            wants_chain=False,
+        return self._views.of_program(
+            request.entry.program_id, request.parent_id
         )
 
     async def _append(self, request: messages.Append) -> messages.Body:
+        if not self._has_space_for(request.entries):
+            return NO_SPACE
         await self.log.append(request.entries)
         return messages.Appended(
             log_id=self.log.identity.log_id,
             replaced=self._log_readers.recent(),
+            room=self.log.account.room,
         )
 
     async def _query(self, request: messages.Query) -> messages.Body:
-        return self._program_view(
-            request.program_id,
-            request.parent_id,
-            wants_chain=request.wants_chain,
-        )
+        if request.wants_chain:
+            return await self._views.of_chain(request.parent_id)
+        return self._views.of_program(request.program_id, request.parent_id)
 
     async def _fetch(self, request: messages.Fetch) -> messages.Body:
-        turns = self.log.state.turns
-        found = [
-            turns[turn_id] for turn_id in request.turn_ids if turn_id in turns
-        ]
+        texts = self.log.texts
+        wanted = texts.first_that_fit(request.turn_ids)
         lacking = self.offered_texts.note(request.offered)
         if request.offered:
             await self.log.flush()
         return messages.Fetched(
-            list(first_that_fit([turn for turn in found if turn.has_text])),
+            await texts.read(wanted),
             lacking,
             self.log.identity.log_id,
         )
@@ -163,19 +166,5 @@
         self.on_announced_group(request.group)
         return messages.Appended()
 
-    def _program_view(
-        self,
-        program_id: str,
-        parent_id: str,
-        *,
-        wants_chain: bool,
-    ) -> messages.ReserveReply:
-        state = self.log.state
-        return messages.ReserveReply(
-            is_witness=self.log.identity.is_witness,
-            spent={} if wants_chain else dict(state.spent(program_id)),
-            knows_parent=parent_id in state.turns,
-            chain=state.chain(parent_id) if wants_chain else [],
-            log_id=self.log.identity.log_id,
-            replaced=self._log_readers.recent(),
-        )
+    def _has_space_for(self, written: Iterable[entries.Entry]) -> bool:
+        return self.log.account.has_space_for(total_bytes(written))
--- a/cactusledge/records/text_offers.py
+++ b/cactusledge/records/text_offers.py
@@ -103,12 +103,12 @@
 
     def _start_over(self) -> None:
         self._turn_ids = {}
-        self._position = self._log.first_unexpired
+        self._position = 0
 
     def _is_kept(self, entry: Entry, group: Group) -> bool:
         """Returns whether the other store should keep the text from here."""
         turn = self._log.state.turns.get(entry.turn_id)
-        if turn is None or not turn.has_text:
+        if turn is None or not self._log.state.has_text(entry.turn_id):
             return False
         return self._name in text_holders(turn, group)
 
--- a/cactusledge/records/text_restorer.py
+++ b/cactusledge/records/text_restorer.py
@@ -59,10 +59,11 @@
     def _missing(self, group: Group) -> list[str]:
         """Returns the ids of turns whose text this store lacks."""
         name = self._store.name
+        state = self._store.log.state
         return [
-            turn.turn_id
-            for turn in self._store.log.state.turns.values()
-            if not turn.has_text and name in text_holders(turn, group)
+            turn_id
+            for turn_id, turn in state.turns.items()
+            if not state.has_text(turn_id) and name in text_holders(turn, group)
         ]
 
     async def _fetch(self, turn_ids: list[str]) -> None:
--- a/cactusledge/records/turn_start.py
+++ b/cactusledge/records/turn_start.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from cactusledge.records.entries import Group
+from cactusledge.records.entries import RETENTION_S, Group
 from cactusledge.records.messages import Query
 from cactusledge.records.quorum import Demand
 
@@ -13,6 +13,12 @@
     demand: Demand
     program_id: str
     wants_chain: bool
+    retention_s: float = RETENTION_S  # of the turn and its program
+
+    @property
+    def is_first(self) -> bool:
+        """Whether it begins a chain, and so a program as a rule."""
+        return not self.demand.parent_id
 
     @property
     def is_free(self) -> bool:
--- a/cactusledge/records/write_requests.py
+++ b/cactusledge/records/write_requests.py
@@ -5,6 +5,7 @@
 from cactusledge.records import entries, messages
 from cactusledge.records.holders import choose_holders
 from cactusledge.records.peers import GroupPeers
+from cactusledge.records.room import Room
 from cactusledge.records.round import PreparedRequest, prepare_requests
 
 
@@ -30,6 +31,9 @@
 def holders_of(turn: entries.Turn, peers: GroupPeers) -> tuple[str, ...]:
     """Returns the connected stores chosen to keep a turn's text."""
     connected = {peer.name for peer in peers.connected()}
+    with_room = peers.rooms.with_room(connected, Room.SHORT)
+    if len(with_room) >= peers.group.copies:
+        connected = set(with_room)
     members = {
         name: member
         for name, member in peers.group.members.items()
--- a/cactusledge/records/writer.py
+++ b/cactusledge/records/writer.py
@@ -12,8 +12,7 @@
 from cactusledge.records import entries, messages
 from cactusledge.records.peers import GroupPeers, check_silent
 from cactusledge.records.reservations import ROUND_TIMEOUT_S
-from cactusledge.records.retries import Retries
-from cactusledge.records.retry_pauses import RetryLimits
+from cactusledge.records.retries import Retries, RetryLimits
 from cactusledge.records.round import PreparedRequest, Round
 from cactusledge.records.round_summary import RoundName, log_unconfirmed
 from cactusledge.records.write_requests import (
@@ -132,6 +131,7 @@
         timeout_s: float,
     ) -> None:
         await collected.run(requests, timeout_s, wait_s=0)
+        self._peers.rooms.note(collected.replies)
         if collected.stale is not None:
             self._adopt_group(collected.stale.group)
         if not collected.is_enough:
--- a/cactusledge/telemetry/metric_table.py
+++ b/cactusledge/telemetry/metric_table.py
@@ -203,6 +203,12 @@
         'shard',
     ),
     _gauge('records_entries', 'Entries that a store holds.'),
+    _gauge('records_memory_bytes', 'Memory that the entries take, about.'),
+    _gauge('records_disk_bytes', 'Bytes of the segments on disk.'),
+    _gauge(
+        'records_room_used',
+        'Share that is taken of the memory or the disk, whichever is scarcer.',
+    ),
     _gauge('records_witness', '1 while a store has all it should know of.'),
     _gauge(
         'records_unconfirmed_texts',
--- a/tests/test_records_retry_pauses.py
+++ b/tests/test_records_retry_pauses.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cactusledge.records.retry_pauses import (
+from cactusledge.records.retries import (
     FIRST_PAUSE_S,
     LONGEST_PAUSE_S,
     RetryLimits,
