--- a/cactusledge/records/entry_index.py
+++ b/cactusledge/records/entry_index.py
@@ -2,14 +2,17 @@
 
 import bisect
 import itertools
+import secrets
 import time
 from collections.abc import Iterator
 from typing import NamedTuple
 
 from cactusledge.records.entries import Entry, Turn
+from cactusledge.records.message_texts import MESSAGE_BYTES, entry_bytes
 from cactusledge.records.segment_table import SegmentUse
 
 LEAST_TRIMMED = 1024  # entries
+EPOCH_BYTES = 4
 # Memory of an entry beside its ids: the objects, and their places in tables.
 RECORD_BYTES = 900
 
@@ -82,6 +85,7 @@
         self._records: list[Record | None] = []  # None: dropped
         self._applied_at_s: list[float] = []  # of each, never decreasing
         self._first_position = 0  # of the first record kept
+        self.epoch = secrets.token_hex(EPOCH_BYTES)  # of the positions
         self._dropped = 0  # of the records kept
         self.memory_bytes = 0  # about, of all entries
 
@@ -115,14 +119,20 @@
         return (record for record in self._records if record is not None)
 
     def part(self, position: int, most: int) -> LogPart:
-        """Returns entries from a position on; dropped ones are skipped."""
+        """Returns entries from a position on that fit in one message.
+
+        Dropped ones are skipped. One is returned in any case, if there is one.
+        """
         start = max(0, position - self._first_position)
         found: list[Entry] = []
         end = start
+        left = MESSAGE_BYTES
         for record in itertools.islice(self._records, start, None):
-            if len(found) >= most:
+            size = 0 if record is None else entry_bytes(record.entry)
+            if len(found) >= most or (found and size > left):
                 break
             end += 1
+            left -= size
             if record is not None:
                 found.append(record.entry)
         return LogPart(found, self._first_position + end)
--- a/cactusledge/records/message_texts.py
+++ b/cactusledge/records/message_texts.py
@@ -27,7 +27,8 @@
     if not isinstance(entry, Turn):
         return size
     holders = sum(len(name) for name in entry.holders)
-    return size + len(entry.parent_id) + len(entry.account) + holders
+    ids = len(entry.parent_id) + len(entry.account) + len(entry.endpoint_id)
+    return size + ids + holders
 
 
 def total_bytes(entries: Iterable[Entry]) -> int:
--- a/cactusledge/records/messages.py
+++ b/cactusledge/records/messages.py
@@ -109,6 +109,7 @@
     head: int  # position after its last entry
     is_witness: bool
     end: int = 0  # position after these entries, 0 from an older store
+    epoch: str = ''  # of the positions, '' from an older store
 
 
 class StaleGroup(Message, frozen=True):
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -143,6 +143,7 @@
             head=self.log.head,
             is_witness=identity.is_witness,
             end=part.end,
+            epoch=self.log.index.epoch,
         )
 
     async def _ask(self, request: messages.Ask) -> messages.Body:
