--- a/cactusledge/records/chain_reader.py
+++ b/cactusledge/records/chain_reader.py
@@ -8,6 +8,7 @@
 from cactusledge.records import entries, messages
 from cactusledge.records.chain_assembly import ChainAssembly
 from cactusledge.records.links import Link
+from cactusledge.records.message_texts import ids_that_fit
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.quorum import is_quorum
 from cactusledge.records.retries import Retries, RetryLimits
@@ -172,7 +173,9 @@
             has_new_turns = assembly.add(turns)
         if assembly.missing_text():
             request = messages.Fetch(
-                group.generation, assembly.missing_text(), group.shard
+                group.generation,
+                list(ids_that_fit(assembly.missing_text())),
+                group.shard,
             )
             turns = await self._request_turns(peer, request, reading)
             has_new_turns = assembly.add(turns) or has_new_turns
--- a/cactusledge/records/frames.py
+++ b/cactusledge/records/frames.py
@@ -39,11 +39,16 @@
 
 
 def encode_frame(number: int, body: Body) -> bytes:
-    """Returns a message as the bytes of one frame."""
+    """Returns a message as the bytes of one frame, which may be too large."""
     content = ENCODER.encode(Envelope(number, body))
     return LENGTH.pack(len(content)) + content
 
 
+def is_too_large(frame: bytes) -> bool:
+    """Returns whether the receiver of a frame would close the connection."""
+    return len(frame) > LENGTH.size + MAX_FRAME_BYTES
+
+
 class FrameProtocol(asyncio.Protocol):
     """Splits the stream into frames and decodes each one."""
 
--- a/cactusledge/records/message_server.py
+++ b/cactusledge/records/message_server.py
@@ -4,7 +4,11 @@
 from collections.abc import Awaitable, Callable
 
 from cactusledge.models import Address
-from cactusledge.records.frames import FrameProtocol, encode_frame
+from cactusledge.records.frames import (
+    FrameProtocol,
+    encode_frame,
+    is_too_large,
+)
 from cactusledge.records.messages import Body, Envelope, Failed, Ping, Pong
 
 BACKLOG = 256  # connections waiting to be accepted
@@ -50,8 +54,13 @@
         self._send(envelope.number, reply)
 
     def _send(self, number: int, body: Body) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(encode_frame(number, body))
+        if self.transport is None or self.transport.is_closing():
+            return
+        frame = encode_frame(number, body)
+        if is_too_large(frame):
+            reason = f'a reply of {len(frame)} bytes is too large'
+            frame = encode_frame(number, Failed(reason))
+        self.transport.write(frame)
 
 
 class MessageServer:
--- a/cactusledge/records/message_texts.py
+++ b/cactusledge/records/message_texts.py
@@ -39,3 +39,14 @@
         if isinstance(entry, Turn):
             total += text_bytes(entry)
     return total
+
+
+def youngest_that_fit(turns: Sequence[Turn]) -> Sequence[Turn]:
+    """Returns the last turns that fit in one message without text."""
+    sizes = [entry_bytes(turn) for turn in reversed(turns)]
+    return turns[len(turns) - count_that_fit(sizes) :]
+
+
+def ids_that_fit(turn_ids: Sequence[str]) -> Sequence[str]:
+    """Returns the first ids that fit in one message, one at least."""
+    return turn_ids[: count_that_fit([len(turn_id) for turn_id in turn_ids])]
--- a/cactusledge/records/peer.py
+++ b/cactusledge/records/peer.py
@@ -9,7 +9,11 @@
 import structlog
 
 from cactusledge.models import Address
-from cactusledge.records.frames import FrameProtocol, encode_frame
+from cactusledge.records.frames import (
+    FrameProtocol,
+    encode_frame,
+    is_too_large,
+)
 from cactusledge.records.messages import Body, Envelope, Ping
 
 CONNECT_WAIT_S = 0.1  # time for `call_once` to connect
@@ -178,12 +182,18 @@
         return number, encode_frame(number, body)
 
     def send(self, number: int, content: bytes) -> asyncio.Future[Body]:
-        """Sends a prepared request; the future fails if the connection does."""
+        """Sends a prepared request; the future fails if the connection does.
+
+        It fails at once if the request is too large to be received.
+        """
         fut: asyncio.Future[Body] = asyncio.get_running_loop().create_future()
         protocol = self._protocol
         if protocol is None or protocol.transport is None:
             fut.set_exception(ConnectionError(f'no connection to {self.name}'))
             return fut
+        if is_too_large(content):
+            fut.set_exception(too_large_error(content))
+            return fut
         protocol.pending[number] = fut
         protocol.transport.write(content)
         return fut
@@ -220,6 +230,11 @@
             await asyncio.sleep(RECONNECT_DELAY_S)
 
 
+def too_large_error(content: bytes) -> ConnectionError:
+    """Returns the error of a request that is too large to be received."""
+    return ConnectionError(f'a request of {len(content)} bytes is too large')
+
+
 def ignore_loss(peer: Peer) -> None:
     """The default for `Peer.on_lost`."""
 
--- a/cactusledge/records/record_views.py
+++ b/cactusledge/records/record_views.py
@@ -1,12 +1,13 @@
 """What a store replies about programs and chains."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from cactusledge.records.entries import Turn
 from cactusledge.records.log import RecordLog
 from cactusledge.records.log_readers import LogReaders
+from cactusledge.records.message_texts import MESSAGE_BYTES, youngest_that_fit
 from cactusledge.records.messages import ReserveReply
-from cactusledge.records.quorum import Spent
+from cactusledge.records.quorum import Spent, spending_key
 
 
 class RecordViews:
@@ -18,18 +19,35 @@
         self._log_readers = log_readers
 
     def of_program(self, program_id: str, parent_id: str) -> ReserveReply:
-        """Returns what a program has spent."""
-        spent = dict(self._log.state.spent(program_id))
-        return self._reply(parent_id, spent, ())
+        """Returns what a program has spent, by digests if it has long ids."""
+        spent = self._log.state.spent(program_id)
+        ids_bytes = sum(len(turn_id) for turn_id in spent)
+        is_long = ids_bytes > MESSAGE_BYTES
+        sent = {
+            spending_key(turn_id) if is_long else turn_id: spend
+            for turn_id, spend in spent.items()
+        }
+        return self._reply(parent_id, sent, ())
 
     async def of_chain(self, turn_id: str) -> ReserveReply:
-        """Returns a chain as far back as it is known, with its texts."""
-        chain = self._log.state.chain(turn_id)
-        found = await self._log.texts.read([turn.turn_id for turn in chain])
-        texts = {turn.turn_id: turn for turn in found}
+        """Returns the end of a chain that fits in one message.
+
+        The youngest turns come with their texts, as many as fit. The reader
+        asks for the others, as it does for turns that a store lacks.
+        """
+        chain = youngest_that_fit(self._log.state.chain(turn_id))
+        texts = await self._youngest_texts(chain)
         turns = [texts.get(turn.turn_id, turn.without_text()) for turn in chain]
         return self._reply(turn_id, {}, turns)
 
+    async def _youngest_texts(
+        self, chain: Sequence[Turn]
+    ) -> Mapping[str, Turn]:
+        reader = self._log.texts
+        youngest_first = [turn.turn_id for turn in reversed(chain)]
+        turns = await reader.read(reader.first_that_fit(youngest_first))
+        return {turn.turn_id: turn for turn in turns}
+
     def _reply(
         self, parent_id: str, spent: Spent, chain: Sequence[Turn]
     ) -> ReserveReply:
--- a/cactusledge/records/text_offers.py
+++ b/cactusledge/records/text_offers.py
@@ -15,6 +15,7 @@
 from cactusledge.records.holders import text_holders
 from cactusledge.records.links import Link
 from cactusledge.records.log import RecordLog
+from cactusledge.records.message_texts import ids_that_fit
 from cactusledge.records.messages import Body, Fetch, Fetched
 from cactusledge.records.peers import GroupPeers
 from cactusledge.records.store import RecordStore
@@ -82,8 +83,11 @@
         has_text = self._log.state.has_text
         turn_ids = [turn_id for turn_id in self._turn_ids if has_text(turn_id)]
         self._turn_ids = dict.fromkeys(turn_ids)
-        for start in range(0, max(1, len(turn_ids)), OFFER_TURNS):
-            yield turn_ids[start : start + OFFER_TURNS]
+        start = 0
+        while not start or start < len(turn_ids):
+            batch = ids_that_fit(turn_ids[start : start + OFFER_TURNS])
+            yield list(batch)
+            start += max(1, len(batch))
 
     def note(self, batch: list[str], reply: Fetched) -> bool:
         """Notes which turns the store confirmed; returns whether it counts.
