Gateway: a turn refused for want of room leaves nothing at the stores

Cause: the reservation of each turn with a budget that was not granted is settled; a turn that is refused before it asks any store has none, and its settlement took room at all stores, which lack it.

Change: the grant says whether a store may hold a reservation.

The chain's records are no longer held while the turn is sent.

--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -47,6 +47,7 @@
         self.call = call
         self.chain: Chain = EMPTY_CHAIN
         self.is_recorded = False
+        self.may_be_reserved = True  # its tokens, at the stores
         self.held = held
         self.is_too_large = False  # for its record
         self._tokens_per_event = tokens_per_event
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -107,7 +107,8 @@
         finally:
             stream.held.release()
             is_open = not (stream.is_recorded or call.progress.forwarded_to)
-            if is_open and (needs.has_budget or stream.tokens):
+            is_reserved = needs.has_budget and stream.may_be_reserved
+            if is_open and (is_reserved or stream.tokens):
                 self._records.settle(
                     Settled(
                         budget_id_of(info),
@@ -156,8 +157,9 @@
             shard=group.shard,
             generation=group.generation,
         )
+        stream.may_be_reserved = grant.may_be_reserved
         stream.chain = cached or join(grant.chain)
-        return grant
+        return grant._replace(chain=())
 
     def _refuse(self, call: Call, grant: Grant) -> Outcome:
         """Responds to a turn that was not granted.
--- a/cactusledge/records/reservations.py
+++ b/cactusledge/records/reservations.py
@@ -32,6 +32,7 @@
     verdict: Verdict
     chain: tuple[entries.Turn, ...] = ()
     reason: str = ''
+    may_be_reserved: bool = True  # whether any store may hold a reservation
 
 
 class Decision(NamedTuple):
@@ -80,7 +81,7 @@
         if not self._peers.has_quorum:
             return Grant(Verdict.UNSURE, reason='no quorum connected')
         if not self._has_room_for(start):
-            return NO_ROOM
+            return NO_ROOM._replace(may_be_reserved=False)
         if start.is_free:
             return Grant(Verdict.GRANTED, reason='nothing to reserve')
         if not start.wants_chain:
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -69,6 +69,7 @@
         (Verdict.SPENT, 402),
         (Verdict.NO_PARENT, 404),
         (Verdict.UNSURE, 503),
+        (Verdict.NO_ROOM, 503),
     ],
 )
 def test_turn_that_is_not_granted_reaches_no_engine(verdict, status):
@@ -83,6 +84,22 @@
     run_scenario(scenario, endpoint)
 
 
+# A refusal for want of room took room itself: what was never reserved was
+# settled at all stores.
+def test_turn_without_a_reservation_leaves_nothing_at_the_stores():
+    async def scenario(harness):
+        harness.records.grant = Grant(Verdict.NO_ROOM, may_be_reserved=False)
+        caller = await harness.call('/turn/x', 'X-Cactusledge-Token-Budget: 9')
+        status, head, _ = await caller.read()
+        assert status == 503
+        assert float(field(head, 'retry-after')) >= 1
+        assert not endpoint.requests
+        assert not harness.records.settled
+
+    endpoint = Endpoint(stream)
+    run_scenario(scenario, endpoint)
+
+
 def test_gateway_without_quorum_sends_callers_elsewhere():
     async def scenario(harness):
         harness.records.grant = Grant(Verdict.UNSURE)
--- a/tests/test_records_room.py
+++ b/tests/test_records_room.py
@@ -53,6 +53,9 @@
         last_id = await fill(cluster)
         limit(cluster, 1.2)
         assert await verdict(cluster, 'new') is Verdict.NO_ROOM
+        heads = [node.store.log.head for node in cluster.nodes.values()]
+        assert await verdict(cluster, 'other') is Verdict.NO_ROOM
+        assert heads == [node.store.log.head for node in cluster.nodes.values()]
         assert await verdict(cluster, 'next', last_id) is Verdict.GRANTED
         assert await cluster.client.record(turn('next', last_id))
         limit(cluster, 1.05)
