Gateway: a chain is held once while it is read and sent

Change: the texts are written into one buffer, which is sent ahead of the input without a copy; a chain that is larger than the cache is not joined for it.

--- a/benchmarks/gateway_dialect.py
+++ b/benchmarks/gateway_dialect.py
@@ -54,7 +54,7 @@
             host,
             REQUEST_ID,
             request_id,
-            len(outgoing.body),
+            outgoing.size,
         )
 
     def read_answer(
--- a/cactusledge/gateway/chains.py
+++ b/cactusledge/gateway/chains.py
@@ -1,7 +1,8 @@
 """Turn chains in the form that engines read, cached by their last turn."""
 
+import io
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 import zstandard
@@ -33,17 +34,15 @@
 
 def join(turns: Iterable[Turn]) -> Chain:
     """Returns the chain made of the records, given oldest first."""
-    parts: list[bytes] = []
+    text = io.BytesIO()  # its value is not copied
     endpoint_id = ''
     account = ''
     for turn in turns:
-        parts.extend((
-            _decompressor.decompress(turn.request),
-            _decompressor.decompress(turn.response),
-        ))
+        text.write(_decompressor.decompress(turn.request))
+        text.write(_decompressor.decompress(turn.response))
         endpoint_id = turn.endpoint_id
         account = turn.account
-    return Chain(b''.join(parts), endpoint_id, account)
+    return Chain(text.getvalue(), endpoint_id, account)
 
 
 class ChainCache:
@@ -62,6 +61,18 @@
             self._chains.move_to_end(turn_id)
         return chain
 
+    def extend(self, chain: Chain, texts: Sequence[bytes], last: Turn) -> None:
+        """Stores a chain with its next turn, and evicts old ones.
+
+        One that is larger than the cache is not even joined.
+        """
+        size = len(chain.text) + sum(len(text) for text in texts)
+        if size <= self._capacity_bytes:
+            joined = b''.join((chain.text, *texts))
+            self.put(
+                last.turn_id, Chain(joined, last.endpoint_id, last.account)
+            )
+
     def put(self, turn_id: str, chain: Chain) -> None:
         """Stores a chain and evicts the least recently used ones."""
         old = self._chains.pop(turn_id, None)
--- a/cactusledge/gateway/messages.py
+++ b/cactusledge/gateway/messages.py
@@ -139,6 +139,12 @@
     body: bytes  # replaces the request's own
     resume_after: str = ''  # event id; replaces the caller's, '' keeps it
     account: str = ''  # name of the caller's account, '' without one
+    context: bytes = b''  # sent ahead of the body; not joined, as it is large
+
+    @property
+    def size(self) -> int:
+        """The bytes of what is sent after the head."""
+        return len(self.context) + len(self.body)
 
 
 class PromptPart(NamedTuple):
--- a/cactusledge/gateway/sending.py
+++ b/cactusledge/gateway/sending.py
@@ -127,7 +127,7 @@
 
     def _note_sent(self, replica: Replica, outgoing: Outgoing) -> None:
         way = self.selection.way
-        self.fleet.cross.note_sent(replica, way, len(outgoing.body))
+        self.fleet.cross.note_sent(replica, way, outgoing.size)
         self.selection.add_contacted(replica.endpoint_id)
         self.call.progress.contacted.append(replica.endpoint_id)
 
@@ -240,8 +240,8 @@
 
     def _encode(
         self, replica: Replica, outgoing: Outgoing
-    ) -> tuple[bytes, bytes]:
-        """Returns the head and the body."""
+    ) -> tuple[bytes, ...]:
+        """Returns the head and the parts of the body."""
         request = outgoing.request
         fields = self.fleet.dialect.request_headers(
             outgoing, replica, self.call.remaining_ms()
@@ -251,6 +251,8 @@
             request.target,
             fields,
         )
+        if outgoing.context:
+            return head, outgoing.context, outgoing.body
         return head, outgoing.body
 
     def _doubt(self, replica: Replica, answer: BufferedAnswer) -> None:
--- a/cactusledge/gateway/turn_stream.py
+++ b/cactusledge/gateway/turn_stream.py
@@ -71,9 +71,10 @@
         request = self.call.request
         return Outgoing(
             request,
-            self.chain.text + request.body,
+            request.body,
             resume_after=self._splitter.last_event_id,
             account=self.call.account_name,
+            context=self.chain.text,
         )
 
     def choose(self, selection: Selection) -> Replica | None:
--- a/cactusledge/gateway/turns.py
+++ b/cactusledge/gateway/turns.py
@@ -283,11 +283,7 @@
         if not recorded.is_durable:
             return False
         stream.is_recorded = True
-        text = b''.join((stream.chain.text, call.request.body, response))
-        self._chains.put(
-            info.request_id,
-            Chain(text, turn.endpoint_id, turn.account),
-        )
+        self._chains.extend(stream.chain, (call.request.body, response), turn)
         return True
 
 
--- a/cactusledge/platform/headers.py
+++ b/cactusledge/platform/headers.py
@@ -136,8 +136,8 @@
             )
         if outgoing.resume_after:
             lines.append(f'Last-Event-Id: {outgoing.resume_after}\r\n'.encode())
-        if outgoing.body or request.method in BODY_METHODS:
-            lines.append(b'Content-Length: %d\r\n' % len(outgoing.body))
+        if outgoing.size or request.method in BODY_METHODS:
+            lines.append(b'Content-Length: %d\r\n' % outgoing.size)
         lines.append(b'\r\n')
         return b''.join(lines)
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,5 +1,8 @@
 """Unit tests of data path components that need no connection."""
 
+import random
+import tracemalloc
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -217,3 +220,32 @@
 )
 def test_classification_of_exchange_end(head, completeness, end):
     assert end_of(head, completeness) is end
+
+
+# A chain was held three times while it was read and sent, and once more for a
+# cache that it did not fit in.
+def test_chain_is_held_once():
+    size = 4_000_000
+    turns = [
+        Turn(f't{number}', '', 'p', text, compress(b'out'), 1, 'e', ())
+        for number in range(8)
+        for text in (compress(random.randbytes(size)),)
+    ]
+    cache = ChainCache()
+    tracemalloc.start()
+    chain = join(turns)
+    cache.extend(chain, (b'in', b'out'), turns[-1])
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(chain.text) >= 8 * size
+    assert peak < 10.5 * size
+    assert cache.get('t7') is None
+
+
+def test_cache_has_a_chain_with_its_next_turn():
+    last = Turn('t2', 't1', 'p', b'', b'', 1, 'e2', (), 'acme')
+    cache = ChainCache(capacity_bytes=10)
+    cache.extend(Chain(b'abc', 'e1'), (b'de', b'f'), last)
+    assert cache.get('t2') == Chain(b'abcdef', 'e2', 'acme')
+    cache.extend(Chain(b'abc', 'e1'), (b'd' * 8,), last)
+    assert cache.get('t2') == Chain(b'abcdef', 'e2', 'acme')
