Records: the age of entries follows from their segments' names (LOST)

All records counted as past their retention.

Change: a segment is written to for ten seconds at most, and its name says so; one of an older build was written to until the next one was begun.

Result: test_start_keeps_records_where_files_have_no_times failed before.

--- a/cactusledge/records/disk.py
+++ b/cactusledge/records/disk.py
@@ -19,11 +19,15 @@
     frame_entries,
     framed_entries,
 )
+from cactusledge.records.segment_names import (
+    SEGMENT_S,
+    SEGMENT_SUFFIX,
+    ages,
+    new_name,
+)
 
 IDENTITY_FILE = 'identity.json'
-SEGMENT_SUFFIX = '.log'
 SEGMENT_BYTES = 8 * 1024 * 1024
-SEGMENT_S = 10.0  # of writing; the age of an entry is known as precisely
 ID_BYTES = 8
 
 log = structlog.get_logger('records')
@@ -44,7 +48,7 @@
     """A segment file; read when its entries are asked for."""
 
     path: Path
-    age_s: float  # since it was last written
+    age_s: float  # since it was last written, at least
 
     def frames(self) -> Iterator[FramedEntry]:
         """Yields its entries and where they are."""
@@ -119,10 +123,10 @@
         write_document(folder, IDENTITY_FILE, identity._asdict())
         return FolderContent(identity)
     identity = Identity(found['log_id'], found['is_witness'])
-    now_s = time.time()
+    names = [path.name for path in list_segments(folder)]
     segments = tuple(
-        StoredSegment(path, max(now_s - path.stat().st_mtime, 0))
-        for path in list_segments(folder)
+        StoredSegment(folder / found.name, found.age_s)
+        for found in ages(names, time.time())
     )
     return FolderContent(identity, segments)
 
@@ -262,7 +266,7 @@
         self._stream = None  # also when opening the next segment fails
         if stream is not None:
             stream.close()
-        name = f'{time.time_ns():020d}-{secrets.token_hex(2)}{SEGMENT_SUFFIX}'
+        name = new_name(time.time_ns())
         path = self._folder / name
         self._stream = path.open('ab', buffering=0)
         self._segment = name
--- a/cactusledge/records/store.py
+++ b/cactusledge/records/store.py
@@ -15,12 +15,11 @@
 )
 from cactusledge.records.gateways import GatewayRegistry
 from cactusledge.records.log import RecordLog
-from cactusledge.records.log_readers import LogReaders
 from cactusledge.records.membership import is_for
 from cactusledge.records.message_texts import total_bytes
 from cactusledge.records.offered_texts import OfferedTexts
 from cactusledge.records.quota_messages import AskQuota
-from cactusledge.records.record_views import RecordViews
+from cactusledge.records.record_views import LogReaders, RecordViews
 from cactusledge.records.shards import newer_groups
 
 ANY_GENERATION = (
--- a/tests/test_records_space.py
+++ b/tests/test_records_space.py
@@ -13,6 +13,12 @@
 from cactusledge.records.lifetimes import SLACK_S
 from cactusledge.records.log import RecordLog
 from cactusledge.records.room_account import StoreLimits
+from cactusledge.records.segment_names import (
+    NS_PER_S,
+    SEGMENT_S,
+    ages,
+    new_name,
+)
 
 TEXTS = 60
 TEXT_BYTES = 1_000_000
@@ -37,25 +43,24 @@
 
 
 @pytest.fixture
-def steady_clock(monkeypatch, tmp_path):
-    """Returns a function that moves the steady clock on, and ages files."""
+def move_clocks(monkeypatch):
+    """Returns a function that moves all clocks on."""
     past_s = [0]
-    clock = time.monotonic
-    for module in ('log', 'log_replay', 'entry_index'):
-        monkeypatch.setattr(
-            f'cactusledge.records.{module}.time.monotonic',
-            lambda: clock() + past_s[0],
-        )
+    for name in ('monotonic', 'time', 'time_ns'):
+        monkeypatch.setattr(time, name, moved(getattr(time, name), past_s))
 
     def move_on(seconds):
         past_s[0] += seconds
-        for path in disk.list_segments(tmp_path):
-            written_s = path.stat().st_mtime - seconds
-            os.utime(path, (written_s, written_s))
 
     return move_on
 
 
+def moved(clock, past_s):
+    """Returns a clock that is ahead by some seconds."""
+    unit = NS_PER_S if clock is time.time_ns else 1
+    return lambda: clock() + int(past_s[0] * unit)
+
+
 @pytest.fixture
 def one_segment_each(monkeypatch):
     """Makes each batch a segment of its own."""
@@ -139,38 +144,59 @@
 
 
 # A start read what was long past its retention, and kept it as long again.
-def test_start_leaves_out_what_is_past_its_retention(open_log, tmp_path):
+def test_start_leaves_out_what_is_past_its_retention(open_log, move_clocks):
     async def write():
         log = open_log()
         await log.append([turn('old'), Reserved('q', 't', 4, RETENTION_S)])
         log.stop()
 
     asyncio.run(write())
-    old_s = time.time() - KEPT_S - 1
-    for path in disk.list_segments(tmp_path):
-        os.utime(path, (old_s, old_s))
+    move_clocks(KEPT_S + SEGMENT_S + 1)
     log = open_log()
     assert not log.state.turns
     assert not log.state.spending
     assert not len(log.index)
 
 
+# The file system of the users' bench keeps no times of files: all records were
+# taken for older than their retention at a start.
+def test_start_keeps_records_where_files_have_no_times(open_log, tmp_path):
+    async def write():
+        await open_log().append([turn('t1')])
+
+    asyncio.run(write())
+    for path in disk.list_segments(tmp_path):
+        os.utime(path, (0, 0))
+    assert set(open_log().state.turns) == {'t1'}
+
+
+# Builds before named no end; their last segment may have been written to
+# until just now, the others until the next one was begun.
+def test_ages_of_segments_follow_from_their_names():
+    old = ['00000001000000000000-ab12.log', '00000001100000000000-ab12.log']
+    names = [*old, new_name(1200 * NS_PER_S), old[1].replace('11', '13')]
+    found = [round(one.age_s) for one in ages(names, 1400)]
+    assert found == [300, 200, 200 - SEGMENT_S, 0]
+    assert [one.age_s for one in ages([new_name(NS_PER_S)], 0)] == [0]
+    assert [one.age_s for one in ages(['odd.log'], 1400)] == [0]
+
+
 # A turn that is continued was dropped before the turns that continue it.
 @pytest.mark.usefixtures('one_segment_each')
 def test_turns_are_kept_with_the_chain_that_continues_them(
-    open_log, steady_clock
+    open_log, move_clocks
 ):
     async def main():
         log = open_log()
         await log.append([turn('t1'), turn('t0')])
-        steady_clock(KEPT_S / 2)
+        move_clocks(KEPT_S / 2)
         await log.append([turn('t2', 't1')])
-        steady_clock(KEPT_S * 0.75)
+        move_clocks(KEPT_S * 0.75)
         log.expire()
         assert set(log.state.turns) == {'t1', 't2'}
         reopened = open_log()
         assert set(reopened.state.turns) == {'t1', 't2'}
-        steady_clock(KEPT_S)
+        move_clocks(KEPT_S)
         reopened.expire()
         assert not reopened.state.turns
 
@@ -178,17 +204,17 @@
 
 
 # Chains are known from their youngest turn on where a store catches up.
-def test_parent_that_comes_late_is_kept_with_its_chain(open_log, steady_clock):
+def test_parent_that_comes_late_is_kept_with_its_chain(open_log, move_clocks):
     async def main():
         log = open_log()
         await log.append([turn('t2', 't1')])
-        steady_clock(KEPT_S / 2)
+        move_clocks(KEPT_S / 2)
         await log.append([turn('t3', 't2')])
         await log.append([turn('t1')])
-        steady_clock(KEPT_S - 1)
+        move_clocks(KEPT_S - 1)
         log.expire()
         assert set(log.state.turns) == {'t1', 't2', 't3'}
-        steady_clock(2)
+        move_clocks(2)
         log.expire()
         assert not log.state.turns
 
@@ -199,7 +225,7 @@
 @pytest.mark.parametrize('is_reopened', [False, True])
 @pytest.mark.usefixtures('one_segment_each')
 def test_spending_is_kept_while_the_program_goes_on(
-    open_log, steady_clock, is_reopened
+    open_log, move_clocks, is_reopened
 ):
     async def main():
         log = open_log()
@@ -208,9 +234,9 @@
             turn('free', has_budget=False),
             Settled('p', 't2', 3, RETENTION_S),
         ])
-        steady_clock(KEPT_S * 0.75)
+        move_clocks(KEPT_S * 0.75)
         await log.append([Reserved('p', 't3', 5, RETENTION_S)])
-        steady_clock(KEPT_S * 0.75)
+        move_clocks(KEPT_S * 0.75)
         log.expire()
         await log.append([Reserved('p', 't4', 5, RETENTION_S)])
         if is_reopened:
@@ -222,7 +248,7 @@
             't3': (5, False),
             't4': (5, False),
         }
-        steady_clock(2 * KEPT_S)
+        move_clocks(2 * KEPT_S)
         log.expire()
         assert not log.state.spending
 
@@ -232,7 +258,7 @@
 # One turn that is needed for long kept the space of all others of its segment.
 @pytest.mark.parametrize('is_reopened', [False, True])
 def test_sparse_segments_are_written_anew(
-    open_log, tmp_path, steady_clock, monkeypatch, is_reopened
+    open_log, tmp_path, move_clocks, monkeypatch, is_reopened
 ):
     monkeypatch.setattr(log_texts, 'CACHE_BYTES', 1)
     monkeypatch.setattr(disk, 'SEGMENT_BYTES', 1_000_000)
@@ -243,10 +269,10 @@
         for number in range(100):
             await log.append([turn(f't{number}', size=200_000)])
         await log.append([kept])
-        steady_clock(KEPT_S / 2)
+        move_clocks(KEPT_S / 2)
         for number in range(3):
             await log.append([turn(f'{number}', 'kept', size=400_000)])
-        steady_clock(KEPT_S * 0.75)
+        move_clocks(KEPT_S * 0.75)
         log.expire()
         await log.clean()
         log.expire()
@@ -261,7 +287,7 @@
 
 # A segment is not given up while its last entries are only being written.
 def test_segment_stays_while_its_entries_are_written_anew(
-    open_log, steady_clock, monkeypatch
+    open_log, move_clocks, monkeypatch
 ):
     monkeypatch.setattr(log_tidying, 'LEAST_DEAD_SHARE', 0)
     monkeypatch.setattr(disk, 'SEGMENT_BYTES', 1)
--- a/tests/test_records_text_offers.py
+++ b/tests/test_records_text_offers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import os
 import time
 
 import msgspec
@@ -21,6 +20,7 @@
 from cactusledge.records.lifetimes import SLACK_S
 from cactusledge.records.log import RecordLog
 from cactusledge.records.messages import Fetch, Fetched
+from cactusledge.records.segment_names import NS_PER_S, SEGMENT_S, new_name
 from cactusledge.records.text_offers import OFFER_INTERVAL_S, PendingOffers
 from tests.records_support import cluster_of, wait_until
 
@@ -186,9 +186,9 @@
         node.pause()
         await node.store.log.append([turn('old', ('store-0', 'store-1'))])
         await node.kill()
-        old_s = time.time() - RETENTION_S - SLACK_S - 1
+        old_s = time.time() - RETENTION_S - SLACK_S - SEGMENT_S - 1
         for path in list_segments(node.folder):
-            os.utime(path, (old_s, old_s))
+            path.rename(path.with_name(new_name(int(old_s * NS_PER_S))))
         await node.start()
         await node.store.log.append([turn('new', ('store-0', 'store-1'))])
         await wait_until(lambda: 'store-1' in copies(cluster, 'new'))
--- a/tests/test_turn_accounts.py
+++ b/tests/test_turn_accounts.py
@@ -7,7 +7,6 @@
 from cactusledge.gateway.chains import compress, join
 from cactusledge.gateway.messages import Account, Repeatability
 from cactusledge.platform.accounts import digest_of
-from cactusledge.records.disk import SEGMENT_SUFFIX
 from cactusledge.records.entries import (
     ENCODER,
     ENTRY_DECODER,
@@ -19,6 +18,7 @@
 from cactusledge.records.quorum import Verdict
 from cactusledge.records.reservations import Grant
 from cactusledge.records.segment import frame_entry
+from cactusledge.records.segment_names import SEGMENT_SUFFIX
 from tests.fakes_records import LedgerRecords
 from tests.gateway_endpoints import Endpoint, chunked
 from tests.gateway_support import running_gateway
