--- a/cactusledge/platform/headers.py
+++ b/cactusledge/platform/headers.py
@@ -20,6 +20,7 @@
     RESPONSE_SEAL,
     is_sound,
 )
+from cactusledge.records.entries import short_id
 
 DEADLINE = b'x-cactusledge-deadline-ms'  # remaining time, not a timestamp
 PROGRAM_ID = b'x-cactusledge-program-id'
@@ -227,12 +228,15 @@
 
 
 def parse_prompt_parts(content: bytes) -> tuple[PromptPart, ...]:
-    """Parses `id:tokens,id:tokens`; skips invalid entries."""
+    """Parses `id:tokens,id:tokens`; skips invalid entries.
+
+    Long ids are shortened, as instances tell each other many of them.
+    """
     parts: list[PromptPart] = []
     for entry in content.decode('latin-1').split(','):
         part_id, _, tokens = entry.strip().partition(':')
         if part_id and tokens.isdecimal():
-            parts.append(PromptPart(part_id, int(tokens)))
+            parts.append(PromptPart(short_id(part_id), int(tokens)))
     return tuple(parts)
 
 
--- a/cactusledge/records/entries.py
+++ b/cactusledge/records/entries.py
@@ -1,10 +1,12 @@
 """Entries of the log, and the group of stores that holds them."""
 
 import msgspec
+import xxhash
 
 # Of entries without a retention period of their own: those of older builds,
 # and of routes that keep no turns. It exceeds any program's duration.
 RETENTION_S = 600.0
+LONGEST_ID = 64  # characters, of one that is told as it is
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -91,3 +93,13 @@
 EMPTY_GROUP = Group(generation=0, members={}, target_size=0, copies=1)
 ENCODER = msgspec.msgpack.Encoder()
 ENTRY_DECODER: msgspec.msgpack.Decoder[Entry] = msgspec.msgpack.Decoder(Entry)
+
+
+def short_id(long_id: str) -> str:
+    """Returns an id, or a digest if it is long.
+
+    For lists in messages, which are bounded by the number of their ids.
+    """
+    if len(long_id) <= LONGEST_ID:
+        return long_id
+    return xxhash.xxh3_128_hexdigest(long_id.encode())
--- a/cactusledge/records/quorum.py
+++ b/cactusledge/records/quorum.py
@@ -4,13 +4,9 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple, Protocol, TypeVar
 
-import xxhash
-
-from cactusledge.records.entries import Group
+from cactusledge.records.entries import Group, short_id
 from cactusledge.records.messages import ReserveReply
 
-LONGEST_KEY = 64  # characters
-
 Spent = dict[str, tuple[int, bool]]  # turn -> (tokens, settled)
 
 
@@ -63,22 +59,12 @@
     return bool(group.members) and reached >= quorum(group)
 
 
-def spending_key(turn_id: str) -> str:
-    """Returns a turn's id, or a digest if it is long.
-
-    Stores send digests where the ids would not fit in a message.
-    """
-    if len(turn_id) <= LONGEST_KEY:
-        return turn_id
-    return xxhash.xxh3_128_hexdigest(turn_id.encode())
-
-
 def merge_spent(views: Iterable[Spent]) -> Spent:
     """Returns the union of the stores' figures; a settled one is final."""
     merged: Spent = {}
     for view in views:
         for turn_id, spend in view.items():
-            key = spending_key(turn_id)
+            key = short_id(turn_id)
             known = merged.get(key)
             if known is None or (spend[1] and not known[1]):
                 merged[key] = spend
@@ -87,7 +73,7 @@
 
 def total_of_others(spent: Spent, turn_id: str) -> int:
     """Returns the tokens of all turns except the given one."""
-    key = spending_key(turn_id)
+    key = short_id(turn_id)
     return sum(tokens for other, (tokens, _) in spent.items() if other != key)
 
 
--- a/cactusledge/records/record_views.py
+++ b/cactusledge/records/record_views.py
@@ -4,11 +4,11 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-from cactusledge.records.entries import Turn
+from cactusledge.records.entries import Turn, short_id
 from cactusledge.records.log import RecordLog
 from cactusledge.records.message_texts import MESSAGE_BYTES, youngest_that_fit
 from cactusledge.records.messages import ReserveReply
-from cactusledge.records.quorum import Spent, spending_key
+from cactusledge.records.quorum import Spent
 
 READER_TTL_S = 60.0  # longer than any write is in flight
 
@@ -59,7 +59,7 @@
         ids_bytes = sum(len(turn_id) for turn_id in spent)
         is_long = ids_bytes > MESSAGE_BYTES
         sent = {
-            spending_key(turn_id) if is_long else turn_id: spend
+            short_id(turn_id) if is_long else turn_id: spend
             for turn_id, spend in spent.items()
         }
         return self._reply(parent_id, sent, ())
--- a/tests/test_records_long_ids.py
+++ b/tests/test_records_long_ids.py
@@ -9,12 +9,19 @@
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
 
+from cactusledge.platform.headers import parse_prompt_parts
 from cactusledge.records import catch_up
-from cactusledge.records.entries import Member, Reserved, Turn
+from cactusledge.records.entries import Member, Reserved, Turn, short_id
 from cactusledge.records.entry_index import EntryIndex, Record
 from cactusledge.records.frames import MAX_FRAME_BYTES, encode_frame
+from cactusledge.records.gateway_messages import LoadSums, ReadPart
 from cactusledge.records.log import RecordLog
 from cactusledge.records.messages import Message, Pull, Pulled
+from cactusledge.records.read_parts import (
+    MAX_ENTRIES,
+    ListPosition,
+    ReadParts,
+)
 from cactusledge.records.store import RecordStore
 from tests.records_support import wait_until
 
@@ -217,3 +224,26 @@
     first = EntryIndex().epoch
     random.seed(1)
     assert EntryIndex().epoch != first
+
+
+# Gateways tell each other which parts of prompts engines have read, some
+# thousands of them; with long ids the list closed the connection of each
+# gateway that had been restarted, again and again.
+def test_list_of_parts_with_long_ids_fits_in_a_message():
+    read = ReadParts()
+    for number in range(MAX_ENTRIES):
+        header = f'{long_id(number)}:10,last:10'.encode()
+        read.add(
+            ReadPart('engine-1', 1, *part)
+            for part in parse_prompt_parts(header)
+        )
+    update = read.since(ListPosition())
+    assert len(update.parts) >= MAX_ENTRIES
+    frame = encode_frame(1, LoadSums({}, update.parts))
+    assert len(frame) < MAX_FRAME_BYTES
+
+
+def test_short_ids_are_told_as_they_are_and_long_ones_apart():
+    assert parse_prompt_parts(b'a:1, b:2') == (('a', 1), ('b', 2))
+    assert short_id('x' * 64) == 'x' * 64
+    assert short_id(long_id(1)) != short_id(long_id(2))
