Records: a drain passes over entries that have expired; dead space counts (Fault)

Offers would have reached turns that their gateways were still writing. Space of entries that are needed no more, in segments that were not cleaned, counted for the limit on writes but not for the refusals before it.

Change: a part that ends in dropped entries names the position behind them; offers stop at the settled position. While disk is scarce segments are cleaned that are needed for nine tenths, and a tenth of the disk at most may hold what is needed no more before new programs are refused. At most 4,000 entries expire without a break.

--- a/cactusledge/records/draining.py
+++ b/cactusledge/records/draining.py
@@ -89,8 +89,11 @@
     def _next_part(self) -> LogPart:
         """Returns the next entries whose texts fit in a message."""
         position = self._pushed_entries
-        entries = self._store.log.pull(position, PUSH_ENTRIES).entries
-        count = count_that_fit([self._bytes_of(entry) for entry in entries])
+        part = self._store.log.pull(position, PUSH_ENTRIES)
+        sizes = [self._bytes_of(entry) for entry in part.entries]
+        count = count_that_fit(sizes)
+        if count == len(sizes):
+            return part
         return self._store.log.pull(position, count)
 
     def _bytes_of(self, entry: Entry) -> int:
--- a/cactusledge/records/entry_index.py
+++ b/cactusledge/records/entry_index.py
@@ -118,16 +118,20 @@
         """Yields all entries."""
         return (record for record in self._records if record is not None)
 
-    def part(self, position: int, most: int) -> LogPart:
+    def part(
+        self, position: int, most: int, before: int | None = None
+    ) -> LogPart:
         """Returns entries from a position on that fit in one message.
 
-        Dropped ones are skipped. One is returned in any case, if there is one.
+        Those before a position, if one is given. Dropped ones are skipped.
+        One is returned in any case, if there is one.
         """
         start = max(0, position - self._first_position)
+        stop = None if before is None else max(0, before - self._first_position)
         found: list[Entry] = []
         end = start
         left = MESSAGE_BYTES
-        for record in itertools.islice(self._records, start, None):
+        for record in itertools.islice(self._records, start, stop):
             size = 0 if record is None else entry_bytes(record.entry)
             if len(found) >= most or (found and size > left):
                 break
--- a/cactusledge/records/log.py
+++ b/cactusledge/records/log.py
@@ -123,7 +123,7 @@
             OSError: Reading or writing failed.
         """
         if self.account.needs_cleaning:
-            await self._tidying.clean()
+            await self._tidying.clean(self.account.least_dead_share)
 
     async def mark_witness(self) -> None:
         """Records on disk that the log is complete (see `Identity`).
--- a/cactusledge/records/log_tidying.py
+++ b/cactusledge/records/log_tidying.py
@@ -1,6 +1,7 @@
 """Drops entries of a log whose time is over, and wins back their space."""
 
 import asyncio
+import itertools
 from collections.abc import Callable, Iterable
 from pathlib import Path
 
@@ -14,8 +15,7 @@
 from cactusledge.records.segment import HEADER
 from cactusledge.records.segment_table import SegmentUse
 
-# A segment is written anew if at least this share of it is needed no more.
-LEAST_DEAD_SHARE = 0.5
+MOST_AT_ONCE = 4000  # entries that are looked at without a break
 
 log = structlog.get_logger('records')
 
@@ -39,7 +39,7 @@
     def expire(self, now_s: float) -> list[str]:
         """Drops entries; returns the names of segments to remove."""
         lifetimes = self._tables.lifetimes
-        for position in lifetimes.due(now_s):
+        for position in itertools.islice(lifetimes.due(now_s), MOST_AT_ONCE):
             self._check(position, now_s)
         lifetimes.forget_awaited(now_s)
         self._tables.entries.trim()
@@ -48,16 +48,19 @@
             return []
         return self._tables.segments.take_unused()
 
-    async def clean(self) -> None:
+    async def clean(self, least_dead_share: float) -> None:
         """Writes what is needed of the sparsest segment anew.
 
+        Args:
+            least_dead_share: Of the segment, that is needed no more.
+
         Raises:
             OSError: Reading or writing failed; the segment is kept.
         """
         segment = self._tables.segments.sparsest()
         if segment is None or self._writer.has_pending:
             return
-        if segment.dead_bytes < segment.size * LEAST_DEAD_SHARE:
+        if segment.dead_bytes < segment.size * least_dead_share:
             return
         path = self._folder / segment.name
         content = await asyncio.to_thread(path.read_bytes)
--- a/cactusledge/records/room_account.py
+++ b/cactusledge/records/room_account.py
@@ -22,8 +22,14 @@
 # Shares of the room that may be taken before the store refuses.
 NEW_PROGRAMS_SHARE = 0.75
 TURNS_SHARE = 0.9
-# Above it segments are written anew without what is needed no more.
+# Above it segments are written anew without what is needed no more; first those
+# that are mostly not needed, then others too.
 CLEANING_SHARE = 0.5
+SCARCE_SHARE = 0.75
+LEAST_DEAD_SHARE = 0.5
+LEAST_DEAD_SHARE_IF_SCARCE = 0.1
+# Of the disk, that may hold what is needed no more before it counts as taken.
+DEAD_SHARE = 0.1
 
 
 class StoreLimits(NamedTuple):
@@ -73,6 +79,7 @@
         return max(
             self.use.memory / self.memory_bytes,
             self.use.disk / self.disk_bytes,
+            self._disk_share - DEAD_SHARE,
         )
 
     @property
@@ -87,7 +94,14 @@
     @property
     def needs_cleaning(self) -> bool:
         """Whether space on disk has to be won back."""
-        return self.use.disk_total > self.disk_bytes * CLEANING_SHARE
+        return self._disk_share > CLEANING_SHARE
+
+    @property
+    def least_dead_share(self) -> float:
+        """The share of a segment that has to be won back by cleaning it."""
+        if self._disk_share > SCARCE_SHARE:
+            return LEAST_DEAD_SHARE_IF_SCARCE
+        return LEAST_DEAD_SHARE
 
     def has_space_for(self, size: int) -> bool:
         """Returns whether entries of so many bytes may be written."""
@@ -96,3 +110,7 @@
             use.disk_total + size <= self.disk_bytes
             and use.memory + size <= self.memory_bytes
         )
+
+    @property
+    def _disk_share(self) -> float:
+        return self.use.disk_total / self.disk_bytes
--- a/cactusledge/records/text_offers.py
+++ b/cactusledge/records/text_offers.py
@@ -63,9 +63,9 @@
             self._group = group
             self._end = index.head
             self._start_over()
-        left = index.position_before(SETTLED_AFTER_S) - self._position
-        part = index.part(self._position, min(SCAN_ENTRIES, max(left, 0)))
-        self._position = part.end
+        settled = index.position_before(SETTLED_AFTER_S)
+        part = index.part(self._position, SCAN_ENTRIES, settled)
+        self._position = max(self._position, part.end)
         self._turn_ids.update(
             dict.fromkeys(
                 entry.turn_id
@@ -73,7 +73,7 @@
                 if self._is_kept(entry, group)
             )
         )
-        return left > SCAN_ENTRIES
+        return self._position < settled
 
     def batches(self) -> Iterator[list[str]]:
         """Yields the turns to offer; one empty batch if there are none.
--- a/tests/test_records_text_offers.py
+++ b/tests/test_records_text_offers.py
@@ -22,7 +22,7 @@
 from cactusledge.records.messages import Fetch, Fetched
 from cactusledge.records.segment_names import NS_PER_S, SEGMENT_S, new_name
 from cactusledge.records.text_offers import OFFER_INTERVAL_S, PendingOffers
-from tests.records_support import cluster_of, wait_until
+from tests.records_support import WAIT_S, cluster_of, wait_until
 
 TURNS = 20
 MEMBERS = {name: Member('127.0.0.1:1', name) for name in ('a', 'b', 'c')}
@@ -300,3 +300,23 @@
 def test_messages_are_read_by_the_other_build(message, received_as, expected):
     encoded = msgspec.msgpack.encode(message)
     assert msgspec.msgpack.decode(encoded, type=received_as) == expected
+
+
+# A drain went round for ever behind its last entry that was still needed.
+@pytest.mark.process
+def test_store_is_drained_whose_last_entries_have_expired(run_scenario):
+    async def scenario(cluster):
+        leaving = cluster.nodes['store-0']
+        kept = turn('kept', ('store-0', 'store-1'))
+        gone = msgspec.structs.replace(
+            turn('gone', ('store-0', 'store-1')),
+            retention_s=-SLACK_S,
+            has_budget=False,
+        )
+        await leaving.store.log.append([kept, gone])
+        leaving.store.log.expire()
+        assert leaving.store.log.state.turns.keys() == {'kept'}
+        async with asyncio.timeout(WAIT_S):
+            await StoreDrain(leaving.store, leaving.group_manager).run()
+
+    run_scenario(scenario, size=4)
