Gateway: room at the stores costs nothing while none lacks it

Each turn listed the connected stores twice to see which have room. Now only while a store has said that it lacks some.

--- a/cactusledge/records/reservations.py
+++ b/cactusledge/records/reservations.py
@@ -101,6 +101,8 @@
 
     def _has_room_for(self, start: TurnStart) -> bool:
         """Returns whether enough stores have room to record a turn."""
+        if self._peers.rooms.is_everywhere:
+            return True
         group = self._peers.group
         connected = [peer.name for peer in self._peers.connected()]
         least = Room.SHORT if start.is_first else Room.FULL
--- a/cactusledge/records/room.py
+++ b/cactusledge/records/room.py
@@ -39,6 +39,11 @@
         """Starts with room everywhere."""
         self._lacking: dict[str, Heard] = {}
 
+    @property
+    def is_everywhere(self) -> bool:
+        """Whether no store is known to lack room."""
+        return not self._lacking
+
     def note(self, replies: Mapping[str, RoomReply]) -> None:
         """Notes what stores have replied."""
         for name, reply in replies.items():
--- a/cactusledge/records/write_requests.py
+++ b/cactusledge/records/write_requests.py
@@ -31,9 +31,10 @@
 def holders_of(turn: entries.Turn, peers: GroupPeers) -> tuple[str, ...]:
     """Returns the connected stores chosen to keep a turn's text."""
     connected = {peer.name for peer in peers.connected()}
-    with_room = peers.rooms.with_room(connected, Room.SHORT)
-    if len(with_room) >= peers.group.copies:
-        connected = set(with_room)
+    if not peers.rooms.is_everywhere:
+        with_room = peers.rooms.with_room(connected, Room.SHORT)
+        if len(with_room) >= peers.group.copies:
+            connected = set(with_room)
     members = {
         name: member
         for name, member in peers.group.members.items()
