--- a/cactusledge/records/reservations.py
+++ b/cactusledge/records/reservations.py
@@ -105,9 +105,9 @@
             return True
         group = self._peers.group
         connected = [peer.name for peer in self._peers.connected()]
-        least = Room.SHORT if start.is_first else Room.FULL
+        too_little = Room.SHORT if start.is_first else Room.FULL
+        with_room = self._peers.rooms.better_than(connected, too_little)
         needed = max(quorum(group), min(group.copies, len(connected)))
-        with_room = self._peers.rooms.with_room(connected, least)
         return len(with_room) >= needed
 
     async def _reserve_with_room(self, start: TurnStart) -> Grant:
--- a/cactusledge/records/room.py
+++ b/cactusledge/records/room.py
@@ -52,9 +52,9 @@
             else:
                 self._lacking[name] = Heard(reply.room, time.monotonic())
 
-    def with_room(self, names: Iterable[str], least: Room) -> list[str]:
-        """Returns the stores that lack less than a room says."""
-        return [name for name in names if self._room_of(name) < least]
+    def better_than(self, names: Iterable[str], room: Room) -> list[str]:
+        """Returns the stores that have room for more than one that says so."""
+        return [name for name in names if self._room_of(name) < room]
 
     def _room_of(self, name: str) -> int:
         heard = self._lacking.get(name)
--- a/cactusledge/records/write_requests.py
+++ b/cactusledge/records/write_requests.py
@@ -32,7 +32,7 @@
     """Returns the connected stores chosen to keep a turn's text."""
     connected = {peer.name for peer in peers.connected()}
     if not peers.rooms.is_everywhere:
-        with_room = peers.rooms.with_room(connected, Room.SHORT)
+        with_room = peers.rooms.better_than(connected, Room.SHORT)
         if len(with_room) >= peers.group.copies:
             connected = set(with_room)
     members = {
--- a/tests/test_records_room.py
+++ b/tests/test_records_room.py
@@ -167,10 +167,10 @@
     )
     rooms = StoreRooms()
     rooms.note({'a': Appended(room=Room.SHORT), 'b': Appended()})
-    assert rooms.with_room(['a', 'b'], Room.SHORT) == ['b']
-    assert rooms.with_room(['a', 'b'], Room.FULL) == ['a', 'b']
+    assert rooms.better_than(['a', 'b'], Room.SHORT) == ['b']
+    assert rooms.better_than(['a', 'b'], Room.FULL) == ['a', 'b']
     now_s[0] = KNOWN_S + 1
-    assert rooms.with_room(['a', 'b'], Room.SHORT) == ['a', 'b']
+    assert rooms.better_than(['a', 'b'], Room.SHORT) == ['a', 'b']
 
 
 def test_settlement_keeps_the_retention_of_its_route():
