--- a/cactusledge/records/log_replay.py
+++ b/cactusledge/records/log_replay.py
@@ -25,7 +25,7 @@
     """What a store has in memory of its log."""
 
     state: RecordState
-    entries: EntryIndex
+    entries: EntryIndex  # `index` of the log; a tuple has a method of that name
     segments: SegmentTable
     lifetimes: Lifetimes
 
--- a/tests/test_records_large_chains.py
+++ b/tests/test_records_large_chains.py
@@ -95,7 +95,8 @@
     run_scenario(3, scenario)
 
 
-# The same with one of three stores frozen: each text is on another one.
+# Each text is on another store than the frozen one as well. It could be read
+# before the change too.
 @pytest.mark.process
 def test_chain_of_large_turns_is_read_beside_a_frozen_store(run_scenario):
     ids = [f't{number}' for number in range(TURNS)]
